--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# kumquatwing: the commands of README.md.
+
+GO ?= go
+BIN := bin
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS := -X kumquatwing/internal/version.Version=$(VERSION)
+
+.PHONY: all build fmt fmt-check lint vet unit test demo bench proof capacity clean
+
+all: build
+
+build:
+	$(GO) build -ldflags '$(LDFLAGS)' -o $(BIN)/ ./cmd/...
+
+fmt:
+	$(GO) tool gofumpt -w cmd internal
+
+fmt-check:
+	@out=$$($(GO) tool gofumpt -l cmd internal); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+
+unit:
+	$(GO) test -timeout 9m ./...
+
+test: fmt-check vet lint build unit
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/kqctl/main.go
@@ -0,0 +1,4 @@
+// Command kqctl is the command line of callers and operators.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/placement/types.go
@@ -0,0 +1,172 @@
+// Package placement decides which task runs on which worker. It is made of
+// pure functions from a Snapshot to a Plan: no clock, no I/O, no dependence on
+// map order, so that the same snapshot always gives the same plan. The plan is
+// checked again when it is applied.
+package placement
+
+import (
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/settings"
+)
+
+// Snapshot is everything a decision may depend on, for one data centre.
+// All slices are sorted by id, jobs by arrival.
+type Snapshot struct {
+	// NowMillis is the group's clock.
+	NowMillis int64
+	// Out is set while the data centre is taken out: nothing may start.
+	Out     bool
+	Workers []WorkerView
+	Jobs    []JobView
+	Runs    []RunView
+	Teams   []TeamView
+	// Reservations made by earlier plans that still stand.
+	Reservations []Reservation
+	// MaxPlacements bounds the placements of one plan; 0 means no bound.
+	MaxPlacements int
+}
+
+// WorkerView is one worker as the scheduler sees it.
+type WorkerView struct {
+	ID   model.WorkerID
+	Rack string
+	Size model.Resources
+	// Free is the size less what every task not proven ended holds, by the
+	// larger of declared size and reported use with headroom.
+	Free  model.Resources
+	State model.WorkerState
+}
+
+// JobView is one job with pending tasks.
+type JobView struct {
+	Spec model.JobSpec
+	// ArrivedMillis is when the data centre took the job in.
+	ArrivedMillis int64
+	Pending       []PendingTask
+	// Running counts the job's tasks that hold room anywhere.
+	Running int
+	// RunMillis is the learnt run time of a task, or the declared one.
+	RunMillis int64
+	Policy    Policy
+}
+
+// PendingTask is a task that waits.
+type PendingTask struct {
+	ID model.TaskID
+	// NotBeforeMillis holds the task back after a failure.
+	NotBeforeMillis int64
+	// Avoid lists workers on which the task has failed.
+	Avoid []model.WorkerID
+}
+
+// Policy holds the effective settings of a job with the levels that decided them.
+type Policy struct {
+	Preemptible           bool
+	GangReservationMillis int64
+	// Decisions are kept in each explanation.
+	Decisions []settings.Decision
+}
+
+// RunView is a task that holds room on a worker.
+type RunView struct {
+	Task   model.TaskID
+	Job    model.JobID
+	Team   model.TeamID
+	Class  model.Class
+	Worker model.WorkerID
+	// Holds is the room the task takes from its worker.
+	Holds model.Resources
+	// StartedMillis, CheckpointMillis and EndsMillis (estimated, 0 if unknown)
+	// are on the group's clock.
+	StartedMillis    int64
+	CheckpointMillis int64
+	EndsMillis       int64
+	Preemptible      bool
+	// Stopping runs free their room soon and are not preempted again.
+	Stopping bool
+}
+
+// TeamView is one team's standing.
+type TeamView struct {
+	ID    model.TeamID
+	Share int64
+	// Grant is the part of the team's upper limit that this data centre holds.
+	Grant model.Resources
+	// Usage is what the team's tasks hold here, Elsewhere in other data centres.
+	Usage     model.Resources
+	Elsewhere model.Resources
+}
+
+// Plan is what to do, in order.
+type Plan struct {
+	Place        []Placement
+	Preempt      []Preemption
+	Refuse       []JobRefusal
+	Waits        []Wait
+	Reservations []Reservation
+}
+
+// Placement starts a task on a worker.
+type Placement struct {
+	Task    model.TaskID
+	Job     model.JobID
+	Worker  model.WorkerID
+	Explain Explanation
+}
+
+// Preemption stops a run to make room for another task.
+type Preemption struct {
+	Task    model.TaskID
+	Worker  model.WorkerID
+	For     model.TaskID
+	Explain Explanation
+}
+
+// JobRefusal ends a job that can never run.
+type JobRefusal struct {
+	Job     model.JobID
+	Reason  string
+	Explain Explanation
+}
+
+// Wait says why a job's tasks were not placed this time.
+type Wait struct {
+	Job     model.JobID
+	Reason  string
+	Explain Explanation
+}
+
+// Reservation holds room on workers for a gang or urgent task until it ends.
+type Reservation struct {
+	Job         model.JobID
+	UntilMillis int64
+	Workers     []ReservedRoom
+}
+
+// ReservedRoom is a part of a worker that is held back.
+type ReservedRoom struct {
+	Worker model.WorkerID
+	Room   model.Resources
+}
+
+// Explanation is the recorded account of one decision.
+type Explanation struct {
+	Considered int                 `json:"considered" msgpack:"c"`
+	Rejected   []FilterCount       `json:"rejected,omitempty" msgpack:"r,omitempty"`
+	Score      []ScorePart         `json:"score,omitempty" msgpack:"s,omitempty"`
+	Decisions  []settings.Decision `json:"decisions,omitempty" msgpack:"d,omitempty"`
+	// Detail is a short sentence for people.
+	Detail string `json:"detail,omitempty" msgpack:"t,omitempty"`
+}
+
+// FilterCount is how many workers one filter rejected.
+type FilterCount struct {
+	Filter string `json:"filter" msgpack:"f"`
+	Count  int    `json:"count" msgpack:"c"`
+}
+
+// ScorePart is one scorer's part of the chosen worker's score.
+type ScorePart struct {
+	Scorer string `json:"scorer" msgpack:"s"`
+	Points int64  `json:"points" msgpack:"p"`
+}
--- /dev/null
+++ b/internal/replica/local.go
@@ -0,0 +1,89 @@
+package replica
+
+import (
+	"context"
+	"sync"
+
+	"kumquatwing/internal/verdict"
+)
+
+// Local is a Group of one member without durable state, for tests and
+// single-process use.
+type Local struct {
+	mu      sync.Mutex
+	machine Machine
+	member  Member
+	index   uint64
+	closed  bool
+}
+
+var _ Group = (*Local)(nil)
+
+// NewLocal returns a group whose only member leads it.
+func NewLocal(m Machine, self Member) *Local {
+	return &Local{machine: m, member: self}
+}
+
+// Propose implements Group.
+func (l *Local) Propose(_ context.Context, command []byte) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, verdict.Refuse(verdict.ReasonStopping, "group is closed")
+	}
+	l.index++
+	return l.machine.Apply(l.index, command), nil
+}
+
+// Barrier implements Group.
+func (l *Local) Barrier(context.Context) error { return nil }
+
+// View implements Group.
+func (l *Local) View(fn func(Status)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fn(l.status())
+}
+
+// Status implements Group.
+func (l *Local) Status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.status()
+}
+
+func (l *Local) status() Status {
+	return Status{
+		Self:       l.member.ID,
+		Leader:     l.member.ID,
+		Term:       1,
+		Commit:     l.index,
+		Applied:    l.index,
+		Members:    []Member{l.member},
+		LeaseValid: !l.closed,
+	}
+}
+
+// AddLearner implements Group; a Local group has one member.
+func (l *Local) AddLearner(context.Context, Member) error { return errLocal() }
+
+// Promote implements Group; a Local group has one member.
+func (l *Local) Promote(context.Context, MemberID) error { return errLocal() }
+
+// Remove implements Group; a Local group has one member.
+func (l *Local) Remove(context.Context, MemberID) error { return errLocal() }
+
+// TransferLeadership implements Group; there is nobody to take over.
+func (l *Local) TransferLeadership(context.Context) error { return errLocal() }
+
+// Close implements Group.
+func (l *Local) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	return nil
+}
+
+func errLocal() error {
+	return verdict.Refuse(verdict.ReasonBadRequest, "a local group has exactly one member")
+}
--- /dev/null
+++ b/internal/wire/node.go
@@ -0,0 +1,347 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"kumquatwing/internal/verdict"
+)
+
+const (
+	// MetaTo is the metadata key of a published message's destination address.
+	MetaTo = "to"
+	// subscriberBuffer bounds the messages that wait for one subscriber.
+	subscriberBuffer = 1024
+	// maxHandlers bounds the requests of one topic handled at the same time.
+	maxHandlers = 512
+	// defaultCallTimeout bounds a call whose context has no deadline.
+	defaultCallTimeout = 5 * time.Second
+)
+
+// Handler answers a request; an error travels back as a Refusal.
+type Handler func(ctx context.Context, body []byte) ([]byte, error)
+
+// Dialer opens connections; tests replace it to cut peers off.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
+// Node is one process's end of the transport. It implements watermill's
+// message.Publisher and message.Subscriber.
+type Node struct {
+	listener net.Listener
+	dial     Dialer
+
+	mu          sync.Mutex
+	peers       map[string]*peer
+	subscribers map[string][]chan *message.Message
+	handlers    map[string]Handler
+	conns       map[net.Conn]struct{}
+	closed      bool
+
+	handlerSlots chan struct{}
+	done         chan struct{}
+	wg           sync.WaitGroup
+
+	traffic trafficCounter
+}
+
+var (
+	_ message.Publisher  = (*Node)(nil)
+	_ message.Subscriber = (*Node)(nil)
+)
+
+// Listen opens a node at addr. A nil dial uses TCP.
+func Listen(addr string, dial Dialer) (*Node, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if dial == nil {
+		dial = dialTCP
+	}
+	n := &Node{
+		listener:     l,
+		dial:         dial,
+		peers:        map[string]*peer{},
+		subscribers:  map[string][]chan *message.Message{},
+		handlers:     map[string]Handler{},
+		conns:        map[net.Conn]struct{}{},
+		handlerSlots: make(chan struct{}, maxHandlers),
+		done:         make(chan struct{}),
+	}
+	n.wg.Add(1)
+	go n.accept()
+	return n, nil
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Addr returns the address the node listens at.
+func (n *Node) Addr() string { return n.listener.Addr().String() }
+
+// Close ends all connections and waits for the node's goroutines.
+func (n *Node) Close() error {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil
+	}
+	n.closed = true
+	close(n.done)
+	for c := range n.conns {
+		c.Close()
+	}
+	for _, p := range n.peers {
+		p.close()
+	}
+	n.mu.Unlock()
+	err := n.listener.Close()
+	n.wg.Wait()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, subs := range n.subscribers {
+		for _, ch := range subs {
+			close(ch)
+		}
+	}
+	return err
+}
+
+// Publish sends each message to the address in its MetaTo metadata. Delivery
+// is at most once: a full queue or a broken connection loses the message.
+func (n *Node) Publish(topic string, msgs ...*message.Message) error {
+	for _, m := range msgs {
+		f := &frame{Kind: kindMessage, Topic: topic, Body: m.Payload}
+		if err := n.peer(m.Metadata.Get(MetaTo)).enqueue(f, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Send publishes v, encoded as msgpack, to the node at addr.
+func (n *Node) Send(addr, topic string, v any) error {
+	body, err := msgpack.Marshal(v)
+	if err != nil {
+		return err
+	}
+	m := message.NewMessage(watermill.NewShortUUID(), body)
+	m.Metadata.Set(MetaTo, addr)
+	return n.Publish(topic, m)
+}
+
+// Subscribe delivers the one-way messages of topic until ctx ends or the node closes.
+func (n *Node) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil, verdict.Refuse(verdict.ReasonStopping, "node is closed")
+	}
+	ch := make(chan *message.Message, subscriberBuffer)
+	n.subscribers[topic] = append(n.subscribers[topic], ch)
+	context.AfterFunc(ctx, func() { n.unsubscribe(topic, ch) })
+	return ch, nil
+}
+
+func (n *Node) unsubscribe(topic string, ch chan *message.Message) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return
+	}
+	subs := n.subscribers[topic]
+	for i, c := range subs {
+		if c == ch {
+			n.subscribers[topic] = append(subs[:i:i], subs[i+1:]...)
+			close(ch)
+			return
+		}
+	}
+}
+
+// Handle registers the handler of requests to topic.
+func (n *Node) Handle(topic string, h Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[topic] = h
+}
+
+// HandleTyped registers a handler whose request and reply are msgpack structs.
+func HandleTyped[Req, Resp any](n *Node, topic string, h func(ctx context.Context, req *Req) (*Resp, error)) {
+	n.Handle(topic, func(ctx context.Context, body []byte) ([]byte, error) {
+		req := new(Req)
+		if err := msgpack.Unmarshal(body, req); err != nil {
+			return nil, verdict.Refuse(verdict.ReasonBadRequest, "%s: request can't be decoded: %v", topic, err)
+		}
+		resp, err := h(ctx, req)
+		if err != nil {
+			return nil, err
+		}
+		return msgpack.Marshal(resp)
+	})
+}
+
+// Call sends req to topic at addr and decodes the reply into resp. An error is
+// a Refusal: NotRun when the request never left, MayHaveRun when it did and no
+// reply came.
+func (n *Node) Call(ctx context.Context, addr, topic string, req, resp any) error {
+	body, err := msgpack.Marshal(req)
+	if err != nil {
+		return verdict.Refuse(verdict.ReasonBadRequest, "%s: request can't be encoded: %v", topic, err)
+	}
+	reply, err := n.CallRaw(ctx, addr, topic, body)
+	if err != nil {
+		return err
+	}
+	if err := msgpack.Unmarshal(reply, resp); err != nil {
+		return verdict.Uncertain(verdict.ReasonInternal, "%s: reply can't be decoded: %v", topic, err)
+	}
+	return nil
+}
+
+// CallRaw is Call with bodies already encoded.
+func (n *Node) CallRaw(ctx context.Context, addr, topic string, body []byte) ([]byte, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultCallTimeout)
+		defer cancel()
+	}
+	deadline, _ := ctx.Deadline()
+	f := &frame{
+		Kind:         kindRequest,
+		Topic:        topic,
+		BudgetMillis: max(1, time.Until(deadline).Milliseconds()),
+		Body:         body,
+	}
+	return n.peer(addr).call(ctx, f)
+}
+
+// peer returns the outbound side to addr, opening it if needed.
+func (n *Node) peer(addr string) *peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p, ok := n.peers[addr]
+	if !ok {
+		p = newPeer(n, addr)
+		n.peers[addr] = p
+		if n.closed {
+			p.close()
+		} else {
+			n.wg.Add(1)
+			go p.run()
+		}
+	}
+	return p
+}
+
+// track registers an open connection; it reports false once the node is closed.
+func (n *Node) track(c net.Conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.conns[c] = struct{}{}
+	return true
+}
+
+func (n *Node) untrack(c net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+}
+
+func (n *Node) accept() {
+	defer n.wg.Done()
+	for {
+		c, err := n.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !n.track(c) {
+			c.Close()
+			return
+		}
+		n.wg.Add(1)
+		go n.serve(c)
+	}
+}
+
+// serve reads the frames of one inbound connection.
+func (n *Node) serve(c net.Conn) {
+	defer n.wg.Done()
+	defer n.untrack(c)
+	defer c.Close()
+	counted := &countingConn{Conn: c, counter: &n.traffic}
+	r := bufio.NewReaderSize(counted, readBufferBytes)
+	out := newReplyWriter(counted)
+	for {
+		f, err := readFrame(r)
+		if err != nil {
+			return
+		}
+		switch f.Kind {
+		case kindMessage:
+			n.deliver(f)
+		case kindRequest:
+			n.wg.Add(1)
+			go n.answer(f, out)
+		default:
+			return
+		}
+	}
+}
+
+// deliver hands a one-way message to its subscribers; a full one misses it.
+func (n *Node) deliver(f *frame) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return
+	}
+	for _, ch := range n.subscribers[f.Topic] {
+		select {
+		case ch <- message.NewMessage(watermill.NewShortUUID(), f.Body):
+		default:
+		}
+	}
+}
+
+// answer runs the handler of one request and writes its reply.
+func (n *Node) answer(f *frame, out *replyWriter) {
+	defer n.wg.Done()
+	reply := &frame{Kind: kindReply, ID: f.ID}
+	select {
+	case n.handlerSlots <- struct{}{}:
+		reply.Body, reply.Refusal = n.handle(f)
+		<-n.handlerSlots
+	default:
+		reply.Refusal = verdict.Refuse(verdict.ReasonOverload, "%s: too many requests at once", f.Topic)
+	}
+	out.write(reply)
+}
+
+func (n *Node) handle(f *frame) ([]byte, *verdict.Refusal) {
+	n.mu.Lock()
+	h := n.handlers[f.Topic]
+	n.mu.Unlock()
+	if h == nil {
+		return nil, verdict.Refuse(verdict.ReasonBadRequest, "no handler for topic %q", f.Topic)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(f.BudgetMillis)*time.Millisecond)
+	defer cancel()
+	body, err := h(ctx, f.Body)
+	if err != nil {
+		return nil, verdict.From(err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/wire/node_test.go
@@ -0,0 +1,87 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"kumquatwing/internal/verdict"
+)
+
+type echo struct {
+	Text string `msgpack:"t"`
+}
+
+func listen(t *testing.T, dial Dialer) *Node {
+	t.Helper()
+	n, err := Listen("127.0.0.1:0", dial)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { n.Close() })
+	return n
+}
+
+func TestCallReturnsReply(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	server, client := listen(t, nil), listen(t, nil)
+	defer server.Close()
+	defer client.Close()
+	HandleTyped(server, "echo", func(_ context.Context, req *echo) (*echo, error) {
+		return &echo{req.Text + "!"}, nil
+	})
+	var resp echo
+	err := client.Call(context.Background(), server.Addr(), "echo", &echo{"hi"}, &resp)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, resp.Text, qt.Equals, "hi!")
+}
+
+func TestRefusalTravels(t *testing.T) {
+	server, client := listen(t, nil), listen(t, nil)
+	HandleTyped(server, "no", func(context.Context, *echo) (*echo, error) {
+		return nil, verdict.Refuse(verdict.ReasonBadKey, "key %q is withdrawn", "k1")
+	})
+	err := client.Call(context.Background(), server.Addr(), "no", &echo{}, &echo{})
+	r := verdict.From(err)
+	qt.Assert(t, r.Verdict, qt.Equals, verdict.NotRun)
+	qt.Assert(t, r.Reason, qt.Equals, verdict.ReasonBadKey)
+}
+
+// TestLostCallVerdicts checks what a caller is told when no reply comes.
+func TestLostCallVerdicts(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer silent.Close()
+	refuse := func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }
+	cases := []struct {
+		name string
+		dial Dialer
+		want verdict.Verdict
+	}{
+		{"never connected", refuse, verdict.NotRun},
+		{"sent and no reply", nil, verdict.MayHaveRun},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := listen(t, c.dial)
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			err := client.Call(ctx, silent.Addr().String(), "echo", &echo{}, &echo{})
+			qt.Assert(t, verdict.From(err).Verdict, qt.Equals, c.want)
+		})
+	}
+}
+
+func TestPublishReachesSubscriber(t *testing.T) {
+	server, client := listen(t, nil), listen(t, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ch, err := server.Subscribe(ctx, "news")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, client.Send(server.Addr(), "news", &echo{"x"}), qt.IsNil)
+	m := <-ch
+	m.Ack()
+	qt.Assert(t, len(m.Payload) > 0, qt.IsTrue)
+}
