Carry the operators' token in calls that are passed on

Cause: a call reaches control over kqentry, and the token must come along. Ruled out: a token per VM. Conclusion: one header, one field.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -17,6 +17,8 @@
 	HeaderVerdict = "Kq-Verdict"
 	// HeaderReason is the stable reason of a refusal.
 	HeaderReason = "Kq-Reason"
+	// HeaderOperator carries the operators' token.
+	HeaderOperator = "Kq-Operator"
 )
 
 // Paths of the HTTP interfaces. {…} are chi parameters.
@@ -64,7 +66,9 @@
 	Path   string `msgpack:"p"`
 	Query  string `msgpack:"q,omitempty"`
 	Key    string `msgpack:"k,omitempty"`
-	Body   []byte `msgpack:"b,omitempty"`
+	// Operator is the operators' token that came with the call.
+	Operator string `msgpack:"o,omitempty"`
+	Body     []byte `msgpack:"b,omitempty"`
 	// Hops counts how often the call was passed on.
 	Hops int `msgpack:"h,omitempty"`
 }
