--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -18,13 +18,15 @@
 )
 
 // Definition describes one setting: type, bounds (in the units of Value.Int),
-// default and a sentence for the reference page.
+// default, lowest level and a sentence for the reference page.
 type Definition struct {
 	Name     Name
 	Type     Type
 	Min, Max int64
 	Default  Value
-	Doc      string
+	// Lowest is the lowest level at which the setting can be set.
+	Lowest Level
+	Doc    string
 }
 
 // The settings.
@@ -55,29 +57,29 @@
 )
 
 var definitions = []Definition{
-	{SettingsLease, TypeDuration, 1000, 60_000, Value{Int: 3000}, "how long a data centre acts on settings it could not renew"},
-	{WorkerLease, TypeDuration, 1000, 60_000, Value{Int: 5000}, "how long a worker runs tasks without hearing from control"},
-	{ClockMargin, TypeDuration, 50, 5000, Value{Int: 250}, "what a lease's giver adds for clock drift"},
-	{RequestDeadline, TypeDuration, 10, 600_000, Value{Int: 30_000}, "the longest a request may take"},
-	{RequestBody, TypeBytes, 0, 64 << 20, Value{Int: 1 << 20}, "the largest body of a request"},
-	{RequestAnswer, TypeBytes, 0, 256 << 20, Value{Int: 16 << 20}, "the largest answer to a request"},
-	{RequestQueue, TypeInt, 1, 100_000, Value{Int: 256}, "how many requests of one queue wait at one entry VM"},
-	{RequestTries, TypeInt, 1, 10, Value{Int: 3}, "how many backend servers an idempotent request is sent to at the most"},
-	{RequestRetryShare, TypePercent, 0, 100, Value{Int: 20}, "retries allowed per hundred requests"},
-	{RequestIdle, TypeDuration, 100, 600_000, Value{Int: 10_000}, "the longest silence of a caller or backend server within a request"},
-	{RecordLife, TypeDuration, 1000, 86_400_000, Value{Int: 600_000}, "how long the record of a request that is not idempotent is kept"},
-	{RecordAnswer, TypeBytes, 0, 1 << 20, Value{Int: 64 << 10}, "the largest answer stored for repeats"},
-	{ServerSilence, TypeDuration, 200, 60_000, Value{Int: 2000}, "how long a backend server may go without announcing itself"},
-	{SlotLease, TypeDuration, 500, 60_000, Value{Int: 2000}, "how long an entry VM holds slots of a backend server without renewal"},
-	{TaskRetries, TypeInt, 0, 100, Value{Int: 3}, "how often a failed task of an idempotent job is started again"},
-	{TaskBackoff, TypeDuration, 10, 600_000, Value{Int: 500}, "the first pause before a failed task is started again; doubles each time"},
-	{Headroom, TypePercent, 0, 100, Value{Int: 10}, "what is added to reported use before it is compared with the declared size"},
-	{QuarantineAfter, TypeInt, 1, 100, Value{Int: 3}, "failed starts in a row after which a worker gets no new work"},
-	{QuarantineFor, TypeDuration, 1000, 86_400_000, Value{Int: 30_000}, "the first length of a quarantine; doubles each time"},
-	{Preemptible, TypeBool, 0, 1, Value{Int: 1}, "whether urgent work may take the place of these tasks"},
-	{GangReservation, TypeDuration, 100, 3_600_000, Value{Int: 10_000}, "how long room is held for a gang before smaller work may use it"},
-	{MoveRate, TypeInt, 1, 10_000, Value{Int: 20}, "tasks moved per second while a data centre is taken out"},
-	{JobsQueued, TypeInt, 1, 1_000_000, Value{Int: 10_000}, "jobs of one team that wait at the same time"},
+	{SettingsLease, TypeDuration, 1000, 60_000, Value{Int: 3000}, LevelDataCentre, "how long a data centre acts on settings it could not renew"},
+	{WorkerLease, TypeDuration, 1000, 60_000, Value{Int: 5000}, LevelDataCentre, "how long a worker runs tasks without hearing from control"},
+	{ClockMargin, TypeDuration, 50, 5000, Value{Int: 250}, LevelDataCentre, "what a lease's giver adds for clock drift"},
+	{RequestDeadline, TypeDuration, 10, 600_000, Value{Int: 30_000}, LevelWorkload, "the longest a request may take"},
+	{RequestBody, TypeBytes, 0, 64 << 20, Value{Int: 1 << 20}, LevelWorkload, "the largest body of a request"},
+	{RequestAnswer, TypeBytes, 0, 256 << 20, Value{Int: 16 << 20}, LevelWorkload, "the largest answer to a request"},
+	{RequestQueue, TypeInt, 1, 100_000, Value{Int: 256}, LevelWorkload, "how many requests of one queue wait at one entry VM"},
+	{RequestTries, TypeInt, 1, 10, Value{Int: 3}, LevelWorkload, "how many backend servers an idempotent request is sent to at the most"},
+	{RequestRetryShare, TypePercent, 0, 100, Value{Int: 20}, LevelWorkload, "retries allowed per hundred requests"},
+	{RequestIdle, TypeDuration, 100, 600_000, Value{Int: 10_000}, LevelWorkload, "the longest silence of a caller or backend server within a request"},
+	{RecordLife, TypeDuration, 1000, 86_400_000, Value{Int: 600_000}, LevelWorkload, "how long the record of a request that is not idempotent is kept"},
+	{RecordAnswer, TypeBytes, 0, 1 << 20, Value{Int: 64 << 10}, LevelWorkload, "the largest answer stored for repeats"},
+	{ServerSilence, TypeDuration, 200, 60_000, Value{Int: 2000}, LevelDataCentre, "how long a backend server may go without announcing itself"},
+	{SlotLease, TypeDuration, 500, 60_000, Value{Int: 2000}, LevelDataCentre, "how long an entry VM holds slots of a backend server without renewal"},
+	{TaskRetries, TypeInt, 0, 100, Value{Int: 3}, LevelWorkload, "how often a failed task of an idempotent job is started again"},
+	{TaskBackoff, TypeDuration, 10, 600_000, Value{Int: 500}, LevelWorkload, "the first pause before a failed task is started again; doubles each time"},
+	{Headroom, TypePercent, 0, 100, Value{Int: 10}, LevelDataCentre, "what is added to reported use before it is compared with the declared size"},
+	{QuarantineAfter, TypeInt, 1, 100, Value{Int: 3}, LevelDataCentre, "failed starts in a row after which a worker gets no new work"},
+	{QuarantineFor, TypeDuration, 1000, 86_400_000, Value{Int: 30_000}, LevelDataCentre, "the first length of a quarantine; doubles each time"},
+	{Preemptible, TypeBool, 0, 1, Value{Int: 1}, LevelWorkload, "whether urgent work may take the place of these tasks"},
+	{GangReservation, TypeDuration, 100, 3_600_000, Value{Int: 10_000}, LevelWorkload, "how long room is held for a gang before smaller work may use it"},
+	{MoveRate, TypeInt, 1, 10_000, Value{Int: 20}, LevelDataCentre, "tasks moved per second while a data centre is taken out"},
+	{JobsQueued, TypeInt, 1, 1_000_000, Value{Int: 10_000}, LevelTeam, "jobs of one team that wait at the same time"},
 }
 
 var byName = indexDefinitions()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,10 +44,17 @@
 
 // String formats d for refusals, for example "team vets, revision 12".
 func (d Decision) String() string {
-	if d.Level == LevelDefault {
-		return fmt.Sprintf("%s=%s by default", d.Name, d.Value)
+	value := d.Value.String()
+	if def, ok := byName[d.Name]; ok {
+		value = FormatValue(def.Type, d.Value.Int)
 	}
-	return fmt.Sprintf("%s=%s by %s %s, revision %d", d.Name, d.Value, d.Level, d.Node, d.Revision)
+	switch d.Level {
+	case LevelDefault:
+		return fmt.Sprintf("%s=%s by default", d.Name, value)
+	case LevelFleet:
+		return fmt.Sprintf("%s=%s by fleet, revision %d", d.Name, value, d.Revision)
+	}
+	return fmt.Sprintf("%s=%s by %s %s, revision %d", d.Name, value, d.Level, d.Node, d.Revision)
 }
 
 // Value is a setting's value: durations in milliseconds, sizes in bytes, flags
