Add the fleet group's state machine

Cause: settings, keys, data centres, jobs, limits and members must survive. Ruled out: jobs changed in place, since readers keep them past a View; minting secrets in control, since a resend after a lost answer could not show them again. Conclusion: compare-and-set with remembered operations, copy-on-write jobs, escrow by max-min fair shares with recall by target.

--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/replica"
+	"kumquatwing/internal/settings"
+	"kumquatwing/internal/verdict"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// declared returns declarations with two teams and three data centres.
+func declared(limitCPU int64) settings.Declarations {
+	d := settings.Declarations{
+		DataCentres: []settings.Place{{ID: "dc1", Region: "r"}, {ID: "dc2", Region: "r"}, {ID: "dc3", Region: "r"}},
+		Teams: []model.Team{
+			{ID: "shop", Share: 1, Limit: model.Resources{MilliCPU: limitCPU, MemoryMB: 64_000, Accelerators: 4}},
+			{ID: "vets", Share: 2, Limit: model.Resources{MilliCPU: 8000, MemoryMB: 64_000}},
+		},
+		Queues:   []model.Queue{{Name: "girth", Team: "shop"}, {Name: "open", Open: true}},
+		Settings: []settings.Entry{{Level: settings.LevelTeam, Node: "vets", Name: settings.JobsQueued, Value: settings.Value{Int: 2}}},
+	}
+	d.Sort()
+	return d
+}
+
+// fixture is a state behind a one-member group.
+type fixture struct {
+	t     testing.TB
+	state *State
+	group *replica.Local
+	ops   int
+}
+
+func newFixture(t testing.TB) *fixture {
+	s := New()
+	return &fixture{t: t, state: s, group: replica.NewLocal(s, replica.Member{ID: 1})}
+}
+
+// do proposes a command and decodes its result.
+func (f *fixture) do(c *Command) (*Result, *verdict.Refusal) {
+	b, err := Encode(c)
+	qt.Assert(f.t, err, qt.IsNil)
+	reply, err := f.group.Propose(context.Background(), b)
+	qt.Assert(f.t, err, qt.IsNil)
+	r, err := DecodeResult(reply)
+	return r, verdict.From(err)
+}
+
+// ok proposes a command that must be accepted.
+func (f *fixture) ok(c *Command) *Result {
+	r, refusal := f.do(c)
+	accepted(f.t, refusal)
+	return r
+}
+
+// header returns a new operation at any revision.
+func (f *fixture) header() Header {
+	f.ops++
+	return Header{OpID: fmt.Sprint("op", f.ops), Actor: "ada", ExpectRevision: AnyRevision}
+}
+
+func (f *fixture) apply(d settings.Declarations) *Result {
+	return f.ok(&Command{Header: f.header(), Apply: &Apply{Declarations: d}})
+}
+
+func started(t testing.TB) *fixture {
+	f := newFixture(t)
+	f.apply(declared(16_000))
+	return f
+}
+
+func TestApplyIsWholeOrNothing(t *testing.T) {
+	f := started(t)
+	bad := declared(32_000)
+	bad.Queues = append(bad.Queues, model.Queue{Name: "x", Team: "nobody"})
+	before, err := f.state.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	_, refusal := f.do(&Command{Header: Header{OpID: "x", Actor: "a", ExpectRevision: 1}, Apply: &Apply{Declarations: bad}})
+	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonBadRequest)
+	qt.Assert(t, refusal.Message, qt.Contains, `queues.x.team: team "nobody" is not declared`)
+	team, _ := f.state.Team("shop")
+	qt.Assert(t, team.Limit.MilliCPU, qt.Equals, int64(16_000))
+	f.state.operations = newOperations()
+	var restored State
+	qt.Assert(t, restored.Restore(before), qt.IsNil)
+	qt.Assert(t, restored.Revision(), qt.Equals, f.state.Revision())
+}
+
+func TestRacingOperators(t *testing.T) {
+	f := started(t)
+	race := func(op, actor string, limit int64) (*Result, *verdict.Refusal) {
+		return f.do(&Command{
+			Header: Header{OpID: op, Actor: actor, ExpectRevision: 1},
+			Apply:  &Apply{Declarations: declared(limit)},
+		})
+	}
+	won, refusal := race("a", "ada", 20_000)
+	accepted(t, refusal)
+	qt.Assert(t, won.Revision, qt.Equals, uint64(2))
+	_, refusal = race("b", "bob", 30_000)
+	qt.Assert(t, refusal.Verdict, qt.Equals, verdict.NotRun)
+	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonConflict)
+	qt.Assert(t, refusal.Message, qt.Contains, "operation a by ada made revision 2: team shop: limit: 16000m")
+
+	f.ok(&Command{Header: f.header(), SetDataCentre: &SetDataCentre{DC: "dc2", Out: true}})
+	again, refusal := race("a", "ada", 20_000)
+	accepted(t, refusal)
+	qt.Assert(t, again.Repeat, qt.IsTrue)
+	qt.Assert(t, again.Revision, qt.Equals, uint64(2))
+	_, refusal = race("b", "bob", 30_000)
+	qt.Assert(t, refusal.Message, qt.Contains, "made revision 2")
+	_, refusal = race("a", "ada", 50_000)
+	qt.Assert(t, refusal.Message, qt.Contains, "used for another command")
+	qt.Assert(t, f.state.Revision(), qt.Equals, uint64(3))
+}
+
+func TestOlderTreeIsANewRevision(t *testing.T) {
+	f := started(t)
+	f.apply(declared(20_000))
+	r := f.ok(&Command{Header: f.header(), Apply: &Apply{FromRevision: 1}})
+	qt.Assert(t, r.Revision, qt.Equals, uint64(3))
+	team, _ := f.state.Team("shop")
+	qt.Assert(t, team.Limit.MilliCPU, qt.Equals, int64(16_000))
+	_, refusal := f.do(&Command{Header: f.header(), Apply: &Apply{FromRevision: 99}})
+	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonBadRequest)
+	same := f.apply(declared(16_000))
+	qt.Assert(t, same.Revision, qt.Equals, uint64(3))
+}
+
+func TestKeys(t *testing.T) {
+	f := started(t)
+	id, text, hash := NewKey()
+	f.ok(&Command{Header: f.header(), GrantKey: &GrantKey{Key: id, Team: "shop", Hash: hash}})
+	view := f.state.EntryView()
+	team, refusal := Authenticate(view, text)
+	accepted(t, refusal)
+	qt.Assert(t, team.ID, qt.Equals, model.TeamID("shop"))
+	_, other, _ := NewKey()
+	for _, wrong := range []string{"", "kq_", "kq__", text + "0", other, "kq_" + string(id) + "_00"} {
+		_, refusal := Authenticate(view, wrong)
+		qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonBadKey, qt.Commentf("%q", wrong))
+	}
+	f.ok(&Command{Header: f.header(), WithdrawKey: &WithdrawKey{Key: id}})
+	_, refusal = Authenticate(f.state.EntryView(), text)
+	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonBadKey)
+	_, refusal = f.do(&Command{Header: f.header(), GrantKey: &GrantKey{Key: id, Team: "shop", Hash: hash}})
+	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonConflict)
+	_, refusal = f.do(&Command{SubmitJob: &SubmitJob{Spec: batch("j1"), Owners: owners("dc1"), Key: id}})
+	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonBadKey)
+}
+
+func TestRemovalsInUseAreRefused(t *testing.T) {
+	f := started(t)
+	f.ok(&Command{SubmitJob: &SubmitJob{Spec: batch("j1"), Owners: owners("dc1")}})
+	cases := []struct {
+		name string
+		edit func(*settings.Declarations)
+		want string
+	}{
+		{"team with jobs", func(d *settings.Declarations) { d.Teams = d.Teams[1:]; d.Queues = nil }, "1 jobs unfinished"},
+		{"data centre in", func(d *settings.Declarations) { d.DataCentres = d.DataCentres[:2] }, "taken out first"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := declared(16_000)
+			c.edit(&d)
+			_, refusal := f.do(&Command{Header: f.header(), Apply: &Apply{Declarations: d}})
+			qt.Assert(t, refusal.Message, qt.Contains, c.want)
+		})
+	}
+}
+
+func accepted(t testing.TB, refusal *verdict.Refusal) {
+	t.Helper()
+	if refusal != nil {
+		t.Fatalf("refused: %v", refusal)
+	}
+}
--- /dev/null
+++ b/internal/fleet/jobs.go
@@ -0,0 +1,330 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/settings"
+	"kumquatwing/internal/verdict"
+)
+
+const (
+	// finishedKept bounds the finished jobs whose outcome is remembered.
+	finishedKept = 8192
+	// spentKept bounds the finished jobs whose id alone is remembered, so that
+	// a late resend is not taken for a new job.
+	spentKept = 131_072
+)
+
+// Job is an accepted job.
+type Job struct {
+	Spec model.JobSpec `msgpack:"s" json:"spec"`
+	// Owners holds the data centre of each task, by the task's index.
+	Owners []model.DCID `msgpack:"o" json:"owners"`
+	// Seq orders jobs by acceptance.
+	Seq uint64 `msgpack:"q" json:"seq"`
+	// Digest identifies the spec as submitted.
+	Digest uint64 `msgpack:"d" json:"-"`
+	// Cancelled jobs are ended by their owners.
+	Cancelled bool `msgpack:"c" json:"cancelled"`
+	// Parts holds the outcomes of owners whose part has ended, by data centre.
+	Parts   []Part        `msgpack:"p" json:"parts,omitempty"`
+	Outcome model.Outcome `msgpack:"e" json:"outcome,omitempty"`
+	Reason  string        `msgpack:"r" json:"reason,omitempty"`
+}
+
+// Part is how a data centre's part of a job ended.
+type Part struct {
+	DC      model.DCID    `msgpack:"d" json:"dc"`
+	Outcome model.Outcome `msgpack:"o" json:"outcome"`
+	Reason  string        `msgpack:"r" json:"reason,omitempty"`
+	// Open parts got more tasks after they had ended.
+	Open bool `msgpack:"n,omitempty" json:"open,omitempty"`
+}
+
+// Finished reports whether the job has its final outcome.
+func (j *Job) Finished() bool { return j.Outcome != model.OutcomeNone }
+
+// OwnedBy reports whether dc owns a task of the job and its part has not ended.
+func (j *Job) OwnedBy(dc model.DCID) bool {
+	return !j.Finished() && slices.Contains(j.Owners, dc) && !j.ended(dc)
+}
+
+func (j *Job) ended(dc model.DCID) bool {
+	return slices.ContainsFunc(j.Parts, func(p Part) bool { return p.DC == dc && !p.Open })
+}
+
+// jobTable holds the jobs. A stored Job is never changed: a change stores a
+// copy.
+type jobTable struct {
+	byID map[model.JobID]*Job
+	// active lists the unfinished jobs by Seq.
+	active []*Job
+	// finished lists finished jobs, oldest first.
+	finished []model.JobID
+	// spent holds hashes of the ids of forgotten jobs, oldest first in spentOrder.
+	spent      map[uint64]struct{}
+	spentOrder []uint64
+	unfinished map[model.TeamID]int
+	seq        uint64
+	// version grows with each change of the table.
+	version uint64
+}
+
+func newJobTable() jobTable {
+	return jobTable{
+		byID:       map[model.JobID]*Job{},
+		spent:      map[uint64]struct{}{},
+		unfinished: map[model.TeamID]int{},
+	}
+}
+
+func (t *jobTable) add(j *Job) {
+	t.seq++
+	j.Seq = t.seq
+	t.byID[j.Spec.ID] = j
+	t.active = append(t.active, j)
+	t.unfinished[j.Spec.Team]++
+	t.version++
+}
+
+// replace stores a changed copy of an unfinished job.
+func (t *jobTable) replace(j *Job) {
+	t.byID[j.Spec.ID] = j
+	if i, ok := t.find(j.Seq); ok {
+		t.active[i] = j
+	}
+	t.version++
+}
+
+// finish stores a job that got its final outcome.
+func (t *jobTable) finish(j *Job) {
+	t.byID[j.Spec.ID] = j
+	if i, ok := t.find(j.Seq); ok {
+		t.active = slices.Delete(t.active, i, i+1)
+	}
+	t.unfinished[j.Spec.Team]--
+	if t.unfinished[j.Spec.Team] == 0 {
+		delete(t.unfinished, j.Spec.Team)
+	}
+	t.finished = append(t.finished, j.Spec.ID)
+	if len(t.finished) > finishedKept {
+		t.forget(t.finished[0])
+		t.finished = t.finished[1:]
+	}
+	t.version++
+}
+
+// forget keeps only the hash of a finished job's id.
+func (t *jobTable) forget(id model.JobID) {
+	delete(t.byID, id)
+	h := xxhash.Sum64String(string(id))
+	if _, ok := t.spent[h]; ok {
+		return
+	}
+	t.spent[h] = struct{}{}
+	t.spentOrder = append(t.spentOrder, h)
+	if len(t.spentOrder) > spentKept {
+		delete(t.spent, t.spentOrder[0])
+		t.spentOrder = t.spentOrder[1:]
+	}
+}
+
+func (t *jobTable) find(seq uint64) (int, bool) {
+	return slices.BinarySearchFunc(t.active, seq, func(j *Job, seq uint64) int { return cmp.Compare(j.Seq, seq) })
+}
+
+func (t *jobTable) isSpent(id model.JobID) bool {
+	_, ok := t.spent[xxhash.Sum64String(string(id))]
+	return ok
+}
+
+// submitJob accepts a job once. The same spec again gets the first answer.
+func (s *State) submitJob(c *SubmitJob) *Result {
+	if refusal := s.checkKey(c.Key, c.Spec.Team); refusal != nil {
+		return &Result{Refusal: refusal}
+	}
+	digest := digestOf(&c.Spec)
+	if known := s.jobs.byID[c.Spec.ID]; known != nil {
+		return s.repeatJob(known, digest)
+	}
+	if s.jobs.isSpent(c.Spec.ID) {
+		return &Result{Refusal: verdict.New(verdict.Done, verdict.ReasonRecordExpired,
+			"job %s was accepted and has ended; its outcome is no longer kept", c.Spec.ID)}
+	}
+	if refusal := s.checkJob(c); refusal != nil {
+		return &Result{Refusal: refusal}
+	}
+	job := &Job{Spec: c.Spec, Owners: c.Owners, Digest: digest}
+	s.jobs.add(job)
+	return &Result{Job: job}
+}
+
+func (s *State) repeatJob(known *Job, digest uint64) *Result {
+	if known.Digest != digest {
+		return refuse(verdict.ReasonConflict, "job %s was submitted before with another spec", known.Spec.ID)
+	}
+	return &Result{Job: known, Repeat: true, Revision: s.revision}
+}
+
+// checkKey makes sure that a key was not withdrawn before the command that it
+// came with. Without a key the caller is an operator.
+func (s *State) checkKey(id model.KeyID, team model.TeamID) *verdict.Refusal {
+	if id == "" {
+		return nil
+	}
+	k, ok := s.keys[id]
+	if !ok || k.Withdrawn {
+		return badKey()
+	}
+	if k.Team != team {
+		return verdict.Refuse(verdict.ReasonWrongTeam, "the key is not one of team %q", team)
+	}
+	return nil
+}
+
+// cancelJobs marks jobs in one batch; those that ended already stay as they are.
+func (s *State) cancelJobs(c *CancelJobs) *Result {
+	if refusal := s.checkKey(c.Key, c.Team); refusal != nil {
+		return &Result{Refusal: refusal}
+	}
+	for _, id := range c.IDs {
+		if refusal := s.checkCancel(id, c.Team); refusal != nil {
+			return &Result{Refusal: refusal}
+		}
+	}
+	for _, id := range c.IDs {
+		j := s.jobs.byID[id]
+		if j == nil || j.Finished() || j.Cancelled {
+			continue
+		}
+		next := *j
+		next.Cancelled = true
+		s.jobs.replace(&next)
+	}
+	return &Result{}
+}
+
+func (s *State) checkCancel(id model.JobID, team model.TeamID) *verdict.Refusal {
+	j := s.jobs.byID[id]
+	if j == nil && s.jobs.isSpent(id) {
+		return nil
+	}
+	if j == nil || team != "" && j.Spec.Team != team {
+		return verdict.Refuse(verdict.ReasonUnknownJob, "job %q is not known", id)
+	}
+	return nil
+}
+
+// finishJobs records outcomes; a repeat changes nothing.
+func (s *State) finishJobs(c *FinishJobs) *Result {
+	for _, f := range c.Jobs {
+		if f.Outcome == model.OutcomeNone {
+			return refuse(verdict.ReasonBadRequest, "job %s: an outcome is needed", f.Job)
+		}
+	}
+	for _, f := range c.Jobs {
+		s.finishPart(f)
+	}
+	return &Result{}
+}
+
+func (s *State) finishPart(f FinishedJob) {
+	j := s.jobs.byID[f.Job]
+	if j == nil || j.Finished() {
+		return
+	}
+	next := *j
+	if f.DC == "" {
+		next.Outcome, next.Reason = f.Outcome, f.Reason
+		s.jobs.finish(&next)
+		return
+	}
+	if !j.OwnedBy(f.DC) {
+		return
+	}
+	next.Parts = withPart(j.Parts, Part{DC: f.DC, Outcome: f.Outcome, Reason: f.Reason})
+	if !next.allEnded() {
+		s.jobs.replace(&next)
+		return
+	}
+	worst := worstPart(next.Parts)
+	next.Outcome, next.Reason = worst.Outcome, worst.Reason
+	s.jobs.finish(&next)
+}
+
+// withPart returns parts with p added. A part that was opened again keeps the
+// worse of its outcomes.
+func withPart(parts []Part, p Part) []Part {
+	next := slices.Clone(parts)
+	i, found := slices.BinarySearchFunc(next, p.DC, func(q Part, dc model.DCID) int { return cmp.Compare(q.DC, dc) })
+	if !found {
+		return slices.Insert(next, i, p)
+	}
+	worst := worstPart([]Part{next[i], p})
+	next[i] = Part{DC: p.DC, Outcome: worst.Outcome, Reason: worst.Reason}
+	return next
+}
+
+func (j *Job) allEnded() bool {
+	return !slices.ContainsFunc(j.Owners, func(dc model.DCID) bool { return !j.ended(dc) })
+}
+
+// severity orders outcomes; a job has the worst outcome of its parts.
+var severity = map[model.Outcome]int{
+	model.OutcomeSucceeded: 1,
+	model.OutcomeCancelled: 2,
+	model.OutcomeRefused:   3,
+	model.OutcomeFailed:    4,
+	model.OutcomeUnknown:   5,
+}
+
+func worstPart(parts []Part) Part {
+	return slices.MaxFunc(parts, func(a, b Part) int { return cmp.Compare(severity[a.Outcome], severity[b.Outcome]) })
+}
+
+// reassignTasks hands tasks over, all of them or none.
+func (s *State) reassignTasks(c *ReassignTasks) *Result {
+	j := s.jobs.byID[c.Job]
+	if j == nil || j.Finished() {
+		return refuse(verdict.ReasonUnknownJob, "job %q is not known or has ended", c.Job)
+	}
+	if _, ok := s.dcs[c.To]; !ok {
+		return refuse(verdict.ReasonBadRequest, "data centre %q is not declared", c.To)
+	}
+	if !j.OwnedBy(c.From) {
+		return refuse(verdict.ReasonConflict, "job %s has no open part in data centre %s", c.Job, c.From)
+	}
+	for _, i := range c.Indices {
+		if i < 0 || i >= len(j.Owners) || j.Owners[i] != c.From {
+			return refuse(verdict.ReasonConflict, "task %d of job %s is not owned by data centre %s", i, c.Job, c.From)
+		}
+	}
+	next := *j
+	next.Owners = slices.Clone(j.Owners)
+	for _, i := range c.Indices {
+		next.Owners[i] = c.To
+	}
+	next.Parts = reopened(j.Parts, c.To)
+	s.jobs.replace(&next)
+	return &Result{Job: &next}
+}
+
+// reopened returns parts with that of dc open again.
+func reopened(parts []Part, dc model.DCID) []Part {
+	next := slices.Clone(parts)
+	for i := range next {
+		if next[i].DC == dc {
+			next[i].Open = true
+		}
+	}
+	return next
+}
+
+// queuedLimit returns how many unfinished jobs a team may have.
+func (s *State) queuedLimit(team model.TeamID) (int64, settings.Decision) {
+	return s.tree.Int(settings.Scope{Team: team}, settings.JobsQueued)
+}
--- /dev/null
+++ b/internal/fleet/split.go
@@ -0,0 +1,118 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+)
+
+// share is one data centre's part of a limit, in one dimension.
+type share struct {
+	amount int64
+	want   int64
+	// out data centres should keep nothing.
+	out bool
+	// fair is what the data centre should have at least, target what it should
+	// keep at most.
+	fair   int64
+	target int64
+}
+
+// quantum is the step in which parts of a limit are moved.
+func quantum(limit int64) int64 { return max(1, limit/quantumParts) }
+
+// split lends what is free of limit and sets targets. Amounts never shrink
+// here, since only their holder can give them back.
+func split(shares []share, limit int64) {
+	fairShares(shares, limit)
+	free := lend(shares, limit)
+	for i := range shares {
+		shares[i].target = shares[i].amount
+		if shares[i].out {
+			shares[i].target = 0
+		}
+	}
+	recall(shares, limit, free)
+}
+
+// fairShares divides limit by max-min fairness over the wants: nobody gets
+// more than it wants, and the rest is shared equally.
+func fairShares(shares []share, limit int64) {
+	order := make([]int, 0, len(shares))
+	for i := range shares {
+		shares[i].fair = 0
+		if !shares[i].out {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(shares[a].want, shares[b].want) })
+	left := limit
+	for n, i := range order {
+		equal := left / int64(len(order)-n)
+		shares[i].fair = min(shares[i].want, equal)
+		left -= shares[i].fair
+	}
+}
+
+// lend raises amounts to the fair shares as far as the limit allows and
+// returns what is left of it, below zero if the limit is exceeded.
+func lend(shares []share, limit int64) int64 {
+	free := limit
+	for _, s := range shares {
+		free -= s.amount
+	}
+	for i := range shares {
+		more := min(free, shares[i].fair-shares[i].amount)
+		if more > 0 {
+			shares[i].amount += more
+			free -= more
+		}
+	}
+	return free
+}
+
+// recall lowers targets by what is lacking: first what its holder doesn't
+// want, then, by whole quanta, what it has above its fair share.
+func recall(shares []share, limit, free int64) {
+	step := quantum(limit)
+	lacking, contended := -free, max(0, -free)
+	for _, s := range shares {
+		deficit := max(0, s.fair-s.amount)
+		lacking += deficit
+		if deficit >= step || s.amount == 0 {
+			contended += deficit
+		}
+	}
+	for _, s := range shares {
+		lacking -= s.amount - s.target
+	}
+	if lacking <= 0 {
+		return
+	}
+	idle := func(s *share) int64 { return s.target - max(s.want, s.fair) }
+	lacking -= take(shares, roundUp(lacking, step), idle)
+	unfair := func(s *share) int64 { return s.target - s.fair }
+	take(shares, min(lacking, contended), unfair)
+}
+
+// take lowers targets by amount in all, most from the share with the most to
+// spare, and returns how much it took.
+func take(shares []share, amount int64, spare func(*share) int64) int64 {
+	taken := int64(0)
+	for taken < amount {
+		most := -1
+		for i := range shares {
+			if spare(&shares[i]) > 0 && (most < 0 || spare(&shares[i]) > spare(&shares[most])) {
+				most = i
+			}
+		}
+		if most < 0 {
+			break
+		}
+		step := min(amount-taken, spare(&shares[most]))
+		shares[most].target -= step
+		taken += step
+	}
+	return taken
+}
+
+func roundUp(n, step int64) int64 { return (n + step - 1) / step * step }
--- /dev/null
+++ b/internal/fleet/submit.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"slices"
+
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/settings"
+	"kumquatwing/internal/verdict"
+)
+
+// Bounds of a job's spec.
+const (
+	// MaxTasks bounds the tasks of one job.
+	MaxTasks = 10_000
+	// MaxRunMillis bounds a declared run time: 30 days.
+	MaxRunMillis = int64(30 * 24 * 3600 * 1000)
+	// MaxPayloadBytes bounds what is handed to the worker.
+	MaxPayloadBytes = 64 << 10
+	// MaxJobIDBytes bounds a job's id.
+	MaxJobIDBytes = 64
+)
+
+// CheckSpec refuses a spec that is out of bounds, naming the field.
+func CheckSpec(spec *model.JobSpec) *verdict.Refusal {
+	checks := []struct {
+		ok    bool
+		field string
+		what  string
+	}{
+		{validJobID(spec.ID), "id", "must have 1 to 64 letters, digits, '-' and '_'"},
+		{spec.Workload == "" || settings.ValidName(string(spec.Workload)), "workload", "is not a name"},
+		{spec.Class.Valid(), "class", "must be service, batch, gang or urgent"},
+		{spec.Tasks >= 1 && spec.Tasks <= MaxTasks, "tasks", "must be 1 to 10000"},
+		{!spec.Size.Negative() && withinBounds(spec.Size), "size", "is out of bounds"},
+		{spec.Size.MilliCPU > 0 || spec.Size.MemoryMB > 0, "size", "needs processor time or memory"},
+		{spec.RunMillis >= 0 && spec.RunMillis <= MaxRunMillis, "run_ms", "must be 0 to 30 days"},
+		{spec.Class != model.ClassService || spec.RunMillis == 0, "run_ms", "must be 0 for a service"},
+		{spec.MinRunning >= 0 && spec.MinRunning <= max(spec.Tasks, 0), "min_running", "must be 0 to the number of tasks"},
+		{len(spec.Payload) <= MaxPayloadBytes, "payload", "is over 65536 bytes"},
+	}
+	for _, c := range checks {
+		if !c.ok {
+			return verdict.Refuse(verdict.ReasonBadRequest, "job: field %q %s", c.field, c.what)
+		}
+	}
+	return nil
+}
+
+func withinBounds(r model.Resources) bool {
+	bound := model.Resources{
+		MilliCPU: settings.MaxAmount, MemoryMB: settings.MaxAmount, Accelerators: settings.MaxAmount,
+	}
+	return r.Fits(bound)
+}
+
+// validJobID keeps dots out, since a dot starts a task's index in a TaskID.
+func validJobID(id model.JobID) bool {
+	if id == "" || len(id) > MaxJobIDBytes {
+		return false
+	}
+	for _, c := range string(id) {
+		if !wordByte(c) {
+			return false
+		}
+	}
+	return true
+}
+
+func wordByte(c rune) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_'
+}
+
+// checkJob refuses a job that may not or can never run.
+func (s *State) checkJob(c *SubmitJob) *verdict.Refusal {
+	team, ok := s.teams[c.Spec.Team]
+	if !ok {
+		return verdict.Refuse(verdict.ReasonUnknownTeam, "team %q is not declared", c.Spec.Team)
+	}
+	if refusal := CheckSpec(&c.Spec); refusal != nil {
+		return refusal
+	}
+	if refusal := s.checkFits(&c.Spec, team); refusal != nil {
+		return refusal
+	}
+	if refusal := s.checkOwners(c); refusal != nil {
+		return refusal
+	}
+	bound, decision := s.queuedLimit(team.ID)
+	if int64(s.jobs.unfinished[team.ID]) >= bound {
+		return verdict.Refuse(verdict.ReasonOverload, "team %s has %d unfinished jobs", team.ID, bound).
+			RetryIn(submitRetry).By(decision.String())
+	}
+	return nil
+}
+
+// checkFits refuses what exceeds the team's limit by itself.
+func (s *State) checkFits(spec *model.JobSpec, team model.Team) *verdict.Refusal {
+	need, what := spec.Size, "a task"
+	if spec.Class == model.ClassGang {
+		need, what = spec.Size.Scale(int64(spec.Tasks)), "the gang"
+	}
+	dimension := need.Exceeds(team.Limit)
+	if dimension == "" {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonNeverFits, "%s needs %s, over the limit of team %s in %s: %s",
+		what, need, team.ID, dimension, team.Limit)
+}
+
+func (s *State) checkOwners(c *SubmitJob) *verdict.Refusal {
+	for _, dc := range c.Spec.DataCentres {
+		if _, ok := s.dcs[dc]; !ok {
+			return verdict.Refuse(verdict.ReasonBadRequest, "job: field \"data_centres\": %q is not declared", dc)
+		}
+	}
+	if len(c.Owners) != c.Spec.Tasks {
+		return verdict.Refuse(verdict.ReasonBadRequest, "job: %d owners for %d tasks", len(c.Owners), c.Spec.Tasks)
+	}
+	for _, dc := range c.Owners {
+		if _, ok := s.dcs[dc]; !ok {
+			return verdict.Refuse(verdict.ReasonBadRequest, "job: owner %q is not declared", dc)
+		}
+		if len(c.Spec.DataCentres) > 0 && !slices.Contains(c.Spec.DataCentres, dc) {
+			return verdict.Refuse(verdict.ReasonBadRequest, "job: owner %q is not one of the job's data centres", dc)
+		}
+	}
+	return nil
+}
