Add the operators' and submitters' HTTP interface and kqctl

Cause: settings, keys, data centres and jobs need a way in that can be resent. Ruled out: retrying only on NotRun, since every call that changes something has an id; init is the exception and is sent once to one server. Conclusion: apply, key grant and job submit run end to end over HTTP (TestFromApplyToJob), lost answers and dead servers included (TestNextServer).

--- a/cmd/kqctl/main.go
+++ b/cmd/kqctl/main.go
@@ -1,4 +1,12 @@
 // Command kqctl is the command line of callers and operators.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"kumquatwing/internal/command"
+)
+
+func main() {
+	os.Exit(command.Run(os.Args, os.Stdout, os.Stderr))
+}
--- a/internal/fleet/command.go
+++ b/internal/fleet/command.go
@@ -176,11 +176,12 @@
 	return c, nil
 }
 
-// digest identifies the content of an operator's command; its label of time
-// differs between resends and doesn't count.
+// digest identifies the content of an operator's command. The label of time and
+// the expected revision may differ between resends and don't count.
 func (c *Command) digest() uint64 {
 	same := *c
 	same.Header.AtMillis = 0
+	same.Header.ExpectRevision = 0
 	return digestOf(&same)
 }
 
--- /dev/null
+++ b/internal/fleetapi/jobs.go
@@ -0,0 +1,178 @@
+package fleetapi
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"kumquatwing/internal/api"
+	"kumquatwing/internal/fleet"
+	"kumquatwing/internal/httpx"
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/replica"
+	"kumquatwing/internal/verdict"
+)
+
+// submitter is who sent a job's call: a team by its key, or an operator.
+type submitter struct {
+	team model.TeamID
+	key  model.KeyID
+}
+
+// authenticate returns the team of the call's key. A key that this member
+// doesn't know may have been granted a moment ago, so that it asks the group.
+func (s *Server) authenticate(r *http.Request) (submitter, *verdict.Refusal) {
+	text := r.Header.Get(api.HeaderKey)
+	who, refusal := s.checkKey(text)
+	if refusal == nil || text == "" {
+		return who, refusal
+	}
+	if err := s.fresh(r); err != nil {
+		return submitter{}, verdict.From(err)
+	}
+	return s.checkKey(text)
+}
+
+func (s *Server) checkKey(text string) (submitter, *verdict.Refusal) {
+	var view *api.EntryView
+	s.Group.View(func(replica.Status) { view = s.State.EntryView() })
+	team, key, refusal := fleet.AuthenticateKey(view, text)
+	return submitter{team.ID, key}, refusal
+}
+
+// authenticateAny lets operators in without a key.
+func (s *Server) authenticateAny(r *http.Request) (submitter, *verdict.Refusal) {
+	if r.Header.Get(api.HeaderKey) != "" {
+		return s.authenticate(r)
+	}
+	return submitter{}, s.checkOperator(r)
+}
+
+// submitJob accepts a job for the team whose key came with it.
+func (s *Server) submitJob(w http.ResponseWriter, r *http.Request) {
+	who, refusal := s.authenticate(r)
+	if refusal != nil {
+		httpx.WriteRefusal(w, refusal)
+		return
+	}
+	var spec model.JobSpec
+	if refusal := httpx.ReadJSON(r, maxCallBytes, &spec); refusal != nil {
+		httpx.WriteRefusal(w, refusal)
+		return
+	}
+	answer, err := s.submit(r.Context(), who, &spec)
+	if err != nil {
+		s.log.Info("job refused", zap.String("job", string(spec.ID)), zap.Error(err))
+		httpx.WriteRefusal(w, err)
+		return
+	}
+	httpx.WriteJSON(w, http.StatusOK, answer)
+}
+
+func (s *Server) submit(ctx context.Context, who submitter, spec *model.JobSpec) (*api.JobAnswer, error) {
+	if spec.Team == "" {
+		spec.Team = who.team
+	}
+	if spec.Team != who.team {
+		return nil, verdict.Refuse(verdict.ReasonWrongTeam, "the key is not one of team %q", spec.Team)
+	}
+	if spec.ID == "" {
+		spec.ID = model.JobID(uuid.NewString())
+	}
+	if refusal := fleet.CheckSpec(spec); refusal != nil {
+		return nil, refusal
+	}
+	owners, refusal := s.owners(ctx, spec)
+	if refusal != nil {
+		return nil, refusal
+	}
+	result, err := s.propose(ctx, &fleet.Command{
+		SubmitJob: &fleet.SubmitJob{Spec: *spec, Owners: owners, Key: who.key},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &api.JobAnswer{
+		Job:      spec.ID,
+		DC:       result.Job.Owners[0],
+		Revision: result.Revision,
+		Repeat:   result.Repeat,
+	}, nil
+}
+
+func (s *Server) owners(ctx context.Context, spec *model.JobSpec) ([]model.DCID, *verdict.Refusal) {
+	if s.Placer != nil {
+		return s.Placer.Owners(ctx, spec)
+	}
+	var owners []model.DCID
+	var refusal *verdict.Refusal
+	s.Group.View(func(replica.Status) { owners, refusal = s.State.SpreadOwners(spec) })
+	return owners, refusal
+}
+
+// cancelJob asks a job's owners to end it; a team cancels its own jobs only.
+func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request) {
+	who, refusal := s.authenticateAny(r)
+	if refusal != nil {
+		httpx.WriteRefusal(w, refusal)
+		return
+	}
+	id := model.JobID(chi.URLParam(r, "job"))
+	cancel := &fleet.CancelJobs{IDs: []model.JobID{id}, Team: who.team, Key: who.key}
+	if _, err := s.propose(r.Context(), &fleet.Command{CancelJobs: cancel}); err != nil {
+		httpx.WriteRefusal(w, err)
+		return
+	}
+	httpx.WriteJSON(w, http.StatusOK, &api.CancelAnswer{Job: id})
+}
+
+// listJobs lists the jobs that the caller may see, without their tasks.
+func (s *Server) listJobs(w http.ResponseWriter, r *http.Request) {
+	who, refusal := s.authenticateAny(r)
+	if refusal != nil {
+		httpx.WriteRefusal(w, refusal)
+		return
+	}
+	answer := api.JobsAnswer{Jobs: []api.JobStatus{}}
+	ok := s.read(w, r, func(state *fleet.State) {
+		jobs := state.ActiveJobs()
+		if r.URL.Query().Get("finished") == "true" {
+			jobs = append(state.FinishedJobs(), jobs...)
+		}
+		for _, j := range jobs {
+			if who.team == "" || j.Spec.Team == who.team {
+				answer.Jobs = append(answer.Jobs, statusOf(j))
+			}
+		}
+	})
+	if ok {
+		httpx.WriteJSON(w, http.StatusOK, &answer)
+	}
+}
+
+// showJob shows what the fleet group knows of a job.
+func (s *Server) showJob(w http.ResponseWriter, r *http.Request) {
+	who, refusal := s.authenticateAny(r)
+	if refusal != nil {
+		httpx.WriteRefusal(w, refusal)
+		return
+	}
+	id := model.JobID(chi.URLParam(r, "job"))
+	var job *fleet.Job
+	if !s.read(w, r, func(state *fleet.State) { job, _ = state.Job(id) }) {
+		return
+	}
+	if job == nil || who.team != "" && job.Spec.Team != who.team {
+		httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonUnknownJob, "job %q is not known", id))
+		return
+	}
+	status := statusOf(job)
+	httpx.WriteJSON(w, http.StatusOK, &status)
+}
+
+func statusOf(j *fleet.Job) api.JobStatus {
+	return api.JobStatus{Spec: j.Spec, DC: j.Owners[0], Outcome: j.Outcome, Reason: j.Reason}
+}
--- /dev/null
+++ b/internal/fleetapi/read.go
@@ -0,0 +1,143 @@
+package fleetapi
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+
+	"kumquatwing/internal/api"
+	"kumquatwing/internal/fleet"
+	"kumquatwing/internal/httpx"
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/settings"
+	"kumquatwing/internal/verdict"
+)
+
+func (s *Server) settings(w http.ResponseWriter, r *http.Request) {
+	var answer api.SettingsAnswer
+	ok := s.read(w, r, func(state *fleet.State) {
+		answer.Revision = state.Revision()
+		answer.Declarations = state.Declarations()
+	})
+	if ok {
+		httpx.WriteJSON(w, http.StatusOK, &answer)
+	}
+}
+
+// explain answers with one setting, or with all if none is named.
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	scope := settings.Scope{
+		Region:   query.Get("region"),
+		DC:       model.DCID(query.Get("dc")),
+		Team:     model.TeamID(query.Get("team")),
+		Workload: model.Workload(query.Get("workload")),
+	}
+	names, refusal := namesOf(settings.Name(query.Get("name")))
+	if refusal != nil {
+		httpx.WriteRefusal(w, refusal)
+		return
+	}
+	var answer api.ExplainAnswer
+	ok := s.read(w, r, func(state *fleet.State) {
+		answer, refusal = explainIn(state, scope, names)
+	})
+	switch {
+	case !ok:
+	case refusal != nil:
+		httpx.WriteRefusal(w, refusal)
+	default:
+		httpx.WriteJSON(w, http.StatusOK, &answer)
+	}
+}
+
+func namesOf(name settings.Name) ([]settings.Name, *verdict.Refusal) {
+	var all []settings.Name
+	for _, d := range settings.Definitions() {
+		if d.Name == name {
+			return []settings.Name{name}, nil
+		}
+		all = append(all, d.Name)
+	}
+	if name != "" {
+		return nil, verdict.Refuse(verdict.ReasonBadRequest, "there is no setting %q", name)
+	}
+	return all, nil
+}
+
+// explainIn looks settings up. The region follows from the data centre.
+func explainIn(state *fleet.State, scope settings.Scope, names []settings.Name) (api.ExplainAnswer, *verdict.Refusal) {
+	answer := api.ExplainAnswer{Revision: state.Revision()}
+	if scope.DC != "" {
+		dc, ok := state.DataCentre(scope.DC)
+		if !ok {
+			return answer, verdict.Refuse(verdict.ReasonBadRequest, "data centre %q is not declared", scope.DC)
+		}
+		scope.Region = dc.Region
+	}
+	if _, ok := state.Team(scope.Team); scope.Team != "" && !ok {
+		return answer, verdict.Refuse(verdict.ReasonUnknownTeam, "team %q is not declared", scope.Team)
+	}
+	if scope.Workload != "" && scope.Team == "" {
+		return answer, verdict.Refuse(verdict.ReasonBadRequest, "a workload belongs to a team; name the team too")
+	}
+	for _, name := range names {
+		d := state.Tree().Lookup(scope, name)
+		answer.Decisions = append(answer.Decisions, d)
+		answer.Lines = append(answer.Lines, d.String())
+	}
+	return answer, nil
+}
+
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	var answer api.HistoryAnswer
+	ok := s.read(w, r, func(state *fleet.State) {
+		answer.Revision = state.Revision()
+		for _, c := range state.History() {
+			answer.Changes = append(answer.Changes, changeOf(c))
+		}
+	})
+	if ok {
+		httpx.WriteJSON(w, http.StatusOK, &answer)
+	}
+}
+
+func changeOf(c fleet.Change) api.Change {
+	return api.Change{
+		Revision: c.Revision,
+		OpID:     c.OpID,
+		Actor:    c.Actor,
+		AtMillis: c.AtMillis,
+		Kind:     c.Kind,
+		Changes:  c.Changes,
+		Kept:     c.Declarations != nil,
+	}
+}
+
+func (s *Server) keys(w http.ResponseWriter, r *http.Request) {
+	var answer api.KeysAnswer
+	ok := s.read(w, r, func(state *fleet.State) { answer.Keys = state.Keys() })
+	if ok {
+		httpx.WriteJSON(w, http.StatusOK, &answer)
+	}
+}
+
+// inForce says whether a revision is in force everywhere, and what it waits for.
+func (s *Server) inForce(w http.ResponseWriter, r *http.Request) {
+	revision, err := strconv.ParseUint(chi.URLParam(r, "revision"), 10, 64)
+	if err != nil {
+		httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonBadRequest, "revision is not a number"))
+		return
+	}
+	if s.InForcer == nil {
+		httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonNotLeader, "this member doesn't know what is in force"))
+		return
+	}
+	answer, err := s.InForcer.InForce(r.Context(), revision)
+	if err != nil {
+		httpx.WriteRefusal(w, err)
+		return
+	}
+	httpx.WriteJSON(w, http.StatusOK, answer)
+}
