--- a/internal/fleet/command.go
+++ b/internal/fleet/command.go
@@ -136,6 +136,9 @@
 	// Version is the Grant.Version the return was decided on; a return that was
 	// overtaken by a change of the grant is refused.
 	Version uint64 `msgpack:"v"`
+	// Generation is that of the data centre's group. An older one than on record
+	// is refused, since the cap it committed is lost.
+	Generation uint64 `msgpack:"n"`
 }
 
 // RegisterMember records the newest incarnation of a kqcontrol.
--- a/internal/fleet/escrow.go
+++ b/internal/fleet/escrow.go
@@ -59,15 +59,29 @@
 	if g == nil || g.Version != c.Version {
 		return refuse(verdict.ReasonConflict, "grant of team %s in data centre %s has changed", c.Team, c.DC)
 	}
+	if group := s.groups[c.DC]; group != nil && c.Generation < group.Generation {
+		return refuse(verdict.ReasonConflict, "group of %s has generation %d", c.DC, group.Generation)
+	}
 	if c.Keep.Negative() {
 		return refuse(verdict.ReasonBadRequest, "grant: amounts can't be negative")
 	}
-	g.Amount = g.Amount.Min(c.Keep)
-	g.Version++
+	g.lower(c.Keep)
 	s.rebalance(c.Team)
 	return grantResult(g)
 }
 
+// lower cuts the amount down to keep. What is returned beyond the target is no
+// longer wanted, or it would be lent again at once.
+func (g *Grant) lower(keep model.Resources) {
+	for d := range model.Dimensions {
+		if keep.At(d) < g.Target.At(d) {
+			setAt(&g.Want, d, min(g.Want.At(d), keep.At(d)))
+		}
+	}
+	g.Amount = g.Amount.Min(keep)
+	g.Version++
+}
+
 func grantResult(g *Grant) *Result {
 	c := *g
 	return &Result{Grant: &c}
