--- a/internal/fleet/snapshot_test.go
+++ b/internal/fleet/snapshot_test.go
@@ -45,12 +45,12 @@
 	case 9:
 		c.RequestGrant = &RequestGrant{Team: team, DC: dc, Want: size.Scale(2), Holds: size}
 	case 10:
-		c.ReturnGrant = &ReturnGrant{Team: team, DC: dc, Keep: size, Version: n, Generation: n}
+		c.ReturnGrant = &ReturnGrant{Team: team, DC: dc, Keep: size, Version: n % 3, Generation: n}
 	case 11:
-		m := Member{VM: model.VMID(fmt.Sprint("vm", n%3)), DC: dc, Incarnation: replica.MemberID(n)}
+		m := Member{VM: model.VMID(fmt.Sprint("vm", n%3)), DC: dc, Incarnation: replica.MemberID(1 + n%3)}
 		c.RegisterMember = &RegisterMember{m}
 	default:
-		c.FoundGroup = &FoundGroup{DC: dc, Generation: n % 3, Member: replica.MemberID(n)}
+		c.FoundGroup = &FoundGroup{DC: dc, Generation: 1 + n%2, Member: replica.MemberID(1 + n%3)}
 	}
 	return c
 }
