--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -55,7 +55,7 @@
 )
 
 var definitions = []Definition{
-	{SettingsLease, TypeDuration, 1000, 60_000, Value{Int: 3000}, "how long a data centre acts on settings it could not renew"},
+	{SettingsLease, TypeDuration, 1000, 60_000, Value{Int: 2000}, "how long a data centre acts on settings it could not renew"},
 	{WorkerLease, TypeDuration, 1000, 60_000, Value{Int: 5000}, "how long a worker runs tasks without hearing from control"},
 	{ClockMargin, TypeDuration, 50, 5000, Value{Int: 250}, "what a lease's giver adds for clock drift"},
 	{RequestDeadline, TypeDuration, 10, 600_000, Value{Int: 30_000}, "the longest a request may take"},
