Add the time line over all processes' events

Cause: an engineer has to see in one order what every process decided. Ruled out: wall clocks alone, which put an effect before its cause when a VM's clock is behind (TestLoadOrdersByCause); frames now carry hybrid logical time.

--- a/internal/eventlog/file.go
+++ b/internal/eventlog/file.go
@@ -15,8 +15,9 @@
 	DefaultFileBytes = 8 << 20
 	// keptFiles is how many rotated files stay beside the current one.
 	keptFiles = 3
-	// fileSuffix ends the name of every event file.
-	fileSuffix = ".events.jsonl"
+	// FileSuffix ends the name of every current event file; rotated ones have a
+	// dot and a digit behind it.
+	FileSuffix = ".events.jsonl"
 )
 
 // File is a Recorder that appends JSON lines to a bounded, rotated file.
@@ -41,7 +42,7 @@
 	if vm != "" {
 		name = string(vm) + "." + process
 	}
-	f := &File{process: process, vm: vm, path: filepath.Join(dir, name+fileSuffix), limit: limit}
+	f := &File{process: process, vm: vm, path: filepath.Join(dir, name+FileSuffix), limit: limit}
 	return f, f.open()
 }
 
@@ -56,7 +57,27 @@
 		return err
 	}
 	f.out, f.size = out, info.Size()
-	return nil
+	return f.endTornLine()
+}
+
+// endTornLine separates new events from a line that a killed process left
+// unfinished.
+func (f *File) endTornLine() error {
+	if f.size == 0 {
+		return nil
+	}
+	in, err := os.Open(f.path)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	var last [1]byte
+	if _, err := in.ReadAt(last[:], f.size-1); err != nil || last[0] == '\n' {
+		return err
+	}
+	n, err := f.out.Write([]byte{'\n'})
+	f.size += int64(n)
+	return err
 }
 
 // Record implements Recorder. An event that can't be written is dropped.
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,12 +10,15 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/verdict"
 )
 
 const (
 	// MaxFrameBytes bounds one frame; a longer one breaks the connection.
 	MaxFrameBytes = 8 << 20
+	// maxBodyBytes leaves room for a frame's other fields.
+	maxBodyBytes = MaxFrameBytes - 64<<10
 	// lengthBytes is the size of the length prefix.
 	lengthBytes = 4
 	// readBufferBytes and writeBufferBytes size a connection's buffers.
@@ -41,6 +44,8 @@
 	// BudgetMillis is the time left until the caller's deadline; 0 means none.
 	BudgetMillis int64  `msgpack:"b,omitempty"`
 	Body         []byte `msgpack:"p,omitempty"`
+	// At is the sender's hybrid logical time, which orders events over processes.
+	At eventlog.Stamp `msgpack:"h"`
 	// Refusal is set on a reply in place of Body.
 	Refusal *verdict.Refusal `msgpack:"e,omitempty"`
 }
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -11,6 +11,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/verdict"
 )
 
@@ -31,6 +32,12 @@
 // Dialer opens connections; tests replace it to cut peers off.
 type Dialer func(ctx context.Context, addr string) (net.Conn, error)
 
+// Stamper gives and observes hybrid logical time; *eventlog.File is one.
+type Stamper interface {
+	Now() eventlog.Stamp
+	Observe(eventlog.Stamp)
+}
+
 // Node is one process's end of the transport. It implements watermill's
 // message.Publisher and message.Subscriber.
 type Node struct {
@@ -49,6 +56,7 @@
 	wg           sync.WaitGroup
 
 	traffic trafficCounter
+	stamper Stamper
 }
 
 var (
@@ -85,6 +93,24 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// SetStamper makes every frame carry hybrid logical time. It must be called
+// before the first message is sent or handled.
+func (n *Node) SetStamper(s Stamper) { n.stamper = s }
+
+// stamp marks an outgoing frame with the present time.
+func (n *Node) stamp(f *frame) {
+	if n.stamper != nil {
+		f.At = n.stamper.Now()
+	}
+}
+
+// observe takes note of an incoming frame's time.
+func (n *Node) observe(f *frame) {
+	if n.stamper != nil {
+		n.stamper.Observe(f.At)
+	}
+}
+
 // Addr returns the address the node listens at.
 func (n *Node) Addr() string { return n.listener.Addr().String() }
 
@@ -289,6 +315,7 @@
 		if err != nil {
 			return
 		}
+		n.observe(f)
 		switch f.Kind {
 		case kindMessage:
 			n.deliver(f)
@@ -327,6 +354,7 @@
 	default:
 		reply.Refusal = verdict.Refuse(verdict.ReasonOverload, "%s: too many requests at once", f.Topic)
 	}
+	n.stamp(reply)
 	out.write(reply)
 }
 
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -64,6 +64,9 @@
 
 // enqueue adds f to the bounded queue.
 func (p *peer) enqueue(f *frame, call *pending) error {
+	if len(f.Body) > maxBodyBytes {
+		return verdict.Refuse(verdict.ReasonTooLarge, "%s: message of %d bytes is over %d", f.Topic, len(f.Body), maxBodyBytes)
+	}
 	select {
 	case p.queue <- outgoing{f, call}:
 		return nil
@@ -215,6 +218,7 @@
 	for {
 		conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if p.claim(next.call) {
+			p.node.stamp(next.frame)
 			if err := writeFrame(w, next.frame); err != nil {
 				return
 			}
@@ -242,6 +246,7 @@
 			conn.Close()
 			return
 		}
+		p.node.observe(f)
 		p.mu.Lock()
 		c := p.calls[f.ID]
 		delete(p.calls, f.ID)
@@ -307,7 +312,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if len(f.Body) > MaxFrameBytes/2 {
+	if len(f.Body) > maxBodyBytes {
 		f.Body = nil
 		f.Refusal = verdict.New(verdict.Done, verdict.ReasonTooLarge, "reply is too large")
 	}
