Add consensus, storage and the replicated node

Weighed: bbolt against a segment file. bbolt syncs twice a commit and opens its file by path and mmap, so that no seam can lose or tear its unsynced writes; a segment file syncs once, and each crash point can be tested. Ruled out: truncating any bad tail; a bad last record counts as torn only if it lacks its end or a whole sector, else the store is refused as corrupt.

Conclusion: a segment file. Votes are refused by ticks and by instants, since a clock that steps ahead must not end another member's lease early.

--- /dev/null
+++ b/internal/replica/node_test.go
@@ -0,0 +1,255 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"kumquatwing/internal/clock"
+	"kumquatwing/internal/storage"
+	"kumquatwing/internal/verdict"
+	"kumquatwing/internal/wire"
+)
+
+// testTick makes elections take 200 to 400 ms.
+const testTick = 10 * time.Millisecond
+
+// register is a machine that counts commands and keeps the last.
+type register struct {
+	count uint64
+	last  []byte
+}
+
+func (r *register) Apply(_ uint64, command []byte) []byte {
+	r.count++
+	r.last = command
+	return binary.BigEndian.AppendUint64(nil, r.count)
+}
+
+func (r *register) Snapshot() ([]byte, error) {
+	return append(binary.BigEndian.AppendUint64(nil, r.count), r.last...), nil
+}
+
+func (r *register) Restore(b []byte) error {
+	r.count, r.last = binary.BigEndian.Uint64(b), b[8:]
+	return nil
+}
+
+// member is a node with all that belongs to it.
+type member struct {
+	node    *Node
+	wire    *wire.Node
+	machine *register
+	self    Member
+	dir     string
+}
+
+// group runs members on loopback.
+type group struct {
+	t       testing.TB
+	members []*member
+	nextID  MemberID
+}
+
+func newGroup(t testing.TB, size int, disk bool) *group {
+	g := &group{t: t}
+	for i := range size {
+		dir := ""
+		if disk {
+			dir = filepath.Join(t.TempDir(), fmt.Sprint(i))
+		}
+		g.start(fmt.Sprintf("vm%d", i), dir, i == 0)
+		if i > 0 {
+			g.join(g.members[i])
+		}
+	}
+	t.Cleanup(g.close)
+	return g
+}
+
+func (g *group) close() {
+	for _, m := range g.members {
+		m.stop()
+	}
+}
+
+func (m *member) stop() {
+	m.node.Close()
+	m.wire.Close()
+}
+
+// start runs a member on vm, from the store in dir or without a disk.
+func (g *group) start(vm, dir string, found bool) *member {
+	w, err := wire.Listen("127.0.0.1:0", nil)
+	qt.Assert(g.t, err, qt.IsNil)
+	var store storage.Store = storage.NewMemory()
+	if dir != "" {
+		store, err = storage.OpenDir(dir)
+		qt.Assert(g.t, err, qt.IsNil)
+	}
+	g.nextID++
+	id := g.nextID
+	if old := store.Identity(); old != 0 {
+		id = MemberID(old)
+	}
+	m := &member{wire: w, machine: &register{}, dir: dir, self: Member{ID: id, VM: vm, Addr: w.Addr()}}
+	m.node, err = Open(Config{
+		Group: "test", Self: m.self, Machine: m.machine, Store: store, Wire: w,
+		Clock: clock.Boot{}, Found: found, Tick: testTick,
+	})
+	qt.Assert(g.t, err, qt.IsNil)
+	g.members = append(g.members, m)
+	return m
+}
+
+// join makes a started member a voter.
+func (g *group) join(m *member) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	first := g.members[0].node
+	qt.Assert(g.t, first.AddLearner(ctx, m.self), qt.IsNil)
+	for {
+		err := first.Promote(ctx, m.self.ID)
+		if err == nil {
+			return
+		}
+		qt.Assert(g.t, verdict.From(err).Reason, qt.Equals, verdict.ReasonConflict)
+		qt.Assert(g.t, pause(ctx), qt.IsTrue)
+	}
+}
+
+func (g *group) leader() *member {
+	for range 500 {
+		for _, m := range g.members {
+			if s := m.node.Status(); s.IsLeader() {
+				return m
+			}
+		}
+		time.Sleep(testTick)
+	}
+	g.t.Fatal("no member leads")
+	return nil
+}
+
+// drop stops a member and forgets it.
+func (g *group) drop(m *member) {
+	m.stop()
+	for i := range g.members {
+		if g.members[i] == m {
+			g.members = append(g.members[:i:i], g.members[i+1:]...)
+			return
+		}
+	}
+}
+
+func propose(t testing.TB, n *Node, command string) uint64 {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	result, err := n.Propose(ctx, []byte(command))
+	qt.Assert(t, err, qt.IsNil)
+	return binary.BigEndian.Uint64(result)
+}
+
+func TestEveryMemberProposesAndReads(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := newGroup(t, 3, false)
+	defer g.close()
+	for i, m := range g.members {
+		qt.Assert(t, propose(t, m.node, fmt.Sprint(i)), qt.Equals, uint64(i+1))
+	}
+	for _, m := range g.members {
+		qt.Assert(t, m.node.Barrier(context.Background()), qt.IsNil)
+		m.node.View(func(s Status) {
+			qt.Check(t, m.machine.count, qt.Equals, uint64(3))
+			qt.Check(t, len(s.Members), qt.Equals, 3)
+		})
+	}
+}
+
+func TestConcurrentProposalsShareSyncs(t *testing.T) {
+	g := newGroup(t, 3, true)
+	const writers, each = 20, 20
+	var wg sync.WaitGroup
+	for range writers {
+		wg.Go(func() {
+			for range each {
+				propose(t, g.members[1].node, "x")
+			}
+		})
+	}
+	wg.Wait()
+	l := g.leader()
+	l.node.View(func(Status) { qt.Check(t, l.machine.count, qt.Equals, uint64(writers*each)) })
+}
+
+func TestLeaderDies(t *testing.T) {
+	g := newGroup(t, 3, true)
+	propose(t, g.members[0].node, "a")
+	old := g.leader()
+	g.drop(old)
+	qt.Assert(t, propose(t, g.members[0].node, "b"), qt.Equals, uint64(2))
+	back := g.start(old.self.VM, old.dir, false)
+	qt.Assert(t, back.self.ID, qt.Equals, old.self.ID)
+	qt.Assert(t, back.node.Barrier(context.Background()), qt.IsNil)
+	back.node.View(func(Status) { qt.Check(t, back.machine.count, qt.Equals, uint64(2)) })
+}
+
+func TestTransferLeadership(t *testing.T) {
+	g := newGroup(t, 3, false)
+	old := g.leader()
+	qt.Assert(t, old.node.TransferLeadership(context.Background()), qt.IsNil)
+	qt.Assert(t, propose(t, old.node, "a"), qt.Equals, uint64(1))
+	qt.Assert(t, g.leader(), qt.Not(qt.Equals), old)
+}
+
+// TestLostDisk replaces a voter by a new incarnation, then loses another one.
+func TestLostDisk(t *testing.T) {
+	g := newGroup(t, 3, true)
+	for range 10 {
+		propose(t, g.members[0].node, "a")
+	}
+	lost := g.members[2]
+	g.drop(lost)
+	g.leader()
+	fresh := g.start(lost.self.VM, filepath.Join(t.TempDir(), "new"), false)
+	g.join(fresh)
+	qt.Assert(t, len(fresh.node.Status().Members), qt.Equals, 3)
+	g.drop(g.members[0])
+	qt.Assert(t, propose(t, fresh.node, "b"), qt.Equals, uint64(11))
+}
+
+func TestOpenRefusesForeignStore(t *testing.T) {
+	dir := t.TempDir()
+	g := newGroup(t, 0, true)
+	g.drop(g.start("vm0", dir, true))
+	store, err := storage.OpenDir(dir)
+	qt.Assert(t, err, qt.IsNil)
+	defer store.Close()
+	_, err = Open(Config{
+		Group: "test", Self: Member{ID: 99}, Machine: &register{}, Store: store, Clock: clock.Boot{},
+	})
+	qt.Assert(t, err, qt.ErrorMatches, ".*belongs to member 1, not 99")
+}
+
+func TestProposeWithoutQuorumIsHonest(t *testing.T) {
+	g := newGroup(t, 3, false)
+	last := g.members[0]
+	g.drop(g.members[2])
+	g.drop(g.members[1])
+	ctx, cancel := context.WithTimeout(context.Background(), 100*testTick)
+	defer cancel()
+	_, err := last.node.Propose(ctx, []byte("a"))
+	qt.Assert(t, err, qt.Not(qt.IsNil))
+	_, err = last.node.Propose(ctx, []byte("b"))
+	qt.Assert(t, verdict.From(err).Verdict, qt.Equals, verdict.NotRun)
+	s := last.node.Status()
+	qt.Assert(t, s.IsLeader(), qt.IsFalse)
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,10 +3,7 @@
 // own goroutine and asks who leads.
 package replica
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // MemberID names one incarnation of a member. A process that lost its state
 // comes back under a new MemberID.
@@ -89,5 +86,6 @@
 	Close() error
 }
 
-// LeaseTerm is how long a leader may act without hearing from a quorum.
-const LeaseTerm = time.Second
+// LeaseTerm is how long a leader may act without hearing from a quorum, at the
+// default tick.
+const LeaseTerm = electionTicks * DefaultTick * (driftShare - 1) / driftShare
--- /dev/null
+++ b/internal/storage/disk_test.go
@@ -0,0 +1,199 @@
+package storage_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/consensus"
+	"kumquatwing/internal/storage"
+	"kumquatwing/internal/storage/faultfs"
+)
+
+func entries(first, last, term uint64) []consensus.Entry {
+	var es []consensus.Entry
+	for i := first; i <= last; i++ {
+		data := fmt.Appendf(nil, "command %d of term %d", i, term)
+		es = append(es, consensus.Entry{Index: i, Term: term, Kind: consensus.EntryCommand, Data: data})
+	}
+	return es
+}
+
+func reopen(t *testing.T, fs *faultfs.FS) (*storage.Disk, consensus.State) {
+	t.Helper()
+	d, err := storage.Open(fs)
+	qt.Assert(t, err, qt.IsNil)
+	return d, d.State()
+}
+
+func TestDiskKeepsState(t *testing.T) {
+	fs := faultfs.New()
+	d, _ := reopen(t, fs)
+	qt.Assert(t, d.Identity(), qt.Equals, consensus.None)
+	qt.Assert(t, d.Append(consensus.HardState{}, nil), qt.Equals, storage.ErrEmpty)
+	qt.Assert(t, d.Begin(7, consensus.State{}), qt.IsNil)
+	qt.Assert(t, d.Append(consensus.HardState{Term: 1}, entries(1, 5, 1)), qt.IsNil)
+	qt.Assert(t, d.Append(consensus.HardState{Term: 2, Vote: 3}, entries(4, 6, 2)), qt.IsNil)
+	d, st := reopen(t, fs)
+	want := append(entries(1, 3, 1), entries(4, 6, 2)...)
+	qt.Assert(t, d.Identity(), qt.Equals, consensus.ID(7))
+	qt.Assert(t, st.Hard, qt.Equals, consensus.HardState{Term: 2, Vote: 3})
+	qt.Assert(t, st.Entries, qt.DeepEquals, want)
+
+	snap := consensus.Snapshot{Index: 4, Term: 2, Members: consensus.Members{{ID: 7}}, Data: []byte("state")}
+	next := consensus.State{Hard: st.Hard, Snapshot: snap, Entries: want[4:]}
+	qt.Assert(t, d.Compact(next), qt.IsNil)
+	qt.Assert(t, d.Append(consensus.HardState{Term: 3}, entries(7, 7, 3)), qt.IsNil)
+	_, st = reopen(t, fs)
+	qt.Assert(t, st.Snapshot, qt.DeepEquals, snap)
+	qt.Assert(t, st.Entries, qt.DeepEquals, append(entries(5, 6, 2), entries(7, 7, 3)...))
+	names, err := fs.List()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(names), qt.Equals, 2)
+}
+
+// script makes n calls on a store and returns the last state that was
+// acknowledged; the one after it may have survived as well.
+func script(d *storage.Disk, n int) (acked, next int) {
+	for i := 1; i <= n; i++ {
+		if apply(d, i) != nil {
+			return i - 1, i
+		}
+	}
+	return n, n
+}
+
+func apply(d *storage.Disk, i int) error {
+	switch {
+	case i == 1:
+		return d.Begin(7, consensus.State{})
+	case i%7 == 0:
+		return d.Compact(stateAfter(i))
+	}
+	index := indexOf(i)
+	return d.Append(consensus.HardState{Term: index}, entries(index, index, index))
+}
+
+// indexOf is the entry that call i appends, or the last one it compacts.
+func indexOf(i int) uint64 { return uint64(i - 1 - i/7) }
+
+// stateAfter is what the store holds after call i of the script.
+func stateAfter(i int) consensus.State {
+	var st consensus.State
+	for k := 2; k <= i; k++ {
+		index := indexOf(k)
+		st.Hard = consensus.HardState{Term: index}
+		if k%7 != 0 {
+			st.Entries = append(st.Entries, entries(index, index, index)...)
+			continue
+		}
+		data := make([]byte, 2000)
+		data[0] = byte(k)
+		st.Snapshot = consensus.Snapshot{Index: index, Term: index, Data: data}
+		st.Entries = nil
+	}
+	return st
+}
+
+// TestCrashAtEverySync shows that what was acknowledged survives and that
+// nothing but the call in progress is lost.
+func TestCrashAtEverySync(t *testing.T) {
+	const calls = 16
+	for seed := range uint64(40) {
+		for _, after := range []bool{false, true} {
+			for at := 1; ; at++ {
+				fs := faultfs.New()
+				fs.CrashAt(at, after)
+				d, err := storage.Open(fs)
+				qt.Assert(t, err, qt.IsNil)
+				acked, next := script(d, calls)
+				if !fs.Crashed() {
+					break
+				}
+				fs.Restart(rand.New(rand.NewPCG(seed, uint64(at))))
+				d, err = storage.Open(fs)
+				qt.Assert(t, err, qt.IsNil, qt.Commentf("seed %d, sync %d, after %v", seed, at, after))
+				checkSurvivor(t, d, acked, next)
+			}
+		}
+	}
+}
+
+func checkSurvivor(t *testing.T, d *storage.Disk, acked, next int) {
+	t.Helper()
+	if d.Identity() == consensus.None {
+		qt.Assert(t, acked, qt.Equals, 0)
+		return
+	}
+	got := fmt.Sprint(d.State())
+	if got != fmt.Sprint(stateAfter(acked)) {
+		qt.Assert(t, got, qt.Equals, fmt.Sprint(stateAfter(next)))
+	}
+}
+
+// TestWithoutSyncIsNoticed shows that the test above fails without syncs.
+func TestWithoutSyncIsNoticed(t *testing.T) {
+	lost := 0
+	for seed := range uint64(20) {
+		fs := faultfs.New()
+		fs.IgnoreSync = true
+		d, err := storage.Open(fs)
+		qt.Assert(t, err, qt.IsNil)
+		script(d, 6)
+		fs.Crash()
+		fs.Restart(rand.New(rand.NewPCG(seed, 0)))
+		d, err = storage.Open(fs)
+		if err != nil || fmt.Sprint(d.State()) != fmt.Sprint(stateAfter(6)) {
+			lost++
+		}
+	}
+	qt.Assert(t, lost > 0, qt.IsTrue)
+}
+
+// TestCorruptionIsRefused flips a bit in every byte of both files.
+func TestCorruptionIsRefused(t *testing.T) {
+	prepare := func() *faultfs.FS {
+		fs := faultfs.New()
+		d, _ := reopen(t, fs)
+		script(d, 9)
+		return fs
+	}
+	names, err := prepare().List()
+	qt.Assert(t, err, qt.IsNil)
+	for _, name := range names {
+		data, err := prepare().ReadFile(name)
+		qt.Assert(t, err, qt.IsNil)
+		for at := range data {
+			fs := prepare()
+			fs.Corrupt(name, at)
+			d, err := storage.Open(fs)
+			if err == nil && fmt.Sprint(d.State()) == fmt.Sprint(stateAfter(9)) {
+				continue // padding
+			}
+			var corrupt *storage.CorruptError
+			qt.Assert(t, errors.As(err, &corrupt), qt.IsTrue, qt.Commentf("%s at %d: %v", name, at, err))
+		}
+	}
+}
+
+func TestFailedSyncIsFinal(t *testing.T) {
+	fs := faultfs.New()
+	d, _ := reopen(t, fs)
+	qt.Assert(t, apply(d, 1), qt.IsNil)
+	fs.CrashAt(1, false)
+	qt.Assert(t, apply(d, 2), qt.Equals, faultfs.ErrCrashed)
+	fs.Restart(rand.New(rand.NewPCG(1, 1)))
+	qt.Assert(t, apply(d, 2), qt.ErrorMatches, "storage: an earlier write failed: .*")
+}
+
+func TestSecondProcessIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	d, err := storage.OpenDir(dir)
+	qt.Assert(t, err, qt.IsNil)
+	defer d.Close()
+	_, err = storage.OpenDir(dir)
+	qt.Assert(t, err, qt.ErrorMatches, ".*in use by another process.*")
+}
--- /dev/null
+++ b/internal/storage/faultfs/faultfs.go
@@ -0,0 +1,241 @@
+// Package faultfs is a folder in memory for tests of crashes: it counts syncs,
+// stops at a chosen one and then loses or tears what was not synced.
+package faultfs
+
+import (
+	"errors"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"kumquatwing/internal/storage"
+)
+
+// sectorBytes is what the disk writes whole or not at all.
+const sectorBytes = 512
+
+// ErrCrashed is returned by every call between a crash and Restart.
+var ErrCrashed = errors.New("faultfs: crashed")
+
+// inode is the content of a file, which may have several names over time.
+type inode struct {
+	synced, current []byte
+}
+
+// rename is a change of names that SyncDir has not covered yet.
+type rename struct {
+	from, to string // from is empty for a new file, to for a removed one
+	node     *inode
+}
+
+// FS implements storage.FS. It is not safe for concurrent use.
+type FS struct {
+	// IgnoreSync makes syncs do nothing, as a build without them would.
+	IgnoreSync bool
+
+	durable map[string]*inode
+	current map[string]*inode
+	pending []rename
+
+	syncs   int
+	crashAt int
+	after   bool
+	crashed bool
+}
+
+var _ storage.FS = (*FS)(nil)
+
+// New returns an empty folder.
+func New() *FS {
+	return &FS{durable: map[string]*inode{}, current: map[string]*inode{}}
+}
+
+// CrashAt makes the n-th sync from now on crash, after it took effect or before.
+func (f *FS) CrashAt(n int, after bool) { f.crashAt, f.after = f.syncs+n, after }
+
+// Crashed reports whether the folder waits for Restart.
+func (f *FS) Crashed() bool { return f.crashed }
+
+// Crash stops the folder at once.
+func (f *FS) Crash() { f.crashed = true }
+
+// Restart brings the folder back with what survived, drawn from rng.
+func (f *FS) Restart(rng *rand.Rand) {
+	names := maps.Clone(f.durable)
+	for _, p := range f.pending[:rng.IntN(len(f.pending)+1)] {
+		p.apply(names)
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		names[name].tear(rng)
+	}
+	f.durable, f.current = names, maps.Clone(names)
+	f.pending, f.crashed, f.crashAt = nil, false, 0
+}
+
+// Wipe empties the folder, as a lost disk.
+func (f *FS) Wipe() {
+	*f = FS{IgnoreSync: f.IgnoreSync, durable: map[string]*inode{}, current: map[string]*inode{}}
+}
+
+func (p rename) apply(names map[string]*inode) {
+	delete(names, p.from)
+	if p.to != "" {
+		names[p.to] = p.node
+	}
+}
+
+// tear keeps some sectors of what was written since the last sync.
+func (n *inode) tear(rng *rand.Rand) {
+	length := len(n.synced)
+	if more := len(n.current) - length; more > 0 {
+		length += rng.IntN(more + 1)
+		if rng.IntN(2) == 0 {
+			length = len(n.current)
+		}
+	} else if more < 0 && rng.IntN(2) == 0 {
+		length = len(n.current)
+	}
+	kept := make([]byte, length)
+	copy(kept, n.synced)
+	for at := 0; at < length; at += sectorBytes {
+		end := min(at+sectorBytes, length)
+		if at < len(n.current) && rng.IntN(2) == 0 {
+			copy(kept[at:end], n.current[at:min(end, len(n.current))])
+		}
+	}
+	n.synced, n.current = kept, slices.Clone(kept)
+}
+
+// syncPoint counts a sync and runs effect, unless the crash comes first.
+func (f *FS) syncPoint(effect func()) error {
+	if f.crashed {
+		return ErrCrashed
+	}
+	f.syncs++
+	crash := f.crashAt != 0 && f.syncs >= f.crashAt
+	if !f.IgnoreSync && (!crash || f.after) {
+		effect()
+	}
+	if crash {
+		f.crashed = true
+		return ErrCrashed
+	}
+	return nil
+}
+
+// Create implements storage.FS.
+func (f *FS) Create(name string) (storage.File, error) {
+	if f.crashed {
+		return nil, ErrCrashed
+	}
+	n := &inode{}
+	f.current[name] = n
+	f.pending = append(f.pending, rename{"", name, n})
+	return &file{f, n}, nil
+}
+
+// Open implements storage.FS.
+func (f *FS) Open(name string) (storage.File, error) {
+	n, err := f.find(name)
+	if err != nil {
+		return nil, err
+	}
+	return &file{f, n}, nil
+}
+
+func (f *FS) find(name string) (*inode, error) {
+	if f.crashed {
+		return nil, ErrCrashed
+	}
+	n, ok := f.current[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return n, nil
+}
+
+// ReadFile implements storage.FS.
+func (f *FS) ReadFile(name string) ([]byte, error) {
+	n, err := f.find(name)
+	if err != nil {
+		return nil, err
+	}
+	return slices.Clone(n.current), nil
+}
+
+// Corrupt flips one bit of a file, on disk as well.
+func (f *FS) Corrupt(name string, offset int) {
+	n := f.current[name]
+	n.current[offset] ^= 1
+	n.synced = slices.Clone(n.current)
+}
+
+// Rename implements storage.FS.
+func (f *FS) Rename(from, to string) error {
+	n, err := f.find(from)
+	if err != nil {
+		return err
+	}
+	delete(f.current, from)
+	f.current[to] = n
+	f.pending = append(f.pending, rename{from, to, n})
+	return nil
+}
+
+// Remove implements storage.FS.
+func (f *FS) Remove(name string) error {
+	if _, err := f.find(name); err != nil {
+		return err
+	}
+	delete(f.current, name)
+	f.pending = append(f.pending, rename{name, "", nil})
+	return nil
+}
+
+// List implements storage.FS.
+func (f *FS) List() ([]string, error) {
+	if f.crashed {
+		return nil, ErrCrashed
+	}
+	return slices.Sorted(maps.Keys(f.current)), nil
+}
+
+// SyncDir implements storage.FS.
+func (f *FS) SyncDir() error {
+	return f.syncPoint(func() {
+		f.durable = maps.Clone(f.current)
+		f.pending = nil
+	})
+}
+
+// Close implements storage.FS.
+func (f *FS) Close() error { return nil }
+
+// file is an open file.
+type file struct {
+	fs   *FS
+	node *inode
+}
+
+func (f *file) Write(p []byte) (int, error) {
+	if f.fs.crashed {
+		return 0, ErrCrashed
+	}
+	f.node.current = append(f.node.current, p...)
+	return len(p), nil
+}
+
+func (f *file) Sync() error {
+	return f.fs.syncPoint(func() { f.node.synced = slices.Clone(f.node.current) })
+}
+
+func (f *file) Truncate(size int64) error {
+	if f.fs.crashed {
+		return ErrCrashed
+	}
+	f.node.current = f.node.current[:size:size]
+	return nil
+}
+
+func (f *file) Close() error { return nil }
