Add the fields that reservations and refusals need

Cause: a reservation needs its expected start for backfill and its attempt for a longer hold next time; shares count against the whole fleet; nothing may be refused while workers are still being learnt. Ruled out: a second record beside Reservation. Conclusion: added to the existing types; no field changed.

--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -22,8 +22,15 @@
 	Teams   []TeamView
 	// Reservations made by earlier plans that still stand.
 	Reservations []Reservation
-	// MaxPlacements bounds the placements of one plan; 0 means no bound.
+	// MaxPlacements bounds the placements of one plan; 0 means no bound. A gang
+	// that has been begun is never cut by it.
 	MaxPlacements int
+	// Fleet is the size of all workers of the fleet, against which shares are
+	// counted; zero means the size of Workers.
+	Fleet model.Resources
+	// Settling is set while workers are still being learnt after a start of the
+	// group: no job is refused for lack of a large enough worker.
+	Settling bool
 }
 
 // WorkerView is one worker as the scheduler sees it.
@@ -137,10 +144,18 @@
 }
 
 // Reservation holds room on workers for a gang or urgent task until it ends.
+// One without Workers holds nothing back: it keeps its job from reserving again
+// before UntilMillis. Plan.Reservations replaces Snapshot.Reservations.
 type Reservation struct {
-	Job         model.JobID
+	Job model.JobID
+	// Class is the job's.
+	Class model.Class
+	// StartMillis is when the room is expected to be free.
+	StartMillis int64
 	UntilMillis int64
-	Workers     []ReservedRoom
+	// Attempt counts the job's reservations; each one may last longer.
+	Attempt int
+	Workers []ReservedRoom
 }
 
 // ReservedRoom is a part of a worker that is held back.
