Decide placements: filters, scores, fair queue, gangs, refusals, Check

Cause: the tick needs a plan to apply. Ruled out: sub-packages per filter, since they all meet at the cell's room. Conclusion: property tests over random cells pass; preemption and new reservations come next.

--- /dev/null
+++ b/internal/placement/cell.go
@@ -0,0 +1,132 @@
+package placement
+
+import (
+	"kumquatwing/internal/model"
+)
+
+// noReservation stands for a worker on which no room is reserved.
+const noReservation int64 = -1
+
+// cell is the room of a data centre's workers while one plan is made. Slices
+// are indexed like Snapshot.Workers.
+type cell struct {
+	now     int64
+	workers []WorkerView
+	// free is what no task holds.
+	free []model.Resources
+	// urgentHeld and held are reserved for urgent and for other jobs.
+	urgentHeld []model.Resources
+	held       []model.Resources
+	// startsBy is the earliest start of a reservation in held.
+	startsBy []int64
+	// scale turns room into thousandths of the worker's size.
+	scale []scale
+	rack  []int32
+	racks int
+	// total is the size of all workers that are not lost.
+	total model.Resources
+	byID  map[model.WorkerID]int32
+}
+
+func newCell(s *Snapshot) *cell {
+	n := len(s.Workers)
+	c := &cell{
+		now:        s.NowMillis,
+		workers:    s.Workers,
+		free:       make([]model.Resources, n),
+		urgentHeld: make([]model.Resources, n),
+		held:       make([]model.Resources, n),
+		startsBy:   make([]int64, n),
+		scale:      make([]scale, n),
+		rack:       make([]int32, n),
+		byID:       make(map[model.WorkerID]int32, n),
+	}
+	racks := make(map[string]int32)
+	for i := range s.Workers {
+		w := &s.Workers[i]
+		c.free[i] = w.Free
+		c.startsBy[i] = noReservation
+		c.scale[i] = newScale(w.Size)
+		c.byID[w.ID] = int32(i)
+		if _, ok := racks[w.Rack]; !ok {
+			racks[w.Rack] = int32(len(racks))
+		}
+		c.rack[i] = racks[w.Rack]
+		if w.State != model.WorkerLost {
+			c.total = c.total.Add(w.Size)
+		}
+	}
+	c.racks = len(racks)
+	return c
+}
+
+// take uses room of worker w for a task.
+func (c *cell) take(w int, size model.Resources) { c.free[w] = c.free[w].Sub(size) }
+
+// giveBack undoes take.
+func (c *cell) giveBack(w int, size model.Resources) { c.free[w] = c.free[w].Add(size) }
+
+// hold reserves room; a worker that is gone is passed over.
+func (c *cell) hold(r *Reservation) {
+	for _, room := range r.Workers {
+		i, ok := c.byID[room.Worker]
+		if !ok {
+			continue
+		}
+		if r.Class == model.ClassUrgent {
+			c.urgentHeld[i] = c.urgentHeld[i].Add(room.Room)
+			continue
+		}
+		c.held[i] = c.held[i].Add(room.Room)
+		if c.startsBy[i] == noReservation || r.StartMillis < c.startsBy[i] {
+			c.startsBy[i] = r.StartMillis
+		}
+	}
+}
+
+// release undoes hold. The earliest start of the worker's reservations stays
+// as it was unless none is left, which is on the safe side for backfill.
+func (c *cell) release(r *Reservation) {
+	for _, room := range r.Workers {
+		i, ok := c.byID[room.Worker]
+		if !ok {
+			continue
+		}
+		if r.Class == model.ClassUrgent {
+			c.urgentHeld[i] = c.urgentHeld[i].Sub(room.Room)
+			continue
+		}
+		c.held[i] = c.held[i].Sub(room.Room)
+		if c.held[i].IsZero() {
+			c.startsBy[i] = noReservation
+		}
+	}
+}
+
+// room is what a may use of worker w now.
+func (c *cell) room(w int, a *ask) model.Resources {
+	room := c.free[w].Sub(c.urgentHeld[w])
+	if a.urgent || c.mayBackfill(w, a) {
+		return room
+	}
+	return room.Sub(c.held[w])
+}
+
+// slots is how many tasks of a fit on worker w now, at most limit.
+func (c *cell) slots(w int, a *ask, limit int) int {
+	if c.reject(w, a) != accepted {
+		return 0
+	}
+	return slotsIn(c.room(w, a), a.size, limit)
+}
+
+// slotsIn is how often size fits in room, at most limit.
+func slotsIn(room, size model.Resources, limit int) int {
+	n := int64(limit)
+	for d := range model.Dimensions {
+		if need := size.At(d); need > 0 {
+			n = min(n, room.At(d)/need)
+		}
+	}
+	return int(max(n, 0))
+}
--- /dev/null
+++ b/internal/placement/decide.go
@@ -0,0 +1,295 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+
+	"kumquatwing/internal/model"
+)
+
+// Decide makes a plan for s. It is pure: equal snapshots, whatever the order of
+// their slices, give equal plans. The plan's placements never need more than
+// the workers' Free; room of preempted runs counts only in a later snapshot.
+func Decide(s *Snapshot) *Plan {
+	d := newDecider(normalise(s))
+	if s.Out {
+		d.waitAll(ReasonOut)
+		return d.finish()
+	}
+	d.refuseNeverFitting()
+	d.placeReserved(isUrgent)
+	d.placeQueue(isUrgent)
+	d.placeReserved(isOrdinary)
+	d.placeQueue(isOrdinary)
+	return d.finish()
+}
+
+func isOrdinary(v *JobView) bool { return !isUrgent(v) }
+
+// decider makes one plan.
+type decider struct {
+	s     *Snapshot
+	c     *cell
+	total model.Resources
+	teams []standing
+	jobs  []*jobState
+	// full holds the sizes that fit on no worker; see noFit.
+	full map[model.Resources]int64
+	// reservations that stand, in the order of their jobs.
+	reservations []reservedFor
+	plan         *Plan
+}
+
+func newDecider(s *Snapshot) *decider {
+	d := &decider{s: s, c: newCell(s), full: make(map[model.Resources]int64), plan: &Plan{}}
+	d.total = s.Fleet
+	if d.total.IsZero() {
+		d.total = d.c.total
+	}
+	d.teams = standings(s.Teams, d.total)
+	d.addJobs()
+	d.addReservations()
+	return d
+}
+
+// addJobs takes in the jobs of known teams; the others wait.
+func (d *decider) addJobs() {
+	teams := make(map[model.TeamID]int, len(d.teams))
+	for i := range d.teams {
+		teams[d.teams[i].view.ID] = i
+	}
+	states := make([]jobState, len(d.s.Jobs))
+	d.jobs = make([]*jobState, len(d.s.Jobs))
+	for i := range d.s.Jobs {
+		v := &d.s.Jobs[i]
+		j := &states[i]
+		j.view = v
+		j.left = len(v.Pending)
+		j.placed = make([]bool, len(v.Pending))
+		d.jobs[i] = j
+		t, ok := teams[v.Spec.Team]
+		if !ok {
+			j.fail(ReasonUnknownTeam)
+		}
+		j.team = t
+	}
+}
+
+// addReservations takes in the reservations that have not ended and whose job
+// still waits.
+func (d *decider) addReservations() {
+	byJob := make(map[model.JobID]*jobState, len(d.s.Reservations))
+	for i := range d.s.Reservations {
+		byJob[d.s.Reservations[i].Job] = nil
+	}
+	if len(byJob) == 0 {
+		return
+	}
+	for _, j := range d.jobs {
+		if _, ok := byJob[j.view.Spec.ID]; ok {
+			byJob[j.view.Spec.ID] = j
+		}
+	}
+	for i := range d.s.Reservations {
+		r := d.s.Reservations[i]
+		j := byJob[r.Job]
+		if j == nil || j.left == 0 || d.s.Out {
+			continue
+		}
+		d.keep(j, &r)
+	}
+}
+
+// waitAll lets every job wait for the same reason.
+func (d *decider) waitAll(reason string) {
+	for _, j := range d.jobs {
+		j.reason = reason
+	}
+}
+
+// planFull reports whether the plan has reached its bound.
+func (d *decider) planFull() bool {
+	return d.s.MaxPlacements > 0 && len(d.plan.Place) >= d.s.MaxPlacements
+}
+
+// open reports whether j may still get placements from this plan.
+func (j *jobState) open() bool { return !j.refused && j.reason == "" && j.left > 0 }
+
+// placeQueue places the jobs of one kind in the order of the queue.
+func (d *decider) placeQueue(kind func(*JobView) bool) {
+	var jobs []*jobState
+	for _, j := range d.jobs {
+		if j.open() && kind(j.view) {
+			jobs = append(jobs, j)
+		}
+	}
+	q := newQueue(d.teams, jobs)
+	for j := q.head(); j != nil; j = q.head() {
+		if d.planFull() {
+			j.fail(ReasonPlanFull)
+		} else {
+			d.placeNext(j)
+		}
+		if j.open() {
+			q.again()
+		} else {
+			q.drop()
+		}
+	}
+}
+
+// placeReserved gives jobs that hold a reservation the first go at their room.
+func (d *decider) placeReserved(kind func(*JobView) bool) {
+	for _, j := range d.jobs {
+		if j.reservation == nil || !j.open() || !kind(j.view) || d.planFull() {
+			continue
+		}
+		// Room that was full for another job may be reserved for this one.
+		clear(d.full)
+		d.c.release(j.reservation)
+		for j.open() && !d.planFull() {
+			d.placeNext(j)
+		}
+		d.shrinkReservation(j)
+	}
+	clear(d.full)
+}
+
+// placeNext places the job's next task, or all of a gang's; or notes why not.
+func (d *decider) placeNext(j *jobState) {
+	if isGang(j.view) {
+		d.placeGang(j)
+		return
+	}
+	i := d.nextTask(j)
+	if i < 0 {
+		j.fail(ReasonBackoff)
+		return
+	}
+	if !d.teams[j.team].allows(j.view.Spec.Size) {
+		j.fail(ReasonLimit)
+		return
+	}
+	a := d.ask(j, i)
+	if d.knownFull(a) {
+		j.fail(ReasonRoom)
+		return
+	}
+	w, explain := d.choose(a, j)
+	if w < 0 {
+		d.noteFull(a)
+		d.failTask(j, a)
+		return
+	}
+	d.place(j, i, w, explain)
+}
+
+// failTask gives up on the job, or only on the task when another of the job's
+// tasks may still fit where this one has failed before.
+func (d *decider) failTask(j *jobState, a *ask) {
+	if len(a.avoid) > 0 && j.next < len(j.view.Pending)-1 {
+		j.next++
+		return
+	}
+	j.fail(ReasonRoom)
+}
+
+// nextTask returns the first pending task that may start now, or -1.
+func (d *decider) nextTask(j *jobState) int {
+	for ; j.next < len(j.view.Pending); j.next++ {
+		if !j.placed[j.next] && j.view.Pending[j.next].NotBeforeMillis <= d.s.NowMillis {
+			return j.next
+		}
+	}
+	return -1
+}
+
+// ask describes what the job's i-th pending task wants.
+func (d *decider) ask(j *jobState, i int) *ask {
+	if j.ask == nil {
+		j.ask = d.newAsk(j.view)
+	}
+	j.ask.avoid = j.view.Pending[i].Avoid
+	return j.ask
+}
+
+// newAsk describes what the tasks of v want.
+func (d *decider) newAsk(v *JobView) *ask {
+	a := &ask{
+		size:    v.Spec.Size,
+		urgent:  isUrgent(v),
+		scorers: scorersOf(v.Spec.Class),
+	}
+	if v.Spec.Class == model.ClassService {
+		d.countSpread(a, v.Spec.ID)
+		return a
+	}
+	a.endsBy = endsBy(d.s.NowMillis, v.RunMillis)
+	return a
+}
+
+// countSpread counts the service's tasks per rack and worker.
+func (d *decider) countSpread(a *ask, job model.JobID) {
+	a.service = true
+	a.perRack = make([]int32, d.c.racks)
+	a.perWorker = make(map[int32]int32)
+	for i := range d.s.Runs {
+		if d.s.Runs[i].Job != job {
+			continue
+		}
+		if w, ok := d.c.byID[d.s.Runs[i].Worker]; ok {
+			d.c.countService(a, int(w), 1)
+		}
+	}
+}
+
+// countService adds n tasks of the service on worker w.
+func (c *cell) countService(a *ask, w int, n int32) {
+	if !a.service {
+		return
+	}
+	a.perRack[c.rack[w]] += n
+	a.perWorker[int32(w)] += n
+}
+
+// place puts the i-th pending task of j on worker w.
+func (d *decider) place(j *jobState, i, w int, explain Explanation) {
+	size := j.view.Spec.Size
+	d.c.take(w, size)
+	d.c.countService(j.ask, w, 1)
+	d.teams[j.team].add(size, d.total)
+	j.mark(i)
+	d.plan.Place = append(d.plan.Place, Placement{
+		Task:    j.view.Pending[i].ID,
+		Job:     j.view.Spec.ID,
+		Worker:  d.c.workers[w].ID,
+		Explain: explain,
+	})
+}
+
+// finish completes the plan with waits and reservations.
+func (d *decider) finish() *Plan {
+	d.plan.Reservations = d.standing()
+	d.explainWaits()
+	return d.plan
+}
+
+// normalise returns s with its slices in their order. Runs may stay in any.
+func normalise(s *Snapshot) *Snapshot {
+	n := *s
+	n.Workers = sorted(s.Workers, func(a, b WorkerView) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	n.Teams = sorted(s.Teams, func(a, b TeamView) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	n.Jobs = sorted(s.Jobs, func(a, b JobView) int { return compareJobs(&a, &b) })
+	n.Reservations = sorted(s.Reservations, func(a, b Reservation) int { return strings.Compare(string(a.Job), string(b.Job)) })
+	return &n
+}
+
+// sorted returns in, or a sorted copy if it is not in order.
+func sorted[T any](in []T, compare func(a, b T) int) []T {
+	if slices.IsSortedFunc(in, compare) {
+		return in
+	}
+	out := slices.Clone(in)
+	slices.SortFunc(out, compare)
+	return out
+}
--- /dev/null
+++ b/internal/placement/decide_test.go
@@ -0,0 +1,182 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"kumquatwing/internal/model"
+)
+
+func TestPlansKeepAllRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := genSnapshot(t)
+		p := Decide(s)
+		if err := Check(s, p); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// text formats a plan for comparisons.
+func text(p *Plan) string { return fmt.Sprintf("%+v", *p) }
+
+func TestSamePlanForShuffledSnapshot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := genSnapshot(t)
+		want := text(Decide(s))
+		shuffled := *s
+		shuffled.Workers = rapid.Permutation(s.Workers).Draw(t, "workers order")
+		shuffled.Jobs = rapid.Permutation(s.Jobs).Draw(t, "jobs order")
+		shuffled.Runs = rapid.Permutation(s.Runs).Draw(t, "runs order")
+		shuffled.Teams = rapid.Permutation(s.Teams).Draw(t, "teams order")
+		shuffled.Reservations = rapid.Permutation(s.Reservations).Draw(t, "reservations order")
+		if got := text(Decide(&shuffled)); got != want {
+			t.Fatalf("got %s\nwant %s", got, want)
+		}
+	})
+}
+
+// workerOf returns a ready worker of the usual size.
+func workerOf(id, rack string) WorkerView {
+	size := model.Resources{MilliCPU: 16_000, MemoryMB: 32_000}
+	return WorkerView{ID: model.WorkerID(id), Rack: rack, Size: size, Free: size, State: model.WorkerReady}
+}
+
+// teamOf returns a team without a limit.
+func teamOf(id string, share int64) TeamView {
+	return TeamView{ID: model.TeamID(id), Share: share, Grant: model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}}
+}
+
+// jobOf returns a job with n pending tasks of some processors each.
+func jobOf(id, team string, class model.Class, n int, milliCPU int64) JobView {
+	j := JobView{Spec: model.JobSpec{
+		ID: model.JobID(id), Team: model.TeamID(team), Class: class, Tasks: n,
+		Size: model.Resources{MilliCPU: milliCPU, MemoryMB: 1000},
+	}, RunMillis: 60_000, Policy: Policy{GangReservationMillis: 10_000}}
+	for i := range n {
+		j.Pending = append(j.Pending, PendingTask{ID: model.TaskID(fmt.Sprintf("%s.%d", id, i))})
+	}
+	return j
+}
+
+// placedOf counts a plan's placements per job.
+func placedOf(p *Plan) map[model.JobID]int {
+	n := make(map[model.JobID]int)
+	for i := range p.Place {
+		n[p.Place[i].Job]++
+	}
+	return n
+}
+
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		name    string
+		jobs    []JobView
+		change  func(*Snapshot)
+		placed  map[model.JobID]int
+		reasons map[model.JobID]string
+	}{
+		{
+			name:   "fits",
+			jobs:   []JobView{jobOf("a", "x", model.ClassBatch, 3, 4000)},
+			placed: map[model.JobID]int{"a": 3},
+		},
+		{
+			name:    "gang all or nothing",
+			jobs:    []JobView{jobOf("a", "x", model.ClassGang, 5, 9000)},
+			placed:  map[model.JobID]int{},
+			reasons: map[model.JobID]string{"a": ReasonNeverFits},
+		},
+		{
+			name:    "gang waits for room",
+			jobs:    []JobView{jobOf("a", "x", model.ClassUrgent, 1, 16_000), jobOf("b", "x", model.ClassGang, 4, 9000)},
+			placed:  map[model.JobID]int{"a": 1},
+			reasons: map[model.JobID]string{"b": ReasonGang},
+		},
+		{
+			name:    "larger than any worker",
+			jobs:    []JobView{jobOf("a", "x", model.ClassBatch, 1, 17_000)},
+			placed:  map[model.JobID]int{},
+			reasons: map[model.JobID]string{"a": ReasonNeverFits},
+		},
+		{
+			name:    "no refusal while workers are learnt",
+			jobs:    []JobView{jobOf("a", "x", model.ClassBatch, 1, 17_000)},
+			change:  func(s *Snapshot) { s.Settling = true },
+			placed:  map[model.JobID]int{},
+			reasons: map[model.JobID]string{"a": ReasonRoom},
+		},
+		{
+			name:    "team limit",
+			jobs:    []JobView{jobOf("a", "x", model.ClassBatch, 3, 4000)},
+			change:  func(s *Snapshot) { s.Teams[0].Grant.MilliCPU = 8000 },
+			placed:  map[model.JobID]int{"a": 2},
+			reasons: map[model.JobID]string{"a": ReasonLimit},
+		},
+		{
+			name:    "data centre out",
+			jobs:    []JobView{jobOf("a", "x", model.ClassUrgent, 3, 4000)},
+			change:  func(s *Snapshot) { s.Out = true },
+			placed:  map[model.JobID]int{},
+			reasons: map[model.JobID]string{"a": ReasonOut},
+		},
+		{
+			name:    "shares when full",
+			jobs:    []JobView{jobOf("a", "x", model.ClassBatch, 64, 1000), jobOf("b", "y", model.ClassBatch, 64, 1000)},
+			placed:  map[model.JobID]int{"a": 16, "b": 48},
+			reasons: map[model.JobID]string{"a": ReasonRoom, "b": ReasonRoom},
+		},
+		{
+			name: "use elsewhere counts against the share",
+			jobs: []JobView{jobOf("a", "x", model.ClassBatch, 64, 1000), jobOf("b", "y", model.ClassBatch, 64, 1000)},
+			change: func(s *Snapshot) {
+				s.Teams[1].Share = 1
+				s.Teams[1].Elsewhere = model.Resources{MilliCPU: 32_000}
+			},
+			placed:  map[model.JobID]int{"a": 48, "b": 16},
+			reasons: map[model.JobID]string{"a": ReasonRoom, "b": ReasonRoom},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &Snapshot{
+				NowMillis: genNow,
+				Workers:   []WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1"), workerOf("w3", "r2"), workerOf("w4", "r2")},
+				Teams:     []TeamView{teamOf("x", 1), teamOf("y", 3)},
+				Jobs:      tc.jobs,
+			}
+			if tc.change != nil {
+				tc.change(s)
+			}
+			p := Decide(s)
+			qt.Assert(t, Check(s, p), qt.IsNil)
+			qt.Assert(t, placedOf(p), qt.DeepEquals, tc.placed)
+			for _, w := range p.Waits {
+				qt.Check(t, w.Reason, qt.Equals, tc.reasons[w.Job])
+			}
+			for _, r := range p.Refuse {
+				qt.Check(t, r.Reason, qt.Equals, tc.reasons[r.Job])
+			}
+		})
+	}
+}
+
+func TestServiceSpreadsOverRacks(t *testing.T) {
+	s := &Snapshot{
+		Workers: []WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1"), workerOf("w3", "r2"), workerOf("w4", "r3")},
+		Teams:   []TeamView{teamOf("x", 1)},
+		Jobs:    []JobView{jobOf("a", "x", model.ClassService, 6, 1000)},
+	}
+	racks := make(map[string]int)
+	for _, p := range Decide(s).Place {
+		for _, w := range s.Workers {
+			if w.ID == p.Worker {
+				racks[w.Rack]++
+			}
+		}
+	}
+	qt.Assert(t, racks, qt.DeepEquals, map[string]int{"r1": 2, "r2": 2, "r3": 2})
+}
--- /dev/null
+++ b/internal/placement/explain.go
@@ -0,0 +1,143 @@
+package placement
+
+import (
+	"fmt"
+
+	"kumquatwing/internal/model"
+)
+
+// maxCountedWaits bounds the sizes for which one plan counts the rejected
+// workers of waiting jobs. Jobs beyond it wait with their reason alone.
+const maxCountedWaits = 128
+
+// list returns the filters that rejected any worker.
+func (r *rejections) list() []FilterCount {
+	n := 0
+	for _, count := range r {
+		if count > 0 {
+			n++
+		}
+	}
+	out := make([]FilterCount, 0, n)
+	for i, count := range r {
+		if count > 0 {
+			out = append(out, FilterCount{filters[i].name, count})
+		}
+	}
+	return out
+}
+
+// parts is the score of worker w by scorer, weighted.
+func (c *cell) parts(w int, a *ask) []ScorePart {
+	out := make([]ScorePart, len(a.scorers))
+	for i := range a.scorers {
+		s := &a.scorers[i]
+		out[i] = ScorePart{s.name, s.weight * s.points(c, w, a)}
+	}
+	return out
+}
+
+// waitKey is what the counts of a waiting job depend on.
+type waitKey struct {
+	size   model.Resources
+	endsBy int64
+	urgent bool
+}
+
+// waitCounts is the account of one waitKey.
+type waitCounts struct {
+	rejected []FilterCount
+	open     int
+}
+
+// explainWaits adds a wait for every job with tasks left. Counts are of the
+// room as it is after the whole plan, without the job's own reservation.
+func (d *decider) explainWaits() {
+	counted := make(map[waitKey]waitCounts)
+	for _, j := range d.jobs {
+		if j.left == 0 || j.refused {
+			continue
+		}
+		w := Wait{Job: j.view.Spec.ID, Reason: j.reason, Explain: Explanation{
+			Decisions: j.view.Policy.Decisions,
+			Detail:    details[j.reason],
+		}}
+		if countsRoom(j.reason) {
+			d.countWait(&w, j, counted)
+		}
+		d.plan.Waits = append(d.plan.Waits, w)
+	}
+}
+
+// countsRoom reports whether a job that waits for reason asked the workers.
+func countsRoom(reason string) bool {
+	return reason == ReasonRoom || reason == ReasonGang || reason == ReasonReserved
+}
+
+// countWait adds to w how many workers each filter rejects.
+func (d *decider) countWait(w *Wait, j *jobState, counted map[waitKey]waitCounts) {
+	i := min(j.next, len(j.view.Pending)-1)
+	a := d.ask(j, i)
+	k := waitKey{a.size, a.endsBy, a.urgent}
+	shared := len(a.avoid) == 0 && j.reservation == nil
+	c, ok := counted[k]
+	switch {
+	case shared && ok:
+	case len(counted) >= maxCountedWaits:
+		w.Explain.Detail = "not counted in this plan; others wait before it"
+		return
+	default:
+		c = d.countOwn(j, a)
+	}
+	if shared {
+		counted[k] = c
+	}
+	w.Explain.Considered = len(d.c.workers)
+	w.Explain.Rejected = c.rejected
+	d.explainOpen(w, j, c.open)
+}
+
+// countOwn counts the workers for j, with its own reservation released.
+func (d *decider) countOwn(j *jobState, a *ask) waitCounts {
+	if j.reservation != nil {
+		d.c.release(j.reservation)
+		defer d.c.hold(j.reservation)
+	}
+	var counts rejections
+	open := 0
+	for w := range d.c.workers {
+		f := d.c.reject(w, a)
+		if f == accepted {
+			open++
+			continue
+		}
+		counts[f]++
+	}
+	return waitCounts{counts.list(), open}
+}
+
+// explainOpen says why a job waits although some workers would take a task.
+func (d *decider) explainOpen(w *Wait, j *jobState, open int) {
+	switch {
+	case open == 0:
+	case isGang(j.view):
+		w.Explain.Detail = fmt.Sprintf("%d tasks must start together; %d workers have room for one or more", j.left, open)
+	default:
+		w.Reason = ReasonNextPlan
+		w.Explain.Detail = details[ReasonNextPlan]
+	}
+}
+
+// details are the sentences for reasons that need no figures.
+var details = map[string]string{
+	ReasonRoom:        "no worker has room",
+	ReasonGang:        "not enough workers have room for all tasks at once",
+	ReasonReserved:    "room is reserved and not free yet",
+	ReasonLimit:       "the team's limit here is used up",
+	ReasonBackoff:     "a pause after a failure has not ended",
+	ReasonOut:         "the data centre is out; nothing starts",
+	ReasonPlanFull:    "the plan has as many placements as it may have",
+	ReasonNoWorkers:   "no worker is known",
+	ReasonUnknownTeam: "the team is not known here",
+	ReasonNextPlan:    "room was released late in this plan",
+}
--- /dev/null
+++ b/internal/placement/gang.go
@@ -0,0 +1,79 @@
+package placement
+
+import "kumquatwing/internal/model"
+
+// placeGang places all pending tasks of j or none.
+func (d *decider) placeGang(j *jobState) {
+	n := len(j.view.Pending)
+	if !d.gangReady(j) {
+		j.fail(ReasonBackoff)
+		return
+	}
+	if !d.teams[j.team].allows(j.view.Spec.Size.Scale(int64(n))) {
+		j.fail(ReasonLimit)
+		return
+	}
+	a := d.ask(j, 0)
+	if d.knownFull(a) || !d.hasSlots(a, n) {
+		j.fail(ReasonGang)
+		return
+	}
+	chosen, ok := d.chooseGang(j)
+	if !ok {
+		j.fail(ReasonGang)
+		return
+	}
+	for i, c := range chosen {
+		d.place(j, i, c.worker, c.explain)
+	}
+}
+
+// gangReady reports whether no task of the gang is held back.
+func (d *decider) gangReady(j *jobState) bool {
+	for i := range j.view.Pending {
+		if j.view.Pending[i].NotBeforeMillis > d.s.NowMillis {
+			return false
+		}
+	}
+	return true
+}
+
+// hasSlots reports whether n tasks of a fit at the same time.
+func (d *decider) hasSlots(a *ask, n int) bool {
+	found := 0
+	for w := range d.c.workers {
+		if found += d.c.slots(w, a, n-found); found >= n {
+			return true
+		}
+	}
+	return false
+}
+
+// gangChoice is the worker chosen for one task of a gang.
+type gangChoice struct {
+	worker  int
+	explain Explanation
+}
+
+// chooseGang chooses a worker for each pending task. Room is given back before
+// it returns.
+func (d *decider) chooseGang(j *jobState) ([]gangChoice, bool) {
+	chosen := make([]gangChoice, 0, len(j.view.Pending))
+	size := j.view.Spec.Size
+	defer func() { d.giveBackGang(chosen, size) }()
+	for i := range j.view.Pending {
+		w, explain := d.choose(d.ask(j, i), j)
+		if w < 0 {
+			return nil, false
+		}
+		d.c.take(w, size)
+		chosen = append(chosen, gangChoice{w, explain})
+	}
+	return chosen, true
+}
+
+func (d *decider) giveBackGang(chosen []gangChoice, size model.Resources) {
+	for _, c := range chosen {
+		d.c.giveBack(c.worker, size)
+	}
+}
--- /dev/null
+++ b/internal/placement/queue.go
@@ -0,0 +1,124 @@
+package placement
+
+import (
+	"cmp"
+	"container/heap"
+	"strings"
+
+	"kumquatwing/internal/model"
+)
+
+// jobState is one job while a plan is made.
+type jobState struct {
+	view *JobView
+	// team is the index of the job's team in the standings.
+	team int
+	// placed has the pending tasks that the plan places.
+	placed []bool
+	left   int
+	// next is the first pending task not tried yet.
+	next   int
+	reason string
+	ask    *ask
+	// reservation is the one that the job holds, if any.
+	reservation *Reservation
+	refused     bool
+}
+
+// fail notes why the job's tasks wait; the first reason stands.
+func (j *jobState) fail(reason string) {
+	if j.reason == "" {
+		j.reason = reason
+	}
+}
+
+// mark notes that the i-th pending task is placed.
+func (j *jobState) mark(i int) {
+	j.placed[i] = true
+	j.left--
+}
+
+// queue gives the teams' jobs in turn: the team with the smallest weighted
+// dominant share first, and within a team the job that arrived first.
+type queue struct {
+	standings []standing
+	// waiting holds, per team, its jobs in the order of arrival.
+	waiting [][]*jobState
+	teams   []int
+}
+
+// newQueue orders jobs, which come by arrival and whose teams index standings.
+func newQueue(standings []standing, jobs []*jobState) *queue {
+	q := &queue{standings: standings, waiting: make([][]*jobState, len(standings))}
+	for _, j := range jobs {
+		q.waiting[j.team] = append(q.waiting[j.team], j)
+	}
+	for t := range q.waiting {
+		if len(q.waiting[t]) > 0 {
+			q.teams = append(q.teams, t)
+		}
+	}
+	heap.Init(q)
+	return q
+}
+
+// compareJobs orders jobs by arrival, then by id.
+func compareJobs(a, b *JobView) int {
+	if d := cmp.Compare(a.ArrivedMillis, b.ArrivedMillis); d != 0 {
+		return d
+	}
+	return strings.Compare(string(a.Spec.ID), string(b.Spec.ID))
+}
+
+// head is the next job, or nil.
+func (q *queue) head() *jobState {
+	if len(q.teams) == 0 {
+		return nil
+	}
+	return q.waiting[q.teams[0]][0]
+}
+
+// again puts the head's team in its place after a change of its share.
+func (q *queue) again() { heap.Fix(q, 0) }
+
+// drop takes the head out.
+func (q *queue) drop() {
+	t := q.teams[0]
+	q.waiting[t] = q.waiting[t][1:]
+	if len(q.waiting[t]) == 0 {
+		heap.Pop(q)
+		return
+	}
+	heap.Fix(q, 0)
+}
+
+// Len implements heap.Interface.
+func (q *queue) Len() int { return len(q.teams) }
+
+// Less implements heap.Interface.
+func (q *queue) Less(i, j int) bool {
+	a, b := q.teams[i], q.teams[j]
+	if q.standings[a].key != q.standings[b].key {
+		return q.standings[a].key < q.standings[b].key
+	}
+	return a < b
+}
+
+// Swap implements heap.Interface.
+func (q *queue) Swap(i, j int) { q.teams[i], q.teams[j] = q.teams[j], q.teams[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { q.teams = append(q.teams, x.(int)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	last := q.teams[len(q.teams)-1]
+	q.teams = q.teams[:len(q.teams)-1]
+	return last
+}
+
+// isGang reports whether the job's tasks start together.
+func isGang(v *JobView) bool { return v.Spec.Class == model.ClassGang }
+
+// isUrgent reports whether the job goes before all others.
+func isUrgent(v *JobView) bool { return v.Spec.Class == model.ClassUrgent }
