Name the attempt of a record and the epoch of returned slots

A Begin or Finish sent again after a lost reply, and a return of slots that arrives twice, could not be told from a second one. Additive fields only.

--- a/internal/api/entry.go
+++ b/internal/api/entry.go
@@ -35,10 +35,14 @@
 	Announcements []Announcement `msgpack:"a,omitempty"`
 	// Demand is the number of requests waiting or running per queue.
 	Demand []QueueDemand `msgpack:"d,omitempty"`
-	// Returned gives back slots that are free at the entry.
+	// Returned gives back slots that are free at the entry; Slots is their number.
 	Returned []SlotGrant `msgpack:"g,omitempty"`
 	// Stopping hands back everything: the entry takes no more requests.
 	Stopping bool `msgpack:"x,omitempty"`
+	// LongestMillis bounds the time left of any request that the entry sends to
+	// a server before its next sync is answered. The slots of an entry that
+	// falls silent are kept back for that long after its slot lease.
+	LongestMillis int64 `msgpack:"b,omitempty"`
 }
 
 // QueueDemand is the number of slots an entry VM could use for a queue.
@@ -95,9 +99,13 @@
 	Queue       model.QueueName `msgpack:"q"`
 	Slots       int             `msgpack:"n"`
 	Connections int             `msgpack:"c"`
-	Epoch       model.Epoch     `msgpack:"e"`
+	// Epoch changes with every change of the holding. Slots are returned under
+	// the epoch they were held by, so that a return counts once.
+	Epoch model.Epoch `msgpack:"e"`
 	// Leaving servers finish what runs and get nothing new.
 	Leaving bool `msgpack:"l,omitempty"`
+	// Recall is how many of Slots the entry should return once they are free.
+	Recall int `msgpack:"r,omitempty"`
 }
 
 // RecordBegin asks the data centre group to record a request that is not
@@ -108,8 +116,11 @@
 	Queue  model.QueueName `msgpack:"q"`
 	Entry  model.VMID      `msgpack:"e"`
 	Digest uint64          `msgpack:"h"`
-	// LifeMillis is how long the record is kept.
+	// LifeMillis is how long the record is kept, from the minting of the id.
 	LifeMillis int64 `msgpack:"l"`
+	// Attempt names the one sending that this call is for. The same attempt may
+	// ask again after a lost reply and is told the same.
+	Attempt string `msgpack:"a"`
 }
 
 // RecordState is where a record stands.
@@ -152,4 +163,6 @@
 	Entry  model.VMID      `msgpack:"e"`
 	NotRun bool            `msgpack:"n"`
 	Answer *StoredAnswer   `msgpack:"a,omitempty"`
+	// Attempt is the one that opened the record; no other can close it.
+	Attempt string `msgpack:"t"`
 }
