--- a/internal/api/entry.go
+++ b/internal/api/entry.go
@@ -35,7 +35,9 @@
 	Announcements []Announcement `msgpack:"a,omitempty"`
 	// Demand is the number of requests waiting or running per queue.
 	Demand []QueueDemand `msgpack:"d,omitempty"`
-	// Returned gives back slots that are free at the entry; Slots is their number.
+	// Returned gives back slots that are free at the entry; Slots is their
+	// number. It is repeated until a sync that carried it is answered, also when
+	// the slot lease ends meanwhile, since an earlier sync may still arrive.
 	Returned []SlotGrant `msgpack:"g,omitempty"`
 	// Stopping hands back everything: the entry takes no more requests.
 	Stopping bool `msgpack:"x,omitempty"`
