api: bound in time the start orders of a worker

Cause: a process can be frozen between the check of its settings lease and the answer to a worker; without a bound the start would come after the data centre was taken out. Conclusion: an order says until when it may be carried out, counted by the worker from before it asked, like its lease.

--- a/internal/api/worker.go
+++ b/internal/api/worker.go
@@ -40,11 +40,14 @@
 // it sent the report; when it has run out the worker stops all its tasks. A
 // worker refuses orders whose epoch is older than the newest it has seen.
 type WorkerOrders struct {
-	Epoch       model.Epoch    `json:"epoch" msgpack:"e"`
-	LeaseMillis int64          `json:"lease_ms" msgpack:"l"`
-	Start       []TaskOrder    `json:"start,omitempty" msgpack:"s,omitempty"`
-	Stop        []StopOrder    `json:"stop,omitempty" msgpack:"x,omitempty"`
-	Throttle    []model.TaskID `json:"throttle,omitempty" msgpack:"t,omitempty"`
+	Epoch       model.Epoch `json:"epoch" msgpack:"e"`
+	LeaseMillis int64       `json:"lease_ms" msgpack:"l"`
+	// StartWithinMillis counts like LeaseMillis: later than that the worker
+	// starts none of Start.
+	StartWithinMillis int64          `json:"start_within_ms,omitempty" msgpack:"sw,omitempty"`
+	Start             []TaskOrder    `json:"start,omitempty" msgpack:"s,omitempty"`
+	Stop              []StopOrder    `json:"stop,omitempty" msgpack:"x,omitempty"`
+	Throttle          []model.TaskID `json:"throttle,omitempty" msgpack:"t,omitempty"`
 	// Known acknowledges ended runs; the worker may forget them.
 	Known []RunID `json:"known,omitempty" msgpack:"k,omitempty"`
 }
