Add data centre work: tables, worker protocol, systems and a fake worker

Ruled out: freeing a worker's runs when a new incarnation reports without them, since the old process may still run under its lease; its lease has to end first (it costs a restart up to the lease term). Events are kept until the command is committed, so that an account never tells of what did not happen.

--- /dev/null
+++ b/cmd/kqfake/worker.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"kumquatwing/internal/clock"
+	"kumquatwing/internal/eventlog"
+	"kumquatwing/internal/fake/worker"
+	"kumquatwing/internal/model"
+)
+
+// workersPerRack is how many fake workers share a rack.
+const workersPerRack = 8
+
+// workerCommand runs fake workers.
+var workerCommand = &cli.Command{
+	Name:  "worker",
+	Usage: "run fake workers",
+	Flags: []cli.Flag{
+		&cli.StringSliceFlag{Name: "control", Required: true, Usage: "base `URL` of kqcontrol or kqentry; several are tried in turn", Sources: cli.EnvVars("KQ_CONTROL")},
+		&cli.StringFlag{Name: "dc", Required: true, Usage: "data centre `ID`", Sources: cli.EnvVars("KQ_DC")},
+		&cli.StringFlag{Name: "name", Value: "w", Usage: "prefix of the workers' ids"},
+		&cli.IntFlag{Name: "count", Value: 1, Usage: "number of workers in this process"},
+		&cli.Int64Flag{Name: "milli-cpu", Value: 16_000, Usage: "processors of each worker, in thousandths of a core"},
+		&cli.Int64Flag{Name: "memory-mb", Value: 32_768, Usage: "memory of each worker, in MiB"},
+		&cli.Int64Flag{Name: "accelerators", Usage: "devices of each worker"},
+		&cli.StringFlag{Name: "mode", Value: string(worker.ModeHealthy), Usage: "healthy, fails, overuses, silent or slow-stop"},
+		&cli.Int64Flag{Name: "use-percent", Usage: "use relative to the tasks' sizes; 0 for the mode's own"},
+		&cli.DurationFlag{Name: "lag", Value: 2 * time.Second, Usage: "age of reported use"},
+		&cli.DurationFlag{Name: "stop-delay", Value: 100 * time.Millisecond, Usage: "how long a task takes to stop"},
+		&cli.DurationFlag{Name: "silent-after", Value: 10 * time.Second, Usage: "when mode silent stops reporting"},
+		&cli.DurationFlag{Name: "silent-for", Value: 30 * time.Second, Usage: "how long it is silent"},
+		&cli.StringFlag{Name: "events", Usage: "`FOLDER` of the event file; none if empty", Sources: cli.EnvVars("KQ_EVENTS")},
+	},
+	Action: runWorkers,
+}
+
+func runWorkers(ctx context.Context, cmd *cli.Command) error {
+	mode := worker.Mode(cmd.String("mode"))
+	if !slices.Contains(worker.Modes, mode) {
+		return fmt.Errorf("unknown mode %q", mode)
+	}
+	log, err := zap.NewProduction()
+	if err != nil {
+		return err
+	}
+	var events eventlog.Recorder = eventlog.Discard{}
+	if dir := cmd.String("events"); dir != "" {
+		name := "worker-" + cmd.String("dc") + "-" + cmd.String("name")
+		file, err := eventlog.OpenFile(dir, name, "", eventlog.DefaultFileBytes)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		events = file
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cmd.Int("count")}}
+	group, ctx := errgroup.WithContext(ctx)
+	for i := range cmd.Int("count") {
+		p := worker.NewProcess(workerConfig(cmd, mode, i, events), cmd.StringSlice("control"), client, clock.Boot{}, log)
+		p.SilentAfter, p.SilentFor = cmd.Duration("silent-after"), cmd.Duration("silent-for")
+		group.Go(func() error { return p.Run(ctx) })
+	}
+	return group.Wait()
+}
+
+func workerConfig(cmd *cli.Command, mode worker.Mode, i int, events eventlog.Recorder) worker.Config {
+	use := cmd.Int64("use-percent")
+	if use == 0 && mode == worker.ModeOveruses {
+		use = 250
+	}
+	stop := cmd.Duration("stop-delay")
+	if mode == worker.ModeSlowStop {
+		stop = max(stop, 5*time.Second)
+	}
+	return worker.Config{
+		ID:   model.WorkerID(fmt.Sprintf("%s-%s%03d", cmd.String("dc"), cmd.String("name"), i)),
+		DC:   model.DCID(cmd.String("dc")),
+		Rack: fmt.Sprintf("%s-%srack%d", cmd.String("dc"), cmd.String("name"), i/workersPerRack),
+		Size: model.Resources{
+			MilliCPU: cmd.Int64("milli-cpu"), MemoryMB: cmd.Int64("memory-mb"), Accelerators: cmd.Int64("accelerators"),
+		},
+		Incarnation:     uuid.NewString(),
+		Mode:            mode,
+		Lag:             cmd.Duration("lag"),
+		StopDelay:       stop,
+		FailAfter:       50 * time.Millisecond,
+		UsePercent:      use,
+		CheckpointEvery: time.Second,
+		Events:          events,
+	}
+}
--- /dev/null
+++ b/internal/systems/grants.go
@@ -0,0 +1,160 @@
+package systems
+
+import (
+	"fmt"
+	"slices"
+
+	"kumquatwing/internal/eventlog"
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/work"
+)
+
+// returnAfterPart is the unused part of a grant, one in so many, that is kept
+// when the rest is returned, so that grants don't go back and forth.
+const returnAfterPart = 4
+
+// ReasonOverLimit is the cause of stops after a team's limit was lowered.
+const ReasonOverLimit = "over-limit"
+
+// balanceGrants keeps each team's cap here in step with the fleet's grant: it
+// asks for what waiting work needs and gives back what nothing needs. A cap is
+// lowered in the group's tables before the fleet hears of it, and raised only
+// from a grant that the fleet shows.
+func (t *tick) balanceGrants() {
+	need := t.demand()
+	for i := range t.View.Teams {
+		h := &t.View.Teams[i]
+		t.balance(h, need[h.ID])
+	}
+	t.dropGone()
+}
+
+// demand is what each team's running and waiting tasks take together.
+func (t *tick) demand() map[model.TeamID]model.Resources {
+	need := map[model.TeamID]model.Resources{}
+	for _, j := range t.State.Jobs() {
+		waiting := 0
+		if j.Outcome == model.OutcomeNone {
+			waiting = j.Pending()
+		}
+		n := int64(j.Held() + waiting)
+		if n == 0 {
+			continue
+		}
+		// Waiting tasks are planned by their learnt size.
+		size := j.Spec.Size
+		if waiting > 0 {
+			size = t.State.Expected(j)
+		}
+		need[j.Spec.Team] = need[j.Spec.Team].Add(size.Scale(n))
+	}
+	return need
+}
+
+func (t *tick) balance(h *TeamHere, need model.Resources) {
+	g := t.State.Grant(h.ID)
+	usage := t.State.Usage(h.ID)
+	allowed := h.Granted.Min(h.Target)
+	keep := allowed.Max(usage).Min(g.Cap)
+	switch {
+	case g.Returning && !h.Granted.Fits(g.Cap):
+		// The return has not reached the fleet yet.
+		t.giveBack(h, g.Cap)
+	case keep != g.Cap:
+		t.lower(h, keep)
+	case g.Returning || g.Cap != h.Granted && allowed == h.Granted:
+		t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Cap: h.Granted})
+	case allowed == h.Granted:
+		t.ask(h, need)
+	}
+	if !usage.Fits(allowed) && t.mayEvict() {
+		t.evict(h.ID, usage, allowed)
+	}
+}
+
+// mayEvict is false while tables are being rebuilt: grants show late then.
+func (t *tick) mayEvict() bool { return !t.State.Rebuilding() }
+
+// evict stops runs of a team whose limit was lowered below what it holds, the
+// newest first. Runs of jobs that are not idempotent end by themselves.
+func (t *tick) evict(team model.TeamID, usage, allowed model.Resources) {
+	jobs := t.State.Jobs()
+	for i := len(jobs) - 1; i >= 0; i-- {
+		j := jobs[i]
+		if j.Spec.Team != team || j.Held() == 0 {
+			continue
+		}
+		for _, row := range slices.Backward(j.Tasks()) {
+			if usage.Fits(allowed) {
+				return
+			}
+			if !row.Holds() {
+				continue
+			}
+			if row.State == model.TaskStopping || t.stopped[row.ID] {
+				usage = usage.Sub(j.Spec.Size)
+				continue
+			}
+			if !j.Spec.Idempotent || !t.stop(row, ReasonOverLimit, true) {
+				continue
+			}
+			usage = usage.Sub(j.Spec.Size)
+			t.recordTask(EventStopped, row, ReasonOverLimit, fmt.Sprintf("team %s may use %s here", team, allowed), nil)
+		}
+	}
+}
+
+// dropGone takes the caps of teams that the fleet no longer has.
+func (t *tick) dropGone() {
+	known := make(map[model.TeamID]bool, len(t.View.Teams))
+	for i := range t.View.Teams {
+		known[t.View.Teams[i].ID] = true
+	}
+	for _, id := range t.State.Teams() {
+		if !known[id] && t.State.Grant(id).Cap != t.State.Usage(id) {
+			t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: id})
+		}
+	}
+}
+
+// lower takes the cap down to keep in the tables; the fleet hears of it in a
+// later tick, when the tables show it.
+func (t *tick) lower(h *TeamHere, keep model.Resources) {
+	t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Cap: keep, Returning: true})
+	t.record(&eventlog.Event{
+		Kind: EventGrant, Team: h.ID, Cause: "return",
+		Detail: fmt.Sprintf("keeps %s of the grant %s", keep, h.Granted),
+	}, nil)
+}
+
+func (t *tick) giveBack(h *TeamHere, keep model.Resources) {
+	if t.Memory.mayAsk("return "+string(h.ID), t.NowMillis) {
+		t.out.Fleet.Returns = append(t.out.Fleet.Returns, GrantReturn{Team: h.ID, Version: h.Version, Keep: keep})
+	}
+}
+
+// ask requests more for waiting work, or returns what has been idle.
+func (t *tick) ask(h *TeamHere, need model.Resources) {
+	want := need.Min(h.Limit)
+	if !want.Fits(h.Granted) {
+		if t.Memory.mayAsk("grant "+string(h.ID), t.NowMillis) {
+			t.out.Fleet.Grants = append(t.out.Fleet.Grants, GrantRequest{
+				Team: h.ID, Want: want.Max(h.Granted), Holds: t.State.Usage(h.ID),
+			})
+		}
+		return
+	}
+	keep := want.Add(spareOf(want)).Min(h.Granted)
+	if !h.Granted.Sub(keep).Scale(returnAfterPart).Fits(h.Granted) {
+		t.lower(h, keep)
+	}
+}
+
+// spareOf is the slack kept above what is needed.
+func spareOf(need model.Resources) model.Resources {
+	return model.Resources{
+		MilliCPU:     need.MilliCPU / returnAfterPart,
+		MemoryMB:     need.MemoryMB / returnAfterPart,
+		Accelerators: need.Accelerators / returnAfterPart,
+	}
+}
--- /dev/null
+++ b/internal/systems/place.go
@@ -0,0 +1,227 @@
+package systems
+
+import (
+	"fmt"
+
+	"kumquatwing/internal/eventlog"
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement"
+	"kumquatwing/internal/settings"
+	"kumquatwing/internal/work"
+)
+
+// place asks for a plan and turns it into placements, stops and refusals.
+func (t *tick) place() {
+	if !t.mayPlace() {
+		return
+	}
+	snap := t.snapshot()
+	if len(snap.Jobs) == 0 {
+		t.Memory.reservations = nil
+		return
+	}
+	plan := t.Decide(snap)
+	t.out.Plan = plan
+	t.Memory.reservations = plan.Reservations
+	t.applyPreemptions(plan)
+	t.applyRefusals(plan)
+	t.applyPlacements(plan)
+	t.applyWaits(plan)
+}
+
+// mayPlace reports whether tasks may start at all.
+func (t *tick) mayPlace() bool {
+	return t.MayStart && !t.View.Out && t.cmd.Out == nil && !t.State.Out().Out && !t.State.Rebuilding()
+}
+
+// snapshot is the view of the tables that a plan is made from.
+func (t *tick) snapshot() *placement.Snapshot {
+	s := &placement.Snapshot{
+		NowMillis:     t.NowMillis,
+		Out:           t.View.Out,
+		Reservations:  t.Memory.reservations,
+		MaxPlacements: t.MaxPlacements,
+	}
+	s.Jobs = t.jobViews()
+	if len(s.Jobs) == 0 {
+		return s
+	}
+	s.Workers = t.workerViews()
+	s.Runs = t.runViews()
+	s.Teams = t.teamViews()
+	return s
+}
+
+func (t *tick) workerViews() []placement.WorkerView {
+	views := make([]placement.WorkerView, 0, len(t.State.Workers()))
+	for _, w := range t.State.Workers() {
+		v := placement.WorkerView{ID: w.ID, Rack: w.Rack, Size: w.Size, Free: w.Free(), State: w.State}
+		// On probation a worker gets its next task when it holds none.
+		if w.Probation && len(w.Tasks()) > 0 {
+			v.State = model.WorkerQuarantined
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+func (t *tick) jobViews() []placement.JobView {
+	var views []placement.JobView
+	for _, j := range t.State.Jobs() {
+		if j.Pending() == 0 || j.Outcome != model.OutcomeNone {
+			continue
+		}
+		v := placement.JobView{
+			Spec:          j.Spec,
+			ArrivedMillis: j.ArrivedMillis,
+			Running:       j.Held(),
+			RunMillis:     t.State.ExpectedRunMillis(j),
+		}
+		v.Spec.Size = t.State.Expected(j)
+		v.Pending = t.pendingTasks(j)
+		if len(v.Pending) == 0 {
+			continue
+		}
+		v.Policy = t.policy(&j.Spec)
+		views = append(views, v)
+	}
+	return views
+}
+
+func (t *tick) pendingTasks(j *work.Job) []placement.PendingTask {
+	pending := make([]placement.PendingTask, 0, j.Pending())
+	for _, row := range j.Tasks() {
+		if row.Placeable() {
+			pending = append(pending, placement.PendingTask{
+				ID: row.ID, NotBeforeMillis: row.NotBeforeMillis, Avoid: row.Avoid,
+			})
+		}
+	}
+	return pending
+}
+
+func (t *tick) policy(s *model.JobSpec) placement.Policy {
+	scope := t.scope(s)
+	preemptible, d1 := t.View.Tree.Bool(scope, settings.Preemptible)
+	reservation, d2 := t.View.Tree.Duration(scope, settings.GangReservation)
+	return placement.Policy{
+		Preemptible:           preemptible && s.Idempotent,
+		GangReservationMillis: reservation.Milliseconds(),
+		Decisions:             []settings.Decision{d1, d2},
+	}
+}
+
+func (t *tick) runViews() []placement.RunView {
+	var views []placement.RunView
+	preemptible := map[model.JobID]bool{}
+	for _, w := range t.State.Workers() {
+		for _, row := range w.Tasks() {
+			s := &row.JobRow().Spec
+			may, ok := preemptible[s.ID]
+			if !ok {
+				set, _ := t.View.Tree.Bool(t.scope(s), settings.Preemptible)
+				// A task that is not idempotent could never run again.
+				may = set && s.Idempotent
+				preemptible[s.ID] = may
+			}
+			views = append(views, t.runView(row, may))
+		}
+	}
+	return views
+}
+
+func (t *tick) runView(row *work.Task, preemptible bool) placement.RunView {
+	s := &row.JobRow().Spec
+	v := placement.RunView{
+		Task: row.ID, Job: s.ID, Team: s.Team, Class: s.Class, Worker: row.Worker,
+		Holds:         row.Hold,
+		StartedMillis: row.StartedMillis,
+		Preemptible:   preemptible,
+		Stopping:      row.State == model.TaskStopping || t.stopped[row.ID],
+	}
+	if row.CheckpointMillis > 0 {
+		v.CheckpointMillis = row.StartedMillis + row.CheckpointMillis
+	}
+	run := t.State.ExpectedRunMillis(row.JobRow())
+	if s.Class != model.ClassService && run > 0 {
+		v.EndsMillis = max(row.PlacedMillis, row.StartedMillis) + run
+	}
+	return v
+}
+
+func (t *tick) teamViews() []placement.TeamView {
+	views := make([]placement.TeamView, 0, len(t.View.Teams))
+	for i := range t.View.Teams {
+		h := &t.View.Teams[i]
+		views = append(views, placement.TeamView{
+			ID: h.ID, Share: h.Share, Grant: t.State.Grant(h.ID).Cap,
+			Usage: t.State.Usage(h.ID), Elsewhere: h.Elsewhere,
+		})
+	}
+	return views
+}
+
+func (t *tick) applyPreemptions(plan *placement.Plan) {
+	for i := range plan.Preempt {
+		p := &plan.Preempt[i]
+		row := t.State.Task(p.Task)
+		if row == nil || !t.stop(row, "preempted", true) {
+			continue
+		}
+		t.recordTask(EventPreempted, row, "preempted", fmt.Sprintf("to make room for task %s", p.For), &p.Explain)
+	}
+}
+
+func (t *tick) applyRefusals(plan *placement.Plan) {
+	for i := range plan.Refuse {
+		r := &plan.Refuse[i]
+		j := t.State.Job(r.Job)
+		if j == nil {
+			continue
+		}
+		t.cmd.Fail = append(t.cmd.Fail, work.FailJob{Job: r.Job, Outcome: model.OutcomeRefused, Reason: r.Reason})
+		t.recordJob(EventRefused, &j.Spec, r.Reason, r.Explain.Detail, &r.Explain)
+	}
+}
+
+func (t *tick) applyPlacements(plan *placement.Plan) {
+	probation := map[model.WorkerID]bool{}
+	for i := range plan.Place {
+		p := &plan.Place[i]
+		row, w := t.State.Task(p.Task), t.State.Worker(p.Worker)
+		if row == nil || w == nil || w.Probation && probation[p.Worker] {
+			continue
+		}
+		probation[p.Worker] = true
+		t.cmd.Place = append(t.cmd.Place, work.Place{
+			Task: p.Task, Worker: p.Worker, Hold: t.State.Expected(row.JobRow()),
+		})
+		delete(t.Memory.waits, p.Job)
+		t.recordPlaced(row, p)
+	}
+}
+
+func (t *tick) recordPlaced(row *work.Task, p *placement.Placement) {
+	detail := p.Explain.Detail
+	if size := row.JobRow().Spec.Size; t.State.Expected(row.JobRow()) != size {
+		detail = fmt.Sprintf("%s; room %s instead of the declared %s, as its workload used more of late",
+			detail, t.State.Expected(row.JobRow()), size)
+	}
+	t.record(&eventlog.Event{
+		Kind: EventPlaced, Task: p.Task, Job: p.Job, Team: row.JobRow().Spec.Team,
+		Attempt: row.Attempt + 1, Worker: p.Worker, Detail: detail,
+	}, &p.Explain)
+}
+
+// applyWaits records why a job waits whenever the reason changes.
+func (t *tick) applyWaits(plan *placement.Plan) {
+	for i := range plan.Waits {
+		w := &plan.Waits[i]
+		j := t.State.Job(w.Job)
+		if j == nil || t.Memory.waits[w.Job] == w.Reason {
+			continue
+		}
+		t.Memory.waits[w.Job] = w.Reason
+		t.recordJob(EventWaits, &j.Spec, w.Reason, w.Explain.Detail, &w.Explain)
+	}
+}
--- /dev/null
+++ b/internal/systems/view.go
@@ -0,0 +1,193 @@
+// Package systems holds what runs over a data centre's tables each tick: lost
+// workers, admission, cancellation, usage, quarantine, drain, grants and
+// placement. Each system reads the tables and adds to a command; nothing is
+// changed before the command is committed. Every decision is recorded as an
+// event with its account.
+package systems
+
+import (
+	"kumquatwing/internal/eventlog"
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement"
+	"kumquatwing/internal/settings"
+	"kumquatwing/internal/work"
+)
+
+// View is what a tick needs of the fleet's state. Jobs are in order of arrival,
+// teams sorted by id.
+type View struct {
+	// Revision grows with every change of Jobs or Teams. Systems that only
+	// follow the fleet skip a view that they have seen.
+	Revision uint64
+	Region   string
+	DC       model.DCID
+	// Out is set while the data centre is taken out, by OutRevision.
+	Out         bool
+	OutRevision uint64
+	Tree        *settings.Tree
+	Jobs        []JobHere
+	Teams       []TeamHere
+}
+
+// JobHere is a job with tasks owned by this data centre and no final outcome.
+type JobHere struct {
+	Spec model.JobSpec
+	// Assignment is the fleet revision that last gave or took tasks.
+	Assignment uint64
+	// Tasks lists those owned here; empty means all of the job.
+	Tasks     []work.AdmitTask
+	Cancelled bool
+	// RunningElsewhere counts the job's running tasks in other data centres.
+	RunningElsewhere int
+}
+
+// TeamHere is a team with its grant for this data centre.
+type TeamHere struct {
+	model.Team
+	// Granted is what the fleet holds reserved for this data centre, Target
+	// what it wants that to come down to; equal to Granted if all may stay.
+	Granted, Target model.Resources
+	// Version grows with every change of Granted.
+	Version uint64
+	// Elsewhere is what the team's tasks hold in other data centres.
+	Elsewhere model.Resources
+}
+
+// Input is what one tick depends on.
+type Input struct {
+	// NowMillis is the group's clock.
+	NowMillis int64
+	Epoch     model.Epoch
+	// Member names who decides, in events.
+	Member string
+	State  *work.State
+	View   *View
+	// Lost lists the workers whose leases have provably ended.
+	Lost []work.WorkerLost
+	// RebuildOver is set once every worker's lease has ended or been renewed
+	// since the leader took over.
+	RebuildOver bool
+	// MayStart is set while the settings lease holds.
+	MayStart bool
+	// Memory is the leader's own, kept from tick to tick.
+	Memory *Memory
+	Decide func(*placement.Snapshot) *placement.Plan
+	// MaxPlacements bounds the placements of the tick; 0 means no bound.
+	MaxPlacements int
+}
+
+// Output is what a tick wants done: one command for the group, and requests to
+// the fleet, which are made anew until the fleet's state shows them. Once the
+// command is committed, or if it is empty, Commit must be called; if it may not
+// have been committed, Abandon.
+type Output struct {
+	Command *work.Command
+	Fleet   FleetRequests
+	// Plan is the placement part, for metrics.
+	Plan *placement.Plan
+
+	memory *Memory
+	events []eventlog.Event
+}
+
+// FleetRequests are the changes of the fleet's state that a tick asks for.
+type FleetRequests struct {
+	Finish   []Finish
+	Grants   []GrantRequest
+	Returns  []GrantReturn
+	Reassign []Reassign
+}
+
+// Finish tells the outcome of all tasks of a job that are owned here.
+type Finish struct {
+	Job     model.JobID
+	Outcome model.Outcome
+	Reason  string
+	// Whole is set if all of the job's tasks are owned here.
+	Whole bool
+	Tasks []TaskOutcome
+}
+
+// TaskOutcome is the outcome of one task.
+type TaskOutcome struct {
+	Index   int
+	Outcome model.Outcome
+	Reason  string
+}
+
+// GrantRequest asks that a team's grant here be raised to Want.
+type GrantRequest struct {
+	Team model.TeamID
+	Want model.Resources
+	// Holds is what the team's tasks take here now.
+	Holds model.Resources
+}
+
+// GrantReturn lowers a team's grant here to Keep. The data centre's own tables
+// already keep its tasks within Keep.
+type GrantReturn struct {
+	Team model.TeamID
+	// Version is the one of the grant that the return is based on; the fleet
+	// must ignore a return of an older version, which may be a late repeat.
+	Version uint64
+	Keep    model.Resources
+}
+
+// Reassign gives tasks that hold nothing here to another data centre.
+type Reassign struct {
+	Job    model.JobID
+	Tasks  []work.AdmitTask
+	Reason string
+}
+
+// Memory is the soft state of the leader's ticks; a new leader starts with an
+// empty one.
+type Memory struct {
+	reservations []placement.Reservation
+	// waits holds the reason last recorded per waiting job.
+	waits map[model.JobID]string
+	// asked holds when a request about a subject was last made.
+	asked map[string]int64
+	// throttled holds when a task was first told to slow down.
+	throttled map[model.TaskID]int64
+	seen      uint64
+	seenAny   bool
+	// moveMillis and moveTokens pace the moves of a data centre that is out.
+	moveMillis int64
+	moveTokens int64
+}
+
+// NewMemory returns the memory of a leader that has just taken over.
+func NewMemory() *Memory {
+	return &Memory{
+		waits:     map[model.JobID]string{},
+		asked:     map[string]int64{},
+		throttled: map[model.TaskID]int64{},
+	}
+}
+
+// askAgainMillis is the pause between equal requests to the fleet.
+const askAgainMillis = 1000
+
+// mayAsk reports whether a request about subject is due, and notes it.
+func (m *Memory) mayAsk(subject string, nowMillis int64) bool {
+	if at, ok := m.asked[subject]; ok && nowMillis-at < askAgainMillis {
+		return false
+	}
+	m.asked[subject] = nowMillis
+	return true
+}
+
+// expire drops old notes so that the memory stays bounded.
+func (m *Memory) expire(nowMillis int64) {
+	for k, at := range m.asked {
+		if nowMillis-at >= askAgainMillis {
+			delete(m.asked, k)
+		}
+	}
+	for k, at := range m.throttled {
+		if nowMillis-at >= throttleKeptMillis {
+			delete(m.throttled, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/work/apply.go
@@ -0,0 +1,180 @@
+package work
+
+import (
+	"slices"
+
+	"kumquatwing/internal/model"
+)
+
+// protection is a set of checks that tests switch off one by one.
+type protection uint32
+
+const (
+	skipEpoch protection = 1 << iota
+	skipRoom
+	skipGrant
+	skipGang
+	skipOut
+	skipIdempotent
+)
+
+// rebuiltAttempts separates the attempts of a task before and after its group
+// lost its tables: each generation begins this much higher.
+const rebuiltAttempts = 1 << 16
+
+// Apply executes a command at the group's time nowMillis.
+func (s *State) Apply(nowMillis int64, c *Command) Result {
+	if c.Epoch != 0 && c.Epoch < s.epoch && s.skip&skipEpoch == 0 {
+		return Result{Refused: ReasonOldEpoch}
+	}
+	s.epoch = max(s.epoch, c.Epoch)
+	s.applySettings(c)
+	s.applyWorkers(nowMillis, c)
+	s.applyRuns(nowMillis, c)
+	s.applyStops(c)
+	var r Result
+	r.Place = s.applyPlace(nowMillis, c.Place)
+	for _, id := range c.Forget {
+		s.forget(id)
+	}
+	return r
+}
+
+func (s *State) applySettings(c *Command) {
+	if c.Rebuild != nil && c.Rebuild.Generation > s.generation {
+		s.generation = c.Rebuild.Generation
+		s.rebuilding = true
+	}
+	if c.Out != nil && c.Out.Revision >= s.out.Revision {
+		s.out = *c.Out
+	}
+	if c.LeaseTerm != nil {
+		s.leaseMillis = c.LeaseTerm.Millis
+	}
+}
+
+func (s *State) applyWorkers(nowMillis int64, c *Command) {
+	for i := range c.Lost {
+		s.lose(nowMillis, &c.Lost[i])
+	}
+	for i := range c.Register {
+		s.register(&c.Register[i])
+	}
+}
+
+func (s *State) applyRuns(nowMillis int64, c *Command) {
+	for i := range c.Admit {
+		s.admit(nowMillis, &c.Admit[i])
+	}
+	for i := range c.Adopt {
+		s.adopt(nowMillis, &c.Adopt[i])
+	}
+	for i := range c.Started {
+		s.started(nowMillis, c.Started[i].RunID)
+	}
+	for i := range c.Usage {
+		s.use(&c.Usage[i])
+	}
+	for i := range c.Ended {
+		s.end(nowMillis, &c.Ended[i])
+	}
+	if c.Rebuilt != nil && s.rebuilding && c.Rebuilt.Generation == s.generation {
+		s.rebuilt()
+	}
+}
+
+func (s *State) applyStops(c *Command) {
+	for _, id := range c.Cancel {
+		s.finish(id, model.OutcomeCancelled, ReasonCancelled)
+	}
+	for _, f := range c.Fail {
+		s.finish(f.Job, f.Outcome, f.Reason)
+	}
+	for i := range c.Stop {
+		s.stop(&c.Stop[i])
+	}
+	for _, id := range c.Release {
+		s.release(id)
+	}
+	for _, g := range c.Grants {
+		s.grants[g.Team] = Grant{Cap: g.Cap.Max(s.usage[g.Team]), Returning: g.Returning}
+	}
+	for i := range c.Quarantine {
+		s.quarantine(&c.Quarantine[i])
+	}
+}
+
+// lose frees all that a worker held. Its lease has provably ended.
+func (s *State) lose(nowMillis int64, l *WorkerLost) {
+	w := s.workers[l.Worker]
+	if w == nil || w.State == model.WorkerLost {
+		return
+	}
+	for _, t := range slices.Clone(w.tasks) {
+		s.unhold(t)
+		s.after(nowMillis, t, &Ended{Outcome: model.OutcomeNone, Reason: ReasonWorkerLost})
+	}
+	w.State = model.WorkerLost
+	w.Reason = l.Reason
+}
+
+func (s *State) register(r *Register) {
+	w := s.workers[r.Worker]
+	if w == nil {
+		w = &Worker{Worker: model.Worker{ID: r.Worker, State: model.WorkerLost}}
+		s.workers[r.Worker] = w
+		i, _ := slices.BinarySearchFunc(s.sorted, r.Worker, compareWorker)
+		s.sorted = slices.Insert(s.sorted, i, w)
+	}
+	changed := w.Incarnation != r.Incarnation
+	if slices.Contains(w.Past, r.Incarnation) || changed && len(w.tasks) > 0 {
+		return
+	}
+	if changed && w.Incarnation != "" {
+		w.Past = appendBounded(w.Past, w.Incarnation, maxPast)
+	}
+	w.DC, w.Rack, w.Size, w.Incarnation = r.DC, r.Rack, r.Size, r.Incarnation
+	if w.State == model.WorkerLost {
+		w.State = model.WorkerReady
+		w.Reason = ""
+	}
+	if w.QuarantineMillis > 0 {
+		w.State = model.WorkerQuarantined
+	}
+}
+
+func (s *State) quarantine(q *SetQuarantine) {
+	w := s.workers[q.Worker]
+	if w == nil {
+		return
+	}
+	switch {
+	case q.Passed:
+		w.Probation = false
+		w.Quarantines = 0
+	case q.UntilMillis > 0:
+		w.QuarantineMillis = q.UntilMillis
+		w.Quarantines++
+		w.Probation = false
+		w.FailedRuns = nil
+		if w.State == model.WorkerReady {
+			w.State = model.WorkerQuarantined
+		}
+	default:
+		w.QuarantineMillis = 0
+		w.Probation = true
+		if w.State == model.WorkerQuarantined {
+			w.State = model.WorkerReady
+		}
+	}
+	w.Reason = q.Reason
+}
+
+// appendBounded appends v and drops the oldest entries over limit.
+func appendBounded[T any](list []T, v T, limit int) []T {
+	list = append(list, v)
+	if over := len(list) - limit; over > 0 {
+		list = slices.Delete(list, 0, over)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/work/snapshot.go
@@ -0,0 +1,96 @@
+package work
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"kumquatwing/internal/model"
+)
+
+// image is the encoded form of State, in a fixed order.
+type image struct {
+	Epoch       model.Epoch `msgpack:"e"`
+	Generation  uint64      `msgpack:"g"`
+	Rebuilding  bool        `msgpack:"rb"`
+	Out         SetOut      `msgpack:"o"`
+	LeaseMillis int64       `msgpack:"l"`
+	Seq         uint64      `msgpack:"q"`
+	Jobs        []*Job      `msgpack:"j"`
+	Tasks       []*Task     `msgpack:"t"`
+	Workers     []*Worker   `msgpack:"w"`
+	Grants      []grantRow  `msgpack:"gr"`
+	Estimates   []*Estimate `msgpack:"es"`
+}
+
+type grantRow struct {
+	Team  model.TeamID `msgpack:"t"`
+	Grant Grant        `msgpack:"g"`
+}
+
+// Snapshot encodes all tables; equal tables give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	im := image{
+		Epoch: s.epoch, Generation: s.generation, Rebuilding: s.rebuilding, Out: s.out,
+		LeaseMillis: s.leaseMillis, Seq: s.seq, Jobs: s.order, Workers: s.sorted,
+	}
+	for _, j := range s.order {
+		im.Tasks = append(im.Tasks, j.tasks...)
+	}
+	for team, g := range s.grants {
+		im.Grants = append(im.Grants, grantRow{team, g})
+	}
+	slices.SortFunc(im.Grants, func(a, b grantRow) int { return cmp.Compare(a.Team, b.Team) })
+	for _, e := range s.estimates {
+		im.Estimates = append(im.Estimates, e)
+	}
+	slices.SortFunc(im.Estimates, func(a, b *Estimate) int {
+		return cmp.Or(cmp.Compare(a.Key.Team, b.Key.Team), cmp.Compare(a.Key.Workload, b.Key.Workload))
+	})
+	return msgpack.Marshal(&im)
+}
+
+// Restore replaces all tables by a snapshot.
+func (s *State) Restore(snapshot []byte) error {
+	var im image
+	if err := msgpack.Unmarshal(snapshot, &im); err != nil {
+		return err
+	}
+	fresh := New()
+	fresh.skip = s.skip
+	fresh.epoch, fresh.generation, fresh.rebuilding = im.Epoch, im.Generation, im.Rebuilding
+	fresh.out, fresh.leaseMillis, fresh.seq = im.Out, im.LeaseMillis, im.Seq
+	fresh.sorted = im.Workers
+	for _, w := range im.Workers {
+		fresh.workers[w.ID] = w
+	}
+	fresh.order = im.Jobs
+	for _, j := range im.Jobs {
+		fresh.jobs[j.Spec.ID] = j
+	}
+	for _, t := range im.Tasks {
+		fresh.restoreTask(t)
+	}
+	for _, g := range im.Grants {
+		fresh.grants[g.Team] = g.Grant
+	}
+	for _, e := range im.Estimates {
+		fresh.estimates[e.Key] = e
+	}
+	*s = *fresh
+	return nil
+}
+
+func (s *State) restoreTask(t *Task) {
+	t.job = s.jobs[t.Job]
+	s.insertTask(t)
+	switch {
+	case t.Holds():
+		s.hold(t, s.workers[t.Worker], t.Hold)
+	case t.State == model.TaskPending:
+		t.job.pending++
+	default:
+		t.job.ended++
+	}
+}
