Fence delayed commands of workers, grants and jobs; add why

Cause: a command that was proposed and timed out may still be committed later. A delayed loss of a worker would free runs that a newer lease covers, a delayed admission would bring back tasks that moved away, a delayed raise of a cap would exceed a grant that was returned, and a leader's first orders could precede the bump of the epoch. Ruled out: relying on the order of proposals, since a forward to another leader can change it. Conclusion: standing, view revision, grant version and a first command per leader; a run that its worker had confirmed and reports no more counts as ended.

--- a/internal/systems/grants.go
+++ b/internal/systems/grants.go
@@ -58,12 +58,14 @@
 	keep := allowed.Max(usage).Min(g.Cap)
 	switch {
 	case g.Returning && !h.Granted.Fits(g.Cap):
-		// The return has not reached the fleet yet.
-		t.giveBack(h, g.Cap)
+		t.giveBack(h, g)
 	case keep != g.Cap:
 		t.lower(h, keep)
-	case g.Returning || g.Cap != h.Granted && allowed == h.Granted:
-		t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Cap: h.Granted})
+	case g.Returning, g.Cap != h.Granted && allowed == h.Granted && g.Version < h.Version:
+		t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Version: h.Version, Cap: h.Granted})
+	case g.Cap != h.Granted && allowed == h.Granted:
+		// This version was lowered already; only a newer one can raise the cap.
+		t.lower(h, g.Cap)
 	case allowed == h.Granted:
 		t.ask(h, need)
 	}
@@ -120,16 +122,23 @@
 // lower takes the cap down to keep in the tables; the fleet hears of it in a
 // later tick, when the tables show it.
 func (t *tick) lower(h *TeamHere, keep model.Resources) {
-	t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Cap: keep, Returning: true})
+	t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Version: h.Version, Cap: keep, Returning: true})
 	t.record(&eventlog.Event{
 		Kind: EventGrant, Team: h.ID, Cause: "return",
 		Detail: fmt.Sprintf("keeps %s of the grant %s", keep, h.Granted),
 	}, nil)
 }
 
-func (t *tick) giveBack(h *TeamHere, keep model.Resources) {
+// giveBack returns what is above the cap. The tables must have lowered the very
+// version of the grant that the return names, so that no delayed command can
+// raise the cap by that version.
+func (t *tick) giveBack(h *TeamHere, g work.Grant) {
+	if g.Version < h.Version {
+		t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Version: h.Version, Cap: g.Cap, Returning: true})
+		return
+	}
 	if t.Memory.mayAsk("return "+string(h.ID), t.NowMillis) {
-		t.out.Fleet.Returns = append(t.out.Fleet.Returns, GrantReturn{Team: h.ID, Version: h.Version, Keep: keep})
+		t.out.Fleet.Returns = append(t.out.Fleet.Returns, GrantReturn{Team: h.ID, Version: h.Version, Keep: g.Cap})
 	}
 }
 
--- a/internal/systems/tick.go
+++ b/internal/systems/tick.go
@@ -40,7 +40,7 @@
 
 // Tick runs all systems once.
 func Tick(in *Input) *Output {
-	t := &tick{Input: in, cmd: &work.Command{Epoch: in.Epoch}, stopped: map[model.TaskID]bool{}}
+	t := &tick{Input: in, cmd: &work.Command{Epoch: in.Epoch, View: in.View.Revision}, stopped: map[model.TaskID]bool{}}
 	t.out = &Output{Command: t.cmd, memory: in.Memory}
 	t.followOut()
 	t.expire()
@@ -106,6 +106,7 @@
 // until the command is committed.
 func (t *tick) record(e *eventlog.Event, x *placement.Explanation) {
 	e.DC = t.View.DC
+	e.VM = model.VMID(t.Member)
 	e.Epoch = t.Epoch
 	e.Revision = t.View.Revision
 	if x != nil {
--- a/internal/systems/usage.go
+++ b/internal/systems/usage.go
@@ -106,7 +106,7 @@
 func (t *tick) throttle(row *work.Task) {
 	t.Memory.throttled[row.ID] = t.NowMillis
 	t.cmd.Usage = append(t.cmd.Usage, work.Usage{
-		RunID: row.Run(), Reported: row.Reported, Hold: row.Hold, Throttled: true,
+		RunID: row.Run(), Throttled: true,
 	})
 	detail := fmt.Sprintf("uses %s of a declared %s", row.Reported, row.JobRow().Spec.Size)
 	t.recordTask(EventThrottled, row, ReasonOverSize, detail, nil)
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -16,6 +16,9 @@
 	skipGang
 	skipOut
 	skipIdempotent
+	skipView
+	skipStanding
+	skipVersion
 )
 
 // rebuiltAttempts separates the attempts of a task before and after its group
@@ -34,12 +37,23 @@
 	s.applyStops(c)
 	var r Result
 	r.Place = s.applyPlace(nowMillis, c.Place)
-	for _, id := range c.Forget {
-		s.forget(id)
+	if s.follows(c) {
+		for _, id := range c.Forget {
+			s.forget(id)
+		}
 	}
 	return r
 }
 
+// follows reports whether c follows the newest view of the fleet so far.
+func (s *State) follows(c *Command) bool {
+	if c.View < s.view && s.skip&skipView == 0 {
+		return false
+	}
+	s.view = max(s.view, c.View)
+	return true
+}
+
 func (s *State) applySettings(c *Command) {
 	if c.Rebuild != nil && c.Rebuild.Generation > s.generation {
 		s.generation = c.Rebuild.Generation
@@ -63,8 +77,10 @@
 }
 
 func (s *State) applyRuns(nowMillis int64, c *Command) {
-	for i := range c.Admit {
-		s.admit(nowMillis, &c.Admit[i])
+	if s.follows(c) {
+		for i := range c.Admit {
+			s.admit(nowMillis, &c.Admit[i])
+		}
 	}
 	for i := range c.Adopt {
 		s.adopt(nowMillis, &c.Adopt[i])
@@ -84,8 +100,10 @@
 }
 
 func (s *State) applyStops(c *Command) {
-	for _, id := range c.Cancel {
-		s.finish(id, model.OutcomeCancelled, ReasonCancelled)
+	if s.follows(c) {
+		for _, id := range c.Cancel {
+			s.finish(id, model.OutcomeCancelled, ReasonCancelled)
+		}
 	}
 	for _, f := range c.Fail {
 		s.finish(f.Job, f.Outcome, f.Reason)
@@ -97,7 +115,7 @@
 		s.release(id)
 	}
 	for _, g := range c.Grants {
-		s.grants[g.Team] = Grant{Cap: g.Cap.Max(s.usage[g.Team]), Returning: g.Returning}
+		s.setGrant(g)
 	}
 	for i := range c.Quarantine {
 		s.quarantine(&c.Quarantine[i])
@@ -110,6 +128,9 @@
 	if w == nil || w.State == model.WorkerLost {
 		return
 	}
+	if l.Standing != w.Standing && s.skip&skipStanding == 0 {
+		return
+	}
 	for _, t := range slices.Clone(w.tasks) {
 		s.unhold(t)
 		s.after(nowMillis, t, &Ended{Outcome: model.OutcomeNone, Reason: ReasonWorkerLost})
@@ -137,12 +158,28 @@
 	if w.State == model.WorkerLost {
 		w.State = model.WorkerReady
 		w.Reason = ""
+		w.Standing++
 	}
 	if w.QuarantineMillis > 0 {
 		w.State = model.WorkerQuarantined
 	}
 }
 
+// setGrant changes a team's cap. Lowering is always safe; raising needs a grant
+// that no lowering has been based on.
+func (s *State) setGrant(g SetGrant) {
+	old := s.grants[g.Team]
+	raises := !g.Cap.Fits(old.Cap)
+	if raises && g.Version <= old.Version && s.skip&skipVersion == 0 {
+		return
+	}
+	s.grants[g.Team] = Grant{
+		Cap:       g.Cap.Max(s.usage[g.Team]),
+		Version:   max(old.Version, g.Version),
+		Returning: g.Returning,
+	}
+}
+
 func (s *State) quarantine(q *SetQuarantine) {
 	w := s.workers[q.Worker]
 	if w == nil {
--- a/internal/work/apply_job.go
+++ b/internal/work/apply_job.go
@@ -25,6 +25,9 @@
 	newer := a.Assignment > j.Assignment
 	j.Assignment = max(j.Assignment, a.Assignment)
 	if len(a.Tasks) > 0 {
+		if newer {
+			s.dropGone(j, a.Tasks)
+		}
 		for _, t := range a.Tasks {
 			s.admitTask(j, t, newer)
 		}
@@ -35,6 +38,30 @@
 	}
 }
 
+// dropGone removes waiting tasks that are owned elsewhere now, and stops runs.
+func (s *State) dropGone(j *Job, owned []AdmitTask) {
+	here := make(map[int]bool, len(owned))
+	for i := range owned {
+		here[owned[i].Index] = true
+	}
+	kept := j.tasks[:0]
+	for _, t := range j.tasks {
+		switch {
+		case here[t.Index] || t.State == model.TaskEnded:
+			kept = append(kept, t)
+		case t.Holds():
+			t.State = model.TaskStopping
+			t.Released = true
+			t.Reason = ReasonReleased
+			kept = append(kept, t)
+		default:
+			j.pending--
+			delete(s.tasks, t.ID)
+		}
+	}
+	j.tasks = kept
+}
+
 func (s *State) admitTask(j *Job, a AdmitTask, newer bool) {
 	id := TaskName(j.Spec.ID, a.Index)
 	if t := s.tasks[id]; t != nil {
--- a/internal/work/apply_run.go
+++ b/internal/work/apply_run.go
@@ -41,8 +41,15 @@
 	if t == nil {
 		return
 	}
+	if u.Seq == 0 {
+		t.Throttled = u.Throttled
+		return
+	}
+	if u.Seq < t.UsageSeq {
+		return
+	}
+	t.UsageSeq = u.Seq
 	t.Reported = u.Reported
-	t.Throttled = u.Throttled
 	t.CheckpointMillis = max(t.CheckpointMillis, u.CheckpointMillis)
 	s.resize(t, t.job.Spec.Size.Max(u.Hold))
 	s.learnPeak(t)
@@ -55,6 +62,9 @@
 	if t == nil || w == nil || !t.Unaccounted || t.State != model.TaskPending {
 		return
 	}
+	if w.State == model.WorkerLost {
+		return
+	}
 	s.hold(t, w, t.job.Spec.Size.Max(a.Hold))
 	t.State = model.TaskRunning
 	t.Attempt = a.Attempt
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -9,6 +9,10 @@
 	// Epoch is the one of the leader that decided; 0 skips the fence and is
 	// for tests only.
 	Epoch model.Epoch `msgpack:"e,omitempty"`
+	// View is the fleet revision that Admit, Cancel and Forget follow. They are
+	// left out if a newer one has been followed, since a command that was
+	// delayed must not bring back what has moved away.
+	View uint64 `msgpack:"v,omitempty"`
 
 	Rebuild    *Rebuild        `msgpack:"rb,omitempty"`
 	Out        *SetOut         `msgpack:"ou,omitempty"`
@@ -69,7 +73,10 @@
 // has provably ended, so that none of its tasks runs any more.
 type WorkerLost struct {
 	Worker model.WorkerID `msgpack:"w"`
-	Reason string         `msgpack:"r"`
+	// Standing must be the worker's, so that a delayed command does not end a
+	// lease granted since.
+	Standing uint64 `msgpack:"s"`
+	Reason   string `msgpack:"r"`
 }
 
 // Register enters a worker or its new incarnation. A worker that still holds
@@ -121,7 +128,10 @@
 
 // Usage is a change of what a run uses.
 type Usage struct {
-	RunID    `msgpack:",inline"`
+	RunID `msgpack:",inline"`
+	// Seq is the report's. Older use than the tables show is left out; 0
+	// changes Throttled only.
+	Seq      uint64          `msgpack:"q,omitempty"`
 	Reported model.Resources `msgpack:"u"`
 	// Hold is Reported with headroom.
 	Hold             model.Resources `msgpack:"h"`
@@ -159,10 +169,12 @@
 }
 
 // SetGrant sets the part of a team's upper limit that this data centre uses.
-// It never goes below what the team holds.
+// It never goes below what the team holds. A cap is raised only by a newer
+// version of the fleet's grant than the tables have seen.
 type SetGrant struct {
-	Team model.TeamID    `msgpack:"t"`
-	Cap  model.Resources `msgpack:"c"`
+	Team    model.TeamID    `msgpack:"t"`
+	Version uint64          `msgpack:"v"`
+	Cap     model.Resources `msgpack:"c"`
 	// Returning is set while the rest is given back to the fleet.
 	Returning bool `msgpack:"r,omitempty"`
 }
--- a/internal/work/snapshot.go
+++ b/internal/work/snapshot.go
@@ -12,6 +12,7 @@
 // image is the encoded form of State, in a fixed order.
 type image struct {
 	Epoch       model.Epoch `msgpack:"e"`
+	View        uint64      `msgpack:"v"`
 	Generation  uint64      `msgpack:"g"`
 	Rebuilding  bool        `msgpack:"rb"`
 	Out         SetOut      `msgpack:"o"`
@@ -32,7 +33,7 @@
 // Snapshot encodes all tables; equal tables give equal bytes.
 func (s *State) Snapshot() ([]byte, error) {
 	im := image{
-		Epoch: s.epoch, Generation: s.generation, Rebuilding: s.rebuilding, Out: s.out,
+		Epoch: s.epoch, View: s.view, Generation: s.generation, Rebuilding: s.rebuilding, Out: s.out,
 		LeaseMillis: s.leaseMillis, Seq: s.seq, Jobs: s.order, Workers: s.sorted,
 	}
 	for _, j := range s.order {
@@ -60,6 +61,7 @@
 	fresh := New()
 	fresh.skip = s.skip
 	fresh.epoch, fresh.generation, fresh.rebuilding = im.Epoch, im.Generation, im.Rebuilding
+	fresh.view = im.View
 	fresh.out, fresh.leaseMillis, fresh.seq = im.Out, im.LeaseMillis, im.Seq
 	fresh.sorted = im.Workers
 	for _, w := range im.Workers {
--- a/internal/work/state.go
+++ b/internal/work/state.go
@@ -64,6 +64,8 @@
 	// StopCheckpoint asks for a checkpoint before a stop.
 	StopCheckpoint bool `msgpack:"sc,omitempty"`
 	Throttled      bool `msgpack:"th,omitempty"`
+	// UsageSeq is the report that Reported is from.
+	UsageSeq uint64 `msgpack:"us,omitempty"`
 	// Released tasks are on their way to another data centre.
 	Released bool `msgpack:"rl,omitempty"`
 	// Unaccounted tasks were admitted while the tables were rebuilt.
@@ -97,6 +99,8 @@
 	Probation bool `msgpack:"pb,omitempty"`
 	// Past lists earlier incarnations, whose late reports are ignored.
 	Past []string `msgpack:"pi,omitempty"`
+	// Standing counts how often the worker became ready after it was lost.
+	Standing uint64 `msgpack:"sd"`
 
 	tasks []*Task // sorted by id
 	held  model.Resources
@@ -114,6 +118,7 @@
 
 // Grant is the part of a team's limit that this data centre may use.
 type Grant struct {
+	Version   uint64          `msgpack:"v"`
 	Cap       model.Resources `msgpack:"c"`
 	Returning bool            `msgpack:"r,omitempty"`
 }
@@ -129,6 +134,7 @@
 // State is all tables. It is not safe for concurrent use.
 type State struct {
 	epoch       model.Epoch
+	view        uint64
 	generation  uint64
 	rebuilding  bool
 	out         SetOut
@@ -245,6 +251,7 @@
 	t.Hold = model.Resources{}
 	t.Reported = model.Resources{}
 	t.Throttled = false
+	t.UsageSeq = 0
 	t.StopCheckpoint = false
 	team := t.job.Spec.Team
 	left := s.usage[team].Sub(t.job.Spec.Size)
--- a/internal/workerapi/leader.go
+++ b/internal/workerapi/leader.go
@@ -65,6 +65,8 @@
 	skipSeq protection = 1 << iota
 	skipLease
 	skipMayStart
+	skipLosing
+	skipPrepare
 )
 
 // NewLeader returns the soft state of a member that has just become leader at
@@ -96,15 +98,20 @@
 	return min(l.policy.Lease, time.Duration(l.state.LeaseMillis())*time.Millisecond)
 }
 
-// LeaseCommand returns the command that lets longer leases be granted, or nil.
-func (l *Leader) LeaseCommand() *work.Command {
-	millis := l.policy.Lease.Milliseconds()
-	if millis <= l.state.LeaseMillis() {
+// Prepare returns the command that must be applied before the leader may act,
+// or nil if there is none. It ends the right of earlier leaders' commands to be
+// applied, and lets longer leases be granted when the setting was raised.
+func (l *Leader) Prepare() *work.Command {
+	millis := max(l.policy.Lease.Milliseconds(), l.state.LeaseMillis())
+	if l.acts() && millis == l.state.LeaseMillis() {
 		return nil
 	}
 	return &work.Command{Epoch: l.epoch, LeaseTerm: &work.SetLeaseTerm{Millis: millis}}
 }
 
+// acts reports whether the tables show this leader as the newest.
+func (l *Leader) acts() bool { return l.state.Epoch() == l.epoch || l.skip&skipPrepare != 0 }
+
 // TablesFilled reports whether at now every worker that was alive when the
 // leader took over has reported or lost its lease.
 func (l *Leader) TablesFilled(now clock.Instant) bool {
@@ -112,8 +119,12 @@
 }
 
 // Expired lists workers whose leases have provably ended and marks them, so
-// that no report renews them before their loss is in the tables.
+// that no report renews them before their loss is in the tables. The caller
+// must propose it.
 func (l *Leader) Expired(now clock.Instant) []work.WorkerLost {
+	if !l.acts() {
+		return nil
+	}
 	var lost []work.WorkerLost
 	for _, w := range l.state.Workers() {
 		if w.State == model.WorkerLost {
@@ -124,7 +135,7 @@
 			continue
 		}
 		l.losing[w.ID] = true
-		lost = append(lost, work.WorkerLost{Worker: w.ID, Reason: work.ReasonWorkerLost})
+		lost = append(lost, work.WorkerLost{Worker: w.ID, Standing: w.Standing, Reason: work.ReasonWorkerLost})
 	}
 	return lost
 }
@@ -159,7 +170,7 @@
 	}
 }
 
-// Silent returns how long ago each worker's lease was due to end, for status.
+// LeaseEnds returns when the worker's lease has provably ended, for status.
 func (l *Leader) LeaseEnds(id model.WorkerID) clock.Instant { return l.leases.End(id) }
 
 func (l *Leader) see(id model.WorkerID) *seen {
--- a/internal/workerapi/orders.go
+++ b/internal/workerapi/orders.go
@@ -14,7 +14,7 @@
 	o := &api.WorkerOrders{Epoch: l.epoch}
 	s := l.seen[id]
 	w := l.state.Worker(id)
-	if s == nil || s.report == nil || !g.Leads {
+	if s == nil || s.report == nil || !g.Leads || !l.acts() {
 		return o, true
 	}
 	if !l.stands(w, s) {
@@ -38,7 +38,7 @@
 	if w == nil || w.State == model.WorkerLost || w.Incarnation != s.incarnation {
 		return false
 	}
-	return !l.losing[w.ID]
+	return !l.losing[w.ID] || l.skip&skipLosing != 0
 }
 
 // addStarts repeats the starts that the worker has not reported. They hold
--- a/internal/workerapi/report.go
+++ b/internal/workerapi/report.go
@@ -10,6 +10,10 @@
 	"kumquatwing/internal/work"
 )
 
+// ReasonNotReported is the cause of the end of a run that its worker had
+// confirmed and holds no more.
+const ReasonNotReported = "not-reported"
+
 // Reasons for which a report is not taken in.
 const (
 	ReasonLateReport     verdict.Reason = "late-report"
@@ -43,6 +47,9 @@
 	for i := range r.Tasks {
 		l.takeRun(c, r, &r.Tasks[i])
 	}
+	if w != nil && w.Incarnation == r.Incarnation {
+		l.takeMissing(c, w, r)
+	}
 	return c, nil
 }
 
@@ -107,7 +114,17 @@
 	case row == nil:
 		l.takeUnknown(c, id, t)
 	default:
-		l.takeRunning(c, id, row, t)
+		l.takeRunning(c, id, r.Seq, row, t)
+	}
+}
+
+// takeMissing ends runs that the worker had confirmed and holds no more,
+// although their end was never reported.
+func (l *Leader) takeMissing(c *work.Command, w *work.Worker, r *api.WorkerReport) {
+	for _, row := range w.Tasks() {
+		if row.StartedMillis > 0 && !reports(r, row) {
+			c.Ended = append(c.Ended, work.Ended{RunID: row.Run(), Reason: ReasonNotReported})
+		}
 	}
 }
 
@@ -139,7 +156,7 @@
 	})
 }
 
-func (l *Leader) takeRunning(c *work.Command, id work.RunID, row *work.Task, t *api.TaskReport) {
+func (l *Leader) takeRunning(c *work.Command, id work.RunID, seq uint64, row *work.Task, t *api.TaskReport) {
 	if row.State == model.TaskStarting {
 		c.Started = append(c.Started, work.Run{RunID: id})
 	}
@@ -148,10 +165,10 @@
 	}
 	c.Usage = append(c.Usage, work.Usage{
 		RunID:            id,
+		Seq:              seq,
 		Reported:         t.Used,
 		Hold:             l.headroom(t.Used),
 		CheckpointMillis: t.CheckpointMillis,
-		Throttled:        row.Throttled,
 	})
 }
 
