--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -34,6 +34,8 @@
 	// PathJobs takes and lists jobs; PathJob shows or (DELETE) cancels one.
 	PathJobs = "/v1/jobs"
 	PathJob  = "/v1/jobs/{job}"
+	// PathJobTasks lists a job's tasks over all data centres that own some.
+	PathJobTasks = "/v1/jobs/{job}/tasks"
 	// PathWhy explains a subject: task, job, team or worker.
 	PathWhy = "/v1/why/{kind}/{id}"
 	// PathSettings applies (POST) and reads (GET) declarations.
--- a/internal/fleet/command.go
+++ b/internal/fleet/command.go
@@ -110,10 +110,11 @@
 // ReassignTasks hands tasks over to another data centre. The old owner must
 // have proof that none of them runs.
 type ReassignTasks struct {
-	Job     model.JobID `msgpack:"j"`
-	From    model.DCID  `msgpack:"f"`
-	To      model.DCID  `msgpack:"t"`
-	Indices []int       `msgpack:"i"`
+	Job  model.JobID `msgpack:"j"`
+	From model.DCID  `msgpack:"f"`
+	To   model.DCID  `msgpack:"t"`
+	// Tasks lists the tasks with what the old owner leaves of them.
+	Tasks []HandedTask `msgpack:"i"`
 }
 
 // RequestGrant states a data centre's demand for a part of a team's limit.
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -26,6 +26,14 @@
 	Owners []model.DCID `msgpack:"o" json:"owners"`
 	// Seq orders jobs by acceptance.
 	Seq uint64 `msgpack:"q" json:"seq"`
+	// Assignment grows whenever a task gets another owner.
+	Assignment uint64 `msgpack:"a" json:"assignment"`
+	// Handed lists the tasks that were handed over, with what their earlier
+	// owners left of them, by index.
+	Handed []HandedTask `msgpack:"h,omitempty" json:"handed,omitempty"`
+	// Ended lists the indexes of tasks whose owner's part had ended, sorted. They are
+	// not given to that owner again when it gets others.
+	Ended []int `msgpack:"t,omitempty" json:"-"`
 	// Digest identifies the spec as submitted.
 	Digest uint64 `msgpack:"d" json:"-"`
 	// Cancelled jobs are ended by their owners.
@@ -45,6 +53,26 @@
 	Open bool `msgpack:"n,omitempty" json:"open,omitempty"`
 }
 
+// HandedTask is a task that moved to another data centre.
+type HandedTask struct {
+	Index int `msgpack:"i" json:"index"`
+	// Attempt is the newest that an earlier owner has used.
+	Attempt uint32 `msgpack:"a" json:"attempt"`
+	// CheckpointMillis is the run time saved so far.
+	CheckpointMillis int64 `msgpack:"c" json:"checkpoint_ms"`
+}
+
+// HandedTask returns what earlier owners left of a task that has moved.
+func (j *Job) HandedTask(index int) (HandedTask, bool) {
+	i, ok := slices.BinarySearchFunc(j.Handed, index, compareHanded)
+	if !ok {
+		return HandedTask{}, false
+	}
+	return j.Handed[i], true
+}
+
+func compareHanded(h HandedTask, index int) int { return cmp.Compare(h.Index, index) }
+
 // Finished reports whether the job has its final outcome.
 func (j *Job) Finished() bool { return j.Outcome != model.OutcomeNone }
 
@@ -85,6 +113,7 @@
 func (t *jobTable) add(j *Job) {
 	t.seq++
 	j.Seq = t.seq
+	j.Assignment = t.seq
 	t.byID[j.Spec.ID] = j
 	t.active = append(t.active, j)
 	t.unfinished[j.Spec.Team]++
@@ -246,6 +275,7 @@
 	if !j.OwnedBy(f.DC) {
 		return
 	}
+	next.Ended = endedTasks(j, f.DC)
 	next.Parts = withPart(j.Parts, Part{DC: f.DC, Outcome: f.Outcome, Reason: f.Reason})
 	if !next.allEnded() {
 		s.jobs.replace(&next)
@@ -256,6 +286,20 @@
 	s.jobs.finish(&next)
 }
 
+// endedTasks returns j.Ended with all tasks of dc added.
+func endedTasks(j *Job, dc model.DCID) []int {
+	next := slices.Clone(j.Ended)
+	for i, owner := range j.Owners {
+		if owner != dc {
+			continue
+		}
+		if at, known := slices.BinarySearch(next, i); !known {
+			next = slices.Insert(next, at, i)
+		}
+	}
+	return next
+}
+
 // withPart returns parts with p added. A part that was opened again keeps the
 // worse of its outcomes.
 func withPart(parts []Part, p Part) []Part {
@@ -298,21 +342,33 @@
 	if !j.OwnedBy(c.From) {
 		return refuse(verdict.ReasonConflict, "job %s has no open part in data centre %s", c.Job, c.From)
 	}
-	for _, i := range c.Indices {
-		if i < 0 || i >= len(j.Owners) || j.Owners[i] != c.From {
-			return refuse(verdict.ReasonConflict, "task %d of job %s is not owned by data centre %s", i, c.Job, c.From)
+	for _, h := range c.Tasks {
+		if h.Index < 0 || h.Index >= len(j.Owners) || j.Owners[h.Index] != c.From {
+			return refuse(verdict.ReasonConflict, "task %d of job %s is not owned by data centre %s", h.Index, c.Job, c.From)
 		}
 	}
 	next := *j
 	next.Owners = slices.Clone(j.Owners)
-	for _, i := range c.Indices {
-		next.Owners[i] = c.To
+	next.Handed = slices.Clone(j.Handed)
+	for _, h := range c.Tasks {
+		next.Owners[h.Index] = c.To
+		next.Handed = withHanded(next.Handed, h)
 	}
+	next.Assignment = s.jobs.version + 1
 	next.Parts = reopened(j.Parts, c.To)
 	s.jobs.replace(&next)
 	return &Result{Job: &next}
 }
 
+func withHanded(list []HandedTask, h HandedTask) []HandedTask {
+	i, known := slices.BinarySearchFunc(list, h.Index, compareHanded)
+	if known {
+		list[i] = h
+		return list
+	}
+	return slices.Insert(list, i, h)
+}
+
 // reopened returns parts with that of dc open again.
 func reopened(parts []Part, dc model.DCID) []Part {
 	next := slices.Clone(parts)
--- a/internal/fleet/jobs_test.go
+++ b/internal/fleet/jobs_test.go
@@ -94,9 +94,9 @@
 	}
 	finish("dc2", model.OutcomeFailed)
 	qt.Assert(t, f.state.JobsOwnedBy("dc2"), qt.HasLen, 0)
-	f.ok(&Command{ReassignTasks: &ReassignTasks{Job: "j1", From: "dc1", To: "dc2", Indices: []int{2}}})
+	f.ok(&Command{ReassignTasks: &ReassignTasks{Job: "j1", From: "dc1", To: "dc2", Tasks: []HandedTask{{Index: 2}}}})
 	qt.Assert(t, f.state.JobsOwnedBy("dc2"), qt.HasLen, 1)
-	_, refusal := f.do(&Command{ReassignTasks: &ReassignTasks{Job: "j1", From: "dc1", To: "dc3", Indices: []int{0, 2}}})
+	_, refusal := f.do(&Command{ReassignTasks: &ReassignTasks{Job: "j1", From: "dc1", To: "dc3", Tasks: []HandedTask{{Index: 0}, {Index: 2}}}})
 	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonConflict)
 	finish("dc1", model.OutcomeSucceeded)
 	job, _ := f.state.Job("j1")
--- a/internal/fleetapi/jobs.go
+++ b/internal/fleetapi/jobs.go
@@ -48,7 +48,7 @@
 	if r.Header.Get(api.HeaderKey) != "" {
 		return s.authenticate(r)
 	}
-	return submitter{}, s.checkOperator(r)
+	return submitter{}, s.CheckOperator(r)
 }
 
 // submitJob accepts a job for the team whose key came with it.
--- a/internal/fleetapi/server.go
+++ b/internal/fleetapi/server.go
@@ -96,7 +96,7 @@
 // operatorsOnly refuses calls without the operators' token.
 func (s *Server) operatorsOnly(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if refusal := s.checkOperator(r); refusal != nil {
+		if refusal := s.CheckOperator(r); refusal != nil {
 			httpx.WriteRefusal(w, refusal)
 			return
 		}
@@ -104,9 +104,9 @@
 	})
 }
 
-// checkOperator compares hashes, so that the time tells neither the token nor
+// CheckOperator refuses a call without the operators' token. It compares hashes, so that the time tells neither the token nor
 // its length.
-func (s *Server) checkOperator(r *http.Request) *verdict.Refusal {
+func (s *Server) CheckOperator(r *http.Request) *verdict.Refusal {
 	if s.OperatorToken == "" {
 		return nil
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -47,10 +47,10 @@
 }
 
 // IsLeader reports whether this member leads and its leader lease holds.
-func (s *Status) IsLeader() bool { return s.Self == s.Leader && s.LeaseValid }
+func (s Status) IsLeader() bool { return s.Self == s.Leader && s.LeaseValid }
 
 // LeaderMember returns the leader's entry in Members.
-func (s *Status) LeaderMember() (Member, bool) {
+func (s Status) LeaderMember() (Member, bool) {
 	for _, m := range s.Members {
 		if m.ID == s.Leader && s.Leader != 0 {
 			return m, true
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -150,6 +150,18 @@
 	return time.Duration(d.Value.Int) * time.Millisecond, d
 }
 
+// LongestDuration returns the longest value of a duration setting at any node,
+// the default included.
+func (t *Tree) LongestDuration(name Name) time.Duration {
+	longest := Schema(name).Default.Int
+	for _, n := range t.nodes {
+		if v, ok := n.Values[name]; ok {
+			longest = max(longest, v.Value.Int)
+		}
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
 // Int returns a number or size setting with its decision.
 func (t *Tree) Int(s Scope, name Name) (int64, Decision) {
 	d := t.Lookup(s, name)
