--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,10 +3,7 @@
 // own goroutine and asks who leads.
 package replica
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // MemberID names one incarnation of a member. A process that lost its state
 // comes back under a new MemberID.
@@ -50,10 +47,10 @@
 }
 
 // IsLeader reports whether this member leads and its leader lease holds.
-func (s *Status) IsLeader() bool { return s.Self == s.Leader && s.LeaseValid }
+func (s Status) IsLeader() bool { return s.Self == s.Leader && s.LeaseValid }
 
 // LeaderMember returns the leader's entry in Members.
-func (s *Status) LeaderMember() (Member, bool) {
+func (s Status) LeaderMember() (Member, bool) {
 	for _, m := range s.Members {
 		if m.ID == s.Leader && s.Leader != 0 {
 			return m, true
@@ -89,5 +86,6 @@
 	Close() error
 }
 
-// LeaseTerm is how long a leader may act without hearing from a quorum.
-const LeaseTerm = time.Second
+// LeaseTerm is how long a leader may act without hearing from a quorum, at the
+// default tick.
+const LeaseTerm = electionTicks * DefaultTick * (driftShare - 1) / driftShare
