Fence late outcomes and moves of jobs

Cause: an outcome or a move that is committed after its job's tasks moved on would close a part with a task in it, or take a task from its owner; a job would then end with a task lost. Ruled out: relying on the order of proposals.

--- a/internal/fleet/command.go
+++ b/internal/fleet/command.go
@@ -105,6 +105,9 @@
 	DC      model.DCID    `msgpack:"d,omitempty"`
 	Outcome model.Outcome `msgpack:"o"`
 	Reason  string        `msgpack:"r,omitempty"`
+	// Assignment is the Job.Assignment that the outcome covers. An outcome that
+	// was overtaken by a reassignment is ignored. 0 is not checked.
+	Assignment uint64 `msgpack:"a,omitempty"`
 }
 
 // ReassignTasks hands tasks over to another data centre. The old owner must
@@ -115,6 +118,13 @@
 	To   model.DCID  `msgpack:"t"`
 	// Tasks lists the tasks with what the old owner leaves of them.
 	Tasks []HandedTask `msgpack:"i"`
+	// Assignment is the Job.Assignment the move was decided on. A move that was
+	// overtaken by another is refused, since the tasks may run again by now. 0 is
+	// not checked.
+	Assignment uint64 `msgpack:"a,omitempty"`
+	// Generation is that of the old owner's group. An older one than on record is
+	// refused, since its tables are lost. 0 is not checked.
+	Generation uint64 `msgpack:"n,omitempty"`
 }
 
 // RequestGrant states a data centre's demand for a part of a team's limit.
@@ -138,7 +148,7 @@
 	// overtaken by a change of the grant is refused.
 	Version uint64 `msgpack:"v"`
 	// Generation is that of the data centre's group. An older one than on record
-	// is refused, since the cap it committed is lost.
+	// is refused, since the cap it committed is lost. 0 is not checked.
 	Generation uint64 `msgpack:"n"`
 }
 
--- a/internal/fleet/escrow.go
+++ b/internal/fleet/escrow.go
@@ -59,8 +59,8 @@
 	if g == nil || g.Version != c.Version {
 		return refuse(verdict.ReasonConflict, "grant of team %s in data centre %s has changed", c.Team, c.DC)
 	}
-	if group := s.groups[c.DC]; group != nil && c.Generation < group.Generation {
-		return refuse(verdict.ReasonConflict, "group of %s has generation %d", c.DC, group.Generation)
+	if refusal := s.checkGeneration(c.DC, c.Generation); refusal != nil {
+		return &Result{Refusal: refusal}
 	}
 	if c.Keep.Negative() {
 		return refuse(verdict.ReasonBadRequest, "grant: amounts can't be negative")
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -266,6 +266,9 @@
 	if j == nil || j.Finished() {
 		return
 	}
+	if f.Assignment != 0 && f.Assignment != j.Assignment {
+		return
+	}
 	next := *j
 	if f.DC == "" {
 		next.Outcome, next.Reason = f.Outcome, f.Reason
@@ -339,6 +342,12 @@
 	if _, ok := s.dcs[c.To]; !ok {
 		return refuse(verdict.ReasonBadRequest, "data centre %q is not declared", c.To)
 	}
+	if c.Assignment != 0 && c.Assignment != j.Assignment {
+		return refuse(verdict.ReasonConflict, "job %s has assignment %d", c.Job, j.Assignment)
+	}
+	if refusal := s.checkGeneration(c.From, c.Generation); refusal != nil {
+		return &Result{Refusal: refusal}
+	}
 	if !j.OwnedBy(c.From) {
 		return refuse(verdict.ReasonConflict, "job %s has no open part in data centre %s", c.Job, c.From)
 	}
--- a/internal/fleet/jobs_test.go
+++ b/internal/fleet/jobs_test.go
@@ -107,6 +107,33 @@
 	qt.Assert(t, f.state.ActiveJobs(), qt.HasLen, 0)
 }
 
+// TestLateCommandsOfAnOwnerAreFenced repeats an outcome and a move after the
+// tasks have moved to and fro.
+func TestLateCommandsOfAnOwnerAreFenced(t *testing.T) {
+	f := started(t)
+	spec := batch("j1")
+	spec.Tasks = 2
+	first := f.ok(&Command{SubmitJob: &SubmitJob{Spec: spec, Owners: owners("dc1", "dc2")}}).Job.Assignment
+	ended := FinishedJob{Job: "j1", DC: "dc1", Outcome: model.OutcomeSucceeded, Assignment: first}
+	f.ok(&Command{FinishJobs: &FinishJobs{[]FinishedJob{ended}}})
+	move := &ReassignTasks{Job: "j1", From: "dc2", To: "dc1", Tasks: []HandedTask{{Index: 1}}, Assignment: first}
+	f.ok(&Command{ReassignTasks: move})
+
+	f.ok(&Command{FinishJobs: &FinishJobs{[]FinishedJob{ended}}})
+	job, _ := f.state.Job("j1")
+	qt.Assert(t, job.Finished(), qt.IsFalse)
+	qt.Assert(t, job.OwnedBy("dc1"), qt.IsTrue)
+
+	f.ok(&Command{ReassignTasks: &ReassignTasks{Job: "j1", From: "dc1", To: "dc2", Tasks: move.Tasks, Assignment: job.Assignment}})
+	_, refusal := f.do(&Command{ReassignTasks: move})
+	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonConflict)
+	f.state.groups["dc2"] = &Group{DC: "dc2", Generation: 2}
+	older := *move
+	older.Assignment, older.Generation = 0, 1
+	_, refusal = f.do(&Command{ReassignTasks: &older})
+	qt.Assert(t, refusal.Message, qt.Contains, "generation 2")
+}
+
 func TestCancelIsMarkedForOwners(t *testing.T) {
 	f := started(t)
 	f.ok(&Command{SubmitJob: &SubmitJob{Spec: batch("j1"), Owners: owners("dc1")}})
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -108,6 +108,16 @@
 	return &Result{Group: next}
 }
 
+// checkGeneration refuses what an older generation of a data centre's group has
+// decided. 0 is not checked.
+func (s *State) checkGeneration(dc model.DCID, generation uint64) *verdict.Refusal {
+	g := s.groups[dc]
+	if generation == 0 || g == nil || generation >= g.Generation {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonConflict, "group of %s has generation %d", dc, g.Generation)
+}
+
 // lostMajority reports whether most voters have been replaced by newer
 // incarnations of their VMs or removed.
 func (s *State) lostMajority(g *Group) bool {
