Found the fleet group on a store that holds an identity alone

Cause: init was refused, since a waiting member keeps its identity already. Before: conflict on a fresh cluster. Conclusion: membership is what tells whether a group exists.

--- a/internal/control/fleetside.go
+++ b/internal/control/fleetside.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -69,6 +70,13 @@
 	return storage.OpenDir(filepath.Join(dir, group))
 }
 
+func removeStore(dir, group string) error {
+	if dir == "" {
+		return nil
+	}
+	return os.RemoveAll(filepath.Join(dir, group))
+}
+
 // newMemberID draws an identity; 0 stands for none.
 func newMemberID() replica.MemberID {
 	return replica.MemberID(rand.Uint64() | 1)
@@ -105,13 +113,17 @@
 // found forms the fleet group with this process as its only member. It is
 // refused where a group is known already.
 func (f *fleetSide) found() *verdict.Refusal {
-	if f.store.Identity() != 0 || f.s.fleetStatus().Leader != 0 {
+	if st := f.s.fleetStatus(); len(st.Members) != 0 || st.Leader != 0 {
 		return verdict.Refuse(verdict.ReasonConflict, "%s is a member of a fleet group already", f.s.cfg.VM)
 	}
 	node, _ := f.member()
 	if err := node.Close(); err != nil {
 		return verdict.From(err)
 	}
+	// The store holds the identity and nothing else yet; founding needs an empty one.
+	if err := removeStore(f.s.cfg.DataDir, fleetGroup); err != nil {
+		return verdict.From(err)
+	}
 	store, err := openStore(f.s.cfg.DataDir, fleetGroup)
 	if err != nil {
 		return verdict.From(err)
