--- /dev/null
+++ b/internal/consensus/raft_test.go
@@ -0,0 +1,162 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/clock"
+)
+
+const testTick = 50 * time.Millisecond
+
+func testOptions(self ID) Options {
+	return Options{
+		Self: self, Rand: rand.New(rand.NewPCG(uint64(self), 1)), Tick: testTick,
+		ElectionTicks: 20, HeartbeatTicks: 3, LearnerTicks: 12,
+		DriftMargin: 100 * time.Millisecond, MaxAppendBytes: 1 << 10, ChunkBytes: 1 << 10,
+	}
+}
+
+// threeVoters is the state of a member of three after an entry of term 2.
+func threeVoters(t *testing.T) State {
+	data, err := Encode(Members{{ID: 1}, {ID: 2}, {ID: 3}})
+	qt.Assert(t, err, qt.IsNil)
+	return State{
+		Hard: HardState{Term: 3},
+		Entries: []Entry{
+			{Index: 1, Term: 1, Kind: EntryMembers, Data: data},
+			{Index: 2, Term: 2, Kind: EntryCommand, Data: []byte("old")},
+		},
+	}
+}
+
+// drain persists everything and returns the messages.
+func drain(r *Raft) []Message {
+	var ms []Message
+	for r.HasOutput() {
+		out := r.Take()
+		r.Persisted()
+		ms = append(ms, out.Messages...)
+	}
+	return ms
+}
+
+// tickUntil ticks until cond holds and returns the messages.
+func tickUntil(t *testing.T, r *Raft, now *clock.Instant, cond func() bool) []Message {
+	t.Helper()
+	var ms []Message
+	for range 200 {
+		if cond() {
+			return ms
+		}
+		*now = now.Add(testTick)
+		r.Tick(*now)
+		ms = append(ms, drain(r)...)
+	}
+	t.Fatal("condition does not come true")
+	return nil
+}
+
+// elect makes r lead by votes of member 2.
+func elect(t *testing.T, r *Raft, now *clock.Instant) {
+	t.Helper()
+	tickUntil(t, r, now, func() bool { return r.role == preCandidate })
+	r.Step(*now, Message{Kind: MsgPreVoteReply, From: 2, To: 1, Term: r.term + 1})
+	drain(r)
+	r.Step(*now, Message{Kind: MsgVoteReply, From: 2, To: 1, Term: r.term})
+	drain(r)
+	qt.Assert(t, r.IsLeader(), qt.IsTrue)
+}
+
+// TestOldTermsCommitWithOwn shows figure 3.7 of the dissertation: an entry of
+// an earlier term on a quorum may still be replaced.
+func TestOldTermsCommitWithOwn(t *testing.T) {
+	cases := []struct {
+		name    string
+		without Protection
+		want    uint64
+	}{
+		{"protected", 0, 0},
+		{"unprotected", ProtectTermCommit, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			o, now := testOptions(1), clock.Instant(0)
+			o.Without = c.without
+			r := New(o, threeVoters(t), now)
+			elect(t, r, &now)
+			r.Step(now, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: r.term, Index: 2})
+			drain(r)
+			qt.Assert(t, r.Commit(), qt.Equals, c.want)
+			r.Step(now, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: r.term, Index: 3})
+			drain(r)
+			qt.Assert(t, r.Commit(), qt.Equals, uint64(3))
+		})
+	}
+}
+
+// TestLeaseOfFrozenLeader checks the lease's end against the driver's clock.
+func TestLeaseOfFrozenLeader(t *testing.T) {
+	now := clock.Instant(0)
+	r := New(testOptions(1), threeVoters(t), now)
+	elect(t, r, &now)
+	began := now
+	qt.Assert(t, r.LeaseUntil(), qt.Equals, clock.Instant(0))
+	late := now.Add(300 * time.Millisecond)
+	r.Step(late, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: r.term, Index: 3, Round: 1})
+	drain(r)
+	qt.Assert(t, r.LeaseUntil(), qt.Equals, began.Add(900*time.Millisecond))
+	r.Tick(began.Add(time.Hour))
+	qt.Assert(t, r.LeaseUntil() < began.Add(time.Hour), qt.IsTrue)
+}
+
+// TestVotes checks who is given a vote.
+func TestVotes(t *testing.T) {
+	const window = 1100 * time.Millisecond
+	vote := Message{Kind: MsgVote, From: 3, To: 1, Term: 4, Index: 2, LogTerm: 2}
+	cases := []struct {
+		name   string
+		change func(*Message)
+		wait   bool
+		want   bool
+	}{
+		{"whole log", func(*Message) {}, true, true},
+		{"soon after a start", func(*Message) {}, false, false},
+		{"soon, asked for by the leader", func(m *Message) { m.Transfer = true }, false, true},
+		{"shorter log", func(m *Message) { m.Index = 1 }, true, false},
+		{"older last term", func(m *Message) { m.LogTerm, m.Index = 1, 9 }, true, false},
+		{"stale term", func(m *Message) { m.Term = 2 }, true, false},
+		{"for another incarnation", func(m *Message) { m.To = 9 }, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := clock.Instant(0)
+			r := New(testOptions(1), threeVoters(t), now)
+			if c.wait {
+				// The member hears nobody, but has not begun an election yet.
+				r.timeout = 1000
+				end := now.Add(window)
+				tickUntil(t, r, &now, func() bool { return now >= end })
+			}
+			m := vote
+			c.change(&m)
+			r.Step(now, m)
+			granted := false
+			for _, out := range drain(r) {
+				granted = granted || (out.Kind == MsgVoteReply && !out.Reject)
+			}
+			qt.Assert(t, granted, qt.Equals, c.want)
+		})
+	}
+}
+
+// TestClockStepKeepsWindow shows that an instant far ahead alone ends no
+// other member's lease.
+func TestClockStepKeepsWindow(t *testing.T) {
+	r := New(testOptions(1), threeVoters(t), 0)
+	r.Step(clock.Instant(time.Hour), Message{Kind: MsgVote, From: 3, To: 1, Term: 4, Index: 2, LogTerm: 2})
+	qt.Assert(t, drain(r), qt.HasLen, 0)
+}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -13,13 +13,17 @@
 	"kumquatwing/internal/verdict"
 )
 
-const (
+// logLimits bound a member's log.
+type logLimits struct {
 	// compactBytes is the log size at which it is compacted; a log may grow to
 	// the size of the last snapshot if that is larger.
-	compactBytes = 1 << 20
+	compactBytes int
 	// keepBytes of the log stay for members that lag a little.
-	keepBytes = 256 << 10
-)
+	keepBytes int
+}
+
+// defaultLimits suit the memory and write rate of a control process.
+var defaultLimits = logLimits{compactBytes: 1 << 20, keepBytes: 256 << 10}
 
 // waiter is told what became of a proposed entry.
 type waiter struct {
@@ -44,6 +48,8 @@
 	witness bool
 
 	applied uint64
+	// limits says when the log is compacted.
+	limits logLimits
 	// snapshotSize is the size of the last snapshot written.
 	snapshotSize int
 	waiters      map[uint64][]waiter
@@ -61,6 +67,7 @@
 	Store   storage.Store
 	Machine Machine
 	Options consensus.Options
+	Limits  logLimits
 	Send    func(consensus.Message)
 	Logger  *zap.Logger
 }
@@ -81,6 +88,7 @@
 		store:        c.Store,
 		machine:      c.Machine,
 		log:          c.Logger,
+		limits:       c.Limits,
 		send:         c.Send,
 		witness:      c.Self.Witness,
 		applied:      st.Snapshot.Index,
@@ -321,7 +329,7 @@
 // compact shortens the log once it is large. A member without a disk needs no
 // snapshot for that.
 func (c *core) compact() {
-	if c.failed != nil || c.raft.LogBytes() < max(compactBytes, c.snapshotSize) {
+	if c.failed != nil || c.raft.LogBytes() < max(c.limits.compactBytes, c.snapshotSize) {
 		return
 	}
 	if c.store.Durable() {
@@ -330,7 +338,7 @@
 			return
 		}
 	}
-	c.raft.Compact(keepBytes)
+	c.raft.Compact(c.limits.keepBytes)
 }
 
 func (c *core) writeSnapshot() error {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -105,7 +105,7 @@
 	}
 	co, err := newCore(coreConfig{
 		Self: cfg.Self, Found: cfg.Found, Store: cfg.Store, Machine: cfg.Machine,
-		Options: options(cfg), Send: n.send, Logger: cfg.Logger,
+		Options: options(cfg), Limits: defaultLimits, Send: n.send, Logger: cfg.Logger,
 	}, cfg.Clock.Now())
 	if err != nil {
 		return nil, err
--- a/internal/storage/faultfs/faultfs.go
+++ b/internal/storage/faultfs/faultfs.go
@@ -31,7 +31,8 @@
 
 // FS implements storage.FS. It is not safe for concurrent use.
 type FS struct {
-	// IgnoreSync makes syncs do nothing, as a build without them would.
+	// IgnoreSync makes syncs do nothing, as a build without them would. What
+	// is lost then is the end of each file.
 	IgnoreSync bool
 
 	durable map[string]*inode
@@ -67,7 +68,7 @@
 		p.apply(names)
 	}
 	for _, name := range slices.Sorted(maps.Keys(names)) {
-		names[name].tear(rng)
+		names[name].tear(rng, f.IgnoreSync)
 	}
 	f.durable, f.current = names, maps.Clone(names)
 	f.pending, f.crashed, f.crashAt = nil, false, 0
@@ -85,8 +86,9 @@
 	}
 }
 
-// tear keeps some sectors of what was written since the last sync.
-func (n *inode) tear(rng *rand.Rand) {
+// tear keeps some sectors of what was written since the last sync, or with
+// inOrder the first ones.
+func (n *inode) tear(rng *rand.Rand, inOrder bool) {
 	length := len(n.synced)
 	if more := len(n.current) - length; more > 0 {
 		length += rng.IntN(more + 1)
@@ -100,7 +102,7 @@
 	copy(kept, n.synced)
 	for at := 0; at < length; at += sectorBytes {
 		end := min(at+sectorBytes, length)
-		if at < len(n.current) && rng.IntN(2) == 0 {
+		if at < len(n.current) && (inOrder || rng.IntN(2) == 0) {
 			copy(kept[at:end], n.current[at:min(end, len(n.current))])
 		}
 	}
