--- a/internal/placement/backfill.go
+++ b/internal/placement/backfill.go
@@ -1,5 +1,7 @@
 package placement
 
+import "slices"
+
 // backfillMarginPercent is added to a task's expected run time before it is
 // let into reserved room, since run times are often longer than expected.
 const backfillMarginPercent = 50
@@ -13,11 +15,11 @@
 	return now + runMillis*(100+backfillMarginPercent)/100
 }
 
-// mayBackfill reports whether a is expected to end before any reservation on
+// mayBackfill reports whether a is expected to end before every reservation on
 // worker w starts, so that it may run in reserved room in the meantime.
 func (c *cell) mayBackfill(w int, a *ask) bool {
-	if a.endsBy == 0 || c.startsBy[w] == noReservation {
+	if a.endsBy == 0 || len(c.starts[w]) == 0 {
 		return false
 	}
-	return a.endsBy <= c.startsBy[w]
+	return a.endsBy <= slices.Min(c.starts[w])
 }
--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -1,12 +1,11 @@
 package placement
 
 import (
+	"slices"
+
 	"kumquatwing/internal/model"
 )
 
-// noReservation stands for a worker on which no room is reserved.
-const noReservation int64 = -1
-
 // cell is the room of a data centre's workers while one plan is made. Slices
 // are indexed like Snapshot.Workers.
 type cell struct {
@@ -17,8 +16,8 @@
 	// urgentHeld and held are reserved for urgent and for other jobs.
 	urgentHeld []model.Resources
 	held       []model.Resources
-	// startsBy is the earliest start of a reservation in held.
-	startsBy []int64
+	// starts lists the starts of the reservations in held.
+	starts [][]int64
 	// scale turns room into thousandths of the worker's size.
 	scale []scale
 	rack  []int32
@@ -36,7 +35,7 @@
 		free:       make([]model.Resources, n),
 		urgentHeld: make([]model.Resources, n),
 		held:       make([]model.Resources, n),
-		startsBy:   make([]int64, n),
+		starts:     make([][]int64, n),
 		scale:      make([]scale, n),
 		rack:       make([]int32, n),
 		byID:       make(map[model.WorkerID]int32, n),
@@ -45,7 +44,6 @@
 	for i := range s.Workers {
 		w := &s.Workers[i]
 		c.free[i] = w.Free
-		c.startsBy[i] = noReservation
 		c.scale[i] = newScale(w.Size)
 		c.byID[w.ID] = int32(i)
 		if _, ok := racks[w.Rack]; !ok {
@@ -78,14 +76,11 @@
 			continue
 		}
 		c.held[i] = c.held[i].Add(room.Room)
-		if c.startsBy[i] == noReservation || r.StartMillis < c.startsBy[i] {
-			c.startsBy[i] = r.StartMillis
-		}
+		c.starts[i] = append(c.starts[i], r.StartMillis)
 	}
 }
 
-// release undoes hold. The earliest start of the worker's reservations stays
-// as it was unless none is left, which is on the safe side for backfill.
+// release undoes hold.
 func (c *cell) release(r *Reservation) {
 	for _, room := range r.Workers {
 		i, ok := c.byID[room.Worker]
@@ -97,8 +92,8 @@
 			continue
 		}
 		c.held[i] = c.held[i].Sub(room.Room)
-		if c.held[i].IsZero() {
-			c.startsBy[i] = noReservation
+		if k := slices.Index(c.starts[i], r.StartMillis); k >= 0 {
+			c.starts[i] = slices.Delete(c.starts[i], k, k+1)
 		}
 	}
 }
--- a/internal/placement/check.go
+++ b/internal/placement/check.go
@@ -70,7 +70,6 @@
 	workers map[model.WorkerID]*WorkerView
 	jobs    map[model.JobID]*JobView
 	teams   map[model.TeamID]*TeamView
-	tasks   map[model.TaskID]*PendingTask
 	placed  map[model.JobID]int
 }
 
@@ -80,7 +79,6 @@
 		workers: make(map[model.WorkerID]*WorkerView, len(s.Workers)),
 		jobs:    make(map[model.JobID]*JobView, len(s.Jobs)),
 		teams:   make(map[model.TeamID]*TeamView, len(s.Teams)),
-		tasks:   make(map[model.TaskID]*PendingTask),
 		placed:  make(map[model.JobID]int),
 	}
 	for i := range s.Workers {
@@ -90,11 +88,7 @@
 		c.teams[s.Teams[i].ID] = &s.Teams[i]
 	}
 	for i := range s.Jobs {
-		j := &s.Jobs[i]
-		c.jobs[j.Spec.ID] = j
-		for k := range j.Pending {
-			c.tasks[j.Pending[k].ID] = &j.Pending[k]
-		}
+		c.jobs[s.Jobs[i].Spec.ID] = &s.Jobs[i]
 	}
 	for i := range p.Place {
 		c.placed[p.Place[i].Job]++
@@ -125,8 +119,9 @@
 }
 
 func (c *checker) checkPlacement(p *Placement) error {
-	t, j, w := c.tasks[p.Task], c.jobs[p.Job], c.workers[p.Worker]
-	if t == nil || j == nil || !owns(j, p.Task) {
+	j, w := c.jobs[p.Job], c.workers[p.Worker]
+	t := pendingTask(j, p.Task)
+	if t == nil {
 		return broken(RulePending, "task %s of job %s is not pending", p.Task, p.Job)
 	}
 	if t.NotBeforeMillis > c.s.NowMillis {
@@ -143,13 +138,17 @@
 	return checkExplanation(c.s, string(p.Task), &p.Explain)
 }
 
-func owns(j *JobView, id model.TaskID) bool {
+// pendingTask finds a task of j, which may be nil, or returns nil.
+func pendingTask(j *JobView, id model.TaskID) *PendingTask {
+	if j == nil {
+		return nil
+	}
 	for i := range j.Pending {
 		if j.Pending[i].ID == id {
-			return true
+			return &j.Pending[i]
 		}
 	}
-	return false
+	return nil
 }
 
 func checkExplanation(s *Snapshot, subject string, e *Explanation) error {
--- a/internal/placement/check_reserve.go
+++ b/internal/placement/check_reserve.go
@@ -2,82 +2,110 @@
 
 import "kumquatwing/internal/model"
 
-// checkReservedRoom checks that no placement uses room that an earlier plan
-// reserved for another job which still waits, but for backfill and urgent work.
+// heldRoom is room on workers, reserved for jobs.
+type heldRoom map[model.WorkerID][]heldFor
+
+// heldFor is room for one job on one worker.
+type heldFor struct {
+	job    model.JobID
+	urgent bool
+	start  int64
+	room   model.Resources
+}
+
+// checkReservedRoom checks that placements leave the room that is reserved for
+// other jobs: urgent tasks that for urgent ones, tasks that are expected to end
+// before the others start that for urgent ones too, and all others both.
 func (c *checker) checkReservedRoom() error {
-	reserved := make(map[model.WorkerID]model.Resources)
-	for i := range c.p.Reservations {
-		r := &c.p.Reservations[i]
-		if !c.carried(r.Job) {
-			continue
-		}
-		for _, room := range r.Workers {
-			reserved[room.Worker] = reserved[room.Worker].Add(room.Room)
-		}
+	held := c.heldRoom()
+	free := make(map[model.WorkerID]model.Resources, len(c.workers))
+	for i := range c.s.Workers {
+		free[c.s.Workers[i].ID] = c.s.Workers[i].Free
 	}
-	used := make(map[model.WorkerID]model.Resources)
 	for i := range c.p.Place {
 		p := &c.p.Place[i]
-		w := c.workers[p.Worker]
-		used[p.Worker] = used[p.Worker].Add(c.jobs[p.Job].Spec.Size)
-		if _, ok := reserved[p.Worker]; !ok || c.mayUseReserved(p) {
-			continue
-		}
-		if !used[p.Worker].Add(reserved[p.Worker]).Fits(w.Free) && !c.ownsReservation(p) {
+		free[p.Worker] = free[p.Worker].Sub(c.jobs[p.Job].Spec.Size)
+		if !c.heldFrom(p, held[p.Worker]).Fits(free[p.Worker]) {
 			return broken(RuleReserved, "task %s uses reserved room of worker %s", p.Task, p.Worker)
 		}
 	}
 	return nil
 }
 
-// carried reports whether job held a reservation before the plan.
-func (c *checker) carried(job model.JobID) bool {
-	for i := range c.s.Reservations {
-		if c.s.Reservations[i].Job == job {
-			return true
+// heldRoom lists the room that was reserved before the plan and still is, and
+// that which the plan reserves for urgent tasks.
+func (c *checker) heldRoom() heldRoom {
+	held := make(heldRoom)
+	for i := range c.p.Reservations {
+		r := &c.p.Reservations[i]
+		urgent := r.Class == model.ClassUrgent
+		for _, room := range r.Workers {
+			size := room.Room
+			if !urgent {
+				size = size.Min(c.heldBefore(r.Job, room.Worker))
+			}
+			if !size.IsZero() {
+				held[room.Worker] = append(held[room.Worker], heldFor{r.Job, urgent, r.StartMillis, size})
+			}
 		}
 	}
-	return false
+	return held
 }
 
-// ownsReservation reports whether p's job holds room on p's worker itself.
-func (c *checker) ownsReservation(p *Placement) bool {
+// heldBefore is the room that a job held on a worker before the plan and that
+// its tasks placed by the plan have not used up.
+func (c *checker) heldBefore(job model.JobID, w model.WorkerID) model.Resources {
+	var sum model.Resources
 	for i := range c.s.Reservations {
 		r := &c.s.Reservations[i]
-		if r.Job == p.Job {
-			return true
+		if r.Job != job || r.UntilMillis <= c.s.NowMillis {
+			continue
+		}
+		for _, room := range c.unusedRooms(r) {
+			if room.Worker == w {
+				sum = sum.Add(room.Room)
+			}
 		}
 	}
-	return false
+	return sum
 }
 
-// mayUseReserved reports whether p is urgent or ends before reservations start.
-func (c *checker) mayUseReserved(p *Placement) bool {
-	j := c.jobs[p.Job]
-	return isUrgent(j) || endsBy(c.s.NowMillis, j.RunMillis) != 0 && j.Spec.Class != model.ClassService
+// unusedRooms is what is left of r after the plan's placements of its job.
+func (c *checker) unusedRooms(r *Reservation) []ReservedRoom {
+	size := c.jobs[r.Job].Spec.Size
+	covered := 0
+	for _, room := range r.Workers {
+		covered += slotsIn(room.Room, size, len(c.jobs[r.Job].Pending))
+	}
+	return firstRooms(r.Workers, size, covered-c.placed[r.Job])
 }
 
-// checkPreemptions checks that runs are stopped for tasks that may ask for it.
-func (c *checker) checkPreemptions() error {
-	runs := make(map[model.TaskID]*RunView, len(c.s.Runs))
-	for i := range c.s.Runs {
-		runs[c.s.Runs[i].Task] = &c.s.Runs[i]
-	}
-	for i := range c.p.Preempt {
-		p := &c.p.Preempt[i]
-		r := runs[p.Task]
-		if r == nil || r.Worker != p.Worker {
-			return broken(RulePreempt, "task %s does not run on worker %s", p.Task, p.Worker)
-		}
-		delete(runs, p.Task)
-		if !r.Preemptible || r.Stopping || r.Class != model.ClassBatch {
-			return broken(RulePreempt, "task %s of class %s may not be preempted", p.Task, r.Class)
-		}
-		if c.tasks[p.For] == nil {
-			return broken(RulePreempt, "task %s is preempted for %s, which does not wait", p.Task, p.For)
+// heldFrom sums the held room that p may not use.
+func (c *checker) heldFrom(p *Placement, held []heldFor) model.Resources {
+	j := c.jobs[p.Job]
+	var sum model.Resources
+	for _, h := range held {
+		switch {
+		case h.job == p.Job:
+		case h.urgent && !isUrgent(j):
+			sum = sum.Add(h.room)
+		case h.urgent:
+			sum = sum.Add(h.room.Min(c.heldBefore(h.job, p.Worker)))
+		case isUrgent(j) || c.endsBefore(j, h.start):
+		default:
+			sum = sum.Add(h.room)
 		}
 	}
-	return nil
+	return sum
+}
+
+// endsBefore reports whether a task of j is expected to end before start.
+func (c *checker) endsBefore(j *JobView, start int64) bool {
+	if j.Spec.Class == model.ClassService {
+		return false
+	}
+	end := endsBy(c.s.NowMillis, j.RunMillis)
+	return end != 0 && end <= start
 }
 
 // checkReservations checks that reserved room exists and ends.
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -19,8 +19,11 @@
 	d.refuseNeverFitting()
 	d.placeReserved(isUrgent)
 	d.placeQueue(isUrgent)
+	d.preemptForUrgent()
 	d.placeReserved(isOrdinary)
 	d.placeQueue(isOrdinary)
+	d.reclaimShares()
+	d.reserveForWaiting()
 	return d.finish()
 }
 
@@ -37,7 +40,11 @@
 	full map[model.Resources]int64
 	// reservations that stand, in the order of their jobs.
 	reservations []reservedFor
-	plan         *Plan
+	// runs is nil until a step needs it; see index.
+	runs *runIndex
+	plan *Plan
+	// evicted is the run of each preemption of the plan.
+	evicted []int32
 }
 
 func newDecider(s *Snapshot) *decider {
@@ -141,20 +148,27 @@
 // placeReserved gives jobs that hold a reservation the first go at their room.
 func (d *decider) placeReserved(kind func(*JobView) bool) {
 	for _, j := range d.jobs {
-		if j.reservation == nil || !j.open() || !kind(j.view) || d.planFull() {
+		if j.reservation == nil || !j.open() || !kind(j.view) {
 			continue
 		}
 		// Room that was full for another job may be reserved for this one.
 		clear(d.full)
-		d.c.release(j.reservation)
-		for j.open() && !d.planFull() {
-			d.placeNext(j)
-		}
-		d.shrinkReservation(j)
+		d.placeCovered(j)
 	}
 	clear(d.full)
 }
 
+// placeCovered places as many tasks of j as its reservation covers. Any more
+// take their turn in the queue.
+func (d *decider) placeCovered(j *jobState) {
+	left := j.left - j.reservedTasks()
+	d.c.release(j.reservation)
+	for j.open() && j.left > left && !d.planFull() {
+		d.placeNext(j)
+	}
+	d.shrinkReservation(j, j.left-left)
+}
+
 // placeNext places the job's next task, or all of a gang's; or notes why not.
 func (d *decider) placeNext(j *jobState) {
 	if isGang(j.view) {
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -41,7 +41,7 @@
 
 // workerOf returns a ready worker of the usual size.
 func workerOf(id, rack string) WorkerView {
-	size := model.Resources{MilliCPU: 16_000, MemoryMB: 32_000}
+	size := model.Resources{MilliCPU: 16_000, MemoryMB: 32_768}
 	return WorkerView{ID: model.WorkerID(id), Rack: rack, Size: size, Free: size, State: model.WorkerReady}
 }
 
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -76,8 +76,7 @@
 
 // countWait adds to w how many workers each filter rejects.
 func (d *decider) countWait(w *Wait, j *jobState, counted map[waitKey]waitCounts) {
-	i := min(j.next, len(j.view.Pending)-1)
-	a := d.ask(j, i)
+	a := d.ask(j, d.firstWaiting(j))
 	k := waitKey{a.size, a.endsBy, a.urgent}
 	shared := len(a.avoid) == 0 && j.reservation == nil
 	c, ok := counted[k]
@@ -97,6 +96,24 @@
 	d.explainOpen(w, j, c.open)
 }
 
+// firstWaiting is the first task of j that waits and is not held back after a
+// failure; it stands for the job's other tasks.
+func (d *decider) firstWaiting(j *jobState) int {
+	first := -1
+	for i := range j.view.Pending {
+		if j.placed[i] {
+			continue
+		}
+		if j.view.Pending[i].NotBeforeMillis <= d.s.NowMillis {
+			return i
+		}
+		if first < 0 {
+			first = i
+		}
+	}
+	return first
+}
+
 // countOwn counts the workers for j, with its own reservation released.
 func (d *decider) countOwn(j *jobState, a *ask) waitCounts {
 	if j.reservation != nil {
--- a/internal/placement/gen_test.go
+++ b/internal/placement/gen_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -25,31 +27,41 @@
 
 const genNow = 1_000_000
 
+// gen draws the parts of a snapshot, evenly, from one seed.
+type gen struct{ *rand.Rand }
+
+// one draws one of choices.
+func one[T any](g gen, choices ...T) T { return choices[g.IntN(len(choices))] }
+
+// chance is true once in n times.
+func (g gen) chance(n int) bool { return g.IntN(n) == 0 }
+
 // genSnapshot draws a small cell with tasks that run, wait and hold reservations.
 func genSnapshot(t *rapid.T) *Snapshot {
+	g := gen{rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))}
 	s := &Snapshot{NowMillis: genNow}
-	s.Out = rapid.IntRange(0, 19).Draw(t, "out") == 0
-	s.Settling = rapid.IntRange(0, 9).Draw(t, "settling") == 0
-	s.MaxPlacements = rapid.SampledFrom([]int{0, 0, 0, 1, 5}).Draw(t, "bound")
-	genWorkers(t, s)
-	genTeams(t, s)
-	genRuns(t, s)
-	genJobs(t, s)
-	genReservations(t, s)
+	s.Out = g.chance(30)
+	s.Settling = g.chance(10)
+	s.MaxPlacements = one(g, 0, 0, 0, 1, 5)
+	g.workers(s)
+	g.teams(s)
+	g.runs(s)
+	g.jobs(s)
+	g.reservations(s)
 	return s
 }
 
-func genWorkers(t *rapid.T, s *Snapshot) {
-	n := rapid.IntRange(0, 12).Draw(t, "workers")
+func (g gen) workers(s *Snapshot) {
+	n := one(g, 0, 1, 3, 6, 9, 12, 12)
 	for i := range n {
-		size := model.Resources{MilliCPU: 16_000, MemoryMB: 32_000}
+		size := model.Resources{MilliCPU: 16_000, MemoryMB: 32_768}
 		if i%4 == 3 {
 			size.Accelerators = 4
 		}
-		state := rapid.SampledFrom([]model.WorkerState{
-			model.WorkerReady, model.WorkerReady, model.WorkerReady, model.WorkerReady,
-			model.WorkerQuarantined, model.WorkerLost,
-		}).Draw(t, "state")
+		state := model.WorkerReady
+		if g.chance(5) {
+			state = one(g, model.WorkerQuarantined, model.WorkerLost)
+		}
 		s.Workers = append(s.Workers, WorkerView{
 			ID:    model.WorkerID(fmt.Sprintf("w%02d", i)),
 			Rack:  fmt.Sprintf("r%d", i/3),
@@ -60,117 +72,103 @@
 	}
 }
 
-func genTeams(t *rapid.T, s *Snapshot) {
-	for i := range rapid.IntRange(1, 4).Draw(t, "teams") {
-		grant := model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}
-		if rapid.IntRange(0, 2).Draw(t, "limited") == 0 {
-			grant = model.Resources{MilliCPU: rapid.Int64Range(0, 60_000).Draw(t, "limit"), MemoryMB: 90_000, Accelerators: 4}
+func (g gen) teams(s *Snapshot) {
+	for i := range 1 + g.IntN(4) {
+		t := teamOf(fmt.Sprintf("t%d", i), 1+g.Int64N(5))
+		if g.chance(4) {
+			t.Grant = model.Resources{MilliCPU: g.Int64N(90_000), MemoryMB: 90_000, Accelerators: 4}
 		}
-		s.Teams = append(s.Teams, TeamView{
-			ID:        model.TeamID(fmt.Sprintf("t%d", i)),
-			Share:     rapid.Int64Range(1, 5).Draw(t, "share"),
-			Grant:     grant,
-			Elsewhere: genSize(t).Scale(rapid.Int64Range(0, 3).Draw(t, "elsewhere")),
-		})
+		t.Elsewhere = g.size().Scale(g.Int64N(4))
+		s.Teams = append(s.Teams, t)
 	}
 }
 
-func genSize(t *rapid.T) model.Resources {
+func (g gen) size() model.Resources {
 	return model.Resources{
-		MilliCPU:     rapid.SampledFrom([]int64{250, 1000, 2000, 4000, 9000, 16_000}).Draw(t, "cpu"),
-		MemoryMB:     rapid.SampledFrom([]int64{256, 2048, 8192, 20_000}).Draw(t, "memory"),
-		Accelerators: rapid.SampledFrom([]int64{0, 0, 0, 0, 1, 2}).Draw(t, "accelerators"),
+		MilliCPU:     one[int64](g, 250, 1000, 2000, 4000, 9000, 16_000),
+		MemoryMB:     one[int64](g, 256, 2048, 8192, 16_384, 20_000),
+		Accelerators: one[int64](g, 0, 0, 0, 0, 0, 0, 1, 2),
 	}
 }
 
-func genClass(t *rapid.T) model.Class {
-	return rapid.SampledFrom([]model.Class{
-		model.ClassBatch, model.ClassBatch, model.ClassService, model.ClassGang, model.ClassUrgent,
-	}).Draw(t, "class")
+func (g gen) class() model.Class {
+	return one(g, model.ClassBatch, model.ClassBatch, model.ClassService, model.ClassGang, model.ClassUrgent)
 }
 
-// genRuns fills workers up with runs.
-func genRuns(t *rapid.T, s *Snapshot) {
-	for i := range rapid.IntRange(0, 40).Draw(t, "runs") {
+// runs fills workers up.
+func (g gen) runs(s *Snapshot) {
+	for i := range one(g, 0, 10, 40, 120) {
 		if len(s.Workers) == 0 {
 			return
 		}
-		w := &s.Workers[rapid.IntRange(0, len(s.Workers)-1).Draw(t, "on")]
-		team := &s.Teams[rapid.IntRange(0, len(s.Teams)-1).Draw(t, "team")]
-		size := genSize(t)
+		w := &s.Workers[g.IntN(len(s.Workers))]
+		team := &s.Teams[g.IntN(len(s.Teams))]
+		size := g.size()
 		if !size.Fits(w.Free) {
 			continue
 		}
 		w.Free = w.Free.Sub(size)
 		team.Usage = team.Usage.Add(size)
-		class := genClass(t)
+		class := g.class()
 		s.Runs = append(s.Runs, RunView{
-			Task:             model.TaskID(fmt.Sprintf("run%02d.0", i)),
-			Job:              model.JobID(fmt.Sprintf("run%02d", i)),
+			Task:             model.TaskID(fmt.Sprintf("run%03d.0", i)),
+			Job:              model.JobID(fmt.Sprintf("run%03d", i)),
 			Team:             team.ID,
 			Class:            class,
 			Worker:           w.ID,
 			Holds:            size,
-			StartedMillis:    rapid.Int64Range(0, genNow).Draw(t, "started"),
-			CheckpointMillis: rapid.SampledFrom([]int64{0, 0, genNow - 1000}).Draw(t, "checkpoint"),
-			EndsMillis:       rapid.SampledFrom([]int64{0, genNow - 1, genNow + 5000, genNow + 60_000}).Draw(t, "ends"),
-			Preemptible:      class == model.ClassBatch && rapid.Bool().Draw(t, "preemptible"),
-			Stopping:         rapid.IntRange(0, 5).Draw(t, "stopping") == 0,
+			StartedMillis:    g.Int64N(genNow),
+			CheckpointMillis: one[int64](g, 0, 0, genNow-1000),
+			EndsMillis:       one[int64](g, 0, genNow-1, genNow+5000, genNow+60_000),
+			Preemptible:      class == model.ClassBatch && !g.chance(4),
+			Stopping:         g.chance(8),
 		})
 	}
 }
 
-func genJobs(t *rapid.T, s *Snapshot) {
-	for i := range rapid.IntRange(0, 25).Draw(t, "jobs") {
-		id := model.JobID(fmt.Sprintf("j%02d", i))
-		size := genSize(t)
-		if rapid.IntRange(0, 30).Draw(t, "huge") == 0 {
+func (g gen) jobs(s *Snapshot) {
+	for i := range one(g, 1, 5, 15, 25) {
+		size := g.size()
+		if g.chance(30) {
 			size.MemoryMB = 1 << 20
 		}
-		j := JobView{
-			Spec: model.JobSpec{
-				ID:    id,
-				Team:  model.TeamID(fmt.Sprintf("t%d", rapid.IntRange(0, 4).Draw(t, "of"))),
-				Class: genClass(t),
-				Tasks: rapid.IntRange(1, 6).Draw(t, "tasks"),
-				Size:  size,
-			},
-			ArrivedMillis: genNow - int64(100-i)*rapid.SampledFrom([]int64{10, 1000}).Draw(t, "age"),
-			RunMillis:     rapid.SampledFrom([]int64{0, 1000, 3000, 600_000}).Draw(t, "run"),
-			Policy: Policy{
-				GangReservationMillis: 10_000,
-				Decisions:             []settings.Decision{{Name: settings.GangReservation}},
-			},
+		team := fmt.Sprintf("t%d", g.IntN(len(s.Teams)))
+		if g.chance(30) {
+			team = "nobody"
 		}
-		for k := range j.Spec.Tasks {
-			j.Pending = append(j.Pending, genPending(t, s, model.TaskID(fmt.Sprintf("%s.%d", id, k))))
+		j := jobOf(fmt.Sprintf("j%02d", i), team, g.class(), 1+g.IntN(6), 0)
+		j.Spec.Size = size
+		j.ArrivedMillis = genNow - int64(100-i)*one[int64](g, 10, 200, 1000)
+		j.RunMillis = one[int64](g, 0, 1000, 3000, 600_000)
+		j.Policy.Decisions = []settings.Decision{{Name: settings.GangReservation, Revision: uint64(i)}}
+		for k := range j.Pending {
+			g.pending(s, &j.Pending[k])
 		}
 		s.Jobs = append(s.Jobs, j)
 	}
+	slices.SortFunc(s.Jobs, func(a, b JobView) int { return compareJobs(&a, &b) })
 }
 
-func genPending(t *rapid.T, s *Snapshot, id model.TaskID) PendingTask {
-	p := PendingTask{ID: id}
-	if rapid.IntRange(0, 9).Draw(t, "held back") == 0 {
+func (g gen) pending(s *Snapshot, p *PendingTask) {
+	if g.chance(30) {
 		p.NotBeforeMillis = genNow + 500
 	}
-	if len(s.Workers) > 0 && rapid.IntRange(0, 4).Draw(t, "failed") == 0 {
-		p.Avoid = append(p.Avoid, s.Workers[rapid.IntRange(0, len(s.Workers)-1).Draw(t, "avoid")].ID)
+	if len(s.Workers) > 0 && g.chance(8) {
+		p.Avoid = append(p.Avoid, s.Workers[g.IntN(len(s.Workers))].ID)
 	}
-	return p
 }
 
-// genReservations lets a plan for a fuller cell make the reservations, so that
-// they are such as really occur.
-func genReservations(t *rapid.T, s *Snapshot) {
-	if rapid.Bool().Draw(t, "reserve") {
+// reservations lets a plan for a fuller cell make them, so that they are such
+// as really occur.
+func (g gen) reservations(s *Snapshot) {
+	if g.chance(2) {
 		return
 	}
 	earlier := *s
-	earlier.NowMillis -= rapid.SampledFrom([]int64{100, 5000, 20_000}).Draw(t, "earlier")
-	earlier.Workers = append([]WorkerView(nil), s.Workers...)
+	earlier.NowMillis -= one[int64](g, 100, 5000, 20_000)
+	earlier.Workers = slices.Clone(s.Workers)
 	for i := range earlier.Workers {
-		earlier.Workers[i].Free = model.Resources{}
+		earlier.Workers[i].Free = earlier.Workers[i].Free.Min(model.Resources{MilliCPU: g.Int64N(4000)})
 	}
 	s.Reservations = Decide(&earlier).Reservations
 }
--- /dev/null
+++ b/internal/placement/policy_test.go
@@ -0,0 +1,188 @@
+package placement
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/model"
+)
+
+// runOf returns a preemptible batch run that started and saved at the given times.
+func runOf(id, team, worker string, milliCPU, started, checkpoint, ends int64) RunView {
+	return RunView{
+		Task: model.TaskID(id + ".0"), Job: model.JobID(id), Team: model.TeamID(team), Class: model.ClassBatch,
+		Worker: model.WorkerID(worker), Holds: model.Resources{MilliCPU: milliCPU, MemoryMB: 1000},
+		StartedMillis: started, CheckpointMillis: checkpoint, EndsMillis: ends, Preemptible: true,
+	}
+}
+
+// occupied returns a snapshot of workers filled by runs.
+func occupied(workers []WorkerView, runs ...RunView) *Snapshot {
+	s := &Snapshot{NowMillis: genNow, Workers: workers, Runs: runs, Teams: []TeamView{teamOf("x", 1), teamOf("y", 1)}}
+	for _, r := range runs {
+		for i := range s.Workers {
+			if s.Workers[i].ID == r.Worker {
+				s.Workers[i].Free = s.Workers[i].Free.Sub(r.Holds)
+			}
+		}
+		for i := range s.Teams {
+			if s.Teams[i].ID == r.Team {
+				s.Teams[i].Usage = s.Teams[i].Usage.Add(r.Holds)
+			}
+		}
+	}
+	return s
+}
+
+func preempted(p *Plan) []model.TaskID {
+	var out []model.TaskID
+	for _, e := range p.Preempt {
+		out = append(out, e.Task)
+	}
+	return out
+}
+
+func TestUrgentPreemptsLeastWork(t *testing.T) {
+	old, saved := int64(genNow-600_000), int64(genNow-1000)
+	cases := []struct {
+		name string
+		runs []RunView
+		size int64
+		want []model.TaskID
+	}{
+		{"newest run", []RunView{
+			runOf("a", "x", "w1", 8000, old, 0, 0), runOf("b", "x", "w1", 8000, saved, 0, 0),
+			runOf("c", "x", "w2", 16_000, old, 0, 0),
+		}, 4000, []model.TaskID{"b.0"}},
+		{"newest checkpoint", []RunView{
+			runOf("a", "x", "w1", 16_000, old, 0, 0), runOf("c", "x", "w2", 16_000, old, saved, 0),
+		}, 4000, []model.TaskID{"c.0"}},
+		{"no more than needed", []RunView{
+			runOf("a", "x", "w1", 1000, saved, 0, 0), runOf("b", "x", "w1", 15_000, saved, 0, 0),
+			runOf("c", "x", "w2", 16_000, old, 0, 0),
+		}, 4000, []model.TaskID{"b.0"}},
+		{"nothing while another run stops", []RunView{
+			runOf("a", "x", "w1", 16_000, old, 0, 0), func() RunView {
+				r := runOf("c", "x", "w2", 16_000, old, 0, 0)
+				r.Stopping = true
+				return r
+			}(),
+		}, 4000, nil},
+		{"never a service", []RunView{
+			func() RunView {
+				r := runOf("a", "x", "w1", 16_000, saved, 0, 0)
+				r.Class = model.ClassService
+				return r
+			}(),
+			runOf("c", "x", "w2", 16_000, old, 0, 0),
+		}, 4000, []model.TaskID{"c.0"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := occupied([]WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1")}, tc.runs...)
+			s.Jobs = []JobView{jobOf("u", "y", model.ClassUrgent, 1, tc.size)}
+			p := Decide(s)
+			qt.Assert(t, Check(s, p), qt.IsNil)
+			qt.Check(t, preempted(p), qt.DeepEquals, tc.want)
+			qt.Check(t, p.Place, qt.HasLen, 0)
+			qt.Check(t, p.Reservations, qt.HasLen, 1)
+			// The room is held: nothing more is stopped the next time, and
+			// batch work doesn't get it.
+			s.Reservations = p.Reservations
+			s.NowMillis += 100
+			s.Jobs = append(s.Jobs, jobOf("b", "y", model.ClassBatch, 1, 4000))
+			for i := range s.Runs {
+				for _, id := range preempted(p) {
+					s.Runs[i].Stopping = s.Runs[i].Stopping || s.Runs[i].Task == id
+				}
+			}
+			next := Decide(s)
+			qt.Check(t, preempted(next), qt.IsNil)
+			qt.Check(t, next.Place, qt.HasLen, 0)
+		})
+	}
+}
+
+func TestUrgentMovesOnFromRunThatDoesNotStop(t *testing.T) {
+	s := occupied([]WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1")},
+		runOf("a", "x", "w1", 16_000, genNow-10, 0, 0), runOf("c", "x", "w2", 16_000, 0, 0, 0))
+	s.Jobs = []JobView{jobOf("u", "y", model.ClassUrgent, 1, 4000)}
+	p := Decide(s)
+	qt.Assert(t, preempted(p), qt.DeepEquals, []model.TaskID{"a.0"})
+	s.Runs[0].Stopping = true
+	s.Reservations = p.Reservations
+	s.NowMillis += urgentHoldMillis
+	p = Decide(s)
+	qt.Assert(t, Check(s, p), qt.IsNil)
+	qt.Assert(t, preempted(p), qt.DeepEquals, []model.TaskID{"c.0"})
+}
+
+func TestGangReservesWholeAndLetsShortWorkIn(t *testing.T) {
+	ends := int64(genNow + 20_000)
+	s := occupied([]WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1")},
+		runOf("a", "x", "w1", 15_000, 0, 0, ends), runOf("c", "x", "w2", 15_000, 0, 0, ends))
+	s.Jobs = []JobView{jobOf("g", "y", model.ClassGang, 2, 16_000)}
+	p := Decide(s)
+	qt.Assert(t, Check(s, p), qt.IsNil)
+	qt.Assert(t, p.Reservations, qt.HasLen, 1)
+	r := p.Reservations[0]
+	qt.Check(t, r.Workers, qt.HasLen, 2)
+	qt.Check(t, r.StartMillis >= ends && r.StartMillis <= ends+firstStepMillis, qt.IsTrue)
+	qt.Check(t, r.UntilMillis, qt.Equals, r.StartMillis+10_000)
+
+	s.Reservations = p.Reservations
+	short, long := jobOf("s", "y", model.ClassBatch, 1, 1000), jobOf("l", "y", model.ClassBatch, 1, 1000)
+	short.RunMillis, long.RunMillis = 5000, 60_000
+	s.Jobs = append(s.Jobs, long, short)
+	s.Jobs[1].ArrivedMillis, s.Jobs[2].ArrivedMillis = genNow, genNow
+	p = Decide(s)
+	qt.Assert(t, Check(s, p), qt.IsNil)
+	qt.Check(t, placedOf(p), qt.DeepEquals, map[model.JobID]int{"s": 1})
+
+	// Past its end the room is let go, the gang pauses, and then reserves for
+	// twice as long.
+	s.Jobs = s.Jobs[:1]
+	s.NowMillis = r.UntilMillis
+	p = Decide(s)
+	qt.Assert(t, p.Reservations, qt.HasLen, 1)
+	qt.Check(t, p.Reservations[0].Workers, qt.HasLen, 0)
+	s.Reservations = p.Reservations
+	s.NowMillis = p.Reservations[0].UntilMillis
+	p = Decide(s)
+	qt.Assert(t, p.Reservations, qt.HasLen, 1)
+	qt.Check(t, p.Reservations[0].UntilMillis-p.Reservations[0].StartMillis, qt.Equals, int64(20_000))
+}
+
+func TestGangsDoNotHoldPartsOfEachOther(t *testing.T) {
+	ends := int64(genNow + 20_000)
+	s := occupied([]WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1"), workerOf("w3", "r1")},
+		runOf("a", "x", "w1", 15_000, 0, 0, ends), runOf("b", "x", "w2", 15_000, 0, 0, ends), runOf("c", "x", "w3", 15_000, 0, 0, ends))
+	s.Jobs = []JobView{jobOf("g", "x", model.ClassGang, 2, 16_000), jobOf("h", "y", model.ClassGang, 2, 16_000)}
+	p := Decide(s)
+	qt.Assert(t, Check(s, p), qt.IsNil)
+	held := 0
+	for _, r := range p.Reservations {
+		held += len(r.Workers)
+	}
+	qt.Assert(t, held, qt.Equals, 2)
+}
+
+func TestShareReturnStopsAtEntitlement(t *testing.T) {
+	var runs []RunView
+	for _, id := range []string{"a", "b", "c", "d"} {
+		runs = append(runs, runOf(id, "x", "w1", 4000, 0, 0, 0))
+	}
+	s := occupied([]WorkerView{workerOf("w1", "r1")}, runs...)
+	s.Jobs = []JobView{jobOf("j", "y", model.ClassBatch, 4, 4000)}
+	s.Jobs[0].ArrivedMillis = genNow
+	qt.Assert(t, Decide(s).Preempt, qt.HasLen, 0)
+	s.Jobs[0].ArrivedMillis = genNow - reclaimPatienceMillis
+	p := Decide(s)
+	qt.Assert(t, Check(s, p), qt.IsNil)
+	// Two of four: the teams have equal shares.
+	qt.Assert(t, p.Preempt, qt.HasLen, 2)
+	s.Runs[0].Stopping, s.Runs[1].Stopping = true, true
+	s.Reservations = p.Reservations
+	qt.Assert(t, Decide(s).Preempt, qt.HasLen, 0)
+}
--- /dev/null
+++ b/internal/placement/preempt.go
@@ -0,0 +1,218 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+
+	"kumquatwing/internal/model"
+)
+
+// ScorerLostWork is the score part of a preemption: work lost since the newest
+// checkpoints, in core milliseconds, as a negative number.
+const ScorerLostWork = "work-lost"
+
+// eviction is a set of runs of one worker whose end makes room for a task.
+type eviction struct {
+	worker int
+	runs   []int32
+	lost   int64
+}
+
+// mayEvict says whether a run may be stopped for the task in question.
+type mayEvict func(run int32) bool
+
+// findEviction returns the cheapest way to make room for a: the worker on which
+// the least work is lost, with no run more than needed. Room that runs which
+// already stop will free is used first. ok is false if there is no way.
+func (d *decider) findEviction(a *ask, may mayEvict) (best eviction, ok bool) {
+	x := d.index()
+	for w := range d.c.workers {
+		if !d.c.takes(w, a) {
+			continue
+		}
+		room := d.c.room(w, a).Add(x.coming[w])
+		if a.size.Fits(room) {
+			return eviction{worker: w}, true
+		}
+		e := eviction{worker: w}
+		limit := int64(neverEnds)
+		if ok {
+			limit = best.lost
+		}
+		if d.collect(&e, a.size, room, may, limit) && (!ok || cheaper(&e, &best)) {
+			best, ok = e, true
+		}
+	}
+	return best, ok
+}
+
+// takes reports whether worker w could take a if it had room.
+func (c *cell) takes(w int, a *ask) bool {
+	return !rejectState(c, w, a) && !rejectAvoid(c, w, a) && !rejectSize(c, w, a)
+}
+
+// cheaper reports whether a loses less work than b, or as much with fewer runs.
+func cheaper(a, b *eviction) bool {
+	if a.lost != b.lost {
+		return a.lost < b.lost
+	}
+	return len(a.runs) < len(b.runs)
+}
+
+// collect adds runs to e until size fits, those that lose least first, and then
+// takes out the ones that turned out not to be needed. It gives up, returning
+// false, when size does not fit or more work than limit would be lost.
+func (d *decider) collect(e *eviction, size, room model.Resources, may mayEvict, limit int64) bool {
+	x := d.index()
+	for _, run := range x.byWorker[e.worker] {
+		if size.Fits(room) {
+			break
+		}
+		if !x.mayStop(run) || !may(run) || !helps(size, room, x.runs[run].Holds) {
+			continue
+		}
+		e.runs = append(e.runs, run)
+		room = room.Add(x.runs[run].Holds)
+	}
+	if !size.Fits(room) {
+		return false
+	}
+	d.prune(e, size, room)
+	for _, run := range e.runs {
+		e.lost += lostWork(&x.runs[run], x.now)
+	}
+	return e.lost <= limit
+}
+
+// helps reports whether holds adds to a dimension in which room is short.
+func helps(size, room, holds model.Resources) bool {
+	for d := range model.Dimensions {
+		if size.At(d) > room.At(d) && holds.At(d) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// prune takes runs out of e, the dearest first, while size still fits.
+func (d *decider) prune(e *eviction, size, room model.Resources) {
+	x := d.index()
+	for i := len(e.runs) - 1; i >= 0; i-- {
+		without := room.Sub(x.runs[e.runs[i]].Holds)
+		if size.Fits(without) {
+			room = without
+			e.runs = append(e.runs[:i], e.runs[i+1:]...)
+		}
+	}
+}
+
+// dropUnneeded takes back the preemptions from the first-th on that later ones
+// on the same worker have made needless, the dearest first. spare is the room
+// of a worker that no reservation in question needs.
+func (d *decider) dropUnneeded(first int, spare func(w int) model.Resources) {
+	x := d.index()
+	for i := len(d.plan.Preempt) - 1; i >= first; i-- {
+		w := int(d.c.byID[d.plan.Preempt[i].Worker])
+		run := d.evicted[i]
+		if !x.runs[run].Holds.Fits(spare(w)) {
+			continue
+		}
+		x.goOn(w, run)
+		d.plan.Preempt = slices.Delete(d.plan.Preempt, i, i+1)
+		d.evicted = slices.Delete(d.evicted, i, i+1)
+	}
+}
+
+// spareForUrgent is the room that will be free and is not held for urgent tasks.
+func (d *decider) spareForUrgent(w int) model.Resources {
+	return d.c.free[w].Add(d.index().coming[w]).Sub(d.c.urgentHeld[w])
+}
+
+// spareForAll is the room that will be free and is held for nobody.
+func (d *decider) spareForAll(w int) model.Resources {
+	return d.spareForUrgent(w).Sub(d.c.held[w])
+}
+
+// evict stops the runs of e for a task and reserves the room for its job.
+func (d *decider) evict(e eviction, j *jobState, task model.TaskID, until int64, why string) {
+	x := d.index()
+	for _, run := range e.runs {
+		r := &x.runs[run]
+		x.stop(e.worker, run)
+		d.evicted = append(d.evicted, run)
+		d.plan.Preempt = append(d.plan.Preempt, Preemption{
+			Task: r.Task, Worker: r.Worker, For: task,
+			Explain: d.explainEviction(j, r, why),
+		})
+	}
+	d.reserveRoom(j, e.worker, 1, d.s.NowMillis, until)
+}
+
+// coreMillis is one core millisecond in the units of lostWork.
+const coreMillis = 1000
+
+func (d *decider) explainEviction(j *jobState, r *RunView, why string) Explanation {
+	lost := lostWork(r, d.s.NowMillis) / coreMillis
+	return Explanation{
+		Considered: len(d.c.workers),
+		Score:      []ScorePart{{ScorerLostWork, -lost}},
+		Decisions:  j.view.Policy.Decisions,
+		Detail:     fmt.Sprintf("%s; loses %d core milliseconds, the least found that makes room", why, lost),
+	}
+}
+
+// Bounds of preemption for urgent tasks.
+const (
+	// urgentHoldMillis is how long the room of preempted runs is held.
+	urgentHoldMillis = 5000
+	// maxUrgentEvictions bounds the urgent tasks that one plan preempts for.
+	maxUrgentEvictions = 64
+)
+
+// preemptForUrgent makes room for urgent tasks that found none.
+func (d *decider) preemptForUrgent() {
+	budget := maxUrgentEvictions
+	for _, j := range d.jobs {
+		if !isUrgent(j.view) || j.refused || (j.reason != ReasonRoom && j.reason != ReasonReserved) {
+			continue
+		}
+		budget = d.preemptFor(j, budget)
+	}
+	if len(d.plan.Preempt) > 1 {
+		d.dropUnneeded(0, d.spareForUrgent)
+	}
+}
+
+// preemptFor makes room for the job's tasks that wait without reserved room.
+func (d *decider) preemptFor(j *jobState, budget int) int {
+	covered := j.reservedTasks()
+	for i := range j.view.Pending {
+		p := &j.view.Pending[i]
+		if j.placed[i] || p.NotBeforeMillis > d.s.NowMillis {
+			continue
+		}
+		if covered > 0 {
+			covered--
+			continue
+		}
+		if budget == 0 || !d.mayPromise(j) {
+			return budget
+		}
+		budget--
+		a := d.ask(j, i)
+		a.avoid = append(j.endedWorkers(), a.avoid...)
+		e, ok := d.findEviction(a, func(int32) bool { return true })
+		if !ok {
+			return budget
+		}
+		d.evict(e, j, p.ID, d.s.NowMillis+urgentHoldMillis, "stopped for an urgent task")
+	}
+	return budget
+}
+
+// mayPromise reports whether the team's grant covers one more task of j besides
+// those that have reserved room.
+func (d *decider) mayPromise(j *jobState) bool {
+	n := int64(j.reservedTasks() + 1)
+	return d.teams[j.team].allows(j.view.Spec.Size.Scale(n))
+}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -22,7 +22,12 @@
 	ask    *ask
 	// reservation is the one that the job holds, if any.
 	reservation *Reservation
-	refused     bool
+	// ended is an urgent job's reservation that ended with this plan.
+	ended *Reservation
+	// paused jobs may not reserve; attempt counts reservations that ended.
+	paused  bool
+	attempt int
+	refused bool
 }
 
 // fail notes why the job's tasks wait; the first reason stands.
--- /dev/null
+++ b/internal/placement/reclaim.go
@@ -0,0 +1,195 @@
+package placement
+
+import "kumquatwing/internal/model"
+
+const (
+	// ShareReturnMillis is the time within which a team that waits gets its
+	// share back from teams that run preemptible batch work over theirs, in a
+	// cell of today's size (50 workers), when stops take up to stopMillis.
+	ShareReturnMillis = 60_000
+	// reclaimPatienceMillis is how long a job waits before runs are stopped
+	// for its team's share.
+	reclaimPatienceMillis = 10_000
+	// reclaimHoldMillis is how long the room of stopped runs is held.
+	reclaimHoldMillis = 5000
+	// minReclaims and reclaimWorkers bound the tasks for which one plan stops
+	// runs: at least minReclaims, and one per reclaimWorkers workers.
+	minReclaims    = 2
+	reclaimWorkers = 100
+)
+
+// entitlement is the part of the fleet that a team may count on while the teams
+// that use or want anything are those of active, in shareUnit.
+func entitlement(t *TeamView, active int64) int64 {
+	return shareUnit / max(active, 1) * max(t.Share, 1)
+}
+
+// activeShares sums the shares of the teams that use or want anything.
+func (d *decider) activeShares() int64 {
+	wants := make([]bool, len(d.teams))
+	for _, j := range d.jobs {
+		if j.left > 0 && j.reason != ReasonUnknownTeam {
+			wants[j.team] = true
+		}
+	}
+	var sum int64
+	for i := range d.teams {
+		if wants[i] || !d.teams[i].fleet.IsZero() {
+			sum += max(d.teams[i].view.Share, 1)
+		}
+	}
+	return sum
+}
+
+// reclaimShares stops runs of teams over their share for teams under theirs.
+// No team is taken below its share, so that it can't ask for the room back.
+func (d *decider) reclaimShares() {
+	first := len(d.plan.Preempt)
+	var r *reclaim
+	for _, j := range d.jobs {
+		if !d.mayReclaim(j) {
+			continue
+		}
+		if r == nil {
+			r = newReclaim(d)
+		}
+		if r.budget == 0 {
+			break
+		}
+		r.reclaimFor(j)
+	}
+	if len(d.plan.Preempt) > first+1 {
+		d.dropUnneeded(first, d.spareForAll)
+	}
+}
+
+// mayReclaim reports whether runs may be stopped for j's team's share.
+func (d *decider) mayReclaim(j *jobState) bool {
+	if isUrgent(j.view) || isGang(j.view) || j.refused || d.s.NowMillis-j.view.ArrivedMillis < reclaimPatienceMillis {
+		return false
+	}
+	return j.reason == ReasonRoom || j.reason == ReasonReserved
+}
+
+// reclaim is the return of shares within one plan.
+type reclaim struct {
+	d      *decider
+	budget int
+	// entitled and expected are per team: its share of the fleet, and what it
+	// will hold once the plan's stops and reservations have come about.
+	entitled []int64
+	expected []model.Resources
+	byID     map[model.TeamID]int
+}
+
+func newReclaim(d *decider) *reclaim {
+	r := &reclaim{
+		d:        d,
+		budget:   max(minReclaims, len(d.c.workers)/reclaimWorkers),
+		entitled: make([]int64, len(d.teams)),
+		expected: make([]model.Resources, len(d.teams)),
+		byID:     make(map[model.TeamID]int, len(d.teams)),
+	}
+	active := d.activeShares()
+	for i := range d.teams {
+		t := &d.teams[i]
+		r.entitled[i] = entitlement(t.view, active)
+		r.expected[i] = t.fleet
+		r.byID[t.view.ID] = i
+	}
+	r.expectReserved()
+	r.expectStops()
+	return r
+}
+
+// expectReserved counts reserved room as its team's.
+func (r *reclaim) expectReserved() {
+	for _, j := range r.d.jobs {
+		n := int64(j.reservedTasks())
+		r.expected[j.team] = r.expected[j.team].Add(j.view.Spec.Size.Scale(n))
+	}
+}
+
+// expectStops no longer counts runs that stop.
+func (r *reclaim) expectStops() {
+	x := r.d.index()
+	for i := range x.runs {
+		if t, ok := r.byID[x.runs[i].Team]; ok && (x.runs[i].Stopping || x.stopped[i]) {
+			r.expected[t] = r.expected[t].Sub(x.runs[i].Holds)
+		}
+	}
+}
+
+// reclaimFor stops runs for the job's tasks while its team is under its share.
+func (r *reclaim) reclaimFor(j *jobState) {
+	d := r.d
+	size := j.view.Spec.Size
+	covered := j.reservedTasks()
+	for i := range j.view.Pending {
+		if j.placed[i] || j.view.Pending[i].NotBeforeMillis > d.s.NowMillis {
+			continue
+		}
+		if covered > 0 {
+			covered--
+			continue
+		}
+		if r.budget == 0 || !r.under(j.team, size) || !d.mayPromise(j) {
+			return
+		}
+		r.budget--
+		e, ok := d.findEviction(d.shareAsk(j, i), r.mayEvict)
+		if !ok || !r.staysOver(e) {
+			return
+		}
+		r.count(e, j)
+		d.evict(e, j, j.view.Pending[i].ID, d.s.NowMillis+reclaimHoldMillis, "stopped for the share of team "+string(j.view.Spec.Team))
+	}
+}
+
+// shareAsk is the ask of a task that must not rely on backfill: its room is
+// only free later.
+func (d *decider) shareAsk(j *jobState, i int) *ask {
+	a := *d.ask(j, i)
+	a.endsBy = 0
+	a.avoid = append(j.endedWorkers(), a.avoid...)
+	return &a
+}
+
+// under reports whether the team stays within its share with size more.
+func (r *reclaim) under(team int, size model.Resources) bool {
+	return dominantShare(r.expected[team].Add(size), r.d.total) <= r.entitled[team]
+}
+
+// mayEvict reports whether the run's team keeps its share without it.
+func (r *reclaim) mayEvict(run int32) bool {
+	view := &r.d.runs.runs[run]
+	t, ok := r.byID[view.Team]
+	return ok && dominantShare(r.expected[t].Sub(view.Holds), r.d.total) >= r.entitled[t]
+}
+
+// staysOver reports whether every team keeps its share without all of e's runs.
+func (r *reclaim) staysOver(e eviction) bool {
+	after := make(map[int]model.Resources, 1)
+	for _, run := range e.runs {
+		view := &r.d.runs.runs[run]
+		t := r.byID[view.Team]
+		if _, ok := after[t]; !ok {
+			after[t] = r.expected[t]
+		}
+		after[t] = after[t].Sub(view.Holds)
+		if dominantShare(after[t], r.d.total) < r.entitled[t] {
+			return false
+		}
+	}
+	return true
+}
+
+// count moves the room of e from its teams to the job's.
+func (r *reclaim) count(e eviction, j *jobState) {
+	for _, run := range e.runs {
+		view := &r.d.runs.runs[run]
+		t := r.byID[view.Team]
+		r.expected[t] = r.expected[t].Sub(view.Holds)
+	}
+	r.expected[j.team] = r.expected[j.team].Add(j.view.Spec.Size)
+}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -2,38 +2,114 @@
 
 import "kumquatwing/internal/model"
 
+// pauseMillis is how long a job whose room could not be planned waits before it
+// is tried again.
+const pauseMillis = 1000
+
 // reservedFor is a reservation with its job.
 type reservedFor struct {
 	job         *jobState
 	reservation *Reservation
 }
 
-// keep takes in a reservation made by an earlier plan. One that has ended
-// is dropped.
+// keep takes in a reservation made by an earlier plan. The room of one that has
+// ended is let go, and its job pauses before it may reserve again, so that the
+// other jobs get their turn.
 func (d *decider) keep(j *jobState, r *Reservation) {
-	if r.UntilMillis <= d.s.NowMillis {
-		return
+	ended := r.UntilMillis <= d.s.NowMillis
+	switch {
+	case !ended && len(r.Workers) > 0:
+		j.reservation = r
+		d.c.hold(r)
+		d.reservations = append(d.reservations, reservedFor{j, r})
+	case !ended:
+		j.paused = true
+		d.reservations = append(d.reservations, reservedFor{j, r})
+	case len(r.Workers) == 0:
+		j.attempt = r.Attempt + 1
+	case isUrgent(j.view):
+		j.ended = r
+	default:
+		j.ended = r
+		d.pause(j, r.Attempt, holdMillis(j.view, 0))
 	}
-	d.reservations = append(d.reservations, reservedFor{j, r})
-	if len(r.Workers) == 0 {
-		return
+}
+
+// pause keeps j from reserving for some time.
+func (d *decider) pause(j *jobState, attempt int, millis int64) {
+	j.paused = true
+	d.reservations = append(d.reservations, reservedFor{j, &Reservation{
+		Job:         j.view.Spec.ID,
+		Class:       j.view.Spec.Class,
+		UntilMillis: d.s.NowMillis + millis,
+		Attempt:     attempt,
+	}})
+}
+
+// reservedTasks is how many tasks the job's reservation covers.
+func (j *jobState) reservedTasks() int {
+	if j.reservation == nil {
+		return 0
+	}
+	n := 0
+	for _, room := range j.reservation.Workers {
+		n += slotsIn(room.Room, j.view.Spec.Size, len(j.view.Pending))
+	}
+	return n
+}
+
+// endedWorkers lists the workers of the job's reservation that has just ended:
+// their room did not become free in time.
+func (j *jobState) endedWorkers() []model.WorkerID {
+	if j.ended == nil {
+		return nil
 	}
-	j.reservation = r
+	ids := make([]model.WorkerID, len(j.ended.Workers))
+	for i, room := range j.ended.Workers {
+		ids[i] = room.Worker
+	}
+	return ids
+}
+
+// reserveRoom holds room for n more tasks of j on worker w.
+func (d *decider) reserveRoom(j *jobState, w, n int, start, until int64) {
+	if j.reservation == nil {
+		j.reservation = &Reservation{Job: j.view.Spec.ID, Class: j.view.Spec.Class, StartMillis: start, Attempt: j.attempt}
+		d.reservations = append(d.reservations, reservedFor{j, j.reservation})
+	} else {
+		d.c.release(j.reservation)
+	}
+	r := j.reservation
+	r.UntilMillis = max(r.UntilMillis, until)
+	r.add(d.c.workers[w].ID, j.view.Spec.Size.Scale(int64(n)))
 	d.c.hold(r)
+	j.reason = ReasonReserved
+}
+
+// add holds more room on a worker.
+func (r *Reservation) add(w model.WorkerID, room model.Resources) {
+	for i := range r.Workers {
+		if r.Workers[i].Worker == w {
+			r.Workers[i].Room = r.Workers[i].Room.Add(room)
+			return
+		}
+	}
+	r.Workers = append(r.Workers, ReservedRoom{w, room})
 }
 
-// shrinkReservation holds again what j, whose reservation was released, still
-// needs of it.
-func (d *decider) shrinkReservation(j *jobState) {
+// shrinkReservation holds again room for n more tasks of j, whose reservation
+// was released.
+func (d *decider) shrinkReservation(j *jobState, n int) {
 	r := j.reservation
-	if j.left == 0 {
+	r.Workers = firstRooms(r.Workers, j.view.Spec.Size, min(n, j.left))
+	if len(r.Workers) == 0 {
+		j.reservation = nil
 		return
 	}
+	d.c.hold(r)
 	if j.reason == ReasonRoom || j.reason == ReasonGang {
 		j.reason = ReasonReserved
 	}
-	r.Workers = firstRooms(r.Workers, j.view.Spec.Size, j.left)
-	d.c.hold(r)
 }
 
 // firstRooms is the part of rooms that covers n tasks.
@@ -50,11 +126,17 @@
 	return out
 }
 
-// standing lists the reservations of jobs that still wait after the plan.
+// standing lists the reservations of jobs that still wait after the plan, and
+// the pauses of those that hold none.
 func (d *decider) standing() []Reservation {
 	var out []Reservation
 	for _, e := range d.reservations {
-		if e.job.left > 0 && !e.job.refused {
+		pause := len(e.reservation.Workers) == 0
+		switch {
+		case e.job.left == 0 || e.job.refused:
+		case pause && e.job.reservation != nil:
+		case !pause && e.job.reservation != e.reservation:
+		default:
 			out = append(out, *e.reservation)
 		}
 	}
--- /dev/null
+++ b/internal/placement/runs.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"kumquatwing/internal/model"
+)
+
+const (
+	// stopMillis is how long a run that was told to stop is expected to take.
+	stopMillis = 2000
+	// overdueMinMillis is the least that a run past its expected end is
+	// expected to go on.
+	overdueMinMillis = 1000
+)
+
+// runIndex finds the runs of a worker. It is built when a plan first needs it.
+type runIndex struct {
+	runs []RunView
+	// byWorker holds indexes of runs, those that lose least work first.
+	byWorker [][]int32
+	// coming is the room of runs that stop, by worker.
+	coming []model.Resources
+	// stopped marks the runs that this plan preempts.
+	stopped []bool
+	now     int64
+}
+
+func newRunIndex(c *cell, s *Snapshot) *runIndex {
+	x := &runIndex{
+		runs:     s.Runs,
+		byWorker: make([][]int32, len(c.workers)),
+		coming:   make([]model.Resources, len(c.workers)),
+		stopped:  make([]bool, len(s.Runs)),
+		now:      s.NowMillis,
+	}
+	for i := range x.runs {
+		r := &x.runs[i]
+		w, ok := c.byID[r.Worker]
+		if !ok {
+			continue
+		}
+		x.byWorker[w] = append(x.byWorker[w], int32(i))
+		if r.Stopping {
+			x.coming[w] = x.coming[w].Add(r.Holds)
+		}
+	}
+	for w := range x.byWorker {
+		slices.SortFunc(x.byWorker[w], x.compareLost)
+	}
+	return x
+}
+
+// compareLost orders runs by the work that a stop loses, then by task.
+func (x *runIndex) compareLost(a, b int32) int {
+	ra, rb := &x.runs[a], &x.runs[b]
+	if d := cmp.Compare(lostWork(ra, x.now), lostWork(rb, x.now)); d != 0 {
+		return d
+	}
+	return strings.Compare(string(ra.Task), string(rb.Task))
+}
+
+// acceleratorMilliCPU is what an accelerator counts for in lost work.
+const acceleratorMilliCPU = 8000
+
+// lostWork is the work done since the newest checkpoint, in thousandths of a
+// core times milliseconds.
+func lostWork(r *RunView, now int64) int64 {
+	since := now - max(r.StartedMillis, r.CheckpointMillis)
+	rate := r.Holds.MilliCPU + acceleratorMilliCPU*r.Holds.Accelerators
+	return max(since, 0) * max(rate, 1)
+}
+
+// expectedEnd is when the run is expected to free its room; neverEnds if that
+// is not known. One that is overdue is expected to be as late again.
+func expectedEnd(r *RunView, now int64) int64 {
+	switch {
+	case r.Stopping:
+		return now + stopMillis
+	case r.EndsMillis == 0:
+		return neverEnds
+	case r.EndsMillis > now:
+		return r.EndsMillis
+	default:
+		return now + max(now-r.EndsMillis, overdueMinMillis)
+	}
+}
+
+// stop marks the run as preempted by this plan.
+func (x *runIndex) stop(w int, run int32) {
+	x.stopped[run] = true
+	x.coming[w] = x.coming[w].Add(x.runs[run].Holds)
+}
+
+// goOn undoes stop.
+func (x *runIndex) goOn(w int, run int32) {
+	x.stopped[run] = false
+	x.coming[w] = x.coming[w].Sub(x.runs[run].Holds)
+}
+
+// mayStop reports whether the run may ever be preempted, and not yet is.
+func (x *runIndex) mayStop(run int32) bool {
+	r := &x.runs[run]
+	return r.Preemptible && r.Class == model.ClassBatch && !r.Stopping && !x.stopped[run]
+}
+
+// index returns the runs' index, built at the first call.
+func (d *decider) index() *runIndex {
+	if d.runs == nil {
+		d.runs = newRunIndex(d.c, d.s)
+	}
+	return d.runs
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -113,7 +113,8 @@
 	Reservations []Reservation
 }
 
-// Placement starts a task on a worker.
+// Placement starts a task on a worker. Its counts are of the moment at which it
+// was chosen: after the placements before it in the plan.
 type Placement struct {
 	Task    model.TaskID
 	Job     model.JobID
@@ -136,7 +137,8 @@
 	Explain Explanation
 }
 
-// Wait says why a job's tasks were not placed this time.
+// Wait says why a job's tasks were not placed this time. Its counts are for the
+// first task that waits, with the room as it is after the whole plan.
 type Wait struct {
 	Job     model.JobID
 	Reason  string
