--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -62,6 +62,10 @@
 			runOf("a", "x", "w1", 1000, saved, 0, 0), runOf("b", "x", "w1", 15_000, saved, 0, 0),
 			runOf("c", "x", "w2", 16_000, old, 0, 0),
 		}, 4000, []model.TaskID{"b.0"}},
+		{"needless runs do not count", []RunView{
+			runOf("a", "x", "w1", 1000, genNow-2000, 0, 0), runOf("b", "x", "w1", 15_000, saved, 0, 0),
+			runOf("c", "x", "w2", 15_500, saved, 0, 0), runOf("d", "x", "w2", 500, old, 0, 0),
+		}, 4000, []model.TaskID{"b.0"}},
 		{"nothing while another run stops", []RunView{
 			runOf("a", "x", "w1", 16_000, old, 0, 0), func() RunView {
 				r := runOf("c", "x", "w2", 16_000, old, 0, 0)
@@ -186,3 +190,18 @@
 	s.Reservations = p.Reservations
 	qt.Assert(t, Decide(s).Preempt, qt.HasLen, 0)
 }
+
+func TestBackfillEndsBeforeEveryReservation(t *testing.T) {
+	s := &Snapshot{NowMillis: genNow, Workers: []WorkerView{workerOf("w1", "r1")}}
+	c := newCell(s)
+	for _, start := range []int64{genNow + 30_000, genNow + 10_000} {
+		c.hold(&Reservation{StartMillis: start, Workers: []ReservedRoom{{"w1", model.Resources{MilliCPU: 8000}}}})
+	}
+	for _, tc := range []struct {
+		run  int64
+		want bool
+	}{{0, false}, {6000, true}, {7000, false}, {15_000, false}} {
+		a := &ask{size: model.Resources{MilliCPU: 1000}, endsBy: endsBy(genNow, tc.run)}
+		qt.Check(t, c.mayBackfill(0, a), qt.Equals, tc.want)
+	}
+}
