--- /dev/null
+++ b/internal/route/pool.go
@@ -0,0 +1,373 @@
+package route
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"kumquatwing/internal/api"
+	"kumquatwing/internal/clock"
+	"kumquatwing/internal/lease"
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/verdict"
+)
+
+const (
+	// cutLinger is how long a slot stays taken after its exchange was broken
+	// off, so that the server has seen the connection close.
+	cutLinger = 250 * time.Millisecond
+	// suspectMin and suspectMax bound how long a server that could not be
+	// reached is passed over while others are free.
+	suspectMin = 100 * time.Millisecond
+	suspectMax = 2 * time.Second
+	// holdWeight is the weight of the newest sample in the mean hold time.
+	holdWeight = 0.1
+	// longestWindow is for how long a long deadline is remembered.
+	longestWindow = 10 * time.Second
+)
+
+// serverKey names one run of a backend server's process.
+type serverKey struct {
+	id          model.ServerID
+	incarnation string
+}
+
+// server is what this entry VM holds of one backend server.
+type server struct {
+	key   serverKey
+	grant api.SlotGrant
+	inUse int
+	// returned slots are on their way back and no longer used.
+	returned int
+	conns    *connPool
+	// failures in a row and until when the server is passed over.
+	failures int
+	suspect  time.Time
+}
+
+func (s *server) free() int {
+	if s.grant.Leaving {
+		return 0
+	}
+	return s.grant.Slots - s.returned - s.inUse
+}
+
+// Slot is the right to have one request in flight at a server.
+type Slot struct {
+	pool   *Pool
+	server *server
+	queue  model.QueueName
+	taken  time.Time
+}
+
+// Pool holds the slots lent to this entry VM and the requests that wait for
+// them. It is safe for concurrent use.
+type Pool struct {
+	clock clock.Clock
+	dial  Dialer
+	// wake is called, without the lock, when a sync should not wait.
+	wake func()
+
+	mu      sync.Mutex
+	lease   lease.Held
+	servers map[serverKey]*server
+	queues  map[model.QueueName]*slotQueue
+	// pending returns are repeated until a sync that carried them is answered.
+	pending []api.SlotGrant
+	longest longestDeadline
+	closed  bool
+}
+
+// slotQueue is one queue's waiting requests and figures.
+type slotQueue struct {
+	fair *fairQueue
+	// inUse counts slots in use, peak the most wanted since the last sync.
+	inUse, peak int
+	// hold is the mean time that a slot is taken.
+	hold time.Duration
+}
+
+// NewPool returns a pool without slots. wake asks for a sync at once.
+func NewPool(c clock.Clock, dial Dialer, wake func()) *Pool {
+	return &Pool{
+		clock:   c,
+		dial:    dial,
+		wake:    wake,
+		servers: map[serverKey]*server{},
+		queues:  map[model.QueueName]*slotQueue{},
+	}
+}
+
+func (p *Pool) queue(name model.QueueName) *slotQueue {
+	q := p.queues[name]
+	if q == nil {
+		q = &slotQueue{fair: newFairQueue()}
+		p.queues[name] = q
+	}
+	return q
+}
+
+// Want describes a request that needs a slot.
+type Want struct {
+	Queue    model.QueueName
+	Team     model.TeamID
+	Share    int64
+	Deadline time.Time
+	// Avoid lists servers that failed this request.
+	Avoid []model.ServerID
+	// Room is how many requests of the team may wait in the queue.
+	Room int
+}
+
+// Acquire waits for a slot. Its errors are NotRun refusals.
+func (p *Pool) Acquire(ctx context.Context, want *Want) (*Slot, error) {
+	w, err := p.enqueue(want)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case slot := <-w.slot:
+		if slot == nil {
+			return nil, verdict.Refuse(verdict.ReasonStopping, "entry VM is stopping").RetryIn(0)
+		}
+		return slot, nil
+	case <-ctx.Done():
+	}
+	if slot := p.giveUp(want.Queue, w); slot != nil {
+		slot.Release()
+	}
+	return nil, p.unserved(ctx, want)
+}
+
+// unserved explains why a request waited in vain.
+func (p *Pool) unserved(ctx context.Context, want *Want) error {
+	if p.offered(want.Queue) == 0 {
+		return verdict.Refuse(verdict.ReasonNoServer, "no slot of a backend server is lent to this entry VM for queue %s", want.Queue).RetryIn(time.Second)
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		return verdict.Refuse(verdict.ReasonDeadline, "no slot became free in queue %s before the deadline", want.Queue).RetryIn(time.Second)
+	}
+	return verdict.Refuse(verdict.ReasonDeadline, "caller gave up while waiting in queue %s", want.Queue)
+}
+
+// enqueue adds a request to its queue, unless it is full or the deadline can't
+// be met, and hands out what is free.
+func (p *Pool) enqueue(want *Want) (*waiter, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, verdict.Refuse(verdict.ReasonStopping, "entry VM is stopping").RetryIn(0)
+	}
+	q := p.queue(want.Queue)
+	if err := p.shed(q, want); err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
+	w := &waiter{
+		team:     want.Team,
+		share:    want.Share,
+		deadline: want.Deadline,
+		avoid:    want.Avoid,
+		slot:     make(chan *Slot, 1),
+	}
+	q.fair.push(w)
+	longer := p.longest.note(time.Now(), time.Until(want.Deadline))
+	p.dispatch(want.Queue, q)
+	waits := w.index >= 0
+	q.peak = max(q.peak, q.inUse+q.fair.len())
+	p.mu.Unlock()
+	if waits || longer {
+		p.wake()
+	}
+	return w, nil
+}
+
+// shed refuses a request that would wait in vain.
+func (p *Pool) shed(q *slotQueue, want *Want) error {
+	if q.fair.waiting(want.Team) >= want.Room {
+		return verdict.Refuse(verdict.ReasonOverload, "%d requests of team %q wait in queue %s", want.Room, want.Team, want.Queue).RetryIn(q.hold + time.Millisecond)
+	}
+	held := p.held(want.Queue)
+	if held == 0 || q.hold == 0 || p.anyFree(want.Queue) {
+		return nil
+	}
+	ahead := q.fair.ahead(want.Team, want.Share)
+	wait := q.hold * time.Duration(ahead+1) / time.Duration(held)
+	left := time.Until(want.Deadline)
+	if wait+q.hold <= left {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonOverload, "queue %s needs about %v, the deadline is in %v", want.Queue, wait+q.hold, left).RetryIn(wait)
+}
+
+// giveUp takes a waiter out; a slot that it got meanwhile is returned.
+func (p *Pool) giveUp(queue model.QueueName, w *waiter) *Slot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue(queue).fair.remove(w) {
+		return nil
+	}
+	return <-w.slot
+}
+
+// dispatch hands free slots to waiting requests. It needs the lock.
+func (p *Pool) dispatch(name model.QueueName, q *slotQueue) {
+	if q.fair.len() == 0 || !p.lease.Valid(p.clock.Now()) {
+		return
+	}
+	now := time.Now()
+	for w := q.fair.peek(); w != nil; w = q.fair.peek() {
+		if w.deadline.Sub(now) > p.longest.allowed() {
+			return
+		}
+		s := p.choose(name, w.avoid, now)
+		if s == nil {
+			return
+		}
+		q.fair.pop()
+		s.inUse++
+		q.inUse++
+		w.slot <- &Slot{pool: p, server: s, queue: name, taken: now}
+	}
+}
+
+// choose picks the server with the most free slots. One that failed this
+// request or could not be reached lately is taken only for want of others.
+func (p *Pool) choose(name model.QueueName, avoid []model.ServerID, now time.Time) *server {
+	var best *server
+	bestRank := 0
+	for _, s := range p.servers {
+		if s.grant.Queue != name || s.free() <= 0 {
+			continue
+		}
+		rank := rankOf(s, avoid, now)
+		if best == nil || rank < bestRank || rank == bestRank && before(s, best) {
+			best, bestRank = s, rank
+		}
+	}
+	return best
+}
+
+// rankOf is 0 for a good choice, higher for worse ones.
+func rankOf(s *server, avoid []model.ServerID, now time.Time) int {
+	rank := 0
+	if now.Before(s.suspect) {
+		rank++
+	}
+	if slices.Contains(avoid, s.key.id) {
+		rank += 2
+	}
+	return rank
+}
+
+// before orders servers by free slots, then by name.
+func before(a, b *server) bool {
+	if a.free() != b.free() {
+		return a.free() > b.free()
+	}
+	return cmp.Compare(a.key.id, b.key.id) < 0
+}
+
+func (p *Pool) anyFree(name model.QueueName) bool {
+	for _, s := range p.servers {
+		if s.grant.Queue == name && s.free() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// held is the number of slots of a queue that may be used. It needs the lock.
+func (p *Pool) held(name model.QueueName) int {
+	if !p.lease.Valid(p.clock.Now()) {
+		return 0
+	}
+	n := 0
+	for _, s := range p.servers {
+		if s.grant.Queue == name && !s.grant.Leaving {
+			n += s.grant.Slots - s.returned
+		}
+	}
+	return n
+}
+
+// offered is held for callers without the lock.
+func (p *Pool) offered(name model.QueueName) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held(name)
+}
+
+// Valid reports whether the slot may still be used. It must be asked right
+// before the first byte is sent.
+func (s *Slot) Valid(deadline time.Time) bool {
+	p := s.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.server.grant.Leaving || s.server.inUse > s.server.grant.Slots-s.server.returned {
+		return false
+	}
+	if time.Until(deadline) > p.longest.allowed() {
+		return false
+	}
+	return p.lease.Valid(p.clock.Now())
+}
+
+// Server returns the server's id.
+func (s *Slot) Server() model.ServerID { return s.server.key.id }
+
+// Release gives the slot to the next request.
+func (s *Slot) Release() {
+	p := s.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.queue(s.queue)
+	s.server.inUse--
+	q.inUse--
+	p.forgetUnused(s.server)
+	p.dispatch(s.queue, q)
+}
+
+// Done releases the slot after a whole exchange.
+func (s *Slot) Done() {
+	s.pool.succeeded(s)
+	s.Release()
+}
+
+// Broken releases the slot a little later, after an exchange that was cut off.
+func (s *Slot) Broken() {
+	time.AfterFunc(cutLinger, s.Release)
+}
+
+func (p *Pool) succeeded(s *Slot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.server.failures = 0
+	s.server.suspect = time.Time{}
+	q := p.queue(s.queue)
+	took := time.Since(s.taken)
+	if q.hold == 0 {
+		q.hold = took
+		return
+	}
+	q.hold += time.Duration(holdWeight * float64(took-q.hold))
+}
+
+// Suspect passes the slot's server over for a while that doubles.
+func (s *Slot) Suspect() {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	pause := suspectMin << min(s.server.failures, 8)
+	s.server.failures++
+	s.server.suspect = time.Now().Add(min(pause, suspectMax))
+}
+
+// forgetUnused drops a server of which nothing is held or in use.
+func (p *Pool) forgetUnused(s *server) {
+	if s.inUse == 0 && s.grant.Slots == 0 {
+		s.conns.close()
+		delete(p.servers, s.key)
+	}
+}
--- /dev/null
+++ b/internal/route/router.go
@@ -0,0 +1,392 @@
+package route
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+
+	"kumquatwing/internal/api"
+	"kumquatwing/internal/clock"
+	"kumquatwing/internal/eventlog"
+	"kumquatwing/internal/httpx"
+	"kumquatwing/internal/lease"
+	"kumquatwing/internal/ledger"
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/verdict"
+)
+
+const (
+	// randomBase writes the random part of an id.
+	randomBase = 36
+	// slotTries bounds how often a slot is lost between its grant and its use.
+	slotTries = 8
+)
+
+// Config is what a Router works with. All fields but Events and Observe are
+// required.
+type Config struct {
+	VM          model.VMID
+	DC          model.DCID
+	Incarnation string
+	Clock       clock.Clock
+	Dial        Dialer
+	Ledger      Ledger
+	Log         *zap.Logger
+	Events      eventlog.Recorder
+	// Wake asks for a sync at once.
+	Wake func()
+	// Requests bounds the requests that are taken in at the same time.
+	Requests int
+	// Observe is told of every request's end.
+	Observe func(Outcome)
+}
+
+// Outcome is how a request ended; Reason is empty for an answer.
+type Outcome struct {
+	Verdict verdict.Verdict
+	Reason  verdict.Reason
+	Took    time.Duration
+}
+
+// Router is the http.Handler of callers' requests. Its route must have the chi
+// parameter "queue".
+type Router struct {
+	vm          model.VMID
+	dc          model.DCID
+	incarnation string
+	clock       clock.Clock
+	ledger      Ledger
+	log         *zap.Logger
+	events      eventlog.Recorder
+	observe     func(Outcome)
+
+	pool     *Pool
+	budget   retryBudget
+	settings lease.Held
+	view     atomic.Pointer[view]
+	minting  atomic.Pointer[minting]
+	attempts atomic.Uint64
+	taken    atomic.Int64
+	room     int64
+	stopping atomic.Bool
+	work     sync.WaitGroup
+}
+
+// minting is what ids are made of, as of one sync.
+type minting struct {
+	generation  uint64
+	groupMillis int64
+	at          clock.Instant
+}
+
+// New returns a router that has no view and no slots yet.
+func New(cfg Config) *Router {
+	rt := &Router{
+		vm:          cfg.VM,
+		dc:          cfg.DC,
+		incarnation: cfg.Incarnation,
+		clock:       cfg.Clock,
+		ledger:      cfg.Ledger,
+		log:         cfg.Log.Named("route"),
+		events:      cfg.Events,
+		observe:     cfg.Observe,
+		pool:        NewPool(cfg.Clock, cfg.Dial, cfg.Wake),
+		room:        int64(cfg.Requests),
+	}
+	if rt.events == nil {
+		rt.events = eventlog.Discard{}
+	}
+	if rt.observe == nil {
+		rt.observe = func(Outcome) {}
+	}
+	rt.minting.Store(&minting{})
+	return rt
+}
+
+// Pool returns the router's slots, for syncs and metrics.
+func (rt *Router) Pool() *Pool { return rt.pool }
+
+// Synced takes in the answer to the newest sync, sent at askedAt.
+func (rt *Router) Synced(askedAt clock.Instant, state *api.EntryState) {
+	if state.View != nil {
+		rt.view.Store(newView(state.View, rt.dc))
+	}
+	if state.LeaseMillis > 0 && rt.Revision() >= state.Revision {
+		rt.settings.Extend(askedAt, time.Duration(state.LeaseMillis)*time.Millisecond)
+	}
+	if state.GroupMillis > 0 {
+		rt.minting.Store(&minting{state.Generation, state.GroupMillis, askedAt})
+	}
+	rt.pool.Synced(askedAt, state)
+}
+
+// Revision is the revision of the view in force, 0 without one.
+func (rt *Router) Revision() uint64 {
+	if v := rt.view.Load(); v != nil {
+		return v.revision
+	}
+	return 0
+}
+
+// Ready reports whether requests can be taken in.
+func (rt *Router) Ready() bool { return rt.view.Load() != nil && !rt.stopping.Load() }
+
+// LeaseLeft is what is left of the settings lease.
+func (rt *Router) LeaseLeft() time.Duration { return rt.settings.Left(rt.clock.Now()) }
+
+// CanMint reports whether the group's generation and time are known.
+func (rt *Router) CanMint() bool { return rt.minting.Load().groupMillis > 0 }
+
+// MintID returns a new request id of this data centre.
+func (rt *Router) MintID() model.RequestID {
+	m := rt.minting.Load()
+	now := m.groupMillis + rt.clock.Now().Sub(m.at).Milliseconds()
+	return ledger.Mint(rt.dc, m.generation, now, strconv.FormatUint(rand.Uint64(), randomBase))
+}
+
+func (rt *Router) nextAttempt() string {
+	return rt.incarnation + "." + strconv.FormatUint(rt.attempts.Add(1), 10)
+}
+
+// Stop refuses new requests from here on.
+func (rt *Router) Stop() { rt.stopping.Store(true) }
+
+// Wait returns once every record is closed, after the last request has ended.
+func (rt *Router) Wait() {
+	rt.pool.Close()
+	rt.work.Wait()
+}
+
+// ServeHTTP implements http.Handler.
+func (rt *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	defer rt.taken.Add(-1)
+	if rt.taken.Add(1) > rt.room {
+		rt.refuse(w, nil, began, verdict.Refuse(verdict.ReasonOverload, "entry VM has %d requests in flight", rt.room).RetryIn(time.Second))
+		return
+	}
+	c, refusal := rt.accept(w, r)
+	if refusal != nil {
+		rt.refuse(w, c, began, c.refuse(refusal))
+		return
+	}
+	res := rt.run(w, c)
+	if res.refusal != nil && res.began {
+		rt.note(c, began, res.refusal)
+		// The caller must not take the part of the answer it has for the whole.
+		panic(http.ErrAbortHandler)
+	}
+	if res.refusal != nil {
+		rt.refuse(w, c, began, res.refusal)
+		return
+	}
+	rt.observe(Outcome{Verdict: verdict.Done, Took: time.Since(began)})
+}
+
+// accept reads and checks a request as far as it can be without a slot.
+func (rt *Router) accept(w http.ResponseWriter, r *http.Request) (*call, *verdict.Refusal) {
+	v := rt.view.Load()
+	if rt.stopping.Load() {
+		return unread(r), verdict.Refuse(verdict.ReasonStopping, "entry VM is stopping").RetryIn(0)
+	}
+	if v == nil {
+		return unread(r), verdict.Refuse(verdict.ReasonNoLease, "entry VM has no settings yet").RetryIn(time.Second)
+	}
+	c, refusal := rt.parse(v, model.QueueName(chi.URLParam(r, "queue")), r)
+	if refusal != nil {
+		return c, refusal
+	}
+	w.Header().Set(api.HeaderRequestID, string(c.id))
+	if refusal := rt.permitted(c); refusal != nil {
+		return c, refusal
+	}
+	return c, c.readBody(w)
+}
+
+// unread is a call of which only what decides its verdict was read.
+func unread(r *http.Request) *call {
+	c := &call{r: r, id: model.RequestID(r.Header.Get(api.HeaderRequestID))}
+	c.named = c.id != ""
+	c.idempotent, _ = parseIdempotent(r)
+	return c
+}
+
+// permitted checks what may change while a request waits: the key, the
+// settings lease and whether the data centre is out. It is asked again right
+// before the first byte is sent.
+func (rt *Router) permitted(c *call) *verdict.Refusal {
+	v := rt.view.Load()
+	q, _, refusal := v.admit(c.queue.Name, c.key)
+	if refusal != nil {
+		return refusal
+	}
+	if v.out {
+		return verdict.Refuse(verdict.ReasonOut, "data centre %s is out of service", rt.dc).RetryIn(time.Second)
+	}
+	if !q.Open && !rt.settings.Valid(rt.clock.Now()) {
+		return verdict.Refuse(verdict.ReasonNoLease, "entry VM can't confirm that its settings are in force").RetryIn(time.Second)
+	}
+	return nil
+}
+
+// refuse answers with a refusal.
+func (rt *Router) refuse(w http.ResponseWriter, c *call, began time.Time, refusal *verdict.Refusal) {
+	rt.note(c, began, refusal)
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refusalTimeout))
+	httpx.WriteRefusal(w, refusal)
+}
+
+// refusalTimeout bounds the writing of a refusal.
+const refusalTimeout = 5 * time.Second
+
+// note records a refusal.
+func (rt *Router) note(c *call, began time.Time, refusal *verdict.Refusal) {
+	rt.observe(Outcome{refusal.Verdict, refusal.Reason, time.Since(began)})
+	e := eventlog.Event{Kind: "request.refused", DC: rt.dc, Cause: string(refusal.Reason), Detail: refusal.Message, Revision: rt.Revision()}
+	if c != nil {
+		e.Request, e.Team = c.id, c.team
+		if c.queue != nil {
+			e.Queue = c.queue.Name
+		}
+	}
+	rt.events.Record(e)
+}
+
+// result is how a request, or one try of it, ended.
+type result struct {
+	refusal *verdict.Refusal
+	// began is set if part of the answer went to the caller.
+	began bool
+	// again is set if nothing speaks against another try; moved if the slot was
+	// lost before its use, which doesn't count as a try.
+	again, moved bool
+}
+
+// run gets a request done, over several tries if need be.
+func (rt *Router) run(w http.ResponseWriter, c *call) result {
+	ctx, cancel := c.context()
+	defer cancel()
+	if c.named && !c.idempotent {
+		if ok, refusal := rt.begin(ctx, w, c); !ok {
+			return result{refusal: refusal}
+		}
+	}
+	rt.budget.earn(c.limits.retryShare)
+	res := rt.tries(ctx, w, c)
+	if res.refusal != nil && res.refusal.Verdict == verdict.NotRun {
+		rt.finish(c, nil)
+	}
+	return res
+}
+
+// tries sends a request until it is answered or may not be sent again.
+func (rt *Router) tries(ctx context.Context, w http.ResponseWriter, c *call) result {
+	uncertain := false
+	for tries, moves := 1, 0; ; {
+		res := rt.try(ctx, w, c)
+		if res.refusal == nil || res.began {
+			return res
+		}
+		uncertain = uncertain || res.refusal.Verdict != verdict.NotRun
+		if res.moved && moves < slotTries {
+			moves++
+			continue
+		}
+		if !res.again || tries >= c.limits.tries || c.left() <= 0 || !rt.budget.spend() {
+			return result{refusal: worst(res.refusal, uncertain)}
+		}
+		tries++
+	}
+}
+
+// worst makes a refusal true for all tries: one of them may have run.
+func worst(r *verdict.Refusal, uncertain bool) *verdict.Refusal {
+	if !uncertain || r.Verdict != verdict.NotRun {
+		return r
+	}
+	out := *r
+	out.Verdict = verdict.MayHaveRun
+	return &out
+}
+
+// try gets a slot and sends the request over it once.
+func (rt *Router) try(ctx context.Context, w http.ResponseWriter, c *call) result {
+	slot, err := rt.pool.Acquire(ctx, &Want{
+		Queue: c.queue.Name, Team: c.team, Share: c.share,
+		Deadline: c.deadline, Avoid: c.tried, Room: c.limits.room,
+	})
+	if err != nil {
+		return result{refusal: verdict.From(err)}
+	}
+	conn, err := slot.server.conns.take(ctx)
+	if err != nil {
+		slot.Suspect()
+		slot.Release()
+		c.tried = append(c.tried, slot.Server())
+		return result{refusal: verdict.From(err), again: true}
+	}
+	if ok, res := rt.prepare(ctx, w, c, slot); !ok {
+		conn.pool.put(conn)
+		slot.Release()
+		return res
+	}
+	return rt.exchange(ctx, w, c, slot, conn)
+}
+
+// prepare makes the record and checks every right to send for the last time.
+func (rt *Router) prepare(ctx context.Context, w http.ResponseWriter, c *call, slot *Slot) (bool, result) {
+	if !c.idempotent && !c.begun {
+		if ok, refusal := rt.begin(ctx, w, c); !ok {
+			return false, result{refusal: refusal}
+		}
+	}
+	if refusal := rt.permitted(c); refusal != nil {
+		return false, result{refusal: refusal}
+	}
+	if c.left() <= 0 {
+		return false, result{refusal: verdict.Refuse(verdict.ReasonDeadline, "deadline passed before the request was sent")}
+	}
+	if !slot.Valid(c.deadline) {
+		return false, result{moved: true, refusal: verdict.Refuse(verdict.ReasonNoServer, "slot lease ended before the request was sent").RetryIn(time.Second)}
+	}
+	return true, result{}
+}
+
+// exchange sends the request and passes the answer on.
+func (rt *Router) exchange(ctx context.Context, w http.ResponseWriter, c *call, slot *Slot, conn *serverConn) result {
+	x := &exchange{c: c, conn: conn, server: slot.Server()}
+	refusal := x.send(ctx)
+	d := newDelivery(w, x)
+	if refusal == nil {
+		refusal = d.run()
+	}
+	x.end(refusal == nil)
+	if refusal == nil {
+		slot.Done()
+		rt.finish(c, d.stored())
+		return result{}
+	}
+	rt.broken(slot, refusal)
+	c.tried = append(c.tried, slot.Server())
+	again := refusal.Verdict == verdict.NotRun || c.idempotent && c.whole()
+	return result{refusal: refusal, began: d.began, again: again && refusal.Reason != verdict.ReasonTooLarge}
+}
+
+// broken gives back the slot of an exchange that failed.
+func (rt *Router) broken(slot *Slot, refusal *verdict.Refusal) {
+	if refusal.Reason != verdict.ReasonTooLarge && refusal.Reason != verdict.ReasonDeadline {
+		slot.Suspect()
+	}
+	if refusal.Verdict == verdict.NotRun {
+		slot.Release()
+		return
+	}
+	slot.Broken()
+}
