Run the whole path as processes: make demo

Cause: the thin path has to be seen end to end before it is deepened. Ruled out: in-process demos, which would not show the processes' stops. Conclusion: job path and request path meet; a data centre is taken out and a key withdrawn meanwhile.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 clean:
 	rm -rf $(BIN)
+
+demo: build
+	BIN=$(BIN) scripts/demo.sh
--- a/cmd/kqcontrol/main.go
+++ b/cmd/kqcontrol/main.go
@@ -37,7 +37,7 @@
 func flags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "vm", Usage: "name of this VM", Sources: cli.EnvVars("KQ_VM")},
-		&cli.StringFlag{Name: "data-centre", Usage: "data centre of this VM", Sources: cli.EnvVars("KQ_DATA_CENTRE")},
+		&cli.StringFlag{Name: "dc", Usage: "data centre of this VM", Sources: cli.EnvVars("KQ_DC")},
 		&cli.StringFlag{Name: "region", Usage: "region of this VM", Sources: cli.EnvVars("KQ_REGION")},
 		&cli.StringFlag{Name: "wire", Usage: "IP:port for our own processes", Sources: cli.EnvVars("KQ_CONTROL_WIRE")},
 		&cli.StringFlag{Name: "http", Usage: "IP:port for operators, workers and metrics", Sources: cli.EnvVars("KQ_CONTROL_HTTP")},
@@ -59,7 +59,7 @@
 	}
 	server, err := control.New(control.Config{
 		VM:            model.VMID(c.String("vm")),
-		DC:            model.DCID(c.String("data-centre")),
+		DC:            model.DCID(c.String("dc")),
 		Region:        c.String("region"),
 		WireAddr:      c.String("wire"),
 		HTTPAddr:      c.String("http"),
--- a/cmd/kqfake/backend.go
+++ b/cmd/kqfake/backend.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -35,6 +38,7 @@
 			&cli.DurationFlag{Name: "every", Value: 500 * time.Millisecond, Usage: "pause between announcements"},
 			&cli.DurationFlag{Name: "delay", Usage: "time that each request takes"},
 			&cli.StringFlag{Name: "mode", Value: string(backend.Echo), Usage: "how requests are answered"},
+			&cli.StringFlag{Name: "runs", Usage: "file to write the runs of each request to at the end"},
 			&cli.DurationFlag{Name: "drain", Value: drainPause, Usage: "time to serve on after leaving was announced"},
 		},
 		Action: runBackend,
@@ -67,7 +71,23 @@
 	<-ctx.Done()
 	s.Leave()
 	time.Sleep(cmd.Duration("drain"))
-	return report(cmd.String("server"), s.Counts())
+	counts := s.Counts()
+	if err := writeRuns(cmd.String("runs"), &counts); err != nil {
+		return err
+	}
+	return report(cmd.String("server"), counts)
+}
+
+// writeRuns writes a line per request id with the number of its runs.
+func writeRuns(path string, c *backend.Counts) error {
+	if path == "" {
+		return nil
+	}
+	var lines bytes.Buffer
+	for _, id := range slices.Sorted(maps.Keys(c.Runs)) {
+		fmt.Fprintln(&lines, id, c.Runs[id])
+	}
+	return os.WriteFile(path, lines.Bytes(), 0o644)
 }
 
 // backendReport is what a stopped server prints.
--- a/cmd/kqfake/main.go
+++ b/cmd/kqfake/main.go
@@ -18,7 +18,7 @@
 	root := &cli.Command{
 		Name:     "kqfake",
 		Usage:    "run fake machines for demos and tests",
-		Commands: []*cli.Command{backendCommand(), workerCommand},
+		Commands: []*cli.Command{backendCommand(), callerCommand(), workerCommand},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "kqfake:", err)
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -55,7 +55,7 @@
 		fault("--vm is missing")
 	}
 	if c.DC == "" {
-		fault("--data-centre is missing")
+		fault("--dc is missing")
 	}
 	checkAddr(fault, "--wire", c.WireAddr)
 	checkAddr(fault, "--http", c.HTTPAddr)
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,66 @@
+# Functions to run a whole system on loopback addresses of one machine; sourced
+# by demo.sh. Every process is started in the background, remembered by its id
+# in $DATA/pids and ended by that id.
+
+BIN=${BIN:-bin}
+DCS="1 2 3"
+VMS="1 2 3"
+JOIN=127.0.0.11:7201,127.0.0.21:7201,127.0.0.31:7201
+
+say() { echo "[$(date +%H:%M:%S)] $*"; }
+
+# start NAME COMMAND... runs a process with its log in $DATA/log.
+start() {
+  local name=$1
+  shift
+  "$@" >"$DATA/log/$name.out" 2>"$DATA/log/$name.log" &
+  echo "$! $name" >>"$DATA/pids"
+}
+
+start_vm() {
+  local dc=$1 vm=$2 ip=127.0.0.$1$2
+  start "dc$dc-$vm.kqcontrol" "$BIN/kqcontrol" --vm "dc$dc-$vm" --dc "dc$dc" --region mauritius \
+    --wire "$ip:7201" --http "$ip:7200" --entry "$ip:7100" --join "$JOIN" \
+    --data "$DATA/vm/dc$dc-$vm" --events "$DATA/events"
+  start "dc$dc-$vm.kqentry" "$BIN/kqentry" --vm "dc$dc-$vm" --dc "dc$dc" \
+    --listen "$ip:7100" --control "$ip:7201" --events "$DATA/events"
+}
+
+start_workers() {
+  local dc=$1 count=$2
+  start "dc$dc.workers" "$BIN/kqfake" worker --dc "dc$dc" --name "w$dc" --count "$count" --accelerators 1 \
+    --control "http://127.0.0.${dc}1:7100" --control "http://127.0.0.${dc}2:7100" --control "http://127.0.0.${dc}3:7100" \
+    --events "$DATA/events"
+}
+
+# start_backend DC NUMBER QUEUE
+start_backend() {
+  local dc=$1 n=$2 queue=$3
+  start "dc$dc.$queue.$n" "$BIN/kqfake" backend --server "$queue-$dc-$n" --dc "dc$dc" --queue "$queue" \
+    --listen "127.0.0.1$dc$n:8000" --entry "127.0.0.${dc}1:7100" --entry "127.0.0.${dc}2:7100" \
+    --entry "127.0.0.${dc}3:7100" --delay 2ms --drain 1s --runs "$DATA/runs/$queue-$dc-$n"
+}
+
+# entries prints the flags that name every entry VM.
+entries() {
+  for dc in $DCS; do for vm in $VMS; do printf ' --entry 127.0.0.%s%s:7100' "$dc" "$vm"; done; done
+}
+
+# end PATTERN sends SIGTERM to the processes whose names match, and waits.
+end() {
+  local pid name
+  grep -E " $1" "$DATA/pids" 2>/dev/null | while read -r pid name; do kill -TERM "$pid" 2>/dev/null || true; done
+  grep -E " $1" "$DATA/pids" 2>/dev/null | while read -r pid name; do
+    for _ in $(seq 100); do kill -0 "$pid" 2>/dev/null || break; sleep 0.1; done
+    if kill -0 "$pid" 2>/dev/null; then say "$name did not stop in time"; kill -KILL "$pid"; fi
+  done
+}
+
+# until_ok SECONDS COMMAND... repeats a command until it succeeds.
+until_ok() {
+  local tries=$(($1 * 5))
+  shift
+  for _ in $(seq "$tries"); do "$@" >/dev/null 2>&1 && return 0; sleep 0.2; done
+  echo "did not succeed in time: $*" >&2
+  return 1
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,100 @@
+#!/usr/bin/env bash
+# Runs the main job on one machine: 3 data centres, 9 entry VMs, fake workers
+# and backend servers. Jobs are placed, run and explained; requests are answered
+# while a key is withdrawn and a data centre is taken out.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+DATA=${KQ_DEMO_DATA:-$(mktemp -d)}
+mkdir -p "$DATA"/log "$DATA"/events "$DATA"/runs
+: >"$DATA/pids"
+. scripts/cluster.sh
+
+finish() {
+  end '.*workers' || true
+  end '.*\.[a-z]+\.[0-9]+$' || true
+  end '.*kqentry' || true
+  end '.*kqcontrol' || true
+}
+trap finish EXIT
+
+export KQ_SERVER=http://127.0.0.11:7100,http://127.0.0.21:7100,http://127.0.0.31:7100
+export KQ_ACTOR=demo
+REQUESTS=${REQUESTS:-1500}
+kqctl() { "$BIN/kqctl" "$@"; }
+
+say "starting 9 entry VMs, 48 workers and 18 backend servers; data in $DATA"
+for dc in $DCS; do for vm in $VMS; do start_vm "$dc" "$vm"; done; done
+until_ok 10 curl -sf http://127.0.0.11:7200/healthz
+"$BIN/kqctl" --server http://127.0.0.11:7200 init >/dev/null
+for dc in $DCS; do
+  start_workers "$dc" 16
+  for n in 1 2 3; do start_backend "$dc" "$n" extracts; start_backend "$dc" $((n + 3)) calendar; done
+done
+for dc in $DCS; do for vm in $VMS; do until_ok 20 curl -sf "http://127.0.0.$dc$vm:7200/readyz"; done; done
+
+say "applying the declarations of examples/fleet"
+until_ok 10 kqctl status
+kqctl apply -f examples/fleet --wait | tail -2
+key() { kqctl key grant "$1" --wait | grep -o 'kq_[0-9a-z_]*' | tail -1; }
+yearbook=$(key yearbook)
+patterns=$(key patterns)
+counter=$(key counter)
+say "granted keys to yearbook, patterns and counter"
+kqctl status
+
+say "submitting a batch, a service, a gang, an urgent job and one that can never run"
+KQ_KEY=$yearbook kqctl job submit --id tables --class batch --workload tables --tasks 30 --run 2s --idempotent
+KQ_KEY=$yearbook kqctl job submit --id chapters --class service --workload chapters --tasks 6 --min-running 3
+KQ_KEY=$patterns kqctl job submit --id coat --class gang --workload full-coat --tasks 8 --cpu 4 --accelerators 1 --run 2s
+KQ_KEY=$counter kqctl job submit --id girth --class urgent --tasks 2 --run 1s
+KQ_KEY=$patterns kqctl job submit --id huge --class batch --cpu 20 --run 1s || true
+
+say "sending $REQUESTS keyed and $REQUESTS open requests, a third of them not idempotent"
+# shellcheck disable=SC2046
+"$BIN/kqfake" caller $(entries) --queue extracts --key "$yearbook" --requests "$REQUESTS" --parallel 24 --rate 250 \
+  --once-percent 33 --patience 15s --seed 1 >"$DATA/keyed.json" &
+keyed=$!
+# shellcheck disable=SC2046
+"$BIN/kqfake" caller $(entries) --queue calendar --requests "$REQUESTS" --parallel 24 --rate 250 \
+  --once-percent 33 --patience 15s --seed 2 >"$DATA/open.json" &
+open=$!
+
+sleep 2
+say "taking data centre dc2 out while everything runs"
+kqctl dc out dc2 --wait | tail -1
+say "withdrawing the key of counter; its next job must be refused"
+kqctl key withdraw "$(echo "$counter" | cut -d_ -f2)" --wait | tail -1
+if KQ_KEY=$counter kqctl job submit --id late --class urgent --run 1s 2>"$DATA/late.err"; then
+  echo "a withdrawn key was accepted"
+  exit 1
+fi
+say "refused: $(cat "$DATA/late.err")"
+sleep 3
+say "bringing dc2 back"
+kqctl dc in dc2 --wait | tail -1
+
+done_jobs() { for j in tables coat girth; do kqctl job status "$j" | grep -q succeeded || return 1; done; }
+until_ok 30 done_jobs
+for j in tables coat girth huge chapters; do kqctl job status "$j" | head -1; done
+say "why is task tables.0 where it was, and why was huge refused?"
+kqctl why task tables.0 | head -8
+kqctl why job huge | head -6
+
+status=0
+wait "$keyed" || status=1
+wait "$open" || status=1
+say "callers: $(cat "$DATA/keyed.json") $(cat "$DATA/open.json")"
+kqctl status || true
+finish
+trap - EXIT
+"$BIN/kqtimeline" --html "$DATA/timeline.html" "$DATA/events"
+say "time line: $DATA/timeline.html"
+
+field() { cat "$DATA/keyed.json" "$DATA/open.json" | grep -o "\"$1\":[0-9]*" | cut -d: -f2 | paste -sd+ | bc; }
+answered=$(field answered)
+lost=$((2 * REQUESTS - answered))
+# Requests that are not idempotent carry ids named by their data centre; any
+# of them that ran twice, anywhere, was doubled. Retries of idempotent ones are allowed.
+doubled=$(cat "$DATA"/runs/* | awk '{runs[$1] += $2} END {n = 0; for (i in runs) if (runs[i] > 1) n++; print n}')
+echo "demo: 4 jobs, $((2 * REQUESTS)) requests, $lost lost, $doubled doubled"
+[ "$status" = 0 ] && [ "$lost" = 0 ] && [ "$doubled" = 0 ]
