Wait for the new leader before proposing in two replica tests

The verdict is true, the test's expectation was not. Conclusion: the test asks the new leader; the count of applied commands is asserted as before.

--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -195,6 +195,9 @@
 	propose(t, g.members[0].node, "a")
 	old := g.leader()
 	g.drop(old)
+	// A proposal passed on to the old leader may truthfully have run; this one
+	// goes to the new one.
+	g.leader()
 	qt.Assert(t, propose(t, g.members[0].node, "b"), qt.Equals, uint64(2))
 	back := g.start(old.self.VM, old.dir, false)
 	qt.Assert(t, back.self.ID, qt.Equals, old.self.ID)
@@ -223,6 +226,7 @@
 	g.join(fresh)
 	qt.Assert(t, len(fresh.node.Status().Members), qt.Equals, 3)
 	g.drop(g.members[0])
+	g.leader()
 	qt.Assert(t, propose(t, fresh.node, "b"), qt.Equals, uint64(11))
 }
 
