--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -19,9 +19,11 @@
 	VM     model.VMID
 	DC     model.DCID
 	Region string
-	// WireAddr and HTTPAddr are host:port to listen at and to be reached at.
+	// WireAddr and HTTPAddr are host:port to listen at.
 	WireAddr string
 	HTTPAddr string
+	// AdvertiseAddr is where other processes reach WireAddr, if that differs.
+	AdvertiseAddr string
 	// EntryAddr is the HTTP address of the kqentry on the same VM.
 	EntryAddr string
 	// Join lists wire addresses of other kqcontrol processes, in any order.
@@ -59,6 +61,10 @@
 	}
 	checkAddr(fault, "--wire", c.WireAddr)
 	checkAddr(fault, "--http", c.HTTPAddr)
+	if c.AdvertiseAddr == "" {
+		c.AdvertiseAddr = c.WireAddr
+	}
+	checkAddr(fault, "--advertise", c.AdvertiseAddr)
 	if c.EntryAddr != "" {
 		checkAddr(fault, "--entry", c.EntryAddr)
 	}
--- a/internal/control/dcside.go
+++ b/internal/control/dcside.go
@@ -170,7 +170,7 @@
 	state := dcstate.New(d.s.cfg.DC, g.Generation)
 	node, err := replica.Open(replica.Config{
 		Group:   name,
-		Self:    replica.Member{ID: d.s.id, VM: string(d.s.cfg.VM), Addr: d.s.cfg.WireAddr},
+		Self:    replica.Member{ID: d.s.id, VM: string(d.s.cfg.VM), Addr: d.s.cfg.AdvertiseAddr},
 		Machine: state,
 		Store:   store,
 		Wire:    d.s.wire,
--- a/internal/control/fleetside.go
+++ b/internal/control/fleetside.go
@@ -86,7 +86,7 @@
 	state := fleet.New()
 	node, err := replica.Open(replica.Config{
 		Group:   fleetGroup,
-		Self:    replica.Member{ID: id, VM: string(f.s.cfg.VM), Addr: f.s.cfg.WireAddr},
+		Self:    replica.Member{ID: id, VM: string(f.s.cfg.VM), Addr: f.s.cfg.AdvertiseAddr},
 		Machine: state,
 		Store:   f.store,
 		Wire:    f.s.wire,
--- a/internal/control/hello.go
+++ b/internal/control/hello.go
@@ -136,16 +136,16 @@
 
 // target picks the address for the next hello.
 func (a *announcer) target() string {
-	if a.leader != "" && a.leader != a.s.cfg.WireAddr {
+	if a.leader != "" && a.leader != a.s.cfg.AdvertiseAddr {
 		return a.leader
 	}
-	if m, ok := a.s.fleetLeader(); ok && m.Addr != a.s.cfg.WireAddr {
+	if m, ok := a.s.fleetLeader(); ok && m.Addr != a.s.cfg.AdvertiseAddr {
 		return m.Addr
 	}
 	for range a.known {
 		addr := a.known[a.next%len(a.known)]
 		a.next++
-		if addr != a.s.cfg.WireAddr {
+		if addr != a.s.cfg.AdvertiseAddr {
 			return addr
 		}
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -218,7 +218,7 @@
 		DC:        s.cfg.DC,
 		Region:    s.cfg.Region,
 		ID:        s.id,
-		WireAddr:  s.cfg.WireAddr,
+		WireAddr:  s.cfg.AdvertiseAddr,
 		HTTPAddr:  s.cfg.HTTPAddr,
 		EntryAddr: s.cfg.EntryAddr,
 		Disk:      s.cfg.DataDir != "",
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -64,14 +64,14 @@
 	_ message.Subscriber = (*Node)(nil)
 )
 
-// Listen opens a node at addr. A nil dial uses TCP.
+// Listen opens a node at addr. A nil dial uses TCP from the listener's IP number.
 func Listen(addr string, dial Dialer) (*Node, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	if dial == nil {
-		dial = dialTCP
+		dial = dialerFrom(l.Addr())
 	}
 	n := &Node{
 		listener:     l,
@@ -88,9 +88,16 @@
 	return n, nil
 }
 
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr)
+// dialerFrom opens connections from the IP number that the node listens at, so
+// that peers and packet filters see one address per VM.
+func dialerFrom(listen net.Addr) Dialer {
+	d := &net.Dialer{}
+	if a, ok := listen.(*net.TCPAddr); ok && !a.IP.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: a.IP}
+	}
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", addr)
+	}
 }
 
 // SetStamper makes every frame carry hybrid logical time. It must be called
