--- a/internal/fake/caller/caller.go
+++ b/internal/fake/caller/caller.go
@@ -46,6 +46,8 @@
 	// Patience bounds one request with all its repeats.
 	Patience time.Duration
 	Seed     uint64
+	// Stop, if set, ends the sending of new requests when it is closed.
+	Stop <-chan struct{}
 	// Log, if set, gets a line of JSON for every try.
 	Log io.Writer
 }
@@ -119,7 +121,7 @@
 		})
 	}
 	for i := range c.cfg.Requests {
-		if c.limit.Wait(ctx) != nil {
+		if c.limit.Wait(ctx) != nil || c.stopped() {
 			break
 		}
 		work <- i
@@ -131,6 +133,15 @@
 	return c.summary
 }
 
+func (c *Caller) stopped() bool {
+	select {
+	case <-c.cfg.Stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // request sends one request until it is answered or patience is over.
 func (c *Caller) request(ctx context.Context, i int) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Patience)
