--- a/internal/replica/sim_check_test.go
+++ b/internal/replica/sim_check_test.go
@@ -22,6 +22,8 @@
 	ackedAll []string
 	refusals map[string]bool
 	maxAcked uint64
+	// installs, crashes and losses count what was exercised.
+	installs, crashes, losses int
 }
 
 type entryKey struct{ index, term uint64 }
@@ -163,6 +165,7 @@
 }
 
 func (h *simMachine) Restore(b []byte) error {
+	h.check.installs++
 	h.index, h.chain = binary.BigEndian.Uint64(b), binary.BigEndian.Uint64(b[8:])
 	h.compare()
 	return nil
--- a/internal/replica/sim_faults_test.go
+++ b/internal/replica/sim_faults_test.go
@@ -94,6 +94,7 @@
 		}
 	}
 	crashNow(s, m)
+	s.check.losses++
 	m.disk.Wipe()
 	m.down = s.now + s.upTo(2*time.Second)
 	s.incarnate(m)
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -226,6 +226,7 @@
 	if !m.disk.Crashed() {
 		s.check.fail("member %d failed: %v", m.self.ID, m.core.failed)
 	}
+	s.check.crashes++
 	s.crash(m)
 }
 
