--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -56,10 +56,11 @@
 	t       testing.TB
 	members []*member
 	nextID  MemberID
+	tick    time.Duration
 }
 
 func newGroup(t testing.TB, size int, disk bool) *group {
-	g := &group{t: t}
+	g := &group{t: t, tick: testTick}
 	for i := range size {
 		dir := ""
 		if disk {
@@ -102,7 +103,7 @@
 	m := &member{wire: w, machine: &register{}, dir: dir, self: Member{ID: id, VM: vm, Addr: w.Addr()}}
 	m.node, err = Open(Config{
 		Group: "test", Self: m.self, Machine: m.machine, Store: store, Wire: w,
-		Clock: clock.Boot{}, Found: found, Tick: testTick,
+		Clock: clock.Boot{}, Found: found, Tick: g.tick,
 	})
 	qt.Assert(g.t, err, qt.IsNil)
 	g.members = append(g.members, m)
