Check groups without disks under random faults

Ruled out: crashes there, since a process that ends comes back as a new member and is the lost-disk fault.

--- a/internal/replica/sim_run_test.go
+++ b/internal/replica/sim_run_test.go
@@ -34,6 +34,18 @@
 	{1500, onLeader(transfer)},
 }
 
+// memoryFaults are those that members without disks survive: a process that
+// ends is a disk that is lost.
+var memoryFaults = []simFault{
+	{800, cutOff},
+	{800, cutPair},
+	{800, pauseMember},
+	{1500, onLeader(pauseMember)},
+	{1500, stepClock},
+	{400, loseDisk},
+	{1500, onLeader(transfer)},
+}
+
 // run lets a group form, suffer and heal, and returns the first violation.
 func (s *sim) run() (violation string) {
 	defer func() {
@@ -104,20 +116,26 @@
 }
 
 func TestRandomFaults(t *testing.T) {
-	sets := map[string]simOptions{}
-	for _, size := range []int{3, 5} {
-		sets[fmt.Sprint(size, " members")] = simOptions{size: size, faults: allFaults, lossPercent: 4}
+	cases := []struct {
+		name string
+		o    simOptions
+	}{
+		{"3 members", simOptions{size: 3, faults: allFaults}},
+		{"5 members", simOptions{size: 5, faults: allFaults}},
+		{"3 members without disks", simOptions{size: 3, faults: memoryFaults, memory: true}},
 	}
-	for name, o := range sets {
+	for _, c := range cases {
+		c.o.lossPercent = 4
 		for seed := range *simSeeds {
-			t.Run(fmt.Sprintf("%s/seed %d", name, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/seed %d", c.name, seed), func(t *testing.T) {
 				t.Parallel()
-				s := newSim(seed, o)
+				s := newSim(seed, c.o)
 				qt.Assert(t, s.run(), qt.Equals, "")
-				c := s.check
+				seen := s.check
 				t.Logf("%d acknowledged, %d terms with a leader, %d snapshots, %d crashes at a sync, %d disks lost",
-					len(c.ackedAll), len(c.leaders), c.installs, c.crashes, c.losses)
-				qt.Check(t, c.installs*c.crashes*c.losses > 0, qt.IsTrue)
+					len(seen.ackedAll), len(seen.leaders), seen.installs, seen.crashes, seen.losses)
+				qt.Check(t, seen.installs*seen.losses > 0, qt.IsTrue)
+				qt.Check(t, seen.crashes > 0, qt.Equals, !c.o.memory)
 			})
 		}
 	}
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -71,6 +71,8 @@
 	faults     []simFault
 	// lossPercent of messages are lost, and as many repeated.
 	lossPercent int
+	// memory gives the members no disks.
+	memory bool
 }
 
 func newSim(seed uint64, o simOptions) *sim {
@@ -102,7 +104,7 @@
 
 // open starts the member's process from its disk.
 func (s *sim) open(m *simMember, found bool) {
-	store, err := storage.Open(m.disk)
+	store, err := s.store(m)
 	if err != nil {
 		s.check.fail("member %d can't open its store: %v", m.self.ID, err)
 		return
@@ -124,6 +126,13 @@
 	m.inbox = nil
 }
 
+func (s *sim) store(m *simMember) (storage.Store, error) {
+	if s.opts.memory {
+		return storage.NewMemory(), nil
+	}
+	return storage.Open(m.disk)
+}
+
 func (s *sim) raftOptions(m *simMember) consensus.Options {
 	o := options(Config{Self: m.self, Tick: simTick})
 	o.Rand = rand.New(rand.NewPCG(s.rng.Uint64(), 2))
