--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -5,6 +5,12 @@
 // maxInFlight bounds the entries sent to a member ahead of its replies.
 const maxInFlight = 4096
 
+// maxUncommitted bounds the proposed entries that no quorum has yet.
+const maxUncommitted = 4096
+
+// lateBeats is how many heartbeats without a reply make a voter late.
+const lateBeats = 2
+
 // progressState says how entries are sent to a member.
 type progressState uint8
 
@@ -100,6 +106,9 @@
 	if r.lead.target != None {
 		return 0, ErrTransferring
 	}
+	if r.log.last()-r.log.commit >= maxUncommitted {
+		return 0, ErrBacklog
+	}
 	return r.appendOwn(EntryCommand, data), nil
 }
 
@@ -122,6 +131,7 @@
 		r.endTransfer()
 		return
 	}
+	r.advanceCommit()
 	if r.ticks%r.opts.HeartbeatTicks == 0 {
 		r.beat()
 		return
@@ -253,9 +263,17 @@
 	r.handOver()
 }
 
-// advanceCommit commits what a quorum has persisted.
+// advanceCommit commits what a quorum has persisted. A witness counts only
+// where it is needed: once a leader is gone whose last entries nobody but a
+// witness has, nobody can be elected.
 func (r *Raft) advanceCommit() {
-	index := r.quorumOf(r.log.persisted, func(p *progress) uint64 { return p.match })
+	witnesses := r.needsWitness()
+	index := r.quorumOf(r.log.persisted, func(p *progress) uint64 {
+		if p.member.Witness && !witnesses {
+			return 0
+		}
+		return p.match
+	})
 	if index <= r.log.commit {
 		return
 	}
@@ -267,6 +285,22 @@
 	r.settleReads()
 }
 
+// needsWitness reports whether the voters that keep commands are too few for a
+// quorum, or one of them has not replied lately.
+func (r *Raft) needsWitness() bool {
+	keepers := 1 // the leader
+	for _, p := range r.lead.peers {
+		if p.member.Learner || p.member.Witness {
+			continue
+		}
+		if r.ticks-p.repliedTick > lateBeats*r.opts.HeartbeatTicks {
+			return true
+		}
+		keepers++
+	}
+	return keepers < r.Members().Quorum()
+}
+
 // quorumOf returns the greatest value that a quorum of voters has reached.
 func (r *Raft) quorumOf(own uint64, of func(*progress) uint64) uint64 {
 	var vs []uint64
--- a/internal/consensus/raft_test.go
+++ b/internal/consensus/raft_test.go
@@ -160,3 +160,33 @@
 	r.Step(clock.Instant(time.Hour), Message{Kind: MsgVote, From: 3, To: 1, Term: 4, Index: 2, LogTerm: 2})
 	qt.Assert(t, drain(r), qt.HasLen, 0)
 }
+
+// TestWitnessCountsWhenAVoterIsLate shows which members' entries commit.
+func TestWitnessCountsWhenAVoterIsLate(t *testing.T) {
+	st, now := threeVoters(t), clock.Instant(0)
+	data, err := Encode(Members{{ID: 1}, {ID: 2}, {ID: 3, Witness: true}})
+	qt.Assert(t, err, qt.IsNil)
+	st.Entries[0].Data = data
+	r := New(testOptions(1), st, now)
+	elect(t, r, &now)
+	fromWitness := Message{Kind: MsgAppendReply, From: 3, To: 1, Term: r.term, Index: 3, Round: 1}
+	r.Step(now, fromWitness)
+	drain(r)
+	qt.Assert(t, r.Commit(), qt.Equals, uint64(0))
+	tickUntil(t, r, &now, func() bool { return r.Commit() == 3 })
+	qt.Assert(t, r.IsLeader(), qt.IsTrue)
+}
+
+func TestBacklogIsBounded(t *testing.T) {
+	now := clock.Instant(0)
+	r := New(testOptions(1), threeVoters(t), now)
+	elect(t, r, &now)
+	accepted := 0
+	for ; accepted <= maxUncommitted; accepted++ {
+		if _, err := r.Propose([]byte("x")); err != nil {
+			qt.Assert(t, err, qt.Equals, ErrBacklog)
+			break
+		}
+	}
+	qt.Assert(t, accepted < maxUncommitted, qt.IsTrue)
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -165,6 +165,7 @@
 var (
 	ErrNotLeader    = errors.New("this member does not lead")
 	ErrTransferring = errors.New("leadership is being handed over")
+	ErrBacklog      = errors.New("too many proposals wait for a quorum")
 	ErrChanging     = errors.New("a membership change is not committed yet")
 	ErrUnknown      = errors.New("no such member")
 	ErrLagging      = errors.New("the learner has not caught up")
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
 	"kumquatwing/internal/clock"
 	"kumquatwing/internal/storage"
@@ -122,15 +123,25 @@
 	}
 	l := g.leader()
 	var sent, sentByFollower uint64
+	var cpu time.Duration
 	for b.Loop() {
 		before, other := l.wire.Traffic(), g.members[1].wire.Traffic()
+		used := processorTime(b)
 		time.Sleep(idleFor)
+		cpu += processorTime(b) - used
 		sent += l.wire.Traffic().SentBytes - before.SentBytes
 		sentByFollower += g.members[1].wire.Traffic().SentBytes - other.SentBytes
 	}
 	total := float64(b.N) * idleFor.Seconds()
 	b.ReportMetric(float64(sent)/total, "leader-B/s")
 	b.ReportMetric(float64(sentByFollower)/total, "follower-B/s")
+	b.ReportMetric(100*cpu.Seconds()/total/3, "core-%/member")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u unix.Rusage
+	qt.Assert(b, unix.Getrusage(unix.RUSAGE_SELF, &u), qt.IsNil)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 // blob is a machine with a state of a fixed size.
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -20,10 +20,12 @@
 	compactBytes int
 	// keepBytes of the log stay for members that lag a little.
 	keepBytes int
+	// backlogBytes may be proposed beyond that while no quorum answers.
+	backlogBytes int
 }
 
 // defaultLimits suit the memory and write rate of a control process.
-var defaultLimits = logLimits{compactBytes: 1 << 20, keepBytes: 256 << 10}
+var defaultLimits = logLimits{compactBytes: 1 << 20, keepBytes: 256 << 10, backlogBytes: 4 << 20}
 
 // waiter is told what became of a proposed entry.
 type waiter struct {
@@ -240,9 +242,20 @@
 
 // propose appends a command; done is called once, possibly before it returns.
 func (c *core) propose(command []byte, done func([]byte, error)) {
-	c.enter(func() (uint64, error) { return c.raft.Propose(command) }, done)
+	c.enter(func() (uint64, error) {
+		if c.raft.LogBytes()+len(command) > c.maxLogBytes() {
+			return 0, consensus.ErrBacklog
+		}
+		return c.raft.Propose(command)
+	}, done)
 }
 
+// maxLogBytes bounds the log's memory while no quorum answers.
+func (c *core) maxLogBytes() int { return c.compactAt() + c.limits.backlogBytes }
+
+// compactAt is the log size at which it is compacted.
+func (c *core) compactAt() int { return max(c.limits.compactBytes, c.snapshotSize) }
+
 // enter calls an appending function and waits for its entry.
 func (c *core) enter(add func() (uint64, error), done func([]byte, error)) {
 	if c.failed != nil {
@@ -329,7 +342,7 @@
 // compact shortens the log once it is large. A member without a disk needs no
 // snapshot for that.
 func (c *core) compact() {
-	if c.failed != nil || c.raft.LogBytes() < max(c.limits.compactBytes, c.snapshotSize) {
+	if c.failed != nil || c.raft.LogBytes() < c.compactAt() {
 		return
 	}
 	if c.store.Durable() {
@@ -399,6 +412,8 @@
 	switch {
 	case errors.Is(err, consensus.ErrNotLeader), errors.Is(err, consensus.ErrTransferring):
 		return verdict.Refuse(verdict.ReasonNotLeader, "%v", err)
+	case errors.Is(err, consensus.ErrBacklog):
+		return verdict.Refuse(verdict.ReasonOverload, "%v", err).RetryIn(retryPause)
 	case errors.Is(err, consensus.ErrChanging), errors.Is(err, consensus.ErrLagging):
 		return verdict.Refuse(verdict.ReasonConflict, "%v", err).RetryIn(retryPause)
 	default:
--- a/internal/replica/sim_check_test.go
+++ b/internal/replica/sim_check_test.go
@@ -115,6 +115,9 @@
 	for i := 1; i < len(es); i++ {
 		key := entryKey{es[i].Index, es[i].Term}
 		facts := entryFacts{xxhash.Sum64(es[i].Data), es[i-1].Term}
+		if m.self.Witness && es[i].Kind == consensus.EntryCommand {
+			continue
+		}
 		if old, ok := c.logs[key]; ok && old != facts {
 			c.fail("logs differ at index %d of term %d", key.index, key.term)
 		}
--- a/internal/replica/sim_faults_test.go
+++ b/internal/replica/sim_faults_test.go
@@ -100,6 +100,9 @@
 	s.incarnate(m)
 }
 
+// loseWitness wipes the witness's disk.
+func loseWitness(s *sim, _ *simMember) { loseDisk(s, s.members[len(s.members)-1]) }
+
 // transfer asks a leader to hand over; it may refuse.
 func transfer(_ *sim, m *simMember) { _ = m.core.raft.Transfer() }
 
