--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -36,6 +36,8 @@
 	PathJob  = "/v1/jobs/{job}"
 	// PathJobTasks lists a job's tasks over all data centres that own some.
 	PathJobTasks = "/v1/jobs/{job}/tasks"
+	// PathCancelJobs cancels many jobs in one call (POST).
+	PathCancelJobs = "/v1/jobs/cancel"
 	// PathWhy explains a subject: task, job, team or worker.
 	PathWhy = "/v1/why/{kind}/{id}"
 	// PathSettings applies (POST) and reads (GET) declarations.
--- a/internal/api/job.go
+++ b/internal/api/job.go
@@ -26,6 +26,17 @@
 	InForce  bool   `json:"in_force"`
 	// Waiting lists the holders that have neither confirmed nor lost their lease.
 	Waiting []LeaseWait `json:"waiting,omitempty"`
+	// Limits lists the data centres that must return a part of a lowered limit.
+	Limits []LimitWait `json:"limits,omitempty"`
+}
+
+// LimitWait is a part of a team's lowered limit that a data centre still uses.
+type LimitWait struct {
+	Team model.TeamID `json:"team"`
+	DC   model.DCID   `json:"dc"`
+	// Amount is what the data centre may use now, Target what it keeps.
+	Amount model.Resources `json:"amount"`
+	Target model.Resources `json:"target"`
 }
 
 // LeaseWait is one holder that a change waits for.
--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -78,9 +78,14 @@
 	Keys []model.Key `json:"keys"`
 }
 
+// CancelCall cancels jobs, all of them or, if one is not known, none.
+type CancelCall struct {
+	Jobs []model.JobID `json:"jobs"`
+}
+
 // CancelAnswer answers a cancellation.
 type CancelAnswer struct {
-	Job model.JobID `json:"job"`
+	Jobs []model.JobID `json:"jobs"`
 }
 
 // JobsAnswer lists jobs without their tasks.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -31,6 +31,7 @@
 	ReasonUnknownTeam   Reason = "unknown-team"
 	ReasonUnknownQueue  Reason = "unknown-queue"
 	ReasonUnknownJob    Reason = "unknown-job"
+	ReasonUnknownKey    Reason = "unknown-key"
 	ReasonNoLease       Reason = "no-settings-lease"
 	ReasonNoLeader      Reason = "no-leader"
 	ReasonNotLeader     Reason = "not-leader"
