Hold a lowered limit's force back until it is returned; cancel in batches

Cause: a revision that lowers a limit was called in force once every holder had confirmed it, while a data centre could still run more than the new limit. Ruled out: a second wait in kqctl, since every client would need it. Conclusion: in force means confirmed and returned; withdrawn keys leave the view of traffic, the number of keys is bounded.

--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -26,7 +26,7 @@
 				Name: "submit", Usage: "submit a job for the team of --key", Flags: submitFlags(), Action: t.submitJob,
 				Description: "The job's id is made here and kept over all resends, so that the job is taken once.",
 			},
-			{Name: "cancel", Usage: "ask for a job's end", ArgsUsage: "JOB", Action: t.cancelJob},
+			{Name: "cancel", Usage: "ask for the end of jobs, of all or none", ArgsUsage: "JOB...", Action: t.cancelJobs},
 			{
 				Name: "status", Usage: "show a job and its tasks", ArgsUsage: "JOB", Action: t.jobStatus,
 				Flags: []cli.Flag{
@@ -113,16 +113,19 @@
 	return strings.Replace(api.PathJob, "{job}", url.PathEscape(id), 1)
 }
 
-func (t *tool) cancelJob(ctx context.Context, cmd *cli.Command) error {
-	args, err := arguments(cmd, "JOB")
-	if err != nil {
-		return err
+func (t *tool) cancelJobs(ctx context.Context, cmd *cli.Command) error {
+	if !cmd.Args().Present() {
+		return usagef("%s needs the ids of jobs", cmd.FullName())
+	}
+	body := &api.CancelCall{}
+	for _, id := range cmd.Args().Slice() {
+		body.Jobs = append(body.Jobs, model.JobID(id))
 	}
-	raw, err := t.send(ctx, call{method: http.MethodDelete, path: jobPath(args[0])}, nil)
+	raw, err := t.send(ctx, call{method: http.MethodPost, path: api.PathCancelJobs, body: body}, nil)
 	if err != nil {
 		return err
 	}
-	t.print(raw, "cancellation of "+args[0]+" is accepted")
+	t.print(raw, "cancellation of "+strings.Join(cmd.Args().Slice(), ", ")+" is accepted")
 	return nil
 }
 
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -87,6 +87,10 @@
 		text += fmt.Sprintf("; waits for %s in %s (confirmed revision %d, its lease ends in %d ms)",
 			w.Holder, w.DC, w.Confirmed, w.EndsMillis)
 	}
+	for _, l := range last.Limits {
+		text += fmt.Sprintf("; data centre %s still uses %s of the limit of team %s and is to keep %s",
+			l.DC, l.Amount, l.Team, l.Target)
+	}
 	return text
 }
 
--- a/internal/fleet/configure.go
+++ b/internal/fleet/configure.go
@@ -18,6 +18,10 @@
 	changeIn          = "dc-in"
 )
 
+// maxKeys bounds the keys ever granted. The withdrawn ones are kept, so that no
+// id is granted twice.
+const maxKeys = 65_536
+
 // apply replaces the declarations, whole or not at all.
 func (s *State) apply(h Header, a *Apply) *Result {
 	next := a.Declarations
@@ -114,9 +118,15 @@
 
 // installTeams also withdraws the keys and drops the grants of removed teams.
 func (s *State) installTeams(teams []model.Team) {
+	old, oldRevisions := s.teams, s.limitRevisions
 	s.teams = make(map[model.TeamID]model.Team, len(teams))
+	s.limitRevisions = make(map[model.TeamID]uint64, len(teams))
 	for _, t := range teams {
 		s.teams[t.ID] = t
+		s.limitRevisions[t.ID] = s.revision
+		if before, ok := old[t.ID]; ok && before.Limit == t.Limit {
+			s.limitRevisions[t.ID] = oldRevisions[t.ID]
+		}
 	}
 	for id, k := range s.keys {
 		if _, ok := s.teams[k.Team]; !ok && !k.Withdrawn {
@@ -161,6 +171,9 @@
 	if _, ok := s.keys[g.Key]; ok {
 		return refuse(verdict.ReasonConflict, "key %s was granted before", g.Key)
 	}
+	if len(s.keys) >= maxKeys {
+		return refuse(verdict.ReasonOverload, "there are %d keys already, withdrawn ones included", maxKeys)
+	}
 	changes := []string{fmt.Sprintf("key %s granted to team %s", g.Key, g.Team)}
 	result := s.accept(h, changeKeyGrant, changes, nil)
 	s.keys[g.Key] = model.Key{ID: g.Key, Team: g.Team, Hash: g.Hash, Revision: s.revision}
@@ -172,7 +185,7 @@
 func (s *State) withdrawKey(h Header, w *WithdrawKey) *Result {
 	k, ok := s.keys[w.Key]
 	if !ok {
-		return refuse(verdict.ReasonBadKey, "key %q is not known", w.Key)
+		return refuse(verdict.ReasonUnknownKey, "key %q is not known", w.Key)
 	}
 	if k.Withdrawn {
 		return &Result{}
--- a/internal/fleet/escrow_test.go
+++ b/internal/fleet/escrow_test.go
@@ -244,14 +244,15 @@
 	m.apply(low)
 	m.limit = low.Teams[0].Limit
 	qt.Assert(t, m.state.OverLimit("shop"), qt.IsTrue)
-	recalled := m.state.Recalled()
+	qt.Assert(t, m.state.LimitsPending(1), qt.HasLen, 0)
+	recalled := m.state.LimitsPending(2)
 	qt.Assert(t, recalled, qt.HasLen, 2)
 	qt.Assert(t, recalled[0].Target.MilliCPU+recalled[1].Target.MilliCPU, qt.Equals, int64(4000))
 	m.deliver(m.request(m.holders[2]), true)
 	qt.Assert(t, m.state.Grant("shop", "dc3").Amount.MilliCPU, qt.Equals, int64(0))
 	m.round()
 	qt.Assert(t, m.state.OverLimit("shop"), qt.IsFalse)
-	qt.Assert(t, m.state.Recalled(), qt.HasLen, 0)
+	qt.Assert(t, m.state.LimitsPending(2), qt.HasLen, 0)
 }
 
 // TestReturnIsNotLentAgain gives back what was wanted before and no longer is.
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -58,12 +58,18 @@
 	return list
 }
 
-// EntryView returns the part that traffic needs.
+// validKeys lists the keys that are not withdrawn, by id.
+func (s *State) validKeys() []model.Key {
+	return slices.DeleteFunc(s.Keys(), func(k model.Key) bool { return k.Withdrawn })
+}
+
+// EntryView returns the part that traffic needs. Withdrawn keys are left out:
+// they are refused like unknown ones.
 func (s *State) EntryView() *api.EntryView {
 	if s.view == nil {
 		s.view = &api.EntryView{
 			Revision:    s.revision,
-			Keys:        s.Keys(),
+			Keys:        s.validKeys(),
 			Teams:       s.Teams(),
 			Queues:      s.declarations.Queues,
 			DataCentres: s.DataCentres(),
@@ -127,8 +133,7 @@
 }
 
 // Recalled lists the grants that are to be returned in part, by team and data
-// centre. A lowered limit is in force once it has none of the team whose
-// amounts exceed it.
+// centre.
 func (s *State) Recalled() []Grant {
 	var list []Grant
 	for _, t := range s.Teams() {
@@ -141,6 +146,18 @@
 	return list
 }
 
+// LimitsPending lists the grants that keep limits lowered at or before revision
+// from being in force.
+func (s *State) LimitsPending(revision uint64) []Grant {
+	var list []Grant
+	for _, g := range s.Recalled() {
+		if s.limitRevisions[g.Team] <= revision && s.OverLimit(g.Team) {
+			list = append(list, g)
+		}
+	}
+	return list
+}
+
 // OverLimit reports whether a team's grants exceed its limit, which was
 // lowered and is not yet in force.
 func (s *State) OverLimit(team model.TeamID) bool {
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -31,29 +31,32 @@
 	Seq          uint64                `msgpack:"seq"`
 	JobsVersion  uint64                `msgpack:"jobs_version"`
 	Grants       []*Grant              `msgpack:"grants"`
-	Members      []Member              `msgpack:"members"`
-	Groups       []*Group              `msgpack:"groups"`
+	// LimitRevisions are in the order of the declared teams.
+	LimitRevisions []uint64 `msgpack:"limit_revs"`
+	Members        []Member `msgpack:"members"`
+	Groups         []*Group `msgpack:"groups"`
 }
 
 // Snapshot implements replica.Machine. Equal states have equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
 	return msgpack.Marshal(&snapshot{
-		Format:       snapshotFormat,
-		Revision:     s.revision,
-		Declarations: s.declarations,
-		Tree:         s.tree,
-		DataCentres:  s.DataCentres(),
-		Keys:         s.Keys(),
-		History:      s.history,
-		Operations:   s.operations.order,
-		Jobs:         s.jobs.active,
-		Finished:     s.FinishedJobs(),
-		Spent:        s.jobs.spentOrder,
-		Seq:          s.jobs.seq,
-		JobsVersion:  s.jobs.version,
-		Grants:       s.sortedGrants(),
-		Members:      sortedValues(s.members),
-		Groups:       sortedValues(s.groups),
+		Format:         snapshotFormat,
+		Revision:       s.revision,
+		Declarations:   s.declarations,
+		Tree:           s.tree,
+		DataCentres:    s.DataCentres(),
+		Keys:           s.Keys(),
+		History:        s.history,
+		Operations:     s.operations.order,
+		Jobs:           s.jobs.active,
+		Finished:       s.FinishedJobs(),
+		Spent:          s.jobs.spentOrder,
+		Seq:            s.jobs.seq,
+		JobsVersion:    s.jobs.version,
+		Grants:         s.sortedGrants(),
+		LimitRevisions: sortedValues(s.limitRevisions),
+		Members:        sortedValues(s.members),
+		Groups:         sortedValues(s.groups),
 	})
 }
 
@@ -103,8 +106,11 @@
 	if in.Tree != nil {
 		s.tree = in.Tree
 	}
-	for _, t := range in.Declarations.Teams {
+	for i, t := range in.Declarations.Teams {
 		s.teams[t.ID] = t
+		if i < len(in.LimitRevisions) {
+			s.limitRevisions[t.ID] = in.LimitRevisions[i]
+		}
 	}
 	for _, dc := range in.DataCentres {
 		s.dcs[dc.ID] = dc
--- a/internal/fleet/snapshot_test.go
+++ b/internal/fleet/snapshot_test.go
@@ -127,7 +127,7 @@
 		s.revision, s.declarations, tree, s.teams, s.dcs, s.keys, s.history, s.operations.order,
 		len(s.operations.byID), s.jobs.byID, s.jobs.active, s.jobs.finished, s.jobs.spentOrder,
 		len(s.jobs.spent), s.jobs.unfinished, s.jobs.seq, s.jobs.version, s.sortedGrants(),
-		s.members, s.groups,
+		s.members, s.groups, s.limitRevisions,
 	}, "", " ")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -28,9 +28,11 @@
 	operations   operations
 	jobs         jobTable
 	grants       map[grantKey]*Grant
-	members      map[model.VMID]Member
-	groups       map[model.DCID]*Group
-	view         *api.EntryView
+	// limitRevisions holds the revision that last changed each team's limit.
+	limitRevisions map[model.TeamID]uint64
+	members        map[model.VMID]Member
+	groups         map[model.DCID]*Group
+	view           *api.EntryView
 }
 
 var _ replica.Machine = (*State)(nil)
@@ -38,15 +40,16 @@
 // New returns the state before any command.
 func New() *State {
 	return &State{
-		tree:       settings.NewTree(),
-		teams:      map[model.TeamID]model.Team{},
-		dcs:        map[model.DCID]model.DataCentre{},
-		keys:       map[model.KeyID]model.Key{},
-		operations: newOperations(),
-		jobs:       newJobTable(),
-		grants:     map[grantKey]*Grant{},
-		members:    map[model.VMID]Member{},
-		groups:     map[model.DCID]*Group{},
+		tree:           settings.NewTree(),
+		teams:          map[model.TeamID]model.Team{},
+		dcs:            map[model.DCID]model.DataCentre{},
+		keys:           map[model.KeyID]model.Key{},
+		operations:     newOperations(),
+		jobs:           newJobTable(),
+		grants:         map[grantKey]*Grant{},
+		limitRevisions: map[model.TeamID]uint64{},
+		members:        map[model.VMID]Member{},
+		groups:         map[model.DCID]*Group{},
 	}
 }
 
--- a/internal/fleetapi/jobs.go
+++ b/internal/fleetapi/jobs.go
@@ -120,13 +120,36 @@
 		httpx.WriteRefusal(w, refusal)
 		return
 	}
-	id := model.JobID(chi.URLParam(r, "job"))
-	cancel := &fleet.CancelJobs{IDs: []model.JobID{id}, Team: who.team, Key: who.key}
+	s.cancel(w, r, who, []model.JobID{model.JobID(chi.URLParam(r, "job"))})
+}
+
+// cancelJobs is cancelJob for many, as one command.
+func (s *Server) cancelJobs(w http.ResponseWriter, r *http.Request) {
+	who, refusal := s.authenticateAny(r)
+	if refusal != nil {
+		httpx.WriteRefusal(w, refusal)
+		return
+	}
+	var call api.CancelCall
+	if refusal := httpx.ReadJSON(r, maxCallBytes, &call); refusal != nil {
+		httpx.WriteRefusal(w, refusal)
+		return
+	}
+	if len(call.Jobs) == 0 || len(call.Jobs) > maxCancelled {
+		httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonBadRequest,
+			"field \"jobs\" must name 1 to %d jobs", maxCancelled))
+		return
+	}
+	s.cancel(w, r, who, call.Jobs)
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request, who submitter, jobs []model.JobID) {
+	cancel := &fleet.CancelJobs{IDs: jobs, Team: who.team, Key: who.key}
 	if _, err := s.propose(r.Context(), &fleet.Command{CancelJobs: cancel}); err != nil {
 		httpx.WriteRefusal(w, err)
 		return
 	}
-	httpx.WriteJSON(w, http.StatusOK, &api.CancelAnswer{Job: id})
+	httpx.WriteJSON(w, http.StatusOK, &api.CancelAnswer{Jobs: jobs})
 }
 
 // listJobs lists the jobs that the caller may see, without their tasks.
--- a/internal/fleetapi/read.go
+++ b/internal/fleetapi/read.go
@@ -139,5 +139,15 @@
 		httpx.WriteRefusal(w, err)
 		return
 	}
-	httpx.WriteJSON(w, http.StatusOK, answer)
+	if s.read(w, r, func(state *fleet.State) { addLimits(answer, state) }) {
+		httpx.WriteJSON(w, http.StatusOK, answer)
+	}
+}
+
+// addLimits holds a lowered limit back until what exceeds it is returned.
+func addLimits(answer *api.InForce, state *fleet.State) {
+	for _, g := range state.LimitsPending(answer.Revision) {
+		answer.InForce = false
+		answer.Limits = append(answer.Limits, api.LimitWait{Team: g.Team, DC: g.DC, Amount: g.Amount, Target: g.Target})
+	}
 }
--- a/internal/fleetapi/server.go
+++ b/internal/fleetapi/server.go
@@ -26,8 +26,9 @@
 	// maxApplyBytes bounds the body of an apply.
 	maxApplyBytes = 8 << 20
 	// maxCallBytes bounds every other body.
-	maxCallBytes = 256 << 10
-	// Headers of calls are bounded by the HTTP server.
+	maxCallBytes = 1 << 20
+	// maxCancelled bounds the jobs of one cancellation.
+	maxCancelled = 10_000
 )
 
 // Placer chooses the data centre of each task of a job.
@@ -91,6 +92,7 @@
 	r.Get(api.PathJobs, s.listJobs)
 	r.Get(api.PathJob, s.showJob)
 	r.Delete(api.PathJob, s.cancelJob)
+	r.Post(api.PathCancelJobs, s.cancelJobs)
 }
 
 // operatorsOnly refuses calls without the operators' token.
--- /dev/null
+++ b/internal/fleetapi/server_test.go
@@ -0,0 +1,183 @@
+package fleetapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-chi/chi/v5"
+
+	"kumquatwing/internal/api"
+	"kumquatwing/internal/fleet"
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/replica"
+	"kumquatwing/internal/verdict"
+)
+
+// everywhere says that every revision is in force.
+type everywhere struct{}
+
+func (everywhere) InForce(_ context.Context, revision uint64) (*api.InForce, error) {
+	return &api.InForce{Revision: revision, InForce: true}, nil
+}
+
+const token = "tok"
+
+// service is a one-member fleet behind its handlers.
+type service struct {
+	t     *testing.T
+	state *fleet.State
+	group *replica.Local
+	http.Handler
+}
+
+func newService(t *testing.T) *service {
+	state := fleet.New()
+	group := replica.NewLocal(state, replica.Member{ID: 1})
+	r := chi.NewRouter()
+	New(Config{Group: group, State: state, InForcer: everywhere{}, OperatorToken: token}).Routes(r)
+	return &service{t: t, state: state, group: group, Handler: r}
+}
+
+// call sends one request with the given header values.
+func (s *service) call(method, path, body, key, operator string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set(api.HeaderKey, key)
+	r.Header.Set(api.HeaderOperator, operator)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w
+}
+
+// operate sends an operator's call that must be accepted.
+func (s *service) operate(method, path, body string) string {
+	s.t.Helper()
+	w := s.call(method, path, body, "", token)
+	qt.Assert(s.t, w.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", w.Body))
+	qt.Assert(s.t, w.Header().Get(api.HeaderVerdict), qt.Equals, string(verdict.Done))
+	return w.Body.String()
+}
+
+func applyBody(op string, expect uint64, milliCPU int) string {
+	return fmt.Sprintf(`{"op_id":%q,"actor":"ada","expect_revision":%d,"declarations":{
+		"data_centres":[{"id":"dc1","region":"r"}],
+		"teams":[{"id":"shop","share":1,"limit":{"milli_cpu":%d,"memory_mb":1000}},{"id":"vets","share":1,"limit":{"milli_cpu":1000}}]}}`,
+		op, expect, milliCPU)
+}
+
+// grant adds a key and returns its text.
+func (s *service) grant(team string) string {
+	id, text, hash := fleet.NewKey()
+	s.operate(http.MethodPost, api.PathKeys,
+		fmt.Sprintf(`{"op_id":%q,"actor":"ada","key":%q,"team":%q,"hash":%q}`, id, id, team, fleet.HashText(hash)))
+	return text
+}
+
+func started(t *testing.T) (s *service, shop, vets string) {
+	s = newService(t)
+	s.operate(http.MethodPost, api.PathSettings, applyBody("first", 0, 4000))
+	return s, s.grant("shop"), s.grant("vets")
+}
+
+const smallJob = `{"id":"j1","class":"batch","tasks":1,"size":{"milli_cpu":1000},"run_ms":10}`
+
+func TestRefusals(t *testing.T) {
+	s, shop, vets := started(t)
+	w := s.call(http.MethodPost, api.PathJobs, smallJob, shop, "")
+	qt.Assert(t, w.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", w.Body))
+	revision := s.state.Revision()
+	op := `{"op_id":"x","actor":"ada"}`
+	large := `{"payload":"` + strings.Repeat("x", maxCallBytes) + `"}`
+	cases := []struct {
+		name, method, path, body, key, operator string
+		status                                  int
+		reason                                  verdict.Reason
+		text                                    string
+	}{
+		{"no token", "POST", api.PathSettings, "{}", "", "", 401, verdict.ReasonBadKey, "Kq-Operator"},
+		{"wrong token", "GET", api.PathSettings, "", "", "tok2", 401, verdict.ReasonBadKey, "Kq-Operator"},
+		{"a key is no token", "GET", api.PathHistory, "", shop, "", 401, verdict.ReasonBadKey, "Kq-Operator"},
+		{"neither tree nor revision", "POST", api.PathSettings, `{"op_id":"x","actor":"a","expect_revision":1}`, "", token, 400, verdict.ReasonBadRequest, "declarations"},
+		{"no revision", "POST", api.PathSettings, `{"op_id":"x","actor":"a","from_revision":1}`, "", token, 400, verdict.ReasonBadRequest, "expect_revision"},
+		{"no operation id", "POST", "/v1/data-centres/dc1/out", `{"actor":"a"}`, "", token, 400, verdict.ReasonBadRequest, "operation id"},
+		{"unknown field", "POST", api.PathSettings, `{"op":"x"}`, "", token, 400, verdict.ReasonBadRequest, `unknown field "op"`},
+		{"stale revision", "POST", api.PathSettings, applyBody("y", 1, 9000), "", token, 409, verdict.ReasonConflict, "by ada made revision 2"},
+		{"used operation id", "POST", api.PathSettings, applyBody("first", revision, 9000), "", token, 409, verdict.ReasonConflict, "another command"},
+		{"faulty tree", "POST", api.PathSettings, applyBody("z", revision, -1), "", token, 400, verdict.ReasonBadRequest, "teams.shop.limit"},
+		{"unknown data centre", "POST", "/v1/data-centres/dc9/out", op, "", token, 400, verdict.ReasonBadRequest, "dc9"},
+		{"unknown action", "POST", "/v1/data-centres/dc1/off", op, "", token, 400, verdict.ReasonBadRequest, "off"},
+		{"bad hash", "POST", api.PathKeys, `{"op_id":"x","actor":"a","key":"k","team":"shop","hash":"AA=="}`, "", token, 400, verdict.ReasonBadRequest, "hash"},
+		{"unknown key", "DELETE", "/v1/keys/none", `{"op_id":"k","actor":"ada"}`, "", token, 404, verdict.ReasonUnknownKey, "none"},
+		{"bad revision", "GET", "/v1/settings/in-force/x", "", "", token, 400, verdict.ReasonBadRequest, "revision"},
+		{"unknown setting", "GET", api.PathExplain + "?name=x", "", "", token, 400, verdict.ReasonBadRequest, `"x"`},
+		{"unknown team", "GET", api.PathExplain + "?team=x", "", "", token, 404, verdict.ReasonUnknownTeam, `"x"`},
+		{"workload alone", "GET", api.PathExplain + "?workload=x", "", "", token, 400, verdict.ReasonBadRequest, "team"},
+		{"no key", "POST", api.PathJobs, smallJob, "", token, 401, verdict.ReasonBadKey, "key"},
+		{"wrong key", "POST", api.PathJobs, smallJob, shop + "0", "", 401, verdict.ReasonBadKey, "key"},
+		{"another team's job", "POST", api.PathJobs, `{"team":"shop"}`, vets, "", 403, verdict.ReasonWrongTeam, "shop"},
+		{"job of another spec", "POST", api.PathJobs, strings.Replace(smallJob, "10}", "11}", 1), shop, "", 409, verdict.ReasonConflict, "j1"},
+		{"never fits", "POST", api.PathJobs, strings.NewReplacer("j1", "j2", "1000", "5000").Replace(smallJob), shop, "", 422, verdict.ReasonNeverFits, "milli_cpu"},
+		{"too large", "POST", api.PathJobs, large, shop, "", 413, verdict.ReasonTooLarge, "bytes"},
+		{"cancel another's", "DELETE", "/v1/jobs/j1", "", vets, "", 404, verdict.ReasonUnknownJob, "j1"},
+		{"cancel with another's", "POST", api.PathCancelJobs, `{"jobs":["j1","j9"]}`, shop, "", 404, verdict.ReasonUnknownJob, "j9"},
+		{"cancel none", "POST", api.PathCancelJobs, `{"jobs":[]}`, shop, "", 400, verdict.ReasonBadRequest, "jobs"},
+		{"show another's", "GET", "/v1/jobs/j1", "", vets, "", 404, verdict.ReasonUnknownJob, "j1"},
+		{"list without key", "GET", api.PathJobs, "", "", "", 401, verdict.ReasonBadKey, "Kq-Operator"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := s.call(c.method, c.path, c.body, c.key, c.operator)
+			qt.Assert(t, w.Code, qt.Equals, c.status, qt.Commentf("%s", w.Body))
+			qt.Assert(t, w.Header().Get(api.HeaderVerdict), qt.Equals, string(verdict.NotRun))
+			qt.Assert(t, w.Header().Get(api.HeaderReason), qt.Equals, string(c.reason))
+			var r verdict.Refusal
+			qt.Assert(t, json.Unmarshal(w.Body.Bytes(), &r), qt.IsNil)
+			qt.Assert(t, r.Message, qt.Contains, c.text)
+		})
+	}
+	qt.Assert(t, s.state.Revision(), qt.Equals, revision)
+	qt.Assert(t, s.state.CancelledIn("dc1"), qt.HasLen, 0)
+	w = s.call(http.MethodPost, api.PathCancelJobs, `{"jobs":["j1"]}`, shop, "")
+	qt.Assert(t, w.Code, qt.Equals, http.StatusOK)
+	qt.Assert(t, s.state.CancelledIn("dc1"), qt.HasLen, 1)
+}
+
+// TestClosedGroupRefuses shows what a caller is told when nothing is committed.
+func TestClosedGroupRefuses(t *testing.T) {
+	s, shop, _ := started(t)
+	s.group.Close()
+	w := s.call(http.MethodPost, api.PathJobs, smallJob, shop, "")
+	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, w.Header().Get(api.HeaderVerdict), qt.Equals, string(verdict.NotRun))
+}
+
+// TestLoweredLimitHoldsForceBack asks whether a revision is in force while a
+// data centre still uses what it took away.
+func TestLoweredLimitHoldsForceBack(t *testing.T) {
+	s, _, _ := started(t)
+	use := model.Resources{MilliCPU: 3000}
+	propose := func(c *fleet.Command) *fleet.Result {
+		b, err := fleet.Encode(c)
+		qt.Assert(t, err, qt.IsNil)
+		reply, err := s.group.Propose(context.Background(), b)
+		qt.Assert(t, err, qt.IsNil)
+		r, err := fleet.DecodeResult(reply)
+		qt.Assert(t, err, qt.IsNil)
+		return r
+	}
+	propose(&fleet.Command{RequestGrant: &fleet.RequestGrant{Team: "shop", DC: "dc1", Want: use, Holds: use}})
+	s.operate(http.MethodPost, api.PathSettings, applyBody("lower", s.state.Revision(), 1000))
+	path := fmt.Sprintf("/v1/settings/in-force/%d", s.state.Revision())
+	out := s.operate(http.MethodGet, path, "")
+	qt.Assert(t, out, qt.Contains, `"in_force":false`)
+	qt.Assert(t, out, qt.Contains, `"limits":[{"team":"shop","dc":"dc1"`)
+	version := s.state.Grant("shop", "dc1").Version
+	keep := model.Resources{MilliCPU: 1000}
+	propose(&fleet.Command{ReturnGrant: &fleet.ReturnGrant{Team: "shop", DC: "dc1", Keep: keep, Version: version}})
+	qt.Assert(t, s.operate(http.MethodGet, path, ""), qt.Contains, `"in_force":true`)
+}
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -31,6 +31,7 @@
 	verdict.ReasonUnknownTeam:   http.StatusNotFound,
 	verdict.ReasonUnknownQueue:  http.StatusNotFound,
 	verdict.ReasonUnknownJob:    http.StatusNotFound,
+	verdict.ReasonUnknownKey:    http.StatusNotFound,
 	verdict.ReasonNoLease:       http.StatusServiceUnavailable,
 	verdict.ReasonNoLeader:      http.StatusServiceUnavailable,
 	verdict.ReasonNotLeader:     http.StatusServiceUnavailable,
