--- a/internal/settings/declare_test.go
+++ b/internal/settings/declare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -130,6 +131,66 @@
 	qt.Assert(t, back.Tree.entries(), qt.DeepEquals, d.Tree(nil, 3).entries())
 }
 
+func TestDiffSaysForWhom(t *testing.T) {
+	parse := func(text string) *Declarations {
+		d, err := ParseFile("f.yaml", []byte(text))
+		qt.Assert(t, err, qt.IsNil)
+		return d
+	}
+	before := parse(`
+settings: {request.tries: 3}
+regions: {west: {data-centres: {dc1: {}, dc2: {settings: {worker.lease: 9s}}}}}
+teams:
+  shop: {share: 1, limit: {cpu: 1}, workloads: {girth: {settings: {request.deadline: 1s, request.tries: 1}}}}
+  vets: {limit: {cpu: 1}}
+queues: {q: {open: true}}
+`)
+	after := parse(`
+settings: {request.tries: 4}
+regions: {west: {settings: {worker.lease: 6s}, data-centres: {dc1: {}, dc2: {settings: {worker.lease: 9s}}, dc3: {}}}}
+teams:
+  shop: {share: 2, limit: {cpu: 2}, settings: {request.deadline: 3s}, workloads: {girth: {settings: {request.deadline: 1s, request.tries: 1}}}}
+queues: {q: {team: shop}}
+`)
+	var got []string
+	for _, d := range Diff(before, after) {
+		got = append(got, d.String())
+	}
+	qt.Assert(t, got, qt.DeepEquals, []string{
+		"data-centre dc3: region: none -> west (for data centre dc3)",
+		"team shop: share: 1 -> 2 (for team shop)",
+		"team shop: limit: 1000m/0MB/0 -> 2000m/0MB/0 (for team shop)",
+		"team vets: share: 1 -> none (for team vets)",
+		"team vets: limit: 1000m/0MB/0 -> none (for team vets)",
+		"fleet: queue q: open -> keyed by team shop (for callers of queue q)",
+		"fleet: request.tries: 3 -> 4 (for the whole fleet except workload shop/girth)",
+		"region west: worker.lease: none -> 6s (for region west except data-centre dc2)",
+		"team shop: request.deadline: none -> 3s (for team shop except workload shop/girth)",
+	})
+	qt.Assert(t, Diff(after, after), qt.HasLen, 0)
+}
+
+// TestReferencePage compares docs/SETTINGS.md with the schema; make it anew
+// with "kqctl settings reference".
+func TestReferencePage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(page), qt.Equals, Reference())
+}
+
+// TestDefaultsAreWithinBounds checks the schema itself.
+func TestDefaultsAreWithinBounds(t *testing.T) {
+	for _, d := range Definitions() {
+		qt.Check(t, Check(d, d.Default), qt.IsNil, qt.Commentf("%s", d.Name))
+		text := FormatValue(d.Type, d.Default.Int)
+		v, err := ParseValue(d, text)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, v, qt.Equals, d.Default, qt.Commentf("%s", d.Name))
+		_, known := depth[d.Lowest]
+		qt.Check(t, known, qt.IsTrue, qt.Commentf("%s", d.Name))
+	}
+}
+
 func TestUnchangedValueKeepsItsRevision(t *testing.T) {
 	e := Entry{Level: LevelFleet, Name: RequestTries, Value: Value{Int: 5}}
 	d := &Declarations{Settings: []Entry{e}}
