Index unfinished jobs by data centre

Cause: every applied command makes each process list its jobs, and every submission counts all tasks. Ruled out: caching per reader. Conclusion: an index kept by the table, checked against a full look by property. Headroom of a grant is a quarter of the demand at most, since data centres return what is idle beyond that.

--- a/internal/fleet/escrow.go
+++ b/internal/fleet/escrow.go
@@ -149,8 +149,13 @@
 	}
 }
 
-// addHeadroom lends up to a quantum beyond the demand of the data centre that
-// asked, so that it need not ask for each task. It takes only what is free.
+// headroomPart is the part of its demand, one in so many, that a data centre gets
+// beyond it.
+const headroomPart = 4
+
+// addHeadroom lends a part of the demand, a quantum at most, beyond the demand of
+// the data centre that asked, so that it need not ask for each task. It takes
+// only what is free.
 func (s *State) addHeadroom(g *Grant) {
 	if s.dcs[g.DC].Out {
 		return
@@ -165,7 +170,7 @@
 		if want == 0 || g.Amount.At(d) < want {
 			continue
 		}
-		room := want + quantum(limit.At(d)) - g.Amount.At(d)
+		room := want + min(quantum(limit.At(d)), want/headroomPart) - g.Amount.At(d)
 		more := max(0, min(limit.At(d)-sum.At(d), room))
 		setAt(&g.Amount, d, g.Amount.At(d)+more)
 		setAt(&g.Target, d, g.Target.At(d)+more)
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -4,21 +4,11 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/settings"
 	"kumquatwing/internal/verdict"
 )
 
-const (
-	// finishedKept bounds the finished jobs whose outcome is remembered.
-	finishedKept = 8192
-	// spentKept bounds the finished jobs whose id alone is remembered, so that
-	// a late resend is not taken for a new job.
-	spentKept = 131_072
-)
-
 // Job is an accepted job.
 type Job struct {
 	Spec model.JobSpec `msgpack:"s" json:"spec"`
@@ -85,92 +75,6 @@
 	return slices.ContainsFunc(j.Parts, func(p Part) bool { return p.DC == dc && !p.Open })
 }
 
-// jobTable holds the jobs. A stored Job is never changed: a change stores a
-// copy.
-type jobTable struct {
-	byID map[model.JobID]*Job
-	// active lists the unfinished jobs by Seq.
-	active []*Job
-	// finished lists finished jobs, oldest first.
-	finished []model.JobID
-	// spent holds hashes of the ids of forgotten jobs, oldest first in spentOrder.
-	spent      map[uint64]struct{}
-	spentOrder []uint64
-	unfinished map[model.TeamID]int
-	seq        uint64
-	// version grows with each change of the table.
-	version uint64
-}
-
-func newJobTable() jobTable {
-	return jobTable{
-		byID:       map[model.JobID]*Job{},
-		spent:      map[uint64]struct{}{},
-		unfinished: map[model.TeamID]int{},
-	}
-}
-
-func (t *jobTable) add(j *Job) {
-	t.seq++
-	j.Seq = t.seq
-	j.Assignment = t.seq
-	t.byID[j.Spec.ID] = j
-	t.active = append(t.active, j)
-	t.unfinished[j.Spec.Team]++
-	t.version++
-}
-
-// replace stores a changed copy of an unfinished job.
-func (t *jobTable) replace(j *Job) {
-	t.byID[j.Spec.ID] = j
-	if i, ok := t.find(j.Seq); ok {
-		t.active[i] = j
-	}
-	t.version++
-}
-
-// finish stores a job that got its final outcome.
-func (t *jobTable) finish(j *Job) {
-	t.byID[j.Spec.ID] = j
-	if i, ok := t.find(j.Seq); ok {
-		t.active = slices.Delete(t.active, i, i+1)
-	}
-	t.unfinished[j.Spec.Team]--
-	if t.unfinished[j.Spec.Team] == 0 {
-		delete(t.unfinished, j.Spec.Team)
-	}
-	t.finished = append(t.finished, j.Spec.ID)
-	if len(t.finished) > finishedKept {
-		t.forget(t.finished[0])
-		t.finished = t.finished[1:]
-	}
-	t.version++
-}
-
-// forget keeps only the hash of a finished job's id.
-func (t *jobTable) forget(id model.JobID) {
-	delete(t.byID, id)
-	h := xxhash.Sum64String(string(id))
-	if _, ok := t.spent[h]; ok {
-		return
-	}
-	t.spent[h] = struct{}{}
-	t.spentOrder = append(t.spentOrder, h)
-	if len(t.spentOrder) > spentKept {
-		delete(t.spent, t.spentOrder[0])
-		t.spentOrder = t.spentOrder[1:]
-	}
-}
-
-func (t *jobTable) find(seq uint64) (int, bool) {
-	return slices.BinarySearchFunc(t.active, seq, func(j *Job, seq uint64) int { return cmp.Compare(j.Seq, seq) })
-}
-
-func (t *jobTable) isSpent(id model.JobID) bool {
-	_, ok := t.spent[xxhash.Sum64String(string(id))]
-	return ok
-}
-
 // submitJob accepts a job once. The same spec again gets the first answer.
 func (s *State) submitJob(c *SubmitJob) *Result {
 	if refusal := s.checkKey(c.Key, c.Spec.Team); refusal != nil {
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -43,17 +43,19 @@
 }
 
 func (s *State) leastLoaded(open []model.DCID) model.DCID {
-	load := map[model.DCID]int{}
-	for _, j := range s.jobs.active {
-		for _, dc := range j.Owners {
-			load[dc]++
-		}
-	}
 	best := open[0]
 	for _, dc := range open[1:] {
-		if load[dc] < load[best] {
+		if s.TasksIn(dc) < s.TasksIn(best) {
 			best = dc
 		}
 	}
 	return best
 }
+
+// TasksIn counts the tasks of unfinished jobs that dc owns, ended ones included.
+func (s *State) TasksIn(dc model.DCID) int {
+	if p := s.jobs.places[dc]; p != nil {
+		return p.tasks
+	}
+	return 0
+}
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -101,23 +101,29 @@
 	return list
 }
 
+// JobsVersionIn grows with each change of a job that dc owns a task of or has
+// owned. It starts anew at the table's version when the state is restored.
+func (s *State) JobsVersionIn(dc model.DCID) uint64 {
+	if p := s.jobs.places[dc]; p != nil {
+		return p.version
+	}
+	return 0
+}
+
 // JobsOwnedBy lists the unfinished jobs of which dc owns a part that has not
 // ended, in order of arrival; cancelled ones are among them.
 func (s *State) JobsOwnedBy(dc model.DCID) []*Job {
-	var list []*Job
-	for _, j := range s.jobs.active {
-		if j.OwnedBy(dc) {
-			list = append(list, j)
-		}
+	if p := s.jobs.places[dc]; p != nil {
+		return slices.Clone(p.jobs)
 	}
-	return list
+	return nil
 }
 
 // CancelledIn lists the jobs that dc has to end, in order of arrival.
 func (s *State) CancelledIn(dc model.DCID) []model.JobID {
 	var list []model.JobID
-	for _, j := range s.jobs.active {
-		if j.Cancelled && j.OwnedBy(dc) {
+	for _, j := range s.JobsOwnedBy(dc) {
+		if j.Cancelled {
 			list = append(list, j.Spec.ID)
 		}
 	}
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -130,6 +130,7 @@
 	t.version = in.JobsVersion
 	t.active = in.Jobs
 	for _, j := range in.Jobs {
+		t.index(nil, j)
 		t.byID[j.Spec.ID] = j
 		t.unfinished[j.Spec.Team]++
 	}
--- a/internal/fleet/snapshot_test.go
+++ b/internal/fleet/snapshot_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -25,7 +26,7 @@
 		ExpectRevision: rapid.SampledFrom([]uint64{AnyRevision, n}).Draw(t, "expect"),
 	}}
 	size := model.Resources{MilliCPU: int64(n) * 1000, MemoryMB: 100}
-	switch rapid.IntRange(0, 12).Draw(t, "kind") {
+	switch rapid.IntRange(0, 14).Draw(t, "kind") {
 	case 0:
 		c.Apply = &Apply{Declarations: declared(int64(n) * 4000)}
 	case 1:
@@ -38,8 +39,8 @@
 		c.SetDataCentre = &SetDataCentre{DC: dc, Out: n%2 == 0}
 	case 5, 6:
 		spec := batch(id)
-		spec.Team, spec.Size = team, size
-		c.SubmitJob = &SubmitJob{Spec: spec, Owners: owners(dc)}
+		spec.Team, spec.Size, spec.Tasks = team, size, 2
+		c.SubmitJob = &SubmitJob{Spec: spec, Owners: owners(dc, "dc1")}
 	case 7:
 		c.CancelJobs = &CancelJobs{IDs: []model.JobID{id}}
 	case 8:
@@ -51,6 +52,9 @@
 	case 11:
 		m := Member{VM: model.VMID(fmt.Sprint("vm", n%3)), DC: dc, Incarnation: replica.MemberID(1 + n%3)}
 		c.RegisterMember = &RegisterMember{m}
+	case 12, 13:
+		task := HandedTask{Index: int(n % 2), Attempt: uint32(n)}
+		c.ReassignTasks = &ReassignTasks{Job: id, From: dc, To: places[n%3], Tasks: []HandedTask{task}}
 	default:
 		c.FoundGroup = &FoundGroup{DC: dc, Generation: 1 + n%2, Member: replica.MemberID(1 + n%3)}
 	}
@@ -76,6 +80,8 @@
 			if string(got) != string(want) {
 				rt.Fatalf("command %d after a snapshot: %q, without: %q", i, got, want)
 			}
+			checkIndex(rt, one)
+			checkIndex(rt, other)
 		}
 		if contents(rt, other) != contents(rt, one) {
 			rt.Fatalf("after a snapshot:\n%s\nwithout:\n%s", contents(rt, other), contents(rt, one))
@@ -83,6 +89,28 @@
 	})
 }
 
+// checkIndex compares what is kept per data centre with a look at every job.
+func checkIndex(t *rapid.T, s *State) {
+	for _, dc := range places {
+		var owned []*Job
+		tasks := 0
+		for _, j := range s.jobs.active {
+			if j.OwnedBy(dc) {
+				owned = append(owned, j)
+			}
+			for _, owner := range j.Owners {
+				if owner == dc {
+					tasks++
+				}
+			}
+		}
+		if !slices.Equal(owned, s.JobsOwnedBy(dc)) || tasks != s.TasksIn(dc) {
+			t.Fatalf("%s owns %d jobs and %d tasks, the index says %d and %d", dc, len(owned), tasks,
+				len(s.JobsOwnedBy(dc)), s.TasksIn(dc))
+		}
+	}
+}
+
 // filled returns a state with something in every table.
 func filled(t fataler) *State {
 	s := New()
