--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -91,4 +91,6 @@
 // JobsAnswer lists jobs without their tasks.
 type JobsAnswer struct {
 	Jobs []JobStatus `json:"jobs"`
+	// Left counts older jobs that the list has no room for.
+	Left int `json:"left,omitempty"`
 }
