Bound what history, lists and wrong keys may cost

Cause: one change may have a thousand lines, kept 4096 times; a list may hold every job; each wrong key made the group's leader answer; a silent server took 8 s of a call's 10 s. Ruled out: a bound on operations by bytes, since a resend would then be forgotten early. Conclusion: 24 lines a change, 1000 jobs a list, 20 lookups a second, and a try takes its share of the call's time.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// attemptTimeout bounds one try at one server.
-	attemptTimeout = 8 * time.Second
+	// minAttempt is the least time that one try at one server gets.
+	minAttempt = time.Second
 	// retryPause is waited after all servers were tried.
 	retryPause = 200 * time.Millisecond
 	// maxAnswerBytes bounds an answer.
@@ -70,6 +70,12 @@
 	}
 }
 
+// attempt is how long one try may take, so that a silent server leaves time for
+// the others.
+func (c *client) attempt() time.Duration {
+	return max(minAttempt, c.timeout/time.Duration(len(c.servers)+1))
+}
+
 func encodeBody(v any) ([]byte, error) {
 	if v == nil {
 		return nil, nil
@@ -119,7 +125,7 @@
 
 // try sends the call to one server.
 func (c *client) try(ctx context.Context, server string, one call, body []byte) ([]byte, *verdict.Refusal) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.attempt())
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, one.method, baseURL(server)+one.path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -215,6 +215,9 @@
 	for i := range answer.Jobs {
 		lines = append(lines, jobLine(&answer.Jobs[i]))
 	}
+	if answer.Left > 0 {
+		lines = append(lines, fmt.Sprintf("and %d older jobs", answer.Left))
+	}
 	t.print(raw, lines...)
 	return nil
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -143,6 +143,24 @@
 	qt.Assert(t, same.Revision, qt.Equals, uint64(3))
 }
 
+// TestChangesAreBounded applies a tree with more changes than are kept.
+func TestChangesAreBounded(t *testing.T) {
+	f := newFixture(t)
+	d := declared(16_000)
+	for i := range 100 {
+		d.Queues = append(d.Queues, model.Queue{Name: model.QueueName(fmt.Sprint("q", i)), Open: true})
+	}
+	r := f.apply(d)
+	qt.Assert(t, r.Changes, qt.HasLen, changesKept+1)
+	qt.Assert(t, r.Changes[changesKept], qt.Equals, fmt.Sprintf("%d more", 110-changesKept))
+	for range operationsKept + 10 {
+		f.ok(&Command{Header: f.header(), SetDataCentre: &SetDataCentre{DC: "dc1", Out: f.ops%2 == 0}})
+	}
+	qt.Assert(t, f.state.operations.order, qt.HasLen, operationsKept)
+	qt.Assert(t, f.state.operations.byID, qt.HasLen, operationsKept)
+	qt.Assert(t, f.state.history, qt.HasLen, historyKept)
+}
+
 func TestKeys(t *testing.T) {
 	f := started(t)
 	id, text, hash := NewKey()
--- a/internal/fleet/operate.go
+++ b/internal/fleet/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"kumquatwing/internal/settings"
@@ -16,6 +17,8 @@
 	// treesKept bounds how many of them keep their declarations, so that an
 	// older tree can be applied again.
 	treesKept = 32
+	// changesKept bounds the lines that history and answers keep of one change.
+	changesKept = 24
 	// maxIDBytes bounds operation ids, actors and other names from outside.
 	maxIDBytes = 128
 )
@@ -118,18 +121,21 @@
 // summaryLines bounds what a refusal quotes of a change.
 const summaryLines = 3
 
-func summary(changes []string) string {
-	if len(changes) > summaryLines {
-		more := fmt.Sprintf("%d more", len(changes)-summaryLines)
-		changes = append(append([]string(nil), changes[:summaryLines]...), more)
+func summary(changes []string) string { return strings.Join(firstLines(changes, summaryLines), "; ") }
+
+// firstLines shortens a list and says by how much.
+func firstLines(lines []string, most int) []string {
+	if len(lines) <= most {
+		return lines
 	}
-	return strings.Join(changes, "; ")
+	return append(slices.Clone(lines[:most]), fmt.Sprintf("%d more", len(lines)-most))
 }
 
 // accept makes a new revision with its entry in the history.
 func (s *State) accept(h Header, kind string, changes []string, d *settings.Declarations) *Result {
 	s.revision++
 	s.view = nil
+	changes = firstLines(changes, changesKept)
 	s.history = append(s.history, Change{
 		Revision:     s.revision,
 		OpID:         h.OpID,
--- a/internal/fleetapi/jobs.go
+++ b/internal/fleetapi/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
@@ -27,7 +28,7 @@
 func (s *Server) authenticate(r *http.Request) (submitter, *verdict.Refusal) {
 	text := r.Header.Get(api.HeaderKey)
 	who, refusal := s.checkKey(text)
-	if refusal == nil || text == "" {
+	if refusal == nil || text == "" || !s.lookups.Allow() {
 		return who, refusal
 	}
 	if err := s.fresh(r); err != nil {
@@ -159,23 +160,29 @@
 		httpx.WriteRefusal(w, refusal)
 		return
 	}
-	answer := api.JobsAnswer{Jobs: []api.JobStatus{}}
+	var answer api.JobsAnswer
 	ok := s.read(w, r, func(state *fleet.State) {
 		jobs := state.ActiveJobs()
 		if r.URL.Query().Get("finished") == "true" {
 			jobs = append(state.FinishedJobs(), jobs...)
 		}
-		for _, j := range jobs {
-			if who.team == "" || j.Spec.Team == who.team {
-				answer.Jobs = append(answer.Jobs, statusOf(j))
-			}
-		}
+		answer = listOf(jobs, who.team)
 	})
 	if ok {
 		httpx.WriteJSON(w, http.StatusOK, &answer)
 	}
 }
 
+// listOf lists the newest jobs of a team, or of all, in their order.
+func listOf(jobs []*fleet.Job, team model.TeamID) api.JobsAnswer {
+	seen := slices.DeleteFunc(jobs, func(j *fleet.Job) bool { return team != "" && j.Spec.Team != team })
+	answer := api.JobsAnswer{Jobs: []api.JobStatus{}, Left: max(0, len(seen)-maxListed)}
+	for _, j := range seen[answer.Left:] {
+		answer.Jobs = append(answer.Jobs, statusOf(j))
+	}
+	return answer
+}
+
 // showJob shows what the fleet group knows of a job.
 func (s *Server) showJob(w http.ResponseWriter, r *http.Request) {
 	who, refusal := s.authenticateAny(r)
--- a/internal/fleetapi/server.go
+++ b/internal/fleetapi/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"kumquatwing/internal/api"
 	"kumquatwing/internal/fleet"
@@ -29,6 +30,11 @@
 	maxCallBytes = 1 << 20
 	// maxCancelled bounds the jobs of one cancellation.
 	maxCancelled = 10_000
+	// maxListed bounds the jobs of one list.
+	maxListed = 1000
+	// lookupsPerSecond bounds how often unknown keys make this member ask the
+	// group for the newest state.
+	lookupsPerSecond = 20
 )
 
 // Placer chooses the data centre of each task of a job.
@@ -58,8 +64,9 @@
 // Server holds the handlers. It is safe for concurrent use.
 type Server struct {
 	Config
-	token [sha256.Size]byte
-	log   *zap.Logger
+	token   [sha256.Size]byte
+	lookups *rate.Limiter
+	log     *zap.Logger
 }
 
 // New returns a server.
@@ -68,9 +75,10 @@
 		c.Logger = zap.NewNop()
 	}
 	return &Server{
-		Config: c,
-		token:  sha256.Sum256([]byte(c.OperatorToken)),
-		log:    c.Logger.Named("fleetapi"),
+		Config:  c,
+		token:   sha256.Sum256([]byte(c.OperatorToken)),
+		lookups: rate.NewLimiter(lookupsPerSecond, lookupsPerSecond),
+		log:     c.Logger.Named("fleetapi"),
 	}
 }
 
--- a/internal/fleetapi/server_test.go
+++ b/internal/fleetapi/server_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-chi/chi/v5"
@@ -147,6 +148,49 @@
 	qt.Assert(t, s.state.CancelledIn("dc1"), qt.HasLen, 1)
 }
 
+// TestListIsBounded lists more jobs than fit.
+func TestListIsBounded(t *testing.T) {
+	var jobs []*fleet.Job
+	for i := range maxListed + 7 {
+		spec := model.JobSpec{ID: model.JobID(fmt.Sprint("j", i)), Team: "shop"}
+		jobs = append(jobs, &fleet.Job{Spec: spec, Owners: []model.DCID{"dc1"}})
+	}
+	other := &fleet.Job{Spec: model.JobSpec{ID: "x", Team: "vets"}, Owners: []model.DCID{"dc1"}}
+	list := listOf(append(jobs, other), "shop")
+	qt.Assert(t, list.Left, qt.Equals, 7)
+	qt.Assert(t, list.Jobs, qt.HasLen, maxListed)
+	qt.Assert(t, list.Jobs[0].Spec.ID, qt.Equals, model.JobID("j7"))
+}
+
+// countingGroup counts barriers.
+type countingGroup struct {
+	replica.Group
+	barriers int
+}
+
+func (g *countingGroup) Barrier(ctx context.Context) error {
+	g.barriers++
+	return g.Group.Barrier(ctx)
+}
+
+// TestUnknownKeysAskSeldom keeps wrong keys from loading the group's leader. No
+// virtual time passes, so that only the burst gets through.
+func TestUnknownKeysAskSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := started(t)
+		group := &countingGroup{Group: s.group}
+		r := chi.NewRouter()
+		New(Config{Group: group, State: s.state}).Routes(r)
+		s.Handler = r
+		_, text, _ := fleet.NewKey()
+		for range 500 {
+			w := s.call(http.MethodPost, api.PathJobs, smallJob, text, "")
+			qt.Assert(t, w.Code, qt.Equals, http.StatusUnauthorized)
+		}
+		qt.Assert(t, group.barriers, qt.Equals, lookupsPerSecond)
+	})
+}
+
 // TestClosedGroupRefuses shows what a caller is told when nothing is committed.
 func TestClosedGroupRefuses(t *testing.T) {
 	s, shop, _ := started(t)
