Tell a shared limit from a lowered one; move all that is lacking at once

Cause: a target below what runs meant two things: a fairer split between data centres, where running work should end by itself, and a lowered limit, where it has to be stopped. Ruled out: targets never below what runs, since a busy data centre would then never share. Conclusion: Grant.Over marks a lowered limit; the quantum decides whether to move, not how much; GrantsVersion lets readers skip.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/settings"
 )
 
 // crowded returns a state with unfinished jobs of three tasks each, spread over
@@ -47,3 +48,42 @@
 		}
 	})
 }
+
+// BenchmarkGrants measures a request and a look at all grants at the design
+// size: 220 teams in 22 data centres.
+func BenchmarkGrants(b *testing.B) {
+	f := newFixture(b)
+	d := declared(1 << 20)
+	for i := range 19 {
+		d.DataCentres = append(d.DataCentres, settings.Place{ID: model.DCID(fmt.Sprintf("x%02d", i)), Region: "r"})
+	}
+	for i := range 218 {
+		d.Teams = append(d.Teams, model.Team{ID: model.TeamID(fmt.Sprintf("t%03d", i)), Share: 1, Limit: d.Teams[0].Limit})
+	}
+	f.apply(d)
+	ask := func(team model.TeamID, dc model.DCID, milliCPU int64) {
+		want := model.Resources{MilliCPU: milliCPU}
+		f.ok(&Command{RequestGrant: &RequestGrant{Team: team, DC: dc, Want: want}})
+	}
+	for _, t := range f.state.Teams() {
+		for _, dc := range f.state.DataCentres() {
+			ask(t.ID, dc.ID, 1<<18)
+		}
+	}
+	b.Run("request", func(b *testing.B) {
+		i := int64(0)
+		for b.Loop() {
+			i++
+			ask("t100", "x10", 1<<18+i%100)
+		}
+	})
+	b.Run("look", func(b *testing.B) {
+		for b.Loop() {
+			for _, t := range f.state.Teams() {
+				for _, dc := range f.state.DataCentres() {
+					f.state.Grant(t.ID, dc.ID)
+				}
+			}
+		}
+	})
+}
--- a/internal/fleet/configure.go
+++ b/internal/fleet/configure.go
@@ -109,6 +109,7 @@
 func (s *State) install(next *settings.Declarations) {
 	s.tree = next.Tree(s.tree, s.revision)
 	s.declarations = *next
+	s.grantsVersion++
 	s.installTeams(next.Teams)
 	s.installDataCentres(next.DataCentres)
 	for _, t := range next.Teams {
@@ -138,6 +139,7 @@
 	for k := range s.grants {
 		if _, ok := s.teams[k.team]; !ok {
 			delete(s.grants, k)
+			delete(s.over, k.team)
 		}
 	}
 }
--- a/internal/fleet/escrow.go
+++ b/internal/fleet/escrow.go
@@ -24,8 +24,12 @@
 	// Amount is what the team's tasks may hold there.
 	Amount model.Resources `msgpack:"a" json:"amount"`
 	// Target is what the data centre should keep: it starts nothing beyond it
-	// and returns what is above it and free.
+	// and returns what is above it and free. What runs beyond it runs on, unless
+	// Over is set.
 	Target model.Resources `msgpack:"g" json:"target"`
+	// Over is set for readers while a lowered limit is exceeded: what runs beyond
+	// Target is to be stopped.
+	Over bool `msgpack:"x,omitempty" json:"over,omitempty"`
 	// Want and Holds are from the newest RequestGrant.
 	Want  model.Resources `msgpack:"w" json:"want"`
 	Holds model.Resources `msgpack:"h" json:"holds"`
@@ -47,7 +51,7 @@
 	g.Version++
 	s.rebalance(c.Team)
 	s.addHeadroom(g)
-	return grantResult(g)
+	return s.grantResult(g)
 }
 
 // returnGrant takes back what is above Keep and lends it on.
@@ -67,7 +71,7 @@
 	}
 	g.lower(c.Keep)
 	s.rebalance(c.Team)
-	return grantResult(g)
+	return s.grantResult(g)
 }
 
 // lower cuts the amount down to keep. What is returned beyond the target is no
@@ -82,8 +86,8 @@
 	g.Version++
 }
 
-func grantResult(g *Grant) *Result {
-	c := *g
+func (s *State) grantResult(g *Grant) *Result {
+	c := s.shown(g)
 	return &Result{Grant: &c}
 }
 
@@ -121,6 +125,7 @@
 // rebalance lends what is free to the data centres below their fair share and
 // sets targets so that what others lack is returned.
 func (s *State) rebalance(team model.TeamID) {
+	s.grantsVersion++
 	grants := s.grantsOf(team)
 	limit := s.teams[team].Limit
 	before := make([]model.Resources, len(grants))
@@ -135,6 +140,24 @@
 			g.Version++
 		}
 	}
+	s.noteOver(team, sumOf(grants))
+}
+
+// noteOver keeps whether a team's grants exceed its limit.
+func (s *State) noteOver(team model.TeamID, sum model.Resources) {
+	if sum.Fits(s.teams[team].Limit) {
+		delete(s.over, team)
+		return
+	}
+	s.over[team] = true
+}
+
+func sumOf(grants []*Grant) model.Resources {
+	var sum model.Resources
+	for _, g := range grants {
+		sum = sum.Add(g.Amount)
+	}
+	return sum
 }
 
 func (s *State) rebalanceDimension(grants []*Grant, d int, limit int64) {
@@ -161,10 +184,7 @@
 		return
 	}
 	limit := s.teams[g.Team].Limit
-	var sum model.Resources
-	for _, o := range s.grantsOf(g.Team) {
-		sum = sum.Add(o.Amount)
-	}
+	sum := sumOf(s.grantsOf(g.Team))
 	for d := range model.Dimensions {
 		want := g.Want.At(d)
 		if want == 0 || g.Amount.At(d) < want {
--- a/internal/fleet/escrow_test.go
+++ b/internal/fleet/escrow_test.go
@@ -213,6 +213,23 @@
 	}
 }
 
+// TestAllThatLacksMovesAtOnce has one data centre lack less than a quantum next
+// to one that has nothing: both are served, not one unit a round.
+func TestAllThatLacksMovesAtOnce(t *testing.T) {
+	m := newEscrowModel(t)
+	m.holders[1].want.MilliCPU = 1
+	m.round()
+	for i, milliCPU := range []int64{16_000, 100, 1} {
+		m.holders[i].want.MilliCPU = milliCPU
+	}
+	for range settleRounds {
+		m.round()
+	}
+	qt.Assert(t, m.state.Grant("shop", "dc2").Amount.MilliCPU, qt.Equals, int64(100))
+	qt.Assert(t, m.state.Grant("shop", "dc3").Amount.MilliCPU, qt.Equals, int64(1))
+	qt.Assert(t, m.round(), qt.Equals, 0)
+}
+
 // TestSmallSwingsStopMoving counts the moves of a full limit under demand that
 // swings by less than a quantum: what was idle moves once and stays.
 func TestSmallSwingsStopMoving(t *testing.T) {
@@ -233,6 +250,19 @@
 	qt.Assert(t, moves <= 2*len(places), qt.IsTrue, qt.Commentf("%d moves", moves))
 }
 
+// TestSharingIsNotOver keeps data centres of one team from evicting for each
+// other: a fair share lowers the target only.
+func TestSharingIsNotOver(t *testing.T) {
+	m := newEscrowModel(t)
+	m.holders[0].want, m.holders[0].running = m.limit, m.limit
+	m.deliver(m.request(m.holders[0]), true)
+	m.holders[1].want = m.limit
+	m.deliver(m.request(m.holders[1]), true)
+	g := m.state.Grant("shop", "dc1")
+	qt.Assert(t, g.Target, qt.Equals, model.Resources{MilliCPU: 8000, MemoryMB: 32_000, Accelerators: 2})
+	qt.Assert(t, g.Over, qt.IsFalse)
+}
+
 // TestLoweredLimitIsPendingUntilReturned takes a limit below what runs.
 func TestLoweredLimitIsPendingUntilReturned(t *testing.T) {
 	m := newEscrowModel(t)
@@ -246,6 +276,7 @@
 	qt.Assert(t, m.state.OverLimit("shop"), qt.IsTrue)
 	qt.Assert(t, m.state.LimitsPending(1), qt.HasLen, 0)
 	recalled := m.state.LimitsPending(2)
+	qt.Assert(t, m.state.Grant("shop", "dc1").Over, qt.IsTrue)
 	qt.Assert(t, recalled, qt.HasLen, 2)
 	qt.Assert(t, recalled[0].Target.MilliCPU+recalled[1].Target.MilliCPU, qt.Equals, int64(4000))
 	m.deliver(m.request(m.holders[2]), true)
@@ -253,6 +284,7 @@
 	m.round()
 	qt.Assert(t, m.state.OverLimit("shop"), qt.IsFalse)
 	qt.Assert(t, m.state.LimitsPending(2), qt.HasLen, 0)
+	qt.Assert(t, m.state.Grant("shop", "dc1").Over, qt.IsFalse)
 }
 
 // TestReturnIsNotLentAgain gives back what was wanted before and no longer is.
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -130,14 +130,25 @@
 	return list
 }
 
+// GrantsVersion grows with each command that may have changed a grant, so that a
+// reader can skip an unchanged table.
+func (s *State) GrantsVersion() uint64 { return s.grantsVersion }
+
 // Grant returns what dc may use of a team's limit; nothing if it never asked.
 func (s *State) Grant(team model.TeamID, dc model.DCID) Grant {
 	if g := s.grants[grantKey{team, dc}]; g != nil {
-		return *g
+		return s.shown(g)
 	}
 	return Grant{Team: team, DC: dc}
 }
 
+// shown returns a copy of g for a reader.
+func (s *State) shown(g *Grant) Grant {
+	c := *g
+	c.Over = s.OverLimit(g.Team)
+	return c
+}
+
 // Recalled lists the grants that are to be returned in part, by team and data
 // centre.
 func (s *State) Recalled() []Grant {
@@ -145,7 +156,7 @@
 	for _, t := range s.Teams() {
 		for _, g := range s.grantsOf(t.ID) {
 			if g.Target != g.Amount {
-				list = append(list, *g)
+				list = append(list, s.shown(g))
 			}
 		}
 	}
@@ -157,7 +168,7 @@
 func (s *State) LimitsPending(revision uint64) []Grant {
 	var list []Grant
 	for _, g := range s.Recalled() {
-		if s.limitRevisions[g.Team] <= revision && s.OverLimit(g.Team) {
+		if g.Over && s.limitRevisions[g.Team] <= revision {
 			list = append(list, g)
 		}
 	}
@@ -166,13 +177,7 @@
 
 // OverLimit reports whether a team's grants exceed its limit, which was
 // lowered and is not yet in force.
-func (s *State) OverLimit(team model.TeamID) bool {
-	var sum model.Resources
-	for _, g := range s.grantsOf(team) {
-		sum = sum.Add(g.Amount)
-	}
-	return !sum.Fits(s.teams[team].Limit)
-}
+func (s *State) OverLimit(team model.TeamID) bool { return s.over[team] }
 
 // Members lists the newest incarnation of each VM, by VM.
 func (s *State) Members() []Member {
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -96,6 +96,10 @@
 	for _, g := range in.Groups {
 		next.groups[g.DC] = g
 	}
+	for _, t := range next.Teams() {
+		next.noteOver(t.ID, sumOf(next.grantsOf(t.ID)))
+	}
+	next.grantsVersion = s.grantsVersion + 1
 	*s = *next
 	return nil
 }
--- a/internal/fleet/snapshot_test.go
+++ b/internal/fleet/snapshot_test.go
@@ -155,7 +155,7 @@
 		s.revision, s.declarations, tree, s.teams, s.dcs, s.keys, s.history, s.operations.order,
 		len(s.operations.byID), s.jobs.byID, s.jobs.active, s.jobs.finished, s.jobs.spentOrder,
 		len(s.jobs.spent), s.jobs.unfinished, s.jobs.seq, s.jobs.version, s.sortedGrants(),
-		s.members, s.groups, s.limitRevisions,
+		s.members, s.groups, s.limitRevisions, s.over,
 	}, "", " ")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/split.go
+++ b/internal/fleet/split.go
@@ -70,17 +70,16 @@
 	return free
 }
 
-// recall lowers targets by what is lacking: first what its holder doesn't
-// want, then, by whole quanta, what it has above its fair share.
+// recall lowers targets by what is lacking: first what its holder doesn't want,
+// then what it has above its fair share. The latter is left alone while nobody
+// lacks a whole quantum; once somebody does, all that is lacking moves.
 func recall(shares []share, limit, free int64) {
 	step := quantum(limit)
-	lacking, contended := -free, max(0, -free)
+	lacking, contended := -free, free < 0
 	for _, s := range shares {
 		deficit := max(0, s.fair-s.amount)
 		lacking += deficit
-		if deficit >= step || s.amount == 0 {
-			contended += deficit
-		}
+		contended = contended || deficit >= step || deficit > 0 && s.amount == 0
 	}
 	for _, s := range shares {
 		lacking -= s.amount - s.target
@@ -90,8 +89,9 @@
 	}
 	idle := func(s *share) int64 { return s.target - max(s.want, s.fair) }
 	lacking -= take(shares, roundUp(lacking, step), idle)
-	unfair := func(s *share) int64 { return s.target - s.fair }
-	take(shares, min(lacking, contended), unfair)
+	if contended {
+		take(shares, lacking, func(s *share) int64 { return s.target - s.fair })
+	}
 }
 
 // take lowers targets by amount in all, most from the share with the most to
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -28,6 +28,10 @@
 	operations   operations
 	jobs         jobTable
 	grants       map[grantKey]*Grant
+	// grantsVersion grows with each change of a grant.
+	grantsVersion uint64
+	// over holds the teams whose grants exceed their lowered limit.
+	over map[model.TeamID]bool
 	// limitRevisions holds the revision that last changed each team's limit.
 	limitRevisions map[model.TeamID]uint64
 	members        map[model.VMID]Member
@@ -47,6 +51,7 @@
 		operations:     newOperations(),
 		jobs:           newJobTable(),
 		grants:         map[grantKey]*Grant{},
+		over:           map[model.TeamID]bool{},
 		limitRevisions: map[model.TeamID]uint64{},
 		members:        map[model.VMID]Member{},
 		groups:         map[model.DCID]*Group{},
