Let a waiting gang have more than a fair share of a limit

Cause: with demand for the whole limit in two data centres each gets half, so that a gang needing more never starts. Ruled out: a share by need alone, since the larger queue would take all. Conclusion: a request states the floor of its oldest waiting job; floors of a team are served one at a time, first come first served.

--- a/internal/fleet/command.go
+++ b/internal/fleet/command.go
@@ -135,6 +135,11 @@
 	Want model.Resources `msgpack:"w"`
 	// Holds is what the team's tasks hold there now.
 	Holds model.Resources `msgpack:"h"`
+	// Floor, if not zero, is the least amount with which the team's oldest waiting
+	// job could start there, what it has to start beside included: a gang's, or
+	// that of a task larger than the data centre's fair share. It is 0 again once
+	// the job has started or ended.
+	Floor model.Resources `msgpack:"f"`
 }
 
 // ReturnGrant gives back all of a grant above Keep. Before it is proposed the
--- a/internal/fleet/escrow.go
+++ b/internal/fleet/escrow.go
@@ -33,6 +33,11 @@
 	// Want and Holds are from the newest RequestGrant.
 	Want  model.Resources `msgpack:"w" json:"want"`
 	Holds model.Resources `msgpack:"h" json:"holds"`
+	// Floor is from the newest RequestGrant; FloorSeq orders the floors of a team
+	// and FloorAge counts what others asked since it was met.
+	Floor    model.Resources `msgpack:"f" json:"floor"`
+	FloorSeq uint64          `msgpack:"q" json:"-"`
+	FloorAge int             `msgpack:"e" json:"-"`
 	// Version grows with each RequestGrant and each change of Amount.
 	Version uint64 `msgpack:"v" json:"version"`
 }
@@ -42,13 +47,16 @@
 	if refusal := s.checkGrantee(c.Team, c.DC); refusal != nil {
 		return &Result{Refusal: refusal}
 	}
-	if c.Want.Negative() || c.Holds.Negative() {
-		return refuse(verdict.ReasonBadRequest, "grant: amounts can't be negative")
+	for _, r := range []model.Resources{c.Want, c.Holds, c.Floor} {
+		if r.Negative() || !withinBounds(r) {
+			return refuse(verdict.ReasonBadRequest, "grant: %s is out of bounds", r)
+		}
 	}
 	g := s.grantOf(c.Team, c.DC)
-	g.Want = c.Want.Max(c.Holds)
+	g.Want = c.Want.Max(c.Holds).Max(c.Floor)
 	g.Holds = c.Holds
 	g.Version++
+	s.claim(g, c.Floor)
 	s.rebalance(c.Team)
 	s.addHeadroom(g)
 	return s.grantResult(g)
@@ -128,12 +136,13 @@
 	s.grantsVersion++
 	grants := s.grantsOf(team)
 	limit := s.teams[team].Limit
+	first := s.firstClaim(grants)
 	before := make([]model.Resources, len(grants))
 	for i, g := range grants {
 		before[i] = g.Amount
 	}
 	for d := range model.Dimensions {
-		s.rebalanceDimension(grants, d, limit.At(d))
+		s.rebalanceDimension(grants, first, d, limit.At(d))
 	}
 	for i, g := range grants {
 		if g.Amount != before[i] {
@@ -160,10 +169,13 @@
 	return sum
 }
 
-func (s *State) rebalanceDimension(grants []*Grant, d int, limit int64) {
+func (s *State) rebalanceDimension(grants []*Grant, first *Grant, d int, limit int64) {
 	shares := make([]share, len(grants))
 	for i, g := range grants {
 		shares[i] = share{amount: g.Amount.At(d), want: g.Want.At(d), out: s.dcs[g.DC].Out}
+		if g == first {
+			shares[i].floor = g.Floor.At(d)
+		}
 	}
 	split(shares, limit)
 	for i, g := range grants {
--- a/internal/fleet/escrow_test.go
+++ b/internal/fleet/escrow_test.go
@@ -17,6 +17,8 @@
 	dc model.DCID
 	// cap bounds what may run; running is what does, want what could.
 	cap, running, want model.Resources
+	// floor is what the oldest waiting job needs.
+	floor model.Resources
 	// version is the newest the holder knows.
 	version uint64
 }
@@ -58,7 +60,7 @@
 }
 
 func (m *escrowModel) request(h *holder) *Command {
-	return &Command{RequestGrant: &RequestGrant{Team: "shop", DC: h.dc, Want: h.want.Max(h.running), Holds: h.running}}
+	return &Command{RequestGrant: &RequestGrant{Team: "shop", DC: h.dc, Want: h.want.Max(h.running), Holds: h.running, Floor: h.floor}}
 }
 
 // giveBack lowers the holder's cap before it returns the rest.
@@ -120,6 +122,7 @@
 			"demand":   func(rt *rapid.T) { some(rt).want = drawResources(rt, "want", m.limit.Scale(2)) },
 			"request":  func(rt *rapid.T) { m.deliver(m.request(some(rt)), rapid.Bool().Draw(rt, "answered")) },
 			"give":     func(rt *rapid.T) { m.deliver(m.giveBack(some(rt)), rapid.Bool().Draw(rt, "answered")) },
+			"floor":    func(rt *rapid.T) { some(rt).floor = drawResources(rt, "floor", m.limit) },
 			"delay":    func(rt *rapid.T) { m.inFlight = append(m.inFlight, m.request(some(rt))) },
 			"delayRet": func(rt *rapid.T) { m.inFlight = append(m.inFlight, m.giveBack(some(rt))) },
 			"arrive": func(rt *rapid.T) {
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -33,6 +33,7 @@
 	Grants       []*Grant              `msgpack:"grants"`
 	// LimitRevisions are in the order of the declared teams.
 	LimitRevisions []uint64 `msgpack:"limit_revs"`
+	FloorSeq       uint64   `msgpack:"floor_seq"`
 	Members        []Member `msgpack:"members"`
 	Groups         []*Group `msgpack:"groups"`
 }
@@ -55,6 +56,7 @@
 		JobsVersion:    s.jobs.version,
 		Grants:         s.sortedGrants(),
 		LimitRevisions: sortedValues(s.limitRevisions),
+		FloorSeq:       s.floorSeq,
 		Members:        sortedValues(s.members),
 		Groups:         sortedValues(s.groups),
 	})
@@ -99,6 +101,7 @@
 	for _, t := range next.Teams() {
 		next.noteOver(t.ID, sumOf(next.grantsOf(t.ID)))
 	}
+	next.floorSeq = in.FloorSeq
 	next.grantsVersion = s.grantsVersion + 1
 	*s = *next
 	return nil
--- a/internal/fleet/snapshot_test.go
+++ b/internal/fleet/snapshot_test.go
@@ -46,7 +46,7 @@
 	case 8:
 		c.FinishJobs = &FinishJobs{[]FinishedJob{{Job: id, DC: dc, Outcome: model.OutcomeSucceeded}}}
 	case 9:
-		c.RequestGrant = &RequestGrant{Team: team, DC: dc, Want: size.Scale(2), Holds: size}
+		c.RequestGrant = &RequestGrant{Team: team, DC: dc, Want: size.Scale(2), Holds: size, Floor: size.Scale(int64(n % 3))}
 	case 10:
 		c.ReturnGrant = &ReturnGrant{Team: team, DC: dc, Keep: size, Version: n % 3, Generation: n}
 	case 11:
@@ -155,7 +155,7 @@
 		s.revision, s.declarations, tree, s.teams, s.dcs, s.keys, s.history, s.operations.order,
 		len(s.operations.byID), s.jobs.byID, s.jobs.active, s.jobs.finished, s.jobs.spentOrder,
 		len(s.jobs.spent), s.jobs.unfinished, s.jobs.seq, s.jobs.version, s.sortedGrants(),
-		s.members, s.groups, s.limitRevisions, s.over,
+		s.members, s.groups, s.limitRevisions, s.over, s.floorSeq,
 	}, "", " ")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/split.go
+++ b/internal/fleet/split.go
@@ -9,6 +9,9 @@
 type share struct {
 	amount int64
 	want   int64
+	// floor is set for the one data centre whose waiting job can't start with a
+	// fair share.
+	floor int64
 	// out data centres should keep nothing.
 	out bool
 	// fair is what the data centre should have at least, target what it should
@@ -35,10 +38,28 @@
 }
 
 // fairShares divides limit by max-min fairness over the wants: nobody gets
-// more than it wants, and the rest is shared equally.
+// more than it wants, and the rest is shared equally. Where that is less than
+// the floor, the floor is served first.
 func fairShares(shares []share, limit int64) {
+	maxMin(shares, limit, -1)
+	for i := range shares {
+		s := &shares[i]
+		if s.out || s.fair >= s.floor {
+			continue
+		}
+		s.fair = min(s.floor, limit)
+		maxMin(shares, limit-s.fair, i)
+		return
+	}
+}
+
+// maxMin sets the fair shares of all but the one to skip.
+func maxMin(shares []share, limit int64, skip int) {
 	order := make([]int, 0, len(shares))
 	for i := range shares {
+		if i == skip {
+			continue
+		}
 		shares[i].fair = 0
 		if !shares[i].out {
 			order = append(order, i)
@@ -79,7 +100,7 @@
 	for _, s := range shares {
 		deficit := max(0, s.fair-s.amount)
 		lacking += deficit
-		contended = contended || deficit >= step || deficit > 0 && s.amount == 0
+		contended = contended || deficit >= step || deficit > 0 && (s.amount == 0 || s.floor > 0)
 	}
 	for _, s := range shares {
 		lacking -= s.amount - s.target
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -28,6 +28,8 @@
 	operations   operations
 	jobs         jobTable
 	grants       map[grantKey]*Grant
+	// floorSeq numbers the floors of grants.
+	floorSeq uint64
 	// grantsVersion grows with each change of a grant.
 	grantsVersion uint64
 	// over holds the teams whose grants exceed their lowered limit.
