Let a key's grant be sent again

Cause: the secret is minted by kqctl, so that a second run with the same --op-id had another secret and was refused as another command. Ruled out: deriving the secret from the operation id, which is no secret.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -164,6 +164,27 @@
 	qt.Assert(t, errs, qt.Contains, "send it again with --op-id")
 }
 
+// TestLostGrantIsSentAgain loses every answer to a grant, then sends it again.
+func TestLostGrantIsSentAgain(t *testing.T) {
+	server, state := serve(t, 0)
+	must(t, operator(server, "apply", "-f", examples)...)
+	losing := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		server.Config.Handler.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(losing.Close)
+	code, out, errs := kqctl("--server", losing.URL, "--operator-token", "tok", "--actor", "ada", "--timeout", "300ms",
+		"key", "grant", "--op-id", "g1", "counter")
+	qt.Assert(t, code, qt.Equals, ExitMayHaveRun)
+	key := strings.TrimSpace(strings.TrimPrefix(out, "key "))
+	qt.Assert(t, errs, qt.Contains, "--again "+key)
+	out = must(t, operator(server, "key", "grant", "--op-id", "g1", "--again", key, "counter")...)
+	qt.Assert(t, out, qt.Contains, "accepted at an earlier send")
+	_, refusal := fleet.Authenticate(state.EntryView(), key)
+	qt.Assert(t, refusal == nil, qt.IsTrue)
+	qt.Assert(t, state.Keys(), qt.HasLen, 1)
+}
+
 func TestLookPrintsLines(t *testing.T) {
 	r := chi.NewRouter()
 	r.Get(api.PathWhy, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -102,7 +101,10 @@
 			{
 				Name: "grant", Usage: "mint a key for a team and show it once", ArgsUsage: "TEAM",
 				Description: "The secret is made here; only its hash is sent.",
-				Flags:       operationFlags(), Action: t.grantKey,
+				Flags: append(operationFlags(), &cli.StringFlag{
+					Name: "again", Usage: "the `KEY` shown by a grant that got no answer; give its --op-id too",
+				}),
+				Action: t.grantKey,
 			},
 			{
 				Name: "withdraw", Usage: "end a key for good", ArgsUsage: "KEY-ID",
@@ -120,13 +122,22 @@
 		return err
 	}
 	id, text, hash := fleet.NewKey()
+	if cmd.IsSet("again") {
+		text = cmd.String("again")
+		var ok bool
+		if id, hash, ok = fleet.ParseKey(text); !ok || !cmd.IsSet("op-id") {
+			return usagef("--again needs a whole key and --op-id")
+		}
+	}
 	op := t.operation(cmd)
 	body := &api.KeyCall{Operation: op, Key: id, Team: model.TeamID(args[0]), Hash: fleet.HashText(hash)}
 	err = t.operate(ctx, cmd, call{method: http.MethodPost, path: api.PathKeys, body: body}, op)
-	var pending *pendingError
-	if err == nil || errors.As(err, &pending) || verdict.From(err).Verdict == verdict.MayHaveRun {
+	if code := exitCode(err); code == ExitOK || code == ExitPending || code == ExitMayHaveRun {
 		t.print([]byte(fmt.Sprintf("{\"key_id\":%q,\"key\":%q}\n", id, text)), "key "+text)
 	}
+	if exitCode(err) == ExitMayHaveRun {
+		fmt.Fprintf(t.stderr, "kqctl: and with --again %s\n", text)
+	}
 	return err
 }
 
