Show a job's tasks in its status

Cause: a job's record is the fleet group's, its tasks are in the data centres. Ruled out: refusing the status when a data centre can't be asked. Conclusion: tasks are asked for once, what is missing is named.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -18,6 +18,7 @@
 	"kumquatwing/internal/fleet"
 	"kumquatwing/internal/fleetapi"
 	"kumquatwing/internal/httpx"
+	"kumquatwing/internal/model"
 	"kumquatwing/internal/replica"
 	"kumquatwing/internal/verdict"
 )
@@ -185,6 +186,25 @@
 	qt.Assert(t, state.Keys(), qt.HasLen, 1)
 }
 
+func TestJobStatusShowsTasks(t *testing.T) {
+	r := chi.NewRouter()
+	r.Get(api.PathJob, func(w http.ResponseWriter, _ *http.Request) {
+		spec := model.JobSpec{ID: "j", Team: "shop", Class: model.ClassBatch, Tasks: 2}
+		httpx.WriteJSON(w, http.StatusOK, &api.JobStatus{Spec: spec, Outcome: model.OutcomeSucceeded})
+	})
+	r.Get(api.PathJobTasks, func(w http.ResponseWriter, _ *http.Request) {
+		task := model.Task{ID: "j.0", State: model.TaskRunning, Worker: "w1"}
+		httpx.WriteJSON(w, http.StatusOK, &tasksAnswer{Tasks: []model.Task{task}, Silent: []model.DCID{"dc2"}})
+	})
+	server := httptest.NewServer(r)
+	t.Cleanup(server.Close)
+	out := must(t, "--server", server.URL, "job", "status", "--wait", "j")
+	qt.Assert(t, out, qt.Equals, "j batch team shop, 2 tasks of 0m/0MB/0, succeeded\n"+
+		"  j.0 running on w1\n  tasks in data centre dc2 can't be told\n")
+	out = must(t, "--server", server.URL, "--output", "json", "job", "status", "j")
+	qt.Assert(t, out, qt.Contains, `"worker":"w1"`)
+}
+
 func TestLookPrintsLines(t *testing.T) {
 	r := chi.NewRouter()
 	r.Get(api.PathWhy, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -135,20 +135,19 @@
 		return err
 	}
 	if !cmd.Bool("wait") {
-		status, raw, err := t.readJob(ctx, args[0])
+		status, err := t.readJob(ctx, args[0])
 		if err != nil {
 			return err
 		}
-		t.print(raw, jobLines(status)...)
-		return nil
+		return t.printJob(ctx, status)
 	}
 	return t.waitJob(ctx, args[0], cmd.Duration("wait-timeout"))
 }
 
-func (t *tool) readJob(ctx context.Context, id string) (*api.JobStatus, []byte, error) {
+func (t *tool) readJob(ctx context.Context, id string) (*api.JobStatus, error) {
 	var status api.JobStatus
-	raw, err := t.send(ctx, call{method: http.MethodGet, path: jobPath(id)}, &status)
-	return &status, raw, err
+	_, err := t.send(ctx, call{method: http.MethodGet, path: jobPath(id)}, &status)
+	return &status, err
 }
 
 // waitJob polls until a job has ended.
@@ -156,10 +155,9 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		status, raw, err := t.readJob(ctx, id)
+		status, err := t.readJob(ctx, id)
 		if err == nil && status.Outcome != model.OutcomeNone {
-			t.print(raw, jobLines(status)...)
-			return nil
+			return t.printJob(ctx, status)
 		}
 		if err != nil && !elsewhere(verdict.From(err)) {
 			return err
@@ -170,6 +168,35 @@
 	}
 }
 
+// tasksAnswer is the answer to a call for a job's tasks.
+type tasksAnswer struct {
+	Tasks []model.Task `json:"tasks"`
+	// Silent lists the data centres that could not be asked.
+	Silent []model.DCID `json:"silent"`
+}
+
+// printJob writes a job with its tasks. The job stands also without them: they
+// are asked for once, and what can't be told is said.
+func (t *tool) printJob(ctx context.Context, status *api.JobStatus) error {
+	var tasks tasksAnswer
+	path := strings.Replace(api.PathJobTasks, "{job}", url.PathEscape(string(status.Spec.ID)), 1)
+	_, err := t.send(ctx, call{method: http.MethodGet, path: path, once: true}, &tasks)
+	status.Tasks = tasks.Tasks
+	lines := jobLines(status)
+	if err != nil {
+		lines = append(lines, "  tasks can't be told: "+err.Error())
+	}
+	for _, dc := range tasks.Silent {
+		lines = append(lines, "  tasks in data centre "+string(dc)+" can't be told")
+	}
+	raw, err := encodeBody(status)
+	if err != nil {
+		return err
+	}
+	t.print(append(raw, '\n'), lines...)
+	return nil
+}
+
 func jobLines(s *api.JobStatus) []string {
 	lines := []string{jobLine(s)}
 	for _, task := range s.Tasks {
