--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -78,12 +78,19 @@
 	Keys []model.Key `json:"keys"`
 }
 
+// CancelCall cancels jobs, all of them or, if one is not known, none.
+type CancelCall struct {
+	Jobs []model.JobID `json:"jobs"`
+}
+
 // CancelAnswer answers a cancellation.
 type CancelAnswer struct {
-	Job model.JobID `json:"job"`
+	Jobs []model.JobID `json:"jobs"`
 }
 
 // JobsAnswer lists jobs without their tasks.
 type JobsAnswer struct {
 	Jobs []JobStatus `json:"jobs"`
+	// Left counts older jobs that the list has no room for.
+	Left int `json:"left,omitempty"`
 }
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -58,12 +58,18 @@
 	return list
 }
 
-// EntryView returns the part that traffic needs.
+// validKeys lists the keys that are not withdrawn, by id.
+func (s *State) validKeys() []model.Key {
+	return slices.DeleteFunc(s.Keys(), func(k model.Key) bool { return k.Withdrawn })
+}
+
+// EntryView returns the part that traffic needs. Withdrawn keys are left out:
+// they are refused like unknown ones.
 func (s *State) EntryView() *api.EntryView {
 	if s.view == nil {
 		s.view = &api.EntryView{
 			Revision:    s.revision,
-			Keys:        s.Keys(),
+			Keys:        s.validKeys(),
 			Teams:       s.Teams(),
 			Queues:      s.declarations.Queues,
 			DataCentres: s.DataCentres(),
@@ -95,62 +101,84 @@
 	return list
 }
 
+// JobsVersionIn grows with each change of a job that dc owns a task of or has
+// owned. It starts anew at the table's version when the state is restored.
+func (s *State) JobsVersionIn(dc model.DCID) uint64 {
+	if p := s.jobs.places[dc]; p != nil {
+		return p.version
+	}
+	return 0
+}
+
 // JobsOwnedBy lists the unfinished jobs of which dc owns a part that has not
 // ended, in order of arrival; cancelled ones are among them.
 func (s *State) JobsOwnedBy(dc model.DCID) []*Job {
-	var list []*Job
-	for _, j := range s.jobs.active {
-		if j.OwnedBy(dc) {
-			list = append(list, j)
-		}
+	if p := s.jobs.places[dc]; p != nil {
+		return slices.Clone(p.jobs)
 	}
-	return list
+	return nil
 }
 
 // CancelledIn lists the jobs that dc has to end, in order of arrival.
 func (s *State) CancelledIn(dc model.DCID) []model.JobID {
 	var list []model.JobID
-	for _, j := range s.jobs.active {
-		if j.Cancelled && j.OwnedBy(dc) {
+	for _, j := range s.JobsOwnedBy(dc) {
+		if j.Cancelled {
 			list = append(list, j.Spec.ID)
 		}
 	}
 	return list
 }
 
+// GrantsVersion grows with each command that may have changed a grant, so that a
+// reader can skip an unchanged table.
+func (s *State) GrantsVersion() uint64 { return s.grantsVersion }
+
 // Grant returns what dc may use of a team's limit; nothing if it never asked.
 func (s *State) Grant(team model.TeamID, dc model.DCID) Grant {
 	if g := s.grants[grantKey{team, dc}]; g != nil {
-		return *g
+		return s.shown(g)
 	}
 	return Grant{Team: team, DC: dc}
 }
 
+// shown returns a copy of g for a reader.
+func (s *State) shown(g *Grant) Grant {
+	c := *g
+	c.Over = s.OverLimit(g.Team)
+	return c
+}
+
 // Recalled lists the grants that are to be returned in part, by team and data
-// centre. A lowered limit is in force once it has none of the team whose
-// amounts exceed it.
+// centre.
 func (s *State) Recalled() []Grant {
 	var list []Grant
 	for _, t := range s.Teams() {
 		for _, g := range s.grantsOf(t.ID) {
 			if g.Target != g.Amount {
-				list = append(list, *g)
+				list = append(list, s.shown(g))
 			}
 		}
 	}
 	return list
 }
 
-// OverLimit reports whether a team's grants exceed its limit, which was
-// lowered and is not yet in force.
-func (s *State) OverLimit(team model.TeamID) bool {
-	var sum model.Resources
-	for _, g := range s.grantsOf(team) {
-		sum = sum.Add(g.Amount)
+// LimitsPending lists the grants that keep limits lowered at or before revision
+// from being in force.
+func (s *State) LimitsPending(revision uint64) []Grant {
+	var list []Grant
+	for _, g := range s.Recalled() {
+		if g.Over && s.limitRevisions[g.Team] <= revision {
+			list = append(list, g)
+		}
 	}
-	return !sum.Fits(s.teams[team].Limit)
+	return list
 }
 
+// OverLimit reports whether a team's grants exceed its limit, which was
+// lowered and is not yet in force.
+func (s *State) OverLimit(team model.TeamID) bool { return s.over[team] }
+
 // Members lists the newest incarnation of each VM, by VM.
 func (s *State) Members() []Member {
 	list := make([]Member, 0, len(s.members))
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -31,29 +31,34 @@
 	Seq          uint64                `msgpack:"seq"`
 	JobsVersion  uint64                `msgpack:"jobs_version"`
 	Grants       []*Grant              `msgpack:"grants"`
-	Members      []Member              `msgpack:"members"`
-	Groups       []*Group              `msgpack:"groups"`
+	// LimitRevisions are in the order of the declared teams.
+	LimitRevisions []uint64 `msgpack:"limit_revs"`
+	FloorSeq       uint64   `msgpack:"floor_seq"`
+	Members        []Member `msgpack:"members"`
+	Groups         []*Group `msgpack:"groups"`
 }
 
 // Snapshot implements replica.Machine. Equal states have equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
 	return msgpack.Marshal(&snapshot{
-		Format:       snapshotFormat,
-		Revision:     s.revision,
-		Declarations: s.declarations,
-		Tree:         s.tree,
-		DataCentres:  s.DataCentres(),
-		Keys:         s.Keys(),
-		History:      s.history,
-		Operations:   s.operations.order,
-		Jobs:         s.jobs.active,
-		Finished:     s.FinishedJobs(),
-		Spent:        s.jobs.spentOrder,
-		Seq:          s.jobs.seq,
-		JobsVersion:  s.jobs.version,
-		Grants:       s.sortedGrants(),
-		Members:      sortedValues(s.members),
-		Groups:       sortedValues(s.groups),
+		Format:         snapshotFormat,
+		Revision:       s.revision,
+		Declarations:   s.declarations,
+		Tree:           s.tree,
+		DataCentres:    s.DataCentres(),
+		Keys:           s.Keys(),
+		History:        s.history,
+		Operations:     s.operations.order,
+		Jobs:           s.jobs.active,
+		Finished:       s.FinishedJobs(),
+		Spent:          s.jobs.spentOrder,
+		Seq:            s.jobs.seq,
+		JobsVersion:    s.jobs.version,
+		Grants:         s.sortedGrants(),
+		LimitRevisions: sortedValues(s.limitRevisions),
+		FloorSeq:       s.floorSeq,
+		Members:        sortedValues(s.members),
+		Groups:         sortedValues(s.groups),
 	})
 }
 
@@ -93,6 +98,11 @@
 	for _, g := range in.Groups {
 		next.groups[g.DC] = g
 	}
+	for _, t := range next.Teams() {
+		next.noteOver(t.ID, sumOf(next.grantsOf(t.ID)))
+	}
+	next.floorSeq = in.FloorSeq
+	next.grantsVersion = s.grantsVersion + 1
 	*s = *next
 	return nil
 }
@@ -103,8 +113,11 @@
 	if in.Tree != nil {
 		s.tree = in.Tree
 	}
-	for _, t := range in.Declarations.Teams {
+	for i, t := range in.Declarations.Teams {
 		s.teams[t.ID] = t
+		if i < len(in.LimitRevisions) {
+			s.limitRevisions[t.ID] = in.LimitRevisions[i]
+		}
 	}
 	for _, dc := range in.DataCentres {
 		s.dcs[dc.ID] = dc
@@ -124,6 +137,7 @@
 	t.version = in.JobsVersion
 	t.active = in.Jobs
 	for _, j := range in.Jobs {
+		t.index(nil, j)
 		t.byID[j.Spec.ID] = j
 		t.unfinished[j.Spec.Team]++
 	}
