--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -11,6 +11,12 @@
 type cell struct {
 	now     int64
 	workers []WorkerView
+	ready   []bool
+	size    []model.Resources
+	// changes logs the workers whose room has changed, in order.
+	changes []int32
+	// reserved marks the workers on which any room is held.
+	reserved []bool
 	// free is what no task holds.
 	free []model.Resources
 	// urgentHeld and held are reserved for urgent and for other jobs.
@@ -32,6 +38,9 @@
 	c := &cell{
 		now:        s.NowMillis,
 		workers:    s.Workers,
+		ready:      make([]bool, n),
+		size:       make([]model.Resources, n),
+		reserved:   make([]bool, n),
 		free:       make([]model.Resources, n),
 		urgentHeld: make([]model.Resources, n),
 		held:       make([]model.Resources, n),
@@ -44,6 +53,8 @@
 	for i := range s.Workers {
 		w := &s.Workers[i]
 		c.free[i] = w.Free
+		c.ready[i] = w.State == model.WorkerReady
+		c.size[i] = w.Size
 		c.scale[i] = newScale(w.Size)
 		c.byID[w.ID] = int32(i)
 		if _, ok := racks[w.Rack]; !ok {
@@ -59,10 +70,16 @@
 }
 
 // take uses room of worker w for a task.
-func (c *cell) take(w int, size model.Resources) { c.free[w] = c.free[w].Sub(size) }
+func (c *cell) take(w int, size model.Resources) {
+	c.free[w] = c.free[w].Sub(size)
+	c.changes = append(c.changes, int32(w))
+}
 
 // giveBack undoes take.
-func (c *cell) giveBack(w int, size model.Resources) { c.free[w] = c.free[w].Add(size) }
+func (c *cell) giveBack(w int, size model.Resources) {
+	c.free[w] = c.free[w].Add(size)
+	c.changes = append(c.changes, int32(w))
+}
 
 // hold reserves room; a worker that is gone is passed over.
 func (c *cell) hold(r *Reservation) {
@@ -73,10 +90,11 @@
 		}
 		if r.Class == model.ClassUrgent {
 			c.urgentHeld[i] = c.urgentHeld[i].Add(room.Room)
-			continue
+		} else {
+			c.held[i] = c.held[i].Add(room.Room)
+			c.starts[i] = append(c.starts[i], r.StartMillis)
 		}
-		c.held[i] = c.held[i].Add(room.Room)
-		c.starts[i] = append(c.starts[i], r.StartMillis)
+		c.heldChanged(i)
 	}
 }
 
@@ -89,17 +107,26 @@
 		}
 		if r.Class == model.ClassUrgent {
 			c.urgentHeld[i] = c.urgentHeld[i].Sub(room.Room)
-			continue
-		}
-		c.held[i] = c.held[i].Sub(room.Room)
-		if k := slices.Index(c.starts[i], r.StartMillis); k >= 0 {
+		} else {
+			c.held[i] = c.held[i].Sub(room.Room)
+			k := slices.Index(c.starts[i], r.StartMillis)
 			c.starts[i] = slices.Delete(c.starts[i], k, k+1)
 		}
+		c.heldChanged(i)
 	}
 }
 
+// heldChanged notes a change of reserved room on a worker.
+func (c *cell) heldChanged(w int32) {
+	c.reserved[w] = !c.urgentHeld[w].IsZero() || !c.held[w].IsZero()
+	c.changes = append(c.changes, w)
+}
+
 // room is what a may use of worker w now.
 func (c *cell) room(w int, a *ask) model.Resources {
+	if !c.reserved[w] {
+		return c.free[w]
+	}
 	room := c.free[w].Sub(c.urgentHeld[w])
 	if a.urgent || c.mayBackfill(w, a) {
 		return room
@@ -107,14 +134,6 @@
 	return room.Sub(c.held[w])
 }
 
-// slots is how many tasks of a fit on worker w now, at most limit.
-func (c *cell) slots(w int, a *ask, limit int) int {
-	if c.reject(w, a) != accepted {
-		return 0
-	}
-	return slotsIn(c.room(w, a), a.size, limit)
-}
-
 // slotsIn is how often size fits in room, at most limit.
 func slotsIn(room, size model.Resources, limit int) int {
 	n := int64(limit)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -4,17 +4,7 @@
 
 // choose returns the best worker for a, or -1, with the account of the choice.
 func (d *decider) choose(a *ask, j *jobState) (int, Explanation) {
-	var counts rejections
-	best, points := -1, int64(math.MinInt64)
-	for w := range d.c.workers {
-		if f := d.c.reject(w, a); f != accepted {
-			counts[f]++
-			continue
-		}
-		if p := d.c.score(w, a); p > points {
-			best, points = w, p
-		}
-	}
+	best, counts := d.rate(a)
 	if best < 0 {
 		return -1, Explanation{}
 	}
@@ -54,3 +44,11 @@
 		d.full[a.size] = a.end()
 	}
 }
+
+// forgetFull is called when room may have grown.
+func (d *decider) forgetFull() {
+	clear(d.full)
+	for _, t := range d.tables {
+		t.gangFails = 0
+	}
+}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -38,6 +38,9 @@
 	jobs  []*jobState
 	// full holds the sizes that fit on no worker; see noFit.
 	full map[model.Resources]int64
+	// tables rate workers per shape; uses counts how often one was asked for.
+	tables map[shape]*table
+	uses   map[shape]int
 	// reservations that stand, in the order of their jobs.
 	reservations []reservedFor
 	// runs is nil until a step needs it; see index.
@@ -48,7 +51,14 @@
 }
 
 func newDecider(s *Snapshot) *decider {
-	d := &decider{s: s, c: newCell(s), full: make(map[model.Resources]int64), plan: &Plan{}}
+	d := &decider{
+		s:      s,
+		c:      newCell(s),
+		full:   make(map[model.Resources]int64),
+		tables: make(map[shape]*table),
+		uses:   make(map[shape]int),
+		plan:   &Plan{},
+	}
 	d.total = s.Fleet
 	if d.total.IsZero() {
 		d.total = d.c.total
@@ -66,13 +76,14 @@
 		teams[d.teams[i].view.ID] = i
 	}
 	states := make([]jobState, len(d.s.Jobs))
+	placed := make([]bool, d.pending())
 	d.jobs = make([]*jobState, len(d.s.Jobs))
 	for i := range d.s.Jobs {
 		v := &d.s.Jobs[i]
 		j := &states[i]
 		j.view = v
 		j.left = len(v.Pending)
-		j.placed = make([]bool, len(v.Pending))
+		j.placed, placed = placed[:j.left:j.left], placed[j.left:]
 		d.jobs[i] = j
 		t, ok := teams[v.Spec.Team]
 		if !ok {
@@ -82,6 +93,15 @@
 	}
 }
 
+// pending is the number of all pending tasks.
+func (d *decider) pending() int {
+	n := 0
+	for i := range d.s.Jobs {
+		n += len(d.s.Jobs[i].Pending)
+	}
+	return n
+}
+
 // addReservations takes in the reservations that have not ended and whose job
 // still waits.
 func (d *decider) addReservations() {
@@ -152,10 +172,10 @@
 			continue
 		}
 		// Room that was full for another job may be reserved for this one.
-		clear(d.full)
+		d.forgetFull()
 		d.placeCovered(j)
 	}
-	clear(d.full)
+	d.forgetFull()
 }
 
 // placeCovered places as many tasks of j as its reservation covers. Any more
@@ -220,26 +240,23 @@
 
 // ask describes what the job's i-th pending task wants.
 func (d *decider) ask(j *jobState, i int) *ask {
-	if j.ask == nil {
-		j.ask = d.newAsk(j.view)
+	if j.ask.scorers == nil {
+		d.describe(&j.ask, j.view)
 	}
 	j.ask.avoid = j.view.Pending[i].Avoid
-	return j.ask
+	return &j.ask
 }
 
-// newAsk describes what the tasks of v want.
-func (d *decider) newAsk(v *JobView) *ask {
-	a := &ask{
-		size:    v.Spec.Size,
-		urgent:  isUrgent(v),
-		scorers: scorersOf(v.Spec.Class),
-	}
+// describe fills a with what the tasks of v want.
+func (d *decider) describe(a *ask, v *JobView) {
+	a.size = v.Spec.Size
+	a.urgent = isUrgent(v)
+	a.scorers = scorersOf(v.Spec.Class)
 	if v.Spec.Class == model.ClassService {
 		d.countSpread(a, v.Spec.ID)
-		return a
+		return
 	}
 	a.endsBy = endsBy(d.s.NowMillis, v.RunMillis)
-	return a
 }
 
 // countSpread counts the service's tasks per rack and worker.
@@ -270,7 +287,7 @@
 func (d *decider) place(j *jobState, i, w int, explain Explanation) {
 	size := j.view.Spec.Size
 	d.c.take(w, size)
-	d.c.countService(j.ask, w, 1)
+	d.c.countService(&j.ask, w, 1)
 	d.teams[j.team].add(size, d.total)
 	j.mark(i)
 	d.plan.Place = append(d.plan.Place, Placement{
@@ -291,19 +308,21 @@
 // normalise returns s with its slices in their order. Runs may stay in any.
 func normalise(s *Snapshot) *Snapshot {
 	n := *s
-	n.Workers = sorted(s.Workers, func(a, b WorkerView) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	n.Teams = sorted(s.Teams, func(a, b TeamView) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	n.Jobs = sorted(s.Jobs, func(a, b JobView) int { return compareJobs(&a, &b) })
-	n.Reservations = sorted(s.Reservations, func(a, b Reservation) int { return strings.Compare(string(a.Job), string(b.Job)) })
+	n.Workers = sorted(s.Workers, func(a, b *WorkerView) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	n.Teams = sorted(s.Teams, func(a, b *TeamView) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	n.Jobs = sorted(s.Jobs, compareJobs)
+	n.Reservations = sorted(s.Reservations, func(a, b *Reservation) int { return strings.Compare(string(a.Job), string(b.Job)) })
 	return &n
 }
 
 // sorted returns in, or a sorted copy if it is not in order.
-func sorted[T any](in []T, compare func(a, b T) int) []T {
-	if slices.IsSortedFunc(in, compare) {
-		return in
+func sorted[T any](in []T, compare func(a, b *T) int) []T {
+	for i := 1; i < len(in); i++ {
+		if compare(&in[i-1], &in[i]) > 0 {
+			out := slices.Clone(in)
+			slices.SortFunc(out, func(a, b T) int { return compare(&a, &b) })
+			return out
+		}
 	}
-	out := slices.Clone(in)
-	slices.SortFunc(out, compare)
-	return out
+	return in
 }
--- /dev/null
+++ b/internal/placement/driver_test.go
@@ -0,0 +1,409 @@
+package placement_test
+
+import (
+	"cmp"
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement"
+	"kumquatwing/internal/placement/dispatch"
+	"kumquatwing/internal/placement/estimate"
+)
+
+const (
+	driverStep       = 200    // milliseconds between two plans
+	driverStop       = 1000   // milliseconds until a stopped run is gone
+	driverCheckpoint = 30_000 // milliseconds between checkpoints of batch runs
+	driverMoveRate   = 20     // tasks moved per second out of a data centre
+	driverBound      = 500    // placements per plan
+)
+
+// scheduler is what the driver steps.
+type scheduler struct {
+	name   string
+	decide func(*placement.Snapshot) *placement.Plan
+	// learn lets declarations be corrected.
+	learn bool
+}
+
+// loadJob is a job of the load with what its tasks really take.
+type loadJob struct {
+	spec    model.JobSpec
+	arrives int64
+	// run is the true run time at full speed, use the true use.
+	run int64
+	use model.Resources
+}
+
+// driverTask is one task. It counts as pending until it runs.
+type driverTask struct {
+	job     *loadJob
+	id      model.TaskID
+	left    int64 // run time still to be done, saved by checkpoints
+	waits   int64 // since when it waits
+	waited  int64 // until its first start; -1 before
+	started int64
+	ends    int64
+	stopAt  int64 // 0 unless it was told to stop
+	worker  int
+	size    model.Resources
+}
+
+// rate is the part of full speed, in thousandths, that a task gets when it is
+// throttled to its size.
+func (t *driverTask) rate() int64 {
+	return min(1000, t.size.MilliCPU*1000/t.job.use.MilliCPU)
+}
+
+// driverJob is a job's tasks that wait in one data centre.
+type driverJob struct {
+	job     *loadJob
+	size    model.Resources
+	run     int64
+	arrived int64
+	pending []*driverTask
+}
+
+// driverDC is one data centre.
+type driverDC struct {
+	id           model.DCID
+	out          bool
+	workers      []placement.WorkerView
+	index        map[model.WorkerID]int
+	jobs         []*driverJob
+	running      []*driverTask
+	reservations []placement.Reservation
+}
+
+// driver steps a scheduler through a load in virtual time.
+type driver struct {
+	scheduler scheduler
+	now       int64
+	dcs       []*driverDC
+	teams     []placement.TeamView
+	shapes    []model.Resources
+	book      estimate.Book
+	tasks     []*driverTask
+	stats     stats
+	check     bool
+}
+
+func newDriver(s scheduler, dcs, workers int, shares []int64) *driver {
+	d := &driver{scheduler: s}
+	for i := range dcs {
+		d.dcs = append(d.dcs, newDriverDC(model.DCID(fmt.Sprintf("dc%d", i)), workers/dcs))
+	}
+	for i, share := range shares {
+		d.teams = append(d.teams, placement.TeamView{ID: teamName(i), Share: share, Grant: model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}})
+	}
+	d.shapes = []model.Resources{driverWorker(0), driverWorker(7)}
+	return d
+}
+
+func teamName(i int) model.TeamID { return model.TeamID(fmt.Sprintf("team%d", i)) }
+
+// driverWorker is the size of the i-th worker: one in eight has accelerators.
+func driverWorker(i int) model.Resources {
+	size := model.Resources{MilliCPU: 16_000, MemoryMB: 32_768}
+	if i%8 == 7 {
+		size.Accelerators = 4
+	}
+	return size
+}
+
+func newDriverDC(id model.DCID, workers int) *driverDC {
+	dc := &driverDC{id: id, index: make(map[model.WorkerID]int)}
+	for i := range workers {
+		w := model.WorkerID(fmt.Sprintf("%s-w%04d", id, i))
+		dc.index[w] = i
+		dc.workers = append(dc.workers, placement.WorkerView{ID: w, Rack: fmt.Sprint(i / 8), Size: driverWorker(i), Free: driverWorker(i), State: model.WorkerReady})
+	}
+	return dc
+}
+
+// run steps through the load until an instant; during is called at each step.
+func (d *driver) run(load []*loadJob, until int64, during func(d *driver)) {
+	for next := 0; d.now < until; d.now += driverStep {
+		for ; next < len(load) && load[next].arrives <= d.now; next++ {
+			d.arrive(load[next])
+		}
+		if during != nil {
+			during(d)
+		}
+		for _, dc := range d.dcs {
+			d.end(dc)
+			d.moveOut(dc)
+			d.plan(dc)
+		}
+		d.stats.sample(d)
+	}
+	d.stats.finish(d)
+}
+
+// arrive makes the job's tasks and hands them to data centres.
+func (d *driver) arrive(j *loadJob) {
+	tasks := make([]*driverTask, j.spec.Tasks)
+	for i := range tasks {
+		tasks[i] = &driverTask{job: j, id: model.TaskID(fmt.Sprintf("%s.%d", j.spec.ID, i)), left: j.run, waits: d.now, waited: -1}
+	}
+	d.tasks = append(d.tasks, tasks...)
+	d.hand(j, d.now, tasks)
+}
+
+// hand gives tasks that wait to the data centres that dispatch chooses.
+func (d *driver) hand(j *loadJob, arrived int64, tasks []*driverTask) {
+	spec := j.spec
+	spec.Tasks = len(tasks)
+	owners := d.owners(&spec)
+	for i, t := range tasks {
+		for _, dc := range d.dcs {
+			if dc.id == owners[i] {
+				part := d.part(dc, j, arrived)
+				part.pending = append(part.pending, t)
+			}
+		}
+	}
+}
+
+// owners chooses data centres; a gang's tasks follow those that wait already.
+func (d *driver) owners(spec *model.JobSpec) []model.DCID {
+	for _, dc := range d.dcs {
+		for _, part := range dc.jobs {
+			if len(d.dcs) == 1 || spec.Class == model.ClassGang && part.job.spec.ID == spec.ID && !dc.out {
+				return slices.Repeat([]model.DCID{dc.id}, spec.Tasks)
+			}
+		}
+	}
+	return dispatch.Choose(spec, d.views()).Owners
+}
+
+// part finds or makes the part of a job that waits in a data centre.
+func (d *driver) part(dc *driverDC, j *loadJob, arrived int64) *driverJob {
+	for _, part := range dc.jobs {
+		if part.job == j {
+			return part
+		}
+	}
+	part := &driverJob{job: j, size: j.spec.Size, run: j.spec.RunMillis, arrived: arrived}
+	if d.scheduler.learn {
+		c := d.book.Correct(keyOf(&j.spec), j.spec.Size, j.spec.RunMillis, d.shapes)
+		part.size, part.run = c.Size, c.RunMillis
+	}
+	dc.jobs = append(dc.jobs, part)
+	return part
+}
+
+func keyOf(s *model.JobSpec) estimate.Key { return estimate.Key{Team: s.Team, Workload: s.Workload} }
+
+func (d *driver) views() []dispatch.DCView {
+	var out []dispatch.DCView
+	for _, dc := range d.dcs {
+		v := dispatch.DCView{ID: dc.id, Out: dc.out, Leased: true, Known: true, Shapes: []dispatch.Shape{{Size: d.shapes[0], Count: len(dc.workers) * 7 / 8}, {Size: d.shapes[1], Count: len(dc.workers) / 8}}}
+		for i := range dc.workers {
+			v.Free = v.Free.Add(dc.workers[i].Free)
+		}
+		for _, j := range dc.jobs {
+			v.Waiting = v.Waiting.Add(j.size.Scale(int64(len(j.pending))))
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// end frees the room of tasks that have ended or stopped.
+func (d *driver) end(dc *driverDC) {
+	dc.running = slices.DeleteFunc(dc.running, func(t *driverTask) bool {
+		stopped := t.stopAt != 0 && t.stopAt <= d.now
+		if t.ends > d.now && !stopped {
+			return false
+		}
+		w := &dc.workers[t.worker]
+		w.Free = w.Free.Add(t.size)
+		if t.ends <= d.now {
+			d.finished(t)
+			return true
+		}
+		d.stopped(dc, t)
+		return true
+	})
+}
+
+func (d *driver) finished(t *driverTask) {
+	d.stats.done += t.job.run * t.job.use.MilliCPU
+	t.left = 0
+	if d.scheduler.learn {
+		d.book.Add(keyOf(&t.job.spec), estimate.Sample{
+			Declared: t.job.spec.Size, DeclaredMillis: t.job.spec.RunMillis, Peak: t.job.use, RanMillis: t.job.run,
+		})
+	}
+}
+
+// stopped puts a task back in the queue with what its checkpoints have saved.
+func (d *driver) stopped(dc *driverDC, t *driverTask) {
+	saved := t.checkpoint(t.stopAt) - t.started
+	if dc.out {
+		saved = t.stopAt - t.started
+	}
+	lost := t.stopAt - t.started - saved
+	d.stats.lost += lost * min(t.size.MilliCPU, t.job.use.MilliCPU)
+	d.stats.preempted++
+	t.left = max(t.left-saved*t.rate()/1000, 1)
+	t.stopAt, t.waits = 0, d.now
+	d.hand(t.job, t.job.arrives, []*driverTask{t})
+}
+
+// checkpoint is when the newest checkpoint before at was made.
+func (t *driverTask) checkpoint(at int64) int64 {
+	return t.started + (at-t.started)/driverCheckpoint*driverCheckpoint
+}
+
+// moveOut stops tasks of a data centre that is out, and hands on those that wait.
+func (d *driver) moveOut(dc *driverDC) {
+	if !dc.out {
+		return
+	}
+	budget := driverMoveRate * driverStep / 1000
+	gangs := make(map[model.JobID]bool)
+	for _, t := range dc.running {
+		whole := t.job.spec.Class == model.ClassGang
+		if t.stopAt != 0 || budget <= 0 && !(whole && gangs[t.job.spec.ID]) {
+			continue
+		}
+		t.stopAt = d.now + driverStop
+		gangs[t.job.spec.ID] = whole
+		budget--
+	}
+	waiting := dc.jobs
+	dc.jobs = nil
+	for _, j := range waiting {
+		d.hand(j.job, j.arrived, j.pending)
+	}
+}
+
+// plan takes one decision and applies it.
+func (d *driver) plan(dc *driverDC) {
+	s := d.snapshot(dc)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	start := time.Now()
+	p := d.scheduler.decide(s)
+	took := time.Since(start)
+	runtime.ReadMemStats(&after)
+	d.stats.decided(took, len(p.Place), after.Mallocs-before.Mallocs)
+	if d.check {
+		if err := placement.Check(s, p); err != nil {
+			panic(err)
+		}
+	}
+	dc.reservations = p.Reservations
+	d.start(dc, p)
+	stop := make(map[model.TaskID]bool, len(p.Preempt))
+	for _, e := range p.Preempt {
+		stop[e.Task] = true
+	}
+	for _, t := range dc.running {
+		if len(stop) > 0 && stop[t.id] {
+			t.stopAt = d.now + driverStop
+		}
+	}
+}
+
+// start runs the tasks that p places.
+func (d *driver) start(dc *driverDC, p *placement.Plan) {
+	where := make(map[model.TaskID]int, len(p.Place))
+	for _, pl := range p.Place {
+		where[pl.Task] = dc.index[pl.Worker]
+	}
+	for _, j := range dc.jobs {
+		j.pending = slices.DeleteFunc(j.pending, func(t *driverTask) bool {
+			w, ok := where[t.id]
+			if ok {
+				d.startTask(dc, j, t, w)
+			}
+			return ok
+		})
+	}
+	dc.jobs = slices.DeleteFunc(dc.jobs, func(j *driverJob) bool { return len(j.pending) == 0 })
+}
+
+func (d *driver) startTask(dc *driverDC, j *driverJob, t *driverTask, w int) {
+	t.worker, t.size, t.started = w, j.size, d.now
+	t.ends = d.now + t.left*1000/t.rate()
+	if t.waited < 0 {
+		t.waited = d.now - t.waits
+	}
+	dc.workers[w].Free = dc.workers[w].Free.Sub(j.size)
+	dc.running = append(dc.running, t)
+}
+
+// snapshot is what the data centre's scheduler sees.
+func (d *driver) snapshot(dc *driverDC) *placement.Snapshot {
+	s := &placement.Snapshot{NowMillis: d.now, Out: dc.out, Workers: slices.Clone(dc.workers), Reservations: dc.reservations, MaxPlacements: driverBound}
+	s.Teams = d.usage(dc)
+	for _, o := range d.dcs {
+		for i := range o.workers {
+			s.Fleet = s.Fleet.Add(o.workers[i].Size)
+		}
+	}
+	for _, j := range dc.jobs {
+		v := placement.JobView{Spec: j.job.spec, ArrivedMillis: j.arrived, RunMillis: j.run, Policy: placement.Policy{Preemptible: true, GangReservationMillis: 10_000}}
+		v.Spec.Size = j.size
+		for _, t := range j.pending {
+			v.Pending = append(v.Pending, placement.PendingTask{ID: t.id})
+		}
+		s.Jobs = append(s.Jobs, v)
+	}
+	slices.SortFunc(s.Jobs, func(a, b placement.JobView) int {
+		return cmp.Or(cmp.Compare(a.ArrivedMillis, b.ArrivedMillis), cmp.Compare(a.Spec.ID, b.Spec.ID))
+	})
+	for _, t := range dc.running {
+		s.Runs = append(s.Runs, d.runView(dc, t))
+	}
+	return s
+}
+
+func (d *driver) runView(dc *driverDC, t *driverTask) placement.RunView {
+	spec := &t.job.spec
+	v := placement.RunView{
+		Task: t.id, Job: spec.ID, Team: spec.Team, Class: spec.Class, Worker: dc.workers[t.worker].ID, Holds: t.size,
+		StartedMillis: t.started, Preemptible: spec.Class == model.ClassBatch, Stopping: t.stopAt != 0,
+	}
+	if spec.Class == model.ClassBatch {
+		v.CheckpointMillis = t.checkpoint(d.now)
+	}
+	if spec.RunMillis > 0 {
+		v.EndsMillis = t.started + d.expected(spec)
+	}
+	return v
+}
+
+// expected is the run time that the scheduler expects.
+func (d *driver) expected(spec *model.JobSpec) int64 {
+	if !d.scheduler.learn {
+		return spec.RunMillis
+	}
+	return d.book.Correct(keyOf(spec), spec.Size, spec.RunMillis, nil).RunMillis
+}
+
+// usage is the teams' standing as the data centre sees it.
+func (d *driver) usage(here *driverDC) []placement.TeamView {
+	out := slices.Clone(d.teams)
+	for _, dc := range d.dcs {
+		for _, t := range dc.running {
+			for i := range out {
+				if out[i].ID != t.job.spec.Team {
+					continue
+				}
+				if dc == here {
+					out[i].Usage = out[i].Usage.Add(t.size)
+				} else {
+					out[i].Elsewhere = out[i].Elsewhere.Add(t.size)
+				}
+			}
+		}
+	}
+	return out
+}
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -1,14 +1,10 @@
 package placement
 
-import (
-	"fmt"
-
-	"kumquatwing/internal/model"
-)
+import "fmt"
 
 // maxCountedWaits bounds the sizes for which one plan counts the rejected
 // workers of waiting jobs. Jobs beyond it wait with their reason alone.
-const maxCountedWaits = 128
+const maxCountedWaits = 64
 
 // list returns the filters that rejected any worker.
 func (r *rejections) list() []FilterCount {
@@ -21,7 +17,7 @@
 	out := make([]FilterCount, 0, n)
 	for i, count := range r {
 		if count > 0 {
-			out = append(out, FilterCount{filters[i].name, count})
+			out = append(out, FilterCount{filterNames[i], count})
 		}
 	}
 	return out
@@ -37,14 +33,7 @@
 	return out
 }
 
-// waitKey is what the counts of a waiting job depend on.
-type waitKey struct {
-	size   model.Resources
-	endsBy int64
-	urgent bool
-}
-
-// waitCounts is the account of one waitKey.
+// waitCounts is the account of the waiting jobs of one shape.
 type waitCounts struct {
 	rejected []FilterCount
 	open     int
@@ -53,7 +42,8 @@
 // explainWaits adds a wait for every job with tasks left. Counts are of the
 // room as it is after the whole plan, without the job's own reservation.
 func (d *decider) explainWaits() {
-	counted := make(map[waitKey]waitCounts)
+	counted := make(map[shape]waitCounts)
+	d.plan.Waits = make([]Wait, 0, d.countLeft())
 	for _, j := range d.jobs {
 		if j.left == 0 || j.refused {
 			continue
@@ -69,15 +59,26 @@
 	}
 }
 
+// countLeft is the number of jobs that wait after the plan.
+func (d *decider) countLeft() int {
+	n := 0
+	for _, j := range d.jobs {
+		if j.left > 0 && !j.refused {
+			n++
+		}
+	}
+	return n
+}
+
 // countsRoom reports whether a job that waits for reason asked the workers.
 func countsRoom(reason string) bool {
 	return reason == ReasonRoom || reason == ReasonGang || reason == ReasonReserved
 }
 
 // countWait adds to w how many workers each filter rejects.
-func (d *decider) countWait(w *Wait, j *jobState, counted map[waitKey]waitCounts) {
+func (d *decider) countWait(w *Wait, j *jobState, counted map[shape]waitCounts) {
 	a := d.ask(j, d.firstWaiting(j))
-	k := waitKey{a.size, a.endsBy, a.urgent}
+	k := a.shape()
 	shared := len(a.avoid) == 0 && j.reservation == nil
 	c, ok := counted[k]
 	switch {
@@ -120,16 +121,10 @@
 		d.c.release(j.reservation)
 		defer d.c.hold(j.reservation)
 	}
-	var counts rejections
-	open := 0
-	for w := range d.c.workers {
-		f := d.c.reject(w, a)
-		if f == accepted {
-			open++
-			continue
-		}
-		counts[f]++
+	if t := d.existingTable(a); t != nil {
+		return waitCounts{t.counts.list(), t.accepted}
 	}
+	counts, open := d.c.count(a)
 	return waitCounts{counts.list(), open}
 }
 
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -18,47 +18,63 @@
 	scorers   []scorer
 }
 
-// filterID is the place of a filter in filters.
-type filterID int
+// filterID names a filter by its place in filterNames.
+type filterID int8
 
-// accepted is no filter's id.
-const accepted filterID = -1
+// The filters, in the order in which they are asked. The first three can't
+// change within a plan.
+const (
+	filterState filterID = iota
+	filterAvoid
+	filterSize
+	filterCPU
+	filterMemory
+	filterAccelerators
+	filterReserved
+	filterCount
+	// accepted is no filter's id.
+	accepted filterID = -1
+)
 
-// filter rejects workers that can't take a task.
-type filter struct {
-	name   string
-	reject func(c *cell, w int, a *ask) bool
-}
-
-// filters are asked in this order. The first three can't change within a plan.
-var filters = [...]filter{
-	{FilterState, rejectState},
-	{FilterAvoid, rejectAvoid},
-	{FilterSize, rejectSize},
-	{FilterCPU, rejectCPU},
-	{FilterMemory, rejectMemory},
-	{FilterAccelerators, rejectAccelerators},
-	{FilterReserved, rejectReserved},
+// filterNames are the filters' names in explanations.
+var filterNames = [filterCount]string{
+	FilterState,
+	FilterAvoid,
+	FilterSize,
+	FilterCPU,
+	FilterMemory,
+	FilterAccelerators,
+	FilterReserved,
 }
 
 // rejections counts workers per filter.
-type rejections [len(filters)]int
+type rejections [filterCount]int
 
-// reject returns the first filter that rejects worker w, or accepted.
+// reject returns the first filter that rejects worker w, or accepted. It is
+// one switch, not a list of functions, since it runs for every worker and task.
 func (c *cell) reject(w int, a *ask) filterID {
-	for i := range filters {
-		if filters[i].reject(c, w, a) {
-			return filterID(i)
-		}
+	free := &c.free[w]
+	switch {
+	case !c.ready[w]:
+		return filterState
+	case len(a.avoid) > 0 && c.avoided(w, a):
+		return filterAvoid
+	case !a.size.Fits(c.size[w]):
+		return filterSize
+	case a.size.MilliCPU > free.MilliCPU:
+		return filterCPU
+	case a.size.MemoryMB > free.MemoryMB:
+		return filterMemory
+	case a.size.Accelerators > free.Accelerators:
+		return filterAccelerators
+	case c.reserved[w] && !a.size.Fits(c.room(w, a)):
+		return filterReserved
 	}
 	return accepted
 }
 
-func rejectState(c *cell, w int, _ *ask) bool {
-	return c.workers[w].State != model.WorkerReady
-}
-
-func rejectAvoid(c *cell, w int, a *ask) bool {
+// avoided reports whether a's task has failed on worker w.
+func (c *cell) avoided(w int, a *ask) bool {
 	for _, id := range a.avoid {
 		if id == c.workers[w].ID {
 			return true
@@ -67,14 +83,7 @@
 	return false
 }
 
-func rejectSize(c *cell, w int, a *ask) bool { return !a.size.Fits(c.workers[w].Size) }
-
-func rejectCPU(c *cell, w int, a *ask) bool { return a.size.MilliCPU > c.free[w].MilliCPU }
-
-func rejectMemory(c *cell, w int, a *ask) bool { return a.size.MemoryMB > c.free[w].MemoryMB }
-
-func rejectAccelerators(c *cell, w int, a *ask) bool {
-	return a.size.Accelerators > c.free[w].Accelerators
+// takes reports whether worker w could take a if it had room.
+func (c *cell) takes(w int, a *ask) bool {
+	return c.ready[w] && a.size.Fits(c.size[w]) && !c.avoided(w, a)
 }
-
-func rejectReserved(c *cell, w int, a *ask) bool { return !a.size.Fits(c.room(w, a)) }
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -40,9 +40,28 @@
 
 // hasSlots reports whether n tasks of a fit at the same time.
 func (d *decider) hasSlots(a *ask, n int) bool {
+	t := d.table(a)
+	if t == nil {
+		return d.countSlots(a, n, func(w int) bool { return d.c.reject(w, a) == accepted })
+	}
+	if t.accepted == 0 || t.gangFails != 0 && n >= t.gangFails {
+		return false
+	}
+	ok := d.countSlots(a, n, func(w int) bool { return t.filters[w] == accepted })
+	if !ok {
+		t.gangFails = n
+	}
+	return ok
+}
+
+// countSlots reports whether n tasks of a fit on the workers that are open.
+func (d *decider) countSlots(a *ask, n int, open func(w int) bool) bool {
 	found := 0
 	for w := range d.c.workers {
-		if found += d.c.slots(w, a, n-found); found >= n {
+		if !open(w) {
+			continue
+		}
+		if found += slotsIn(d.c.room(w, a), a.size, n-found); found >= n {
 			return true
 		}
 	}
--- a/internal/placement/gang_reserve.go
+++ b/internal/placement/gang_reserve.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 
 	"kumquatwing/internal/model"
@@ -19,14 +20,17 @@
 	// large: smaller ones find room by themselves.
 	largePercent = 25
 	// maxNewReservations bounds the cost of one plan.
-	maxNewReservations = 2
+	maxNewReservations = 1
 	// maxReservedPercent bounds the part of the cell that is reserved, unless
 	// a single job needs more.
-	maxReservedPercent = 40
+	maxReservedPercent = 25
 	// horizonMillis is how far ahead room is planned.
 	horizonMillis = 24 * 3_600_000
 	// firstStepMillis is the first step of the search for a start; it doubles.
 	firstStepMillis = 1000
+	// stepsPerStart is the precision of the search: a start is found to a part
+	// of the time until it, since run times are no better known.
+	stepsPerStart = 8
 )
 
 // holdMillis is how long room is held past its expected start: twice as long
@@ -150,7 +154,7 @@
 		}
 		low, high = high, high+step
 	}
-	for high-low > firstStepMillis {
+	for high-low > max(firstStepMillis, (high-d.s.NowMillis)/stepsPerStart) {
 		middle := (low + high) / 2
 		if d.slotsAt(a, n, middle) >= n {
 			high = middle
@@ -180,7 +184,7 @@
 	x := d.index()
 	room := d.c.free[w].Sub(d.c.urgentHeld[w]).Sub(d.c.held[w])
 	for _, run := range x.byWorker[w] {
-		if x.stopped[run] || expectedEnd(&x.runs[run], x.now) <= at {
+		if x.stopped[run] || x.ends[run] <= at {
 			room = room.Add(x.runs[run].Holds)
 		}
 	}
@@ -202,7 +206,12 @@
 			parts = append(parts, reservedPart{w, k})
 		}
 	}
-	slices.SortStableFunc(parts, func(a, b reservedPart) int { return b.tasks - a.tasks })
+	slices.SortStableFunc(parts, func(a, b reservedPart) int {
+		if a.tasks != b.tasks {
+			return b.tasks - a.tasks
+		}
+		return cmp.Compare(d.c.free[a.worker].MilliCPU, d.c.free[b.worker].MilliCPU)
+	})
 	for i := range parts {
 		parts[i].tasks = min(parts[i].tasks, n)
 		if n -= parts[i].tasks; n == 0 {
--- /dev/null
+++ b/internal/placement/load_test.go
@@ -0,0 +1,166 @@
+package placement_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"kumquatwing/internal/model"
+)
+
+// offRange is how far declared sizes and run times are off at the most.
+const offRange = 4
+
+// workload is a kind of job; its declarations are off by the same factors.
+type workload struct {
+	spec     model.JobSpec
+	runRatio float64
+	useRatio float64
+}
+
+// loadPlan describes a load.
+type loadPlan struct {
+	seed     uint64
+	workers  int
+	shares   []int64
+	millis   int64
+	load     float64 // offered, as a part of the cell
+	peak     float64 // offered between 30% and 50% of the time
+	services int
+	// backlog is the number of tasks that arrive at the start.
+	backlog int
+	// divide makes declared sizes smaller, so that more tasks run.
+	divide int64
+}
+
+// off draws a factor evenly between 1/offRange and offRange, by its logarithm.
+func off(r *rand.Rand) float64 {
+	return math.Pow(offRange, 2*r.Float64()-1)
+}
+
+// workloads draws ten kinds of job for each team: the teams with small shares
+// send the most.
+func workloads(r *rand.Rand, shares []int64) []workload {
+	var out []workload
+	for team := range shares {
+		for k := range 10 {
+			w := workload{runRatio: off(r), useRatio: off(r)}
+			w.spec = specOf(r, k)
+			w.spec.Team = teamName(team)
+			w.spec.Workload = model.Workload(fmt.Sprintf("%s-%d", w.spec.Class, k))
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// specOf draws the k-th of ten kinds: four urgent, five batch, one gang.
+func specOf(r *rand.Rand, k int) model.JobSpec {
+	cpu := func(low, high int64) int64 { return (low + r.Int64N(high-low+1)) * 250 }
+	s := model.JobSpec{Class: model.ClassBatch, Tasks: 1 + r.IntN(10), RunMillis: 20_000 + r.Int64N(100_000)}
+	s.Size.MilliCPU = cpu(2, 20)
+	switch {
+	case k < 4:
+		s.Class, s.Tasks, s.RunMillis = model.ClassUrgent, 1, 1000+r.Int64N(4000)
+		s.Size.MilliCPU = cpu(1, 6)
+	case k == 4:
+		s.Class, s.Tasks, s.RunMillis = model.ClassGang, 4+r.IntN(9), 30_000+r.Int64N(60_000)
+		s.Size.MilliCPU = cpu(8, 32)
+	case k == 5:
+		s.Size.Accelerators, s.Tasks = 1, 1
+	}
+	s.Size.MemoryMB = s.Size.MilliCPU * (1 + r.Int64N(4))
+	return s
+}
+
+// newLoad draws the jobs of a plan in the order of their arrival.
+func newLoad(p loadPlan) []*loadJob {
+	r := rand.New(rand.NewPCG(p.seed, 2))
+	kinds := workloads(r, p.shares)
+	var out []*loadJob
+	for i := range p.services {
+		out = append(out, serviceJob(p, i))
+	}
+	for i := range kinds {
+		kinds[i].divide(p.divide)
+	}
+	perJob := meanRoom(r, kinds, len(p.shares))
+	tasks, at := 0, float64(driverStep)
+	for i := 0; int64(at) < p.millis; i++ {
+		if tasks < p.backlog {
+			j := drawJob(r, &kinds[pick(r, len(p.shares))], i, driverStep)
+			tasks += j.spec.Tasks
+			out = append(out, j)
+			continue
+		}
+		load := p.load
+		if at > 0.3*float64(p.millis) && at < 0.5*float64(p.millis) {
+			load = p.peak
+		}
+		at += r.ExpFloat64() * perJob / (load * float64(p.workers))
+		out = append(out, drawJob(r, &kinds[pick(r, len(p.shares))], i, int64(at)))
+	}
+	return out
+}
+
+// pick draws a workload: each team sends twice as many as the one before it,
+// but for the second, which sends as many as the first.
+func pick(r *rand.Rand, teams int) int {
+	weights := 1 << (teams - 1)
+	n, team := r.IntN(weights), 0
+	for n >= 1<<team && team < teams-1 {
+		team++
+	}
+	return team*10 + r.IntN(10)
+}
+
+func drawJob(r *rand.Rand, w *workload, i int, at int64) *loadJob {
+	j := &loadJob{spec: w.spec, arrives: at}
+	j.spec.ID = model.JobID(fmt.Sprintf("j%06d", i))
+	noise := 0.8 + 0.4*r.Float64()
+	j.run = max(int64(float64(w.spec.RunMillis)*min(max(w.runRatio*noise, 1.0/offRange), offRange)), 1)
+	j.use = w.use()
+	return j
+}
+
+// divide makes the tasks of w smaller.
+func (w *workload) divide(by int64) {
+	w.spec.Size.MilliCPU = max(w.spec.Size.MilliCPU/max(by, 1), 1)
+	w.spec.Size.MemoryMB = max(w.spec.Size.MemoryMB/max(by, 1), 1)
+}
+
+// use is what a task really uses, at most a worker.
+func (w *workload) use() model.Resources {
+	worker := driverWorker(0)
+	return model.Resources{
+		MilliCPU: min(max(int64(float64(w.spec.Size.MilliCPU)*w.useRatio), 1), worker.MilliCPU),
+		MemoryMB: min(w.spec.Size.MemoryMB, worker.MemoryMB),
+	}
+}
+
+// meanRoom is the mean part of a worker that a job takes as declared, times
+// the milliseconds for which it does.
+func meanRoom(r *rand.Rand, kinds []workload, teams int) float64 {
+	const draws = 10_000
+	worker := driverWorker(0)
+	var sum float64
+	for range draws {
+		w := &kinds[pick(r, teams)]
+		s := &w.spec
+		part := max(float64(s.Size.MilliCPU)/float64(worker.MilliCPU), float64(s.Size.MemoryMB)/float64(worker.MemoryMB))
+		sum += part * float64(s.RunMillis) * w.runRatio * max(1, w.useRatio) * float64(s.Tasks)
+	}
+	return sum / draws
+}
+
+// serviceJob is a service that runs for the whole time.
+func serviceJob(p loadPlan, i int) *loadJob {
+	size := model.Resources{MilliCPU: 1000, MemoryMB: 2048}
+	return &loadJob{
+		spec: model.JobSpec{
+			ID: model.JobID(fmt.Sprintf("s%03d", i)), Team: teamName(i % len(p.shares)), Workload: "service",
+			Class: model.ClassService, Tasks: 4, Size: size,
+		},
+		run: math.MaxInt32 * 1000, use: size,
+	}
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -46,11 +46,6 @@
 	return best, ok
 }
 
-// takes reports whether worker w could take a if it had room.
-func (c *cell) takes(w int, a *ask) bool {
-	return !rejectState(c, w, a) && !rejectAvoid(c, w, a) && !rejectSize(c, w, a)
-}
-
 // cheaper reports whether a loses less work than b, or as much with fewer runs.
 func cheaper(a, b *eviction) bool {
 	if a.lost != b.lost {
@@ -64,10 +59,13 @@
 // false, when size does not fit or more work than limit would be lost.
 func (d *decider) collect(e *eviction, size, room model.Resources, may mayEvict, limit int64) bool {
 	x := d.index()
-	for _, run := range x.byWorker[e.worker] {
+	for _, run := range x.cheapestFirst(e.worker) {
 		if size.Fits(room) {
 			break
 		}
+		if x.lost[run] > limit {
+			return false
+		}
 		if !x.mayStop(run) || !may(run) || !helps(size, room, x.runs[run].Holds) {
 			continue
 		}
@@ -79,7 +77,7 @@
 	}
 	d.prune(e, size, room)
 	for _, run := range e.runs {
-		e.lost += lostWork(&x.runs[run], x.now)
+		e.lost += x.lost[run]
 	}
 	return e.lost <= limit
 }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -19,7 +19,8 @@
 	// next is the first pending task not tried yet.
 	next   int
 	reason string
-	ask    *ask
+	// ask is empty until the job is first asked for.
+	ask ask
 	// reservation is the one that the job holds, if any.
 	reservation *Reservation
 	// ended is an urgent job's reservation that ended with this plan.
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -112,12 +112,21 @@
 
 // expectStops no longer counts runs that stop.
 func (r *reclaim) expectStops() {
-	x := r.d.index()
-	for i := range x.runs {
-		if t, ok := r.byID[x.runs[i].Team]; ok && (x.runs[i].Stopping || x.stopped[i]) {
-			r.expected[t] = r.expected[t].Sub(x.runs[i].Holds)
+	runs := r.d.s.Runs
+	for i := range runs {
+		if runs[i].Stopping {
+			r.expectStop(&runs[i])
 		}
 	}
+	for _, run := range r.d.evicted {
+		r.expectStop(&runs[run])
+	}
+}
+
+func (r *reclaim) expectStop(run *RunView) {
+	if t, ok := r.byID[run.Team]; ok {
+		r.expected[t] = r.expected[t].Sub(run.Holds)
+	}
 }
 
 // reclaimFor stops runs for the job's tasks while its team is under its share.
--- a/internal/placement/refuse.go
+++ b/internal/placement/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"kumquatwing/internal/model"
 )
@@ -16,26 +17,50 @@
 	if d.s.Settling {
 		return
 	}
+	kinds := kindsOf(d.c.workers)
 	slots := make(map[model.Resources]int)
 	for _, j := range d.jobs {
-		if j.left > 0 {
-			d.refuseIfNeverFits(j, slots)
+		if j.left == 0 {
+			continue
 		}
+		size := j.view.Spec.Size
+		n, ok := slots[size]
+		if !ok {
+			n = emptySlots(kinds, size)
+			slots[size] = n
+		}
+		d.refuseIfNeverFits(j, n)
 	}
 }
 
-func (d *decider) refuseIfNeverFits(j *jobState, slots map[model.Resources]int) {
-	size := j.view.Spec.Size
-	n, ok := slots[size]
-	if !ok {
-		n = emptySlots(d.c.workers, size)
-		slots[size] = n
+// workerKind is a number of workers of the same size.
+type workerKind struct {
+	size  model.Resources
+	count int
+}
+
+// kindsOf counts the workers by size, in the order of their first worker.
+func kindsOf(workers []WorkerView) []workerKind {
+	var out []workerKind
+	for i := range workers {
+		size := workers[i].Size
+		k := slices.IndexFunc(out, func(k workerKind) bool { return k.size == size })
+		if k < 0 {
+			out = append(out, workerKind{size: size})
+			k = len(out) - 1
+		}
+		out[k].count++
 	}
+	return out
+}
+
+// refuseIfNeverFits refuses j if empty workers have too few slots for it.
+func (d *decider) refuseIfNeverFits(j *jobState, slots int) {
 	need := 1
 	if isGang(j.view) {
 		need = j.left
 	}
-	if n >= need {
+	if slots >= need {
 		return
 	}
 	j.refused = true
@@ -45,20 +70,17 @@
 		Explain: Explanation{
 			Considered: len(d.c.workers),
 			Decisions:  j.view.Policy.Decisions,
-			Detail:     neverFitsDetail(d.c.workers, size, n, need),
+			Detail:     neverFitsDetail(d.c.workers, j.view.Spec.Size, slots, need),
 		},
 	})
 }
 
 // emptySlots is how many tasks of a size empty workers could take.
-func emptySlots(workers []WorkerView, size model.Resources) int {
+func emptySlots(kinds []workerKind, size model.Resources) int {
 	const bound = 1 << 30
 	n := 0
-	for i := range workers {
-		n += slotsIn(workers[i].Size, size, bound)
-		if n >= bound {
-			return bound
-		}
+	for _, k := range kinds {
+		n += min(slotsIn(k.size, size, bound)*k.count, bound-n)
 	}
 	return n
 }
--- a/internal/placement/runs.go
+++ b/internal/placement/runs.go
@@ -19,8 +19,13 @@
 // runIndex finds the runs of a worker. It is built when a plan first needs it.
 type runIndex struct {
 	runs []RunView
-	// byWorker holds indexes of runs, those that lose least work first.
+	// byWorker holds indexes of runs; sorted marks workers whose runs are in
+	// the order of cheapestFirst.
 	byWorker [][]int32
+	sorted   []bool
+	// lost and ends are the runs' lostWork and expectedEnd.
+	lost []int64
+	ends []int64
 	// coming is the room of runs that stop, by worker.
 	coming []model.Resources
 	// stopped marks the runs that this plan preempts.
@@ -32,34 +37,64 @@
 	x := &runIndex{
 		runs:     s.Runs,
 		byWorker: make([][]int32, len(c.workers)),
+		sorted:   make([]bool, len(c.workers)),
 		coming:   make([]model.Resources, len(c.workers)),
 		stopped:  make([]bool, len(s.Runs)),
+		lost:     make([]int64, len(s.Runs)),
+		ends:     make([]int64, len(s.Runs)),
 		now:      s.NowMillis,
 	}
+	x.group(c)
 	for i := range x.runs {
 		r := &x.runs[i]
-		w, ok := c.byID[r.Worker]
+		x.lost[i] = lostWork(r, x.now)
+		x.ends[i] = expectedEnd(r, x.now)
+		if w, ok := c.byID[r.Worker]; ok && r.Stopping {
+			x.coming[w] = x.coming[w].Add(r.Holds)
+		}
+	}
+	return x
+}
+
+// group fills byWorker.
+func (x *runIndex) group(c *cell) {
+	on := make([]int32, len(x.runs))
+	count := make([]int32, len(c.workers))
+	for i := range x.runs {
+		w, ok := c.byID[x.runs[i].Worker]
 		if !ok {
+			on[i] = -1
 			continue
 		}
-		x.byWorker[w] = append(x.byWorker[w], int32(i))
-		if r.Stopping {
-			x.coming[w] = x.coming[w].Add(r.Holds)
+		on[i] = w
+		count[w]++
+	}
+	all := make([]int32, len(x.runs))
+	for w, n := range count {
+		x.byWorker[w], all = all[:0:n], all[n:]
+	}
+	for i, w := range on {
+		if w >= 0 {
+			x.byWorker[w] = append(x.byWorker[w], int32(i))
 		}
 	}
-	for w := range x.byWorker {
+}
+
+// cheapestFirst lists the runs of worker w, those that lose least work first.
+func (x *runIndex) cheapestFirst(w int) []int32 {
+	if !x.sorted[w] {
 		slices.SortFunc(x.byWorker[w], x.compareLost)
+		x.sorted[w] = true
 	}
-	return x
+	return x.byWorker[w]
 }
 
 // compareLost orders runs by the work that a stop loses, then by task.
 func (x *runIndex) compareLost(a, b int32) int {
-	ra, rb := &x.runs[a], &x.runs[b]
-	if d := cmp.Compare(lostWork(ra, x.now), lostWork(rb, x.now)); d != 0 {
+	if d := cmp.Compare(x.lost[a], x.lost[b]); d != 0 {
 		return d
 	}
-	return strings.Compare(string(ra.Task), string(rb.Task))
+	return strings.Compare(string(x.runs[a].Task), string(x.runs[b].Task))
 }
 
 // acceleratorMilliCPU is what an accelerator counts for in lost work.
--- /dev/null
+++ b/internal/placement/stats_test.go
@@ -0,0 +1,186 @@
+package placement_test
+
+import (
+	"slices"
+	"time"
+
+	"kumquatwing/internal/model"
+)
+
+// stats is what a run of the driver measures.
+type stats struct {
+	// took is per plan, perTask per placement of a plan that has any.
+	took     []time.Duration
+	perTask  []time.Duration
+	placed   int
+	deciding time.Duration
+	mallocs  uint64
+	// done and lost are in thousandths of a core times milliseconds.
+	done, lost int64
+	preempted  int
+	// used and held sum parts of the cell over the samples.
+	used, held float64
+	samples    int
+	// distance sums the teams' distance from their share while work waits.
+	distance  float64
+	contended int
+	waits     map[model.Class][]int64
+	// unstarted counts tasks that had not started at the end.
+	unstarted int
+	// most is the largest number of tasks that ran, mostWaiting that waited.
+	most, mostWaiting int
+}
+
+func (s *stats) decided(took time.Duration, placed int, mallocs uint64) {
+	s.took = append(s.took, took)
+	s.deciding += took
+	s.placed += placed
+	s.mallocs += mallocs
+	if placed > 0 {
+		s.perTask = append(s.perTask, took/time.Duration(placed))
+	}
+}
+
+// sample measures the cell after a step.
+func (s *stats) sample(d *driver) {
+	var size, held, used int64
+	for _, dc := range d.dcs {
+		for i := range dc.workers {
+			size += dc.workers[i].Size.MilliCPU
+			held += dc.workers[i].Size.MilliCPU - dc.workers[i].Free.MilliCPU
+		}
+		for _, t := range dc.running {
+			used += min(t.size.MilliCPU, t.job.use.MilliCPU)
+		}
+	}
+	running := 0
+	for _, dc := range d.dcs {
+		running += len(dc.running)
+	}
+	s.most = max(s.most, running)
+	s.samples++
+	s.held += float64(held) / float64(size)
+	s.used += float64(used) / float64(size)
+	s.shares(d)
+}
+
+// shares adds the distance of the teams from their shares: the part of the held
+// dominant shares that weighted max-min fairness would give to another team.
+func (s *stats) shares(d *driver) {
+	held := make([]float64, len(d.teams))
+	wanted := make([]float64, len(d.teams))
+	waiting := 0
+	for i := range d.teams {
+		var use, wait model.Resources
+		for _, dc := range d.dcs {
+			for _, t := range dc.running {
+				if t.job.spec.Team == d.teams[i].ID {
+					use = use.Add(t.size)
+				}
+			}
+			for _, j := range dc.jobs {
+				if j.job.spec.Team == d.teams[i].ID {
+					wait = wait.Add(j.size.Scale(int64(len(j.pending))))
+					waiting += len(j.pending)
+				}
+			}
+		}
+		held[i] = dominant(use, d)
+		wanted[i] = dominant(use.Add(wait), d)
+	}
+	s.mostWaiting = max(s.mostWaiting, waiting)
+	if waiting == 0 {
+		return
+	}
+	s.contended++
+	s.distance += distance(held, fairShares(held, wanted, d))
+}
+
+func dominant(use model.Resources, d *driver) float64 {
+	var total model.Resources
+	for _, dc := range d.dcs {
+		for i := range dc.workers {
+			total = total.Add(dc.workers[i].Size)
+		}
+	}
+	var most float64
+	for i := range model.Dimensions {
+		most = max(most, float64(use.At(i))/float64(max(total.At(i), 1)))
+	}
+	return most
+}
+
+// fairShares divides the sum of held by weight, nobody getting more than wanted.
+func fairShares(held, wanted []float64, d *driver) []float64 {
+	fair := make([]float64, len(held))
+	var left float64
+	for _, h := range held {
+		left += h
+	}
+	const rounds = 1000
+	for range rounds {
+		var weights float64
+		for i := range fair {
+			if fair[i] < wanted[i] {
+				weights += float64(d.teams[i].Share)
+			}
+		}
+		if weights == 0 || left < 1e-9 {
+			break
+		}
+		part := left / weights
+		for i := range fair {
+			if fair[i] < wanted[i] {
+				give := min(part*float64(d.teams[i].Share), wanted[i]-fair[i])
+				fair[i] += give
+				left -= give
+			}
+		}
+	}
+	return fair
+}
+
+func distance(held, fair []float64) float64 {
+	var off, sum float64
+	for i := range held {
+		off += max(held[i]-fair[i], fair[i]-held[i]) / 2
+		sum += held[i]
+	}
+	if sum == 0 {
+		return 0
+	}
+	return off / sum
+}
+
+// finish counts the waits; a task that never started has waited to the end.
+// Work done so far by tasks that still run counts as done.
+func (s *stats) finish(d *driver) {
+	s.waits = make(map[model.Class][]int64)
+	for _, t := range d.tasks {
+		waited := t.waited
+		if waited < 0 {
+			waited = d.now - t.waits
+			s.unstarted++
+		}
+		s.waits[t.job.spec.Class] = append(s.waits[t.job.spec.Class], waited)
+	}
+	for _, w := range s.waits {
+		slices.Sort(w)
+	}
+	slices.Sort(s.took)
+	slices.Sort(s.perTask)
+	for _, dc := range d.dcs {
+		for _, t := range dc.running {
+			s.done += (d.now - t.started) * min(t.size.MilliCPU, t.job.use.MilliCPU)
+		}
+	}
+}
+
+// quantile of sorted values; 0 if there are none.
+func quantile[T any](sorted []T, q float64) T {
+	var none T
+	if len(sorted) == 0 {
+		return none
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
