Test the request path's interfaces with faults, and mend what they found

Found, each seen failing first: a refusal of an unread body waited for that body; a 503 of a busy server was not retried; an entry VM cut off from its group kept a server's announcements to itself until the server counted as silent; slots asked back by the group were given to waiting requests for ever, so that a second entry VM got none.

--- a/internal/entry/cell_test.go
+++ b/internal/entry/cell_test.go
@@ -52,6 +52,8 @@
 	entries []*testEntry
 	servers []*backend.Server
 	client  *http.Client
+	// silence ends all announcements and waits for that.
+	silence []func()
 }
 
 type testEntry struct {
@@ -79,6 +81,9 @@
 
 func (c *cell) close() {
 	c.client.CloseIdleConnections()
+	for _, f := range c.silence {
+		f()
+	}
 	for _, e := range c.entries {
 		e.stop()
 	}
@@ -131,7 +136,7 @@
 		defer close(done)
 		s.Run(ctx)
 	}()
-	c.t.Cleanup(func() {
+	c.silence = append(c.silence, func() {
 		cancel()
 		<-done
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,7 +49,9 @@
 	wake        chan struct{}
 	ready       atomic.Bool
 	// returning is set while a stop hands back free slots.
-	returning   atomic.Bool
+	returning atomic.Bool
+	// lastSync is the instant at which the last answered sync was sent.
+	lastSync    atomic.Int64
 	syncFailing bool
 }
 
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -9,6 +9,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"kumquatwing/internal/api"
+	"kumquatwing/internal/clock"
 	"kumquatwing/internal/httpx"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/verdict"
@@ -19,6 +20,10 @@
 	passBodyBytes = 4 << 20
 	// smallTimeout bounds the reading and writing of calls other than requests.
 	smallTimeout = 30 * time.Second
+	// announceStale is how long after its last sync an entry VM still takes
+	// announcements: a server must not take one that can't pass them on for
+	// its group.
+	announceStale = 500 * time.Millisecond
 	// maxNameBytes bounds names in announcements.
 	maxNameBytes = 128
 	// maxServerSlots bounds what one server may announce.
@@ -95,6 +100,10 @@
 		httpx.WriteRefusal(w, refusal)
 		return
 	}
+	if e.clock.Now().Sub(clock.Instant(e.lastSync.Load())) > announceStale {
+		httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonNoLeader, "entry VM is cut off from its group; announce to another").RetryIn(e.cfg.Sync))
+		return
+	}
 	if refusal := e.checkAnnouncement(&a); refusal != nil {
 		httpx.WriteRefusal(w, refusal)
 		return
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -110,6 +110,7 @@
 		return err
 	}
 	e.syncFailing = false
+	e.lastSync.Store(int64(asked))
 	e.router.Synced(asked, state)
 	return nil
 }
--- a/internal/fake/backend/announce.go
+++ b/internal/fake/backend/announce.go
@@ -13,7 +13,7 @@
 // announceTimeout bounds one announcement.
 const announceTimeout = time.Second
 
-// Run announces the server to one entry VM after the other until ctx ends.
+// Run announces the server until ctx ends, each time to the next entry VM.
 func (s *Server) Run(ctx context.Context) {
 	client := &http.Client{Timeout: announceTimeout, Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
@@ -23,10 +23,10 @@
 		// A refused or lost announcement goes to the next entry VM at once.
 		for range s.cfg.Entries {
 			entry := s.cfg.Entries[turn%len(s.cfg.Entries)]
+			turn++
 			if s.announce(ctx, client, entry) {
 				break
 			}
-			turn++
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/fake/control/control.go
+++ b/internal/fake/control/control.go
@@ -40,6 +40,8 @@
 	leader *slots.Leader
 	ledger *ledger.State
 	remote []api.RemoteEntry
+	// isolated entry VMs get no answers.
+	isolated map[model.VMID]bool
 	// fail refuses the topics in it.
 	fail map[string]*verdict.Refusal
 	// delay holds each answer to a topic back.
@@ -63,6 +65,9 @@
 		state:  slots.NewState(generation),
 		ledger: ledger.New(dc, generation, ledger.Limits{Records: ledger.DefaultRecords, AnswerBytes: ledger.DefaultAnswerBytes}),
 		fail:   map[string]*verdict.Refusal{},
+
+		isolated: map[model.VMID]bool{},
+
 		delay:  map[string]time.Duration{},
 	}
 	c.leader = slots.NewLeader(c.state, slots.DefaultMargin)
@@ -102,6 +107,13 @@
 	c.lease = d
 }
 
+// Isolate cuts an entry VM off from the group, or takes it back.
+func (c *Control) Isolate(vm model.VMID, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isolated[vm] = cut
+}
+
 // SetRemote lists entry VMs of other data centres.
 func (c *Control) SetRemote(r []api.RemoteEntry) {
 	c.mu.Lock()
@@ -157,6 +169,9 @@
 func (c *Control) sync(req *api.EntrySync) (*api.EntryState, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isolated[req.Entry] {
+		return nil, verdict.Uncertain(verdict.ReasonUnreachable, "entry VM %s is cut off", req.Entry)
+	}
 	cmds, reply := c.leader.Sync(c.clock.Now(), req)
 	c.apply(cmds)
 	out := &api.EntryState{
--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -58,6 +58,10 @@
 	attempt string
 	begun   bool
 	tried   []model.ServerID
+	// spent counts the tries that failed.
+	spent int
+	// bodyRead is set once the whole body is held.
+	bodyRead bool
 }
 
 // limits are the settings that bound one request.
@@ -178,15 +182,16 @@
 	buffer := bytes.NewBuffer(make([]byte, 0, max(size, bytes.MinRead)))
 	_, err := io.CopyN(buffer, body, size)
 	c.head = buffer.Bytes()
-	switch {
-	case errors.Is(err, io.EOF):
-		return nil
-	case err != nil:
+	if err != nil && !errors.Is(err, io.EOF) {
 		return bodyRefusal(err)
 	}
-	if c.length != size {
+	if err == nil && c.length != size {
 		c.rest = body
+		return nil
 	}
+	c.bodyRead = true
+	// The library goes on reading to see whether the caller leaves.
+	control.SetReadDeadline(time.Time{})
 	return nil
 }
 
@@ -206,6 +211,12 @@
 // whole reports whether the body is held whole and can be sent again.
 func (c *call) whole() bool { return c.rest == nil }
 
+// repeatable reports whether the request may be sent again after it may have run.
+func (c *call) repeatable() bool { return c.idempotent && c.whole() }
+
+// triesLeft reports whether another server may be tried.
+func (c *call) triesLeft() bool { return c.spent < c.limits.tries && c.left() > 0 }
+
 // body returns the body from its beginning.
 func (c *call) body() io.Reader {
 	if c.rest == nil {
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -47,11 +47,21 @@
 	suspect  time.Time
 }
 
-func (s *server) free() int {
+// kept is the number of slots that are not on their way back or asked back.
+func (s *server) kept() int {
 	if s.grant.Leaving {
 		return 0
 	}
-	return s.grant.Slots - s.returned - s.inUse
+	return s.grant.Slots - max(s.returned, s.grant.Recall)
+}
+
+// free is how many requests more may be sent. A slot that is asked back goes
+// back as soon as it is idle, also while requests wait.
+func (s *server) free() int { return s.kept() - s.inUse }
+
+// returnable reports whether slots wait to be returned.
+func (s *server) returnable() bool {
+	return s.grant.Recall > s.returned && s.grant.Slots-s.returned-s.inUse > 0
 }
 
 // Slot is the right to have one request in flight at a server.
@@ -286,8 +296,8 @@
 	}
 	n := 0
 	for _, s := range p.servers {
-		if s.grant.Queue == name && !s.grant.Leaving {
-			n += s.grant.Slots - s.returned
+		if s.grant.Queue == name {
+			n += s.kept()
 		}
 	}
 	return n
@@ -320,6 +330,13 @@
 
 // Release gives the slot to the next request.
 func (s *Slot) Release() {
+	if s.release() {
+		s.pool.wake()
+	}
+}
+
+// release reports whether there are slots to return.
+func (s *Slot) release() bool {
 	p := s.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -328,6 +345,7 @@
 	q.inUse--
 	p.forgetUnused(s.server)
 	p.dispatch(s.queue, q)
+	return s.server.returnable()
 }
 
 // Done releases the slot after a whole exchange.
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -240,6 +240,10 @@
 func (rt *Router) refuse(w http.ResponseWriter, c *call, began time.Time, refusal *verdict.Refusal) {
 	rt.note(c, began, refusal)
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refusalTimeout))
+	if c == nil || !c.bodyRead && c.r.ContentLength != 0 {
+		// Otherwise the library would read the rest of the body first.
+		w.Header().Set("Connection", "close")
+	}
 	httpx.WriteRefusal(w, refusal)
 }
 
@@ -289,7 +293,7 @@
 // tries sends a request until it is answered or may not be sent again.
 func (rt *Router) tries(ctx context.Context, w http.ResponseWriter, c *call) result {
 	uncertain := false
-	for tries, moves := 1, 0; ; {
+	for moves := 0; ; {
 		res := rt.try(ctx, w, c)
 		if res.refusal == nil || res.began {
 			return res
@@ -299,10 +303,10 @@
 			moves++
 			continue
 		}
-		if !res.again || tries >= c.limits.tries || c.left() <= 0 || !rt.budget.spend() {
+		c.spent++
+		if !res.again || !c.triesLeft() || !rt.budget.spend() {
 			return result{refusal: worst(res.refusal, uncertain)}
 		}
-		tries++
 	}
 }
 
@@ -363,6 +367,9 @@
 func (rt *Router) exchange(ctx context.Context, w http.ResponseWriter, c *call, slot *Slot, conn *serverConn) result {
 	x := &exchange{c: c, conn: conn, server: slot.Server()}
 	refusal := x.send(ctx)
+	if refusal == nil && x.resp.StatusCode == http.StatusServiceUnavailable && c.repeatable() && c.spent+1 < c.limits.tries {
+		refusal = verdict.Uncertain(verdict.ReasonOverload, "backend server %s is busy", x.server).RetryIn(time.Second)
+	}
 	d := newDelivery(w, x)
 	if refusal == nil {
 		refusal = d.run()
@@ -375,7 +382,7 @@
 	}
 	rt.broken(slot, refusal)
 	c.tried = append(c.tried, slot.Server())
-	again := refusal.Verdict == verdict.NotRun || c.idempotent && c.whole()
+	again := refusal.Verdict == verdict.NotRun || c.repeatable()
 	return result{refusal: refusal, began: d.began, again: again && refusal.Reason != verdict.ReasonTooLarge}
 }
 
