Pass requests on to other data centres when the own one can't serve them

Cause: a data centre that is out, full or without servers refused what others had room for. The entry VM that the caller reached keeps the record; the other one runs the request once and never passes it on. Ruled out: a record at the other one, since the same id would then be open twice.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -15,6 +15,9 @@
 	HeaderDeadline = "Kq-Deadline-Ms"
 	// HeaderVerdict is set on every answer.
 	HeaderVerdict = "Kq-Verdict"
+	// HeaderHop names the data centre whose entry VM passes a request on to
+	// one of another data centre.
+	HeaderHop = "Kq-Hop"
 	// HeaderReason is the stable reason of a refusal.
 	HeaderReason = "Kq-Reason"
 	// HeaderOperator carries the operators' token.
--- a/internal/entry/cell_test.go
+++ b/internal/entry/cell_test.go
@@ -40,7 +40,7 @@
 			{Name: "lookup", Open: true},
 			{Name: "orders", Team: "vets"},
 		},
-		DataCentres: []model.DataCentre{{ID: "a"}},
+		DataCentres: []model.DataCentre{{ID: "a"}, {ID: "b"}},
 		Tree:        settings.NewTree(),
 	}
 }
@@ -48,6 +48,7 @@
 // cell is a data centre in one process: control, entry VMs, backend servers.
 type cell struct {
 	t       testing.TB
+	dc      model.DCID
 	control *control.Control
 	entries []*testEntry
 	servers []*backend.Server
@@ -70,11 +71,13 @@
 	return err
 }
 
-func newCell(t testing.TB) *cell {
+func newCell(t testing.TB) *cell { return newCellIn(t, "a") }
+
+func newCellIn(t testing.TB, dc model.DCID) *cell {
 	t.Helper()
-	c, err := control.Start("127.0.0.1:0", "a", testView())
+	c, err := control.Start("127.0.0.1:0", dc, testView())
 	qt.Assert(t, err, qt.IsNil)
-	out := &cell{t: t, control: c, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 500}}}
+	out := &cell{t: t, dc: dc, control: c, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 500}}}
 	t.Cleanup(out.close)
 	return out
 }
@@ -96,7 +99,7 @@
 func (c *cell) addEntry(change ...func(*Config)) *testEntry {
 	c.t.Helper()
 	cfg := Config{
-		VM: model.VMID(fmt.Sprint("e", len(c.entries))), DC: "a",
+		VM: model.VMID(fmt.Sprint("e", len(c.entries))), DC: c.dc,
 		Listen: "127.0.0.1:0", Wire: "127.0.0.1:0", Control: []string{c.control.Node.Addr()},
 		Drain: 5 * time.Second, Sync: 20 * time.Millisecond,
 		Requests: DefaultRequests, HeaderBytes: DefaultHeaderBytes,
@@ -119,7 +122,7 @@
 func (c *cell) addServer(queue model.QueueName, change ...func(*backend.Config)) *backend.Server {
 	c.t.Helper()
 	cfg := backend.Config{
-		Server: model.ServerID(fmt.Sprint("s", len(c.servers))), DC: "a", Queue: queue, Incarnation: "1",
+		Server: model.ServerID(fmt.Sprint("s", len(c.servers))), DC: c.dc, Queue: queue, Incarnation: "1",
 		Listen: "127.0.0.1:0", Slots: 8, Connections: 60, Every: 50 * time.Millisecond,
 	}
 	for _, e := range c.entries {
--- a/internal/fake/control/control.go
+++ b/internal/fake/control/control.go
@@ -68,7 +68,7 @@
 
 		isolated: map[model.VMID]bool{},
 
-		delay:  map[string]time.Duration{},
+		delay: map[string]time.Duration{},
 	}
 	c.leader = slots.NewLeader(c.state, slots.DefaultMargin)
 	c.leader.TakeOver(c.clock.Now(), 1, 0)
--- a/internal/route/answer.go
+++ b/internal/route/answer.go
@@ -32,7 +32,7 @@
 }
 
 func newDelivery(w http.ResponseWriter, x *exchange) *delivery {
-	return &delivery{w: w, control: http.NewResponseController(w), x: x, keep: !x.c.idempotent}
+	return &delivery{w: w, control: http.NewResponseController(w), x: x, keep: x.c.recorded()}
 }
 
 // run reads the whole answer and passes it on. A refusal means that the answer
--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -58,6 +58,9 @@
 	attempt string
 	begun   bool
 	tried   []model.ServerID
+	// hop is set if an entry VM of another data centre sent the request, and
+	// keeps its record; overflowed once other data centres were asked.
+	hop, overflowed bool
 	// spent counts the tries that failed.
 	spent int
 	// bodyRead is set once the whole body is held.
@@ -97,6 +100,9 @@
 	c.id = model.RequestID(r.Header.Get(api.HeaderRequestID))
 	c.named = c.id != ""
 	var refusal *verdict.Refusal
+	if c.hop, refusal = rt.checkHop(r); refusal != nil {
+		return c, refusal
+	}
 	if c.idempotent, refusal = parseIdempotent(r); refusal != nil {
 		return c, refusal
 	}
@@ -208,6 +214,9 @@
 	return verdict.Refuse(verdict.ReasonTooLarge, "body is larger than %d bytes", c.limits.body).By(c.limits.bodyBy.String())
 }
 
+// recorded reports whether the request needs a record made here.
+func (c *call) recorded() bool { return !c.idempotent && !c.hop }
+
 // whole reports whether the body is held whole and can be sent again.
 func (c *call) whole() bool { return c.rest == nil }
 
@@ -237,7 +246,7 @@
 // refuse turns a refusal decided before the request's record was read into a
 // true one: an earlier call with the same id may have run.
 func (c *call) refuse(r *verdict.Refusal) *verdict.Refusal {
-	if !c.named || c.idempotent || c.begun || r.Verdict != verdict.NotRun {
+	if !c.named || c.idempotent || c.begun || c.hop || r.Verdict != verdict.NotRun {
 		return r
 	}
 	out := *r
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 
@@ -27,6 +28,8 @@
 	conn *serverConn
 	// server names the server in refusals.
 	server model.ServerID
+	// hop is our data centre if the other end is an entry VM of another one.
+	hop    model.DCID
 	reader *bufio.Reader
 	limit  *io.LimitedReader
 	resp   *http.Response
@@ -73,7 +76,7 @@
 	return w.Flush()
 }
 
-// request builds what the server gets. The caller's key stays here.
+// request builds what the server gets. The caller's key goes to entry VMs only.
 func (x *exchange) request() *http.Request {
 	c := x.c
 	h := make(http.Header, len(c.r.Header)+3)
@@ -87,9 +90,17 @@
 	if c.idempotent {
 		h.Set(api.HeaderIdempotent, "true")
 	}
+	target := c.target
+	if x.hop != "" {
+		target = c.r.URL
+		h.Set(api.HeaderHop, string(x.hop))
+		if c.key != "" {
+			h.Set(api.HeaderKey, c.key)
+		}
+	}
 	out := &http.Request{
 		Method:        c.r.Method,
-		URL:           c.target,
+		URL:           &url.URL{Path: target.Path, RawPath: target.RawPath, RawQuery: target.RawQuery},
 		Host:          c.r.Host,
 		Header:        h,
 		ContentLength: c.length,
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -22,6 +22,9 @@
 	// reached is passed over while others are free.
 	suspectMin = 100 * time.Millisecond
 	suspectMax = 2 * time.Second
+	// emptyLimit is after how long without slots a request that can go elsewhere
+	// no longer waits for the first one.
+	emptyLimit = 500 * time.Millisecond
 	// holdWeight is the weight of the newest sample in the mean hold time.
 	holdWeight = 0.1
 	// longestWindow is for how long a long deadline is remembered.
@@ -97,6 +100,8 @@
 	inUse, peak int
 	// hold is the mean time that a slot is taken.
 	hold time.Duration
+	// empty is since when no slot was held whenever one was wanted.
+	empty time.Time
 }
 
 // NewPool returns a pool without slots. wake asks for a sync at once.
@@ -129,6 +134,18 @@
 	Avoid []model.ServerID
 	// Room is how many requests of the team may wait in the queue.
 	Room int
+	// Patience bounds the wait if it is above 0.
+	Patience time.Duration
+}
+
+// limit is the longest wait that makes sense, hold being the time that the
+// request then needs.
+func (w *Want) limit(hold time.Duration) time.Duration {
+	left := time.Until(w.Deadline) - hold
+	if w.Patience > 0 {
+		return min(left, w.Patience)
+	}
+	return left
 }
 
 // Acquire waits for a slot. Its errors are NotRun refusals.
@@ -137,6 +154,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if want.Patience > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, want.Patience)
+		defer cancel()
+	}
 	select {
 	case slot := <-w.slot:
 		if slot == nil {
@@ -154,7 +176,10 @@
 // unserved explains why a request waited in vain.
 func (p *Pool) unserved(ctx context.Context, want *Want) error {
 	if p.offered(want.Queue) == 0 {
-		return verdict.Refuse(verdict.ReasonNoServer, "no slot of a backend server is lent to this entry VM for queue %s", want.Queue).RetryIn(time.Second)
+		return noServer(want.Queue)
+	}
+	if want.Patience > 0 && time.Until(want.Deadline) > 0 {
+		return verdict.Refuse(verdict.ReasonOverload, "no slot became free in queue %s within %v", want.Queue, want.Patience).RetryIn(want.Patience)
 	}
 	if ctx.Err() == context.DeadlineExceeded {
 		return verdict.Refuse(verdict.ReasonDeadline, "no slot became free in queue %s before the deadline", want.Queue).RetryIn(time.Second)
@@ -162,6 +187,22 @@
 	return verdict.Refuse(verdict.ReasonDeadline, "caller gave up while waiting in queue %s", want.Queue)
 }
 
+func noServer(queue model.QueueName) *verdict.Refusal {
+	return verdict.Refuse(verdict.ReasonNoServer, "no slot of a backend server is lent to this entry VM for queue %s", queue).RetryIn(time.Second)
+}
+
+// emptyFor is for how long no slot was held, given that held are now.
+func (q *slotQueue) emptyFor(held int) time.Duration {
+	if held > 0 {
+		q.empty = time.Time{}
+		return 0
+	}
+	if q.empty.IsZero() {
+		q.empty = time.Now()
+	}
+	return time.Since(q.empty)
+}
+
 // enqueue adds a request to its queue, unless it is full or the deadline can't
 // be met, and hands out what is free.
 func (p *Pool) enqueue(want *Want) (*waiter, error) {
@@ -200,16 +241,18 @@
 		return verdict.Refuse(verdict.ReasonOverload, "%d requests of team %q wait in queue %s", want.Room, want.Team, want.Queue).RetryIn(q.hold + time.Millisecond)
 	}
 	held := p.held(want.Queue)
+	if q.emptyFor(held) > emptyLimit && want.Patience > 0 {
+		return noServer(want.Queue)
+	}
 	if held == 0 || q.hold == 0 || p.anyFree(want.Queue) {
 		return nil
 	}
 	ahead := q.fair.ahead(want.Team, want.Share)
 	wait := q.hold * time.Duration(ahead+1) / time.Duration(held)
-	left := time.Until(want.Deadline)
-	if wait+q.hold <= left {
+	if wait <= want.limit(q.hold) {
 		return nil
 	}
-	return verdict.Refuse(verdict.ReasonOverload, "queue %s needs about %v, the deadline is in %v", want.Queue, wait+q.hold, left).RetryIn(wait)
+	return verdict.Refuse(verdict.ReasonOverload, "queue %s needs about %v, the deadline is in %v", want.Queue, wait+q.hold, time.Until(want.Deadline)).RetryIn(wait)
 }
 
 // giveUp takes a waiter out; a slot that it got meanwhile is returned.
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -68,6 +68,7 @@
 	observe     func(Outcome)
 
 	pool     *Pool
+	remotes  remotes
 	budget   retryBudget
 	settings lease.Held
 	view     atomic.Pointer[view]
@@ -106,6 +107,7 @@
 	if rt.observe == nil {
 		rt.observe = func(Outcome) {}
 	}
+	rt.remotes.dial = cfg.Dial
 	rt.minting.Store(&minting{})
 	return rt
 }
@@ -124,6 +126,7 @@
 	if state.GroupMillis > 0 {
 		rt.minting.Store(&minting{state.Generation, state.GroupMillis, askedAt})
 	}
+	rt.remotes.set(state.Remote)
 	rt.pool.Synced(askedAt, state)
 }
 
@@ -161,6 +164,7 @@
 // Wait returns once every record is closed, after the last request has ended.
 func (rt *Router) Wait() {
 	rt.pool.Close()
+	rt.remotes.set(nil)
 	rt.work.Wait()
 }
 
@@ -169,7 +173,8 @@
 	began := time.Now()
 	defer rt.taken.Add(-1)
 	if rt.taken.Add(1) > rt.room {
-		rt.refuse(w, nil, began, verdict.Refuse(verdict.ReasonOverload, "entry VM has %d requests in flight", rt.room).RetryIn(time.Second))
+		c := rt.unread(r)
+		rt.refuse(w, c, began, c.refuse(verdict.Refuse(verdict.ReasonOverload, "entry VM has %d requests in flight", rt.room).RetryIn(time.Second)))
 		return
 	}
 	c, refusal := rt.accept(w, r)
@@ -194,10 +199,10 @@
 func (rt *Router) accept(w http.ResponseWriter, r *http.Request) (*call, *verdict.Refusal) {
 	v := rt.view.Load()
 	if rt.stopping.Load() {
-		return unread(r), verdict.Refuse(verdict.ReasonStopping, "entry VM is stopping").RetryIn(0)
+		return rt.unread(r), verdict.Refuse(verdict.ReasonStopping, "entry VM is stopping").RetryIn(0)
 	}
 	if v == nil {
-		return unread(r), verdict.Refuse(verdict.ReasonNoLease, "entry VM has no settings yet").RetryIn(time.Second)
+		return rt.unread(r), verdict.Refuse(verdict.ReasonNoLease, "entry VM has no settings yet").RetryIn(time.Second)
 	}
 	c, refusal := rt.parse(v, model.QueueName(chi.URLParam(r, "queue")), r)
 	if refusal != nil {
@@ -211,36 +216,41 @@
 }
 
 // unread is a call of which only what decides its verdict was read.
-func unread(r *http.Request) *call {
+func (rt *Router) unread(r *http.Request) *call {
 	c := &call{r: r, id: model.RequestID(r.Header.Get(api.HeaderRequestID))}
 	c.named = c.id != ""
 	c.idempotent, _ = parseIdempotent(r)
+	c.hop, _ = rt.checkHop(r)
 	return c
 }
 
-// permitted checks what may change while a request waits: the key, the
-// settings lease and whether the data centre is out. It is asked again right
-// before the first byte is sent.
+// permitted checks what may change while a request waits: the key and the
+// settings lease. It is asked again right before the first byte is sent.
 func (rt *Router) permitted(c *call) *verdict.Refusal {
 	v := rt.view.Load()
 	q, _, refusal := v.admit(c.queue.Name, c.key)
 	if refusal != nil {
 		return refusal
 	}
-	if v.out {
-		return verdict.Refuse(verdict.ReasonOut, "data centre %s is out of service", rt.dc).RetryIn(time.Second)
-	}
 	if !q.Open && !rt.settings.Valid(rt.clock.Now()) {
 		return verdict.Refuse(verdict.ReasonNoLease, "entry VM can't confirm that its settings are in force").RetryIn(time.Second)
 	}
 	return nil
 }
 
+// in refuses requests for servers here while the data centre is out.
+func (rt *Router) in() *verdict.Refusal {
+	if !rt.view.Load().out {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonOut, "data centre %s is out of service", rt.dc).RetryIn(time.Second)
+}
+
 // refuse answers with a refusal.
 func (rt *Router) refuse(w http.ResponseWriter, c *call, began time.Time, refusal *verdict.Refusal) {
 	rt.note(c, began, refusal)
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refusalTimeout))
-	if c == nil || !c.bodyRead && c.r.ContentLength != 0 {
+	if !c.bodyRead && c.r.ContentLength != 0 {
 		// Otherwise the library would read the rest of the body first.
 		w.Header().Set("Connection", "close")
 	}
@@ -254,11 +264,9 @@
 func (rt *Router) note(c *call, began time.Time, refusal *verdict.Refusal) {
 	rt.observe(Outcome{refusal.Verdict, refusal.Reason, time.Since(began)})
 	e := eventlog.Event{Kind: "request.refused", DC: rt.dc, Cause: string(refusal.Reason), Detail: refusal.Message, Revision: rt.Revision()}
-	if c != nil {
-		e.Request, e.Team = c.id, c.team
-		if c.queue != nil {
-			e.Queue = c.queue.Name
-		}
+	e.Request, e.Team = c.id, c.team
+	if c.queue != nil {
+		e.Queue = c.queue.Name
 	}
 	rt.events.Record(e)
 }
@@ -271,13 +279,21 @@
 	// again is set if nothing speaks against another try; moved if the slot was
 	// lost before its use, which doesn't count as a try.
 	again, moved bool
+	// settled is set if the record decided; no other server may be asked.
+	settled bool
+}
+
+// untouched reports whether the try came to nothing for want of a server, so
+// that it may be asked for elsewhere.
+func (r *result) untouched() bool {
+	return r.refusal.Verdict == verdict.NotRun && !r.began && !r.again && !r.moved && !r.settled
 }
 
 // run gets a request done, over several tries if need be.
 func (rt *Router) run(w http.ResponseWriter, c *call) result {
 	ctx, cancel := c.context()
 	defer cancel()
-	if c.named && !c.idempotent {
+	if c.named && c.recorded() {
 		if ok, refusal := rt.begin(ctx, w, c); !ok {
 			return result{refusal: refusal}
 		}
@@ -320,12 +336,37 @@
 	return &out
 }
 
-// try gets a slot and sends the request over it once.
+// try sends the request once: to a server here, or to another data centre if
+// there is none or none is free here.
 func (rt *Router) try(ctx context.Context, w http.ResponseWriter, c *call) result {
-	slot, err := rt.pool.Acquire(ctx, &Want{
-		Queue: c.queue.Name, Team: c.team, Share: c.share,
-		Deadline: c.deadline, Avoid: c.tried, Room: c.limits.room,
-	})
+	res := rt.tryHere(ctx, w, c)
+	if res.refusal == nil || !res.untouched() || !overflows(res.refusal) || !rt.mayOverflow(c) {
+		return res
+	}
+	away := rt.overflow(ctx, w, c, res.refusal)
+	if away.refusal == nil || !away.untouched() {
+		return away
+	}
+	// Nobody else took it: it waits here until its deadline.
+	return rt.tryHere(ctx, w, c)
+}
+
+// overflows reports whether a refusal here says nothing about other data centres.
+func overflows(r *verdict.Refusal) bool {
+	switch r.Reason {
+	case verdict.ReasonNoServer, verdict.ReasonOverload, verdict.ReasonOut:
+		return true
+	}
+	return false
+}
+
+// tryHere gets a slot of a server of this data centre and sends the request
+// over it once.
+func (rt *Router) tryHere(ctx context.Context, w http.ResponseWriter, c *call) result {
+	if refusal := rt.in(); refusal != nil {
+		return result{refusal: refusal}
+	}
+	slot, err := rt.pool.Acquire(ctx, rt.want(c))
 	if err != nil {
 		return result{refusal: verdict.From(err)}
 	}
@@ -344,16 +385,32 @@
 	return rt.exchange(ctx, w, c, slot, conn)
 }
 
+// want describes the slot that a call needs. Its patience is short while other
+// data centres can be asked, and for their requests.
+func (rt *Router) want(c *call) *Want {
+	w := &Want{
+		Queue: c.queue.Name, Team: c.team, Share: c.share,
+		Deadline: c.deadline, Avoid: c.tried, Room: c.limits.room,
+	}
+	if c.hop || rt.mayOverflow(c) {
+		w.Patience = overflowPatience
+	}
+	return w
+}
+
 // prepare makes the record and checks every right to send for the last time.
 func (rt *Router) prepare(ctx context.Context, w http.ResponseWriter, c *call, slot *Slot) (bool, result) {
-	if !c.idempotent && !c.begun {
+	if c.recorded() && !c.begun {
 		if ok, refusal := rt.begin(ctx, w, c); !ok {
-			return false, result{refusal: refusal}
+			return false, result{refusal: refusal, settled: true}
 		}
 	}
 	if refusal := rt.permitted(c); refusal != nil {
 		return false, result{refusal: refusal}
 	}
+	if refusal := rt.in(); refusal != nil {
+		return false, result{refusal: refusal}
+	}
 	if c.left() <= 0 {
 		return false, result{refusal: verdict.Refuse(verdict.ReasonDeadline, "deadline passed before the request was sent")}
 	}
