--- a/internal/entry/cell_test.go
+++ b/internal/entry/cell_test.go
@@ -180,8 +180,10 @@
 	deadline   time.Duration
 }
 
-func (c *cell) send(e *testEntry, q request) answer {
-	req, err := http.NewRequest(http.MethodPost, "http://"+e.Addr()+q.path, bytes.NewReader([]byte(q.body)))
+func (c *cell) send(e *testEntry, q request) answer { return c.sendTo(e.Addr(), q) }
+
+func (c *cell) sendTo(addr string, q request) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+q.path, bytes.NewReader([]byte(q.body)))
 	qt.Assert(c.t, err, qt.IsNil)
 	set := func(name, value string) {
 		if value != "" {
