Check the promises of data centre work through random faults

Cause: two places, overcommit, gangs in part, limits and starts after a data centre was taken out had only been reasoned about. A contract test found that a worker whose loss was proposed stayed without a lease after it came back.

--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -45,16 +45,18 @@
 
 // Cell steps the tables, a leader and fake workers in virtual time.
 type Cell struct {
-	State   *work.State
-	Leader  *workerapi.Leader
-	Memory  *systems.Memory
-	View    *systems.View
-	Clock   clock.Manual
-	Term    uint64
-	Gate    workerapi.Gate
-	Workers []*worker.Core
-	Log     Log
-	Last    *systems.Output
+	State  *work.State
+	Leader *workerapi.Leader
+	Memory *systems.Memory
+	View   *systems.View
+	Clock  clock.Manual
+	Term   uint64
+	// Generation of the group, 1 at first.
+	Generation uint64
+	Gate       workerapi.Gate
+	Workers    []*worker.Core
+	Log        Log
+	Last       *systems.Output
 	// Decide makes the plans; FirstFit by default.
 	Decide func(*placement.Snapshot) *placement.Plan
 	// OnElect, if set, is called with each new leader.
@@ -63,7 +65,7 @@
 
 // New returns a cell with a leader and no workers.
 func New() *Cell {
-	c := &Cell{State: work.New(), Decide: FirstFit, View: &systems.View{DC: "dc1", Tree: settings.NewTree()}}
+	c := &Cell{State: work.New(), Decide: FirstFit, Generation: 1, View: &systems.View{Generation: 1, DC: "dc1", Tree: settings.NewTree()}}
 	c.Clock.Advance(time.Hour)
 	c.Gate = workerapi.Gate{Leads: true, MayStart: 3 * time.Second}
 	c.Elect()
@@ -74,7 +76,10 @@
 func (c *Cell) Elect() {
 	c.Term++
 	policy := workerapi.Policy{Lease: Lease, Margin: Margin, HeadroomPercent: 10, Retry: retryTwice}
-	c.Leader = workerapi.NewLeader(c.State, model.NewEpoch(1, c.Term), policy, c.Clock.Now())
+	c.Leader = workerapi.NewLeader(c.State, model.NewEpoch(c.Generation, c.Term), policy, c.Clock.Now())
+	if c.OnElect != nil {
+		c.OnElect(c.Leader)
+	}
 	c.Memory = systems.NewMemory()
 	if cmd := c.Leader.Prepare(); cmd != nil {
 		c.Propose(cmd)
--- a/internal/fake/worker/core.go
+++ b/internal/fake/worker/core.go
@@ -53,6 +53,15 @@
 	// CheckpointEvery is the interval of checkpoints.
 	CheckpointEvery time.Duration
 	Events          eventlog.Recorder
+	Faults          Faults
+}
+
+// Faults switches single rules of the protocol off, for tests that show what
+// each rule is for.
+type Faults struct {
+	IgnoreEpoch      bool
+	IgnoreLease      bool
+	IgnoreStartBound bool
 }
 
 // Kinds of events, the history of what ran where.
@@ -150,7 +159,7 @@
 // Apply carries out orders that answer a report sent at askedAt. Orders older
 // than the newest epoch seen are refused.
 func (c *Core) Apply(askedAt, now clock.Instant, o *api.WorkerOrders) {
-	if o.Epoch < c.epoch {
+	if o.Epoch < c.epoch && !c.cfg.Faults.IgnoreEpoch {
 		return
 	}
 	// A lease that has lapsed ends all runs, even if it is renewed now.
@@ -170,7 +179,7 @@
 	}
 	startBy := askedAt.Add(time.Duration(o.StartWithinMillis) * time.Millisecond)
 	for _, s := range o.Start {
-		if now.Before(startBy) && c.lease.Valid(now) {
+		if (now.Before(startBy) || c.cfg.Faults.IgnoreStartBound) && c.LeaseValid(now) {
 			c.start(now, s)
 		}
 	}
@@ -228,7 +237,7 @@
 // the lease has ended all runs end at once.
 func (c *Core) Advance(now clock.Instant) bool {
 	changed := false
-	valid := c.lease.Valid(now)
+	valid := c.LeaseValid(now)
 	for _, r := range c.sorted() {
 		switch {
 		case r.ended:
@@ -309,7 +318,9 @@
 func (c *Core) Epoch() model.Epoch { return c.epoch }
 
 // LeaseValid reports whether the worker may run tasks at now.
-func (c *Core) LeaseValid(now clock.Instant) bool { return c.lease.Valid(now) }
+func (c *Core) LeaseValid(now clock.Instant) bool {
+	return c.lease.Valid(now) || c.cfg.Faults.IgnoreLease
+}
 
 func (c *Core) sorted() []*run {
 	list := make([]*run, 0, len(c.runs))
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -42,6 +42,9 @@
 	return Epoch(generation<<epochTermBits | term&(1<<epochTermBits-1))
 }
 
+// Generation is the group's part of the epoch.
+func (e Epoch) Generation() uint64 { return uint64(e) >> epochTermBits }
+
 // Class is a job's scheduling policy.
 type Class string
 
--- a/internal/systems/drain.go
+++ b/internal/systems/drain.go
@@ -139,7 +139,8 @@
 			continue
 		}
 		t.out.Fleet.Reassign = append(t.out.Fleet.Reassign, Reassign{
-			Job: j.Spec.ID, Tasks: released, Reason: ReasonMoving,
+			Job: j.Spec.ID, Assignment: j.Assignment, Generation: t.Epoch.Generation(),
+			Tasks: released, Reason: ReasonMoving,
 		})
 	}
 }
--- a/internal/systems/follow.go
+++ b/internal/systems/follow.go
@@ -24,7 +24,7 @@
 	forgotten := t.forget()
 	// The view counts as followed once a whole pass finds nothing to do, since
 	// a command may fail to commit.
-	m.seenAny = admitted+cancelled+forgotten == 0
+	m.seenAny = admitted+cancelled+forgotten == 0 && !t.State.Rebuilding()
 	m.seen = t.View.Revision
 }
 
@@ -70,13 +70,9 @@
 	if t.State.Rebuilding() {
 		return 0
 	}
-	here := make(map[model.JobID]bool, len(t.View.Jobs))
-	for i := range t.View.Jobs {
-		here[t.View.Jobs[i].Spec.ID] = true
-	}
 	n := 0
 	for _, j := range t.State.Jobs() {
-		if here[j.Spec.ID] || n == maxForgotten {
+		if t.listed(j) || n == maxForgotten {
 			continue
 		}
 		if j.Held() > 0 {
@@ -90,6 +86,28 @@
 	return n
 }
 
+// listed reports whether the view lists the job here, as the tables know it. It
+// is always so once the view has been followed.
+func (t *tick) listed(j *work.Job) bool {
+	if t.Memory.seenAny && t.Memory.seen == t.View.Revision {
+		return true
+	}
+	if t.assignments == nil {
+		t.assignments = make(map[model.JobID]uint64, len(t.View.Jobs))
+		for i := range t.View.Jobs {
+			t.assignments[t.View.Jobs[i].Spec.ID] = t.View.Jobs[i].Assignment
+		}
+	}
+	_, ok := t.assignments[j.Spec.ID]
+	return ok
+}
+
+// current reports whether the view lists the job here with the very tasks that
+// the tables have; others must not be placed.
+func (t *tick) current(j *work.Job) bool {
+	return t.listed(j) && (t.assignments == nil || t.assignments[j.Spec.ID] <= j.Assignment)
+}
+
 // stopOrphans ends the runs of a job that the fleet no longer lists. The view
 // is looked at again until they have ended.
 func (t *tick) stopOrphans(j *work.Job) int {
--- a/internal/systems/grants.go
+++ b/internal/systems/grants.go
@@ -21,6 +21,10 @@
 // lowered in the group's tables before the fleet hears of it, and raised only
 // from a grant that the fleet shows.
 func (t *tick) balanceGrants() {
+	if t.State.Rebuilding() {
+		// Runs that no worker has reported yet need their grants.
+		return
+	}
 	need := t.demand()
 	for i := range t.View.Teams {
 		h := &t.View.Teams[i]
@@ -69,14 +73,11 @@
 	case allowed == h.Granted:
 		t.ask(h, need)
 	}
-	if !usage.Fits(allowed) && t.mayEvict() {
+	if !usage.Fits(allowed) {
 		t.evict(h.ID, usage, allowed)
 	}
 }
 
-// mayEvict is false while tables are being rebuilt: grants show late then.
-func (t *tick) mayEvict() bool { return !t.State.Rebuilding() }
-
 // evict stops runs of a team whose limit was lowered below what it holds, the
 // newest first. Runs of jobs that are not idempotent end by themselves.
 func (t *tick) evict(team model.TeamID, usage, allowed model.Resources) {
@@ -138,7 +139,9 @@
 		return
 	}
 	if t.Memory.mayAsk("return "+string(h.ID), t.NowMillis) {
-		t.out.Fleet.Returns = append(t.out.Fleet.Returns, GrantReturn{Team: h.ID, Version: h.Version, Keep: g.Cap})
+		t.out.Fleet.Returns = append(t.out.Fleet.Returns, GrantReturn{
+			Team: h.ID, Version: h.Version, Generation: t.Epoch.Generation(), Keep: g.Cap,
+		})
 	}
 }
 
--- a/internal/systems/place.go
+++ b/internal/systems/place.go
@@ -68,7 +68,7 @@
 func (t *tick) jobViews() []placement.JobView {
 	var views []placement.JobView
 	for _, j := range t.State.Jobs() {
-		if j.Pending() == 0 || j.Outcome != model.OutcomeNone {
+		if j.Pending() == 0 || j.Outcome != model.OutcomeNone || !t.current(j) {
 			continue
 		}
 		v := placement.JobView{
--- a/internal/systems/tick.go
+++ b/internal/systems/tick.go
@@ -36,25 +36,34 @@
 	out     *Output
 	cmd     *work.Command
 	stopped map[model.TaskID]bool
+	// assignments of the view's jobs, while the view is not yet followed.
+	assignments map[model.JobID]uint64
 }
 
 // Tick runs all systems once.
 func Tick(in *Input) *Output {
 	t := &tick{Input: in, cmd: &work.Command{Epoch: in.Epoch, View: in.View.Revision}, stopped: map[model.TaskID]bool{}}
 	t.out = &Output{Command: t.cmd, memory: in.Memory}
-	t.followOut()
 	t.expire()
-	t.follow()
-	t.rebuild()
 	t.checkUsage()
 	t.judge()
-	t.drain()
 	t.mendGangs()
+	if in.View.Generation == in.Epoch.Generation() {
+		t.underView()
+	}
+	in.Memory.expire(in.NowMillis)
+	return t.out
+}
+
+// underView runs the systems that need the fleet's view.
+func (t *tick) underView() {
+	t.followOut()
+	t.follow()
+	t.rebuild()
+	t.drain()
 	t.balanceGrants()
 	t.place()
 	t.report()
-	in.Memory.expire(in.NowMillis)
-	return t.out
 }
 
 // followOut brings the fleet's word on the data centre into the tables.
--- a/internal/systems/view.go
+++ b/internal/systems/view.go
@@ -19,8 +19,11 @@
 	// Revision grows with every change of Jobs or Teams. Systems that only
 	// follow the fleet skip a view that they have seen.
 	Revision uint64
-	Region   string
-	DC       model.DCID
+	// Generation is the newest of the data centre's group that the fleet has on
+	// record. A view that does not show the leader's own is too old to act on.
+	Generation uint64
+	Region     string
+	DC         model.DCID
 	// Out is set while the data centre is taken out, by OutRevision.
 	Out         bool
 	OutRevision uint64
@@ -130,14 +133,24 @@
 	// Version is the one of the grant that the return is based on; the fleet
 	// must ignore a return of an older version, which may be a late repeat.
 	Version uint64
-	Keep    model.Resources
+	// Generation of the data centre's group; the fleet must ignore a return of
+	// an older one than it has on record, since that group's tables are lost.
+	Generation uint64
+	Keep       model.Resources
 }
 
 // Reassign gives tasks that hold nothing here to another data centre.
+//
+// The fleet must ignore a request of another Assignment than its own record of
+// the job, or of an older Generation of the group: it may be a late repeat, and
+// the tasks may run here by now.
 type Reassign struct {
-	Job    model.JobID
-	Tasks  []work.AdmitTask
-	Reason string
+	Job model.JobID
+	// Assignment is the fleet revision that gave the tasks to this data centre.
+	Assignment uint64
+	Generation uint64
+	Tasks      []work.AdmitTask
+	Reason     string
 }
 
 // Memory is the soft state of the leader's ticks; a new leader starts with an
--- /dev/null
+++ b/internal/work/delayed_test.go
@@ -0,0 +1,89 @@
+package work_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/work"
+)
+
+var (
+	size = model.Resources{MilliCPU: 4000, MemoryMB: 4096}
+	need = model.Resources{MilliCPU: 1000, MemoryMB: 1024}
+)
+
+// running returns tables with one worker that runs the only task of job j.
+func running() *work.State {
+	s := work.New()
+	s.Apply(1000, &work.Command{
+		Epoch:    model.NewEpoch(1, 2),
+		View:     7,
+		Register: []work.Register{{Worker: "w", DC: "dc1", Size: size, Incarnation: "i1"}},
+		Admit: []work.Admit{{Assignment: 7, Spec: model.JobSpec{
+			ID: "j", Team: "t", Tasks: 1, Size: need, Class: model.ClassBatch, Idempotent: true,
+		}}},
+		Grants: []work.SetGrant{{Team: "t", Version: 3, Cap: size}},
+		Place:  []work.Place{{Task: "j.0", Worker: "w"}},
+	})
+	s.Apply(2000, &work.Command{
+		Started: []work.Run{{RunID: work.RunID{Task: "j.0", Attempt: 1, Worker: "w"}}},
+		Grants:  []work.SetGrant{{Team: "t", Version: 3, Cap: need, Returning: true}},
+	})
+	return s
+}
+
+// Each command was proposed before what the tables show now, and is committed
+// late. It must change nothing; without its fence it does.
+func TestDelayedCommandsChangeNothing(t *testing.T) {
+	lost := []work.WorkerLost{{Worker: "w", Standing: 1}}
+	older := []work.WorkerLost{{Worker: "w", Standing: 0}}
+	other := model.JobSpec{ID: "gone", Team: "t", Tasks: 1, Size: need, Class: model.ClassBatch}
+	tests := []struct {
+		name string
+		cmd  *work.Command
+		skip func(*work.State)
+	}{
+		{"a loss under an older epoch", &work.Command{Epoch: model.NewEpoch(1, 1), Lost: lost}, func(s *work.State) { s.Skip(work.SkipEpoch) }},
+		{"a loss of an older standing", &work.Command{Lost: older}, func(s *work.State) { s.Skip(work.SkipStanding) }},
+		{"an admission by an older view", &work.Command{View: 6, Admit: []work.Admit{{Spec: other, Assignment: 6}}}, func(s *work.State) { s.Skip(work.SkipView) }},
+		{"a raise by the version that was lowered", &work.Command{Grants: []work.SetGrant{{Team: "t", Version: 3, Cap: size}}}, func(s *work.State) { s.Skip(work.SkipVersion) }},
+		{"a stop of an older attempt", &work.Command{Stop: []work.Stop{{Task: "j.0", Attempt: 0}}}, nil},
+		{"a second placement", &work.Command{Place: []work.Place{{Task: "j.0", Worker: "w"}}}, nil},
+		{"an older process's registration", &work.Command{Register: []work.Register{{Worker: "w", Size: size, Incarnation: "i0"}}}, nil},
+		{"the end of an older run", &work.Command{Ended: []work.Ended{{RunID: work.RunID{Task: "j.0", Attempt: 0, Worker: "w"}}}}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := running()
+			before := image(c, s)
+			s.Apply(3000, tt.cmd)
+			c.Assert(image(c, s), qt.Equals, before)
+			if tt.skip == nil {
+				return
+			}
+			s = running()
+			tt.skip(s)
+			s.Apply(3000, tt.cmd)
+			c.Assert(image(c, s), qt.Not(qt.Equals), before)
+		})
+	}
+}
+
+func image(c *qt.C, s *work.State) string {
+	data, err := s.Snapshot()
+	c.Assert(err, qt.IsNil)
+	return string(data)
+}
+
+func TestSnapshotRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	s := running()
+	restored := work.New()
+	c.Assert(restored.Restore([]byte(image(c, s))), qt.IsNil)
+	c.Assert(image(c, restored), qt.Equals, image(c, s))
+	c.Assert(restored.Worker("w").Free(), qt.Equals, s.Worker("w").Free())
+	c.Assert(restored.Usage("t"), qt.Equals, need)
+}
--- a/internal/work/state.go
+++ b/internal/work/state.go
@@ -166,6 +166,13 @@
 	}
 }
 
+// Reset empties the tables, as after the loss of the whole group.
+func (s *State) Reset() {
+	skip := s.skip
+	*s = *New()
+	s.skip = skip
+}
+
 // Epoch is the newest that a command was decided under.
 func (s *State) Epoch() model.Epoch { return s.epoch }
 
--- /dev/null
+++ b/internal/workerapi/export_test.go
@@ -0,0 +1,13 @@
+package workerapi
+
+// Protections that tests switch off to show what they are for.
+const (
+	SkipSeq      = skipSeq
+	SkipLease    = skipLease
+	SkipMayStart = skipMayStart
+	SkipLosing   = skipLosing
+	SkipCurrent  = skipCurrent
+)
+
+// Skip switches protections off.
+func (l *Leader) Skip(p protection) { l.skip = p }
--- a/internal/workerapi/leader.go
+++ b/internal/workerapi/leader.go
@@ -43,9 +43,9 @@
 	policy Policy
 	epoch  model.Epoch
 	leases *lease.Book[model.WorkerID]
-	// losing marks workers whose loss was proposed: their lease is not renewed
-	// before the tables show it.
-	losing map[model.WorkerID]bool
+	// losing holds the standing of workers whose loss was proposed: their lease
+	// is not renewed before the tables show it.
+	losing map[model.WorkerID]uint64
 	seen   map[model.WorkerID]*seen
 	skip   protection
 }
@@ -53,9 +53,11 @@
 // seen is what the newest report of a worker said.
 type seen struct {
 	incarnation string
-	seq         uint64
-	report      *api.WorkerReport
-	wake        chan struct{}
+	// past lists the incarnations that a newer one has replaced.
+	past   []string
+	seq    uint64
+	report *api.WorkerReport
+	wake   chan struct{}
 }
 
 // protection is a set of checks that tests switch off one by one.
@@ -66,7 +68,7 @@
 	skipLease
 	skipMayStart
 	skipLosing
-	skipPrepare
+	skipCurrent
 )
 
 // NewLeader returns the soft state of a member that has just become leader at
@@ -77,7 +79,7 @@
 		policy: p,
 		epoch:  epoch,
 		leases: lease.NewBook[model.WorkerID](p.Margin),
-		losing: map[model.WorkerID]bool{},
+		losing: map[model.WorkerID]uint64{},
 		seen:   map[model.WorkerID]*seen{},
 	}
 	longest := max(p.Lease, time.Duration(state.LeaseMillis())*time.Millisecond)
@@ -110,7 +112,7 @@
 }
 
 // acts reports whether the tables show this leader as the newest.
-func (l *Leader) acts() bool { return l.state.Epoch() == l.epoch || l.skip&skipPrepare != 0 }
+func (l *Leader) acts() bool { return l.state.Epoch() == l.epoch }
 
 // TablesFilled reports whether at now every worker that was alive when the
 // leader took over has reported or lost its lease.
@@ -131,15 +133,23 @@
 			delete(l.losing, w.ID)
 			continue
 		}
-		if !l.leases.Ended(w.ID, now) && l.skip&skipLease == 0 {
+		if !l.ended(w.ID, now) {
 			continue
 		}
-		l.losing[w.ID] = true
+		l.losing[w.ID] = w.Standing
 		lost = append(lost, work.WorkerLost{Worker: w.ID, Standing: w.Standing, Reason: work.ReasonWorkerLost})
 	}
 	return lost
 }
 
+// ended reports whether the worker's lease has provably ended at now.
+func (l *Leader) ended(id model.WorkerID, now clock.Instant) bool {
+	if l.skip&skipLease != 0 && l.seen[id] == nil {
+		return true
+	}
+	return l.leases.Ended(id, now)
+}
+
 // Wake returns a channel that is closed when there may be new orders for the
 // worker. It must be taken before the Orders that it backs up.
 func (l *Leader) Wake(id model.WorkerID) <-chan struct{} {
@@ -187,6 +197,22 @@
 	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
 }
 
+// replace notes that incarnation id reports now and older ones must not any more.
+func (s *seen) replace(id string, others ...string) {
+	for _, old := range others {
+		if old != "" && old != id && !slices.Contains(s.past, old) {
+			s.past = append(s.past, old)
+		}
+	}
+	if over := len(s.past) - maxPast; over > 0 {
+		s.past = slices.Delete(s.past, 0, over)
+	}
+	s.incarnation = id
+}
+
+// maxPast bounds the incarnations kept per worker.
+const maxPast = 8
+
 // sortRuns sorts runs and drops repeats.
 func sortRuns(runs []api.RunID) []api.RunID {
 	slices.SortFunc(runs, compareRuns)
--- a/internal/workerapi/orders.go
+++ b/internal/workerapi/orders.go
@@ -38,7 +38,8 @@
 	if w == nil || w.State == model.WorkerLost || w.Incarnation != s.incarnation {
 		return false
 	}
-	return !l.losing[w.ID] || l.skip&skipLosing != 0
+	standing, losing := l.losing[w.ID]
+	return !losing || standing != w.Standing || l.skip&skipLosing != 0
 }
 
 // addStarts repeats the starts that the worker has not reported. They hold
--- a/internal/workerapi/report.go
+++ b/internal/workerapi/report.go
@@ -36,9 +36,10 @@
 		return nil, err
 	}
 	s := l.see(r.Worker)
-	s.incarnation, s.seq, s.report = r.Incarnation, r.Seq, r
 	c := &work.Command{Epoch: l.epoch}
 	w := l.state.Worker(r.Worker)
+	s.replace(r.Incarnation, s.incarnation, incarnationOf(w))
+	s.seq, s.report = r.Seq, r
 	if l.mustRegister(w, r) {
 		c.Register = append(c.Register, work.Register{
 			Worker: r.Worker, DC: r.DC, Rack: r.Rack, Size: r.Size, Incarnation: r.Incarnation,
@@ -47,7 +48,10 @@
 	for i := range r.Tasks {
 		l.takeRun(c, r, &r.Tasks[i])
 	}
-	if w != nil && w.Incarnation == r.Incarnation {
+	// A report written before this leader's first answer may be a late one, whose
+	// sequence number only an earlier leader could have judged.
+	current := r.Epoch == l.epoch || l.skip&skipCurrent != 0
+	if w != nil && w.Incarnation == r.Incarnation && current {
 		l.takeMissing(c, w, r)
 	}
 	return c, nil
@@ -65,12 +69,22 @@
 		return verdict.Refuse(ReasonOldIncarnation, "worker %s has started anew since", r.Worker)
 	}
 	s := l.seen[r.Worker]
+	if s != nil && slices.Contains(s.past, r.Incarnation) {
+		return verdict.Refuse(ReasonOldIncarnation, "another process of worker %s has reported since", r.Worker)
+	}
 	if s != nil && s.incarnation == r.Incarnation && r.Seq <= s.seq && l.skip&skipSeq == 0 {
 		return verdict.Refuse(ReasonLateReport, "report %d of worker %s came after report %d", r.Seq, r.Worker, s.seq)
 	}
 	return nil
 }
 
+func incarnationOf(w *work.Worker) string {
+	if w == nil {
+		return ""
+	}
+	return w.Incarnation
+}
+
 // mustRegister reports whether the tables need to learn of the worker. A lost
 // worker comes back once it runs nothing that the tables don't know of.
 func (l *Leader) mustRegister(w *work.Worker, r *api.WorkerReport) bool {
@@ -108,7 +122,7 @@
 	row := l.state.Run(id)
 	switch {
 	case t.State == model.TaskEnded && row != nil:
-		c.Ended = append(c.Ended, l.ended(id, row.JobRow(), t))
+		c.Ended = append(c.Ended, l.endOf(id, row.JobRow(), t))
 	case t.State == model.TaskEnded:
 		l.takeUnknownEnd(c, id, t)
 	case row == nil:
@@ -128,7 +142,7 @@
 	}
 }
 
-func (l *Leader) ended(id work.RunID, j *work.Job, t *api.TaskReport) work.Ended {
+func (l *Leader) endOf(id work.RunID, j *work.Job, t *api.TaskReport) work.Ended {
 	e := work.Ended{RunID: id, Outcome: t.Outcome, Reason: t.Reason, CheckpointMillis: t.CheckpointMillis}
 	if l.policy.Retry != nil {
 		var backoff time.Duration
@@ -142,7 +156,7 @@
 func (l *Leader) takeUnknownEnd(c *work.Command, id work.RunID, t *api.TaskReport) {
 	row := l.state.Task(id.Task)
 	if row != nil && row.Unaccounted {
-		c.Ended = append(c.Ended, l.ended(id, row.JobRow(), t))
+		c.Ended = append(c.Ended, l.endOf(id, row.JobRow(), t))
 	}
 }
 
