--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -17,6 +17,8 @@
 	HeaderVerdict = "Kq-Verdict"
 	// HeaderReason is the stable reason of a refusal.
 	HeaderReason = "Kq-Reason"
+	// HeaderOperator carries the operators' token.
+	HeaderOperator = "Kq-Operator"
 )
 
 // Paths of the HTTP interfaces. {…} are chi parameters.
@@ -32,6 +34,8 @@
 	// PathJobs takes and lists jobs; PathJob shows or (DELETE) cancels one.
 	PathJobs = "/v1/jobs"
 	PathJob  = "/v1/jobs/{job}"
+	// PathJobTasks lists a job's tasks over all data centres that own some.
+	PathJobTasks = "/v1/jobs/{job}/tasks"
 	// PathWhy explains a subject: task, job, team or worker.
 	PathWhy = "/v1/why/{kind}/{id}"
 	// PathSettings applies (POST) and reads (GET) declarations.
@@ -64,7 +68,9 @@
 	Path   string `msgpack:"p"`
 	Query  string `msgpack:"q,omitempty"`
 	Key    string `msgpack:"k,omitempty"`
-	Body   []byte `msgpack:"b,omitempty"`
+	// Operator is the operators' token that came with the call.
+	Operator string `msgpack:"o,omitempty"`
+	Body     []byte `msgpack:"b,omitempty"`
 	// Hops counts how often the call was passed on.
 	Hops int `msgpack:"h,omitempty"`
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,10 +44,17 @@
 
 // String formats d for refusals, for example "team vets, revision 12".
 func (d Decision) String() string {
-	if d.Level == LevelDefault {
-		return fmt.Sprintf("%s=%s by default", d.Name, d.Value)
+	value := d.Value.String()
+	if def, ok := byName[d.Name]; ok {
+		value = FormatValue(def.Type, d.Value.Int)
 	}
-	return fmt.Sprintf("%s=%s by %s %s, revision %d", d.Name, d.Value, d.Level, d.Node, d.Revision)
+	switch d.Level {
+	case LevelDefault:
+		return fmt.Sprintf("%s=%s by default", d.Name, value)
+	case LevelFleet:
+		return fmt.Sprintf("%s=%s by fleet, revision %d", d.Name, value, d.Revision)
+	}
+	return fmt.Sprintf("%s=%s by %s %s, revision %d", d.Name, value, d.Level, d.Node, d.Revision)
 }
 
 // Value is a setting's value: durations in milliseconds, sizes in bytes, flags
@@ -143,6 +150,18 @@
 	return time.Duration(d.Value.Int) * time.Millisecond, d
 }
 
+// LongestDuration returns the longest value of a duration setting at any node,
+// the default included.
+func (t *Tree) LongestDuration(name Name) time.Duration {
+	longest := Schema(name).Default.Int
+	for _, n := range t.nodes {
+		if v, ok := n.Values[name]; ok {
+			longest = max(longest, v.Value.Int)
+		}
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
 // Int returns a number or size setting with its decision.
 func (t *Tree) Int(s Scope, name Name) (int64, Decision) {
 	d := t.Lookup(s, name)
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -11,6 +11,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/verdict"
 )
 
@@ -31,6 +32,12 @@
 // Dialer opens connections; tests replace it to cut peers off.
 type Dialer func(ctx context.Context, addr string) (net.Conn, error)
 
+// Stamper gives and observes hybrid logical time; *eventlog.File is one.
+type Stamper interface {
+	Now() eventlog.Stamp
+	Observe(eventlog.Stamp)
+}
+
 // Node is one process's end of the transport. It implements watermill's
 // message.Publisher and message.Subscriber.
 type Node struct {
@@ -49,6 +56,7 @@
 	wg           sync.WaitGroup
 
 	traffic trafficCounter
+	stamper Stamper
 }
 
 var (
@@ -56,14 +64,14 @@
 	_ message.Subscriber = (*Node)(nil)
 )
 
-// Listen opens a node at addr. A nil dial uses TCP.
+// Listen opens a node at addr. A nil dial uses TCP from the listener's IP number.
 func Listen(addr string, dial Dialer) (*Node, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	if dial == nil {
-		dial = dialTCP
+		dial = dialerFrom(l.Addr())
 	}
 	n := &Node{
 		listener:     l,
@@ -80,9 +88,34 @@
 	return n, nil
 }
 
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr)
+// dialerFrom opens connections from the IP number that the node listens at, so
+// that peers and packet filters see one address per VM.
+func dialerFrom(listen net.Addr) Dialer {
+	d := &net.Dialer{}
+	if a, ok := listen.(*net.TCPAddr); ok && !a.IP.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: a.IP}
+	}
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", addr)
+	}
+}
+
+// SetStamper makes every frame carry hybrid logical time. It must be called
+// before the first message is sent or handled.
+func (n *Node) SetStamper(s Stamper) { n.stamper = s }
+
+// stamp marks an outgoing frame with the present time.
+func (n *Node) stamp(f *frame) {
+	if n.stamper != nil {
+		f.At = n.stamper.Now()
+	}
+}
+
+// observe takes note of an incoming frame's time.
+func (n *Node) observe(f *frame) {
+	if n.stamper != nil {
+		n.stamper.Observe(f.At)
+	}
 }
 
 // Addr returns the address the node listens at.
@@ -289,6 +322,7 @@
 		if err != nil {
 			return
 		}
+		n.observe(f)
 		switch f.Kind {
 		case kindMessage:
 			n.deliver(f)
@@ -327,6 +361,7 @@
 	default:
 		reply.Refusal = verdict.Refuse(verdict.ReasonOverload, "%s: too many requests at once", f.Topic)
 	}
+	n.stamp(reply)
 	out.write(reply)
 }
 
