--- /dev/null
+++ b/internal/systems/bench_test.go
@@ -0,0 +1,206 @@
+package systems_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement"
+	"kumquatwing/internal/settings"
+	"kumquatwing/internal/systems"
+	"kumquatwing/internal/work"
+)
+
+// loaded returns tables with workers and tasks, all of which run.
+func loaded(workers, tasks int) (*work.State, *systems.View) {
+	const perJob = 100
+	s := work.New()
+	v := &systems.View{DC: "dc1", Generation: 1, Revision: 1, Tree: settings.NewTree()}
+	size := model.Resources{MilliCPU: 16_000, MemoryMB: 32_768}
+	c := &work.Command{Epoch: model.NewEpoch(1, 1), View: 1}
+	for i := range workers {
+		c.Register = append(c.Register, work.Register{
+			Worker: model.WorkerID(fmt.Sprintf("worker-%05d", i)), DC: "dc1",
+			Rack: fmt.Sprintf("rack-%03d", i/8), Size: size, Incarnation: "0f8fad5b-d9cb-469f-a165-70867728950e",
+		})
+	}
+	// Each team may run what it does and half as much again.
+	each := model.Resources{MilliCPU: 1000, MemoryMB: 1024}
+	grant := each.Scale(int64(max(tasks/220, 2*perJob) * 3 / 2))
+	for i := range 220 {
+		team := model.Team{ID: model.TeamID(fmt.Sprintf("team-%03d", i)), Share: 1, Limit: grant}
+		v.Teams = append(v.Teams, systems.TeamHere{Team: team, Granted: grant, Target: grant, Version: 1})
+		c.Grants = append(c.Grants, work.SetGrant{Team: team.ID, Version: 1, Cap: grant})
+	}
+	for i := 0; i < tasks; i += perJob {
+		spec := model.JobSpec{
+			ID: model.JobID(fmt.Sprintf("job-%06d", i/perJob)), Team: v.Teams[i/perJob%220].ID, Workload: "wl",
+			Class: model.ClassBatch, Tasks: perJob, RunMillis: 600_000, Idempotent: true,
+			Size: each,
+		}
+		v.Jobs = append(v.Jobs, systems.JobHere{Spec: spec, Assignment: 1})
+		c.Admit = append(c.Admit, work.Admit{Spec: spec, Assignment: 1})
+	}
+	s.Apply(1000, c)
+	place := &work.Command{}
+	n := 0
+	for _, j := range s.Jobs() {
+		for _, t := range j.Tasks() {
+			place.Place = append(place.Place, work.Place{Task: t.ID, Worker: s.Workers()[n%workers].ID})
+			n++
+		}
+	}
+	r := s.Apply(2000, place)
+	if len(r.Place) > 0 {
+		panic(r.Place[0].Reason)
+	}
+	started := &work.Command{}
+	for _, w := range s.Workers() {
+		for _, t := range w.Tasks() {
+			started.Started = append(started.Started, work.Run{RunID: t.Run()})
+		}
+	}
+	s.Apply(3000, started)
+	return s, v
+}
+
+func tickInput(s *work.State, v *systems.View) *systems.Input {
+	return &systems.Input{
+		NowMillis: 4000, Epoch: model.NewEpoch(1, 1), Member: "vm1", State: s, View: v, RebuildOver: true,
+		MayStart: true, Memory: systems.NewMemory(), Decide: placement.Decide, MaxPlacements: 500,
+	}
+}
+
+// settle ticks until grants are balanced.
+func settle(in *systems.Input) {
+	for range 3 {
+		out := systems.Tick(in)
+		in.State.Apply(in.NowMillis, out.Command)
+		for i := range in.View.Teams {
+			h := &in.View.Teams[i]
+			if g := in.State.Grant(h.ID); g.Returning {
+				h.Granted, h.Target, h.Version = g.Cap, g.Cap, g.Version+1
+			}
+		}
+	}
+}
+
+var cells = []struct{ workers, tasks int }{{73, 1000}, {1600, 22_000}}
+
+func BenchmarkTickIdle(b *testing.B) {
+	for _, size := range cells {
+		b.Run(fmt.Sprintf("%dworkers", size.workers), func(b *testing.B) {
+			s, v := loaded(size.workers, size.tasks)
+			in := tickInput(s, v)
+			settle(in)
+			b.ReportAllocs()
+			for b.Loop() {
+				systems.Tick(in)
+			}
+		})
+	}
+}
+
+// BenchmarkTickPlaces ticks with 64 tasks waiting, the starts of a second.
+func BenchmarkTickPlaces(b *testing.B) {
+	for _, size := range cells {
+		b.Run(fmt.Sprintf("%dworkers", size.workers), func(b *testing.B) {
+			s, v := loaded(size.workers, size.tasks)
+			spec := v.Jobs[0].Spec
+			spec.ID, spec.Tasks = "waiting", 64
+			v.Jobs = append(v.Jobs, systems.JobHere{Spec: spec, Assignment: 2})
+			v.Revision = 2
+			s.Apply(3500, &work.Command{View: 2, Admit: []work.Admit{{Spec: spec, Assignment: 2}}})
+			in := tickInput(s, v)
+			in.MayStart = false
+			settle(in)
+			in.MayStart = true
+			b.ReportAllocs()
+			for b.Loop() {
+				if out := systems.Tick(in); len(out.Command.Place) != 64 {
+					b.Fatal(len(out.Command.Place))
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkApply starts and ends 64 tasks.
+func BenchmarkApply(b *testing.B) {
+	for _, size := range cells {
+		b.Run(fmt.Sprintf("%dworkers", size.workers), func(b *testing.B) {
+			s, _ := loaded(size.workers, size.tasks)
+			spec := s.Jobs()[0].Spec
+			spec.ID, spec.Tasks = "waiting", 64
+			s.Apply(3500, &work.Command{View: 2, Admit: []work.Admit{{Spec: spec, Assignment: 2}}})
+			b.ReportAllocs()
+			for attempt := uint32(1); b.Loop(); attempt++ {
+				place, end := &work.Command{}, &work.Command{}
+				for i := range 64 {
+					id, w := work.TaskName("waiting", i), s.Workers()[i].ID
+					place.Place = append(place.Place, work.Place{Task: id, Worker: w})
+					end.Ended = append(end.Ended, work.Ended{RunID: work.RunID{Task: id, Attempt: attempt, Worker: w}})
+				}
+				if r := s.Apply(4000, place); len(r.Place) > 0 {
+					b.Fatal(r.Place[0].Reason)
+				}
+				s.Apply(4000, end)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/64, "ns/run")
+		})
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, size := range cells {
+		b.Run(fmt.Sprintf("%dworkers", size.workers), func(b *testing.B) {
+			s, _ := loaded(size.workers, size.tasks)
+			var bytes int
+			var restore time.Duration
+			for b.Loop() {
+				data, err := s.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(data)
+				began := time.Now()
+				if err := work.New().Restore(data); err != nil {
+					b.Fatal(err)
+				}
+				restore += time.Since(began)
+			}
+			b.ReportMetric(float64(bytes), "bytes")
+			b.ReportMetric(float64(restore.Nanoseconds())/float64(b.N), "restore-ns")
+		})
+	}
+}
+
+// BenchmarkMemory reports the heap of the tables as a slope per task and worker.
+func BenchmarkMemory(b *testing.B) {
+	heap := func(workers, tasks int) float64 {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s, _ := loaded(workers, tasks)
+		s.Restore(must(s.Snapshot()))
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(s)
+		return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+	}
+	for b.Loop() {
+		whole := heap(1600, 22_000)
+		b.ReportMetric(whole/(1<<20), "MB")
+		b.ReportMetric((whole-heap(1600, 2_000))/20_000, "bytes/task")
+		b.ReportMetric((heap(3200, 2_000)-heap(1600, 2_000))/1600, "bytes/worker")
+	}
+}
+
+func must(data []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- a/internal/systems/place.go
+++ b/internal/systems/place.go
@@ -115,7 +115,8 @@
 }
 
 func (t *tick) runViews() []placement.RunView {
-	var views []placement.RunView
+	// The list is long; its room is used again by the next tick.
+	views := t.Memory.runs[:0]
 	runs := map[model.JobID]runPolicy{}
 	for _, w := range t.State.Workers() {
 		for _, row := range w.Tasks() {
@@ -127,6 +128,7 @@
 			views = append(views, t.runView(row, p))
 		}
 	}
+	t.Memory.runs = views
 	return views
 }
 
--- a/internal/systems/quarantine.go
+++ b/internal/systems/quarantine.go
@@ -29,8 +29,9 @@
 			t.failJob(j)
 		}
 	}
+	after, decision := t.View.Tree.Int(t.dcScope(), settings.QuarantineAfter)
 	for _, w := range t.State.Workers() {
-		t.judgeWorker(w)
+		t.judgeWorker(w, after, decision)
 	}
 }
 
@@ -58,7 +59,7 @@
 	t.recordJob(EventFailed, &j.Spec, work.ReasonEverywhere, detail, nil)
 }
 
-func (t *tick) judgeWorker(w *work.Worker) {
+func (t *tick) judgeWorker(w *work.Worker, after int64, d settings.Decision) {
 	switch w.State {
 	case model.WorkerQuarantined:
 		if t.NowMillis >= w.QuarantineMillis {
@@ -69,12 +70,14 @@
 			t.cmd.Quarantine = append(t.cmd.Quarantine, work.SetQuarantine{Worker: w.ID, Passed: true})
 			return
 		}
-		t.judgeReady(w)
+		t.judgeReady(w, after, d)
 	}
 }
 
-func (t *tick) judgeReady(w *work.Worker) {
-	after, d1 := t.View.Tree.Int(t.dcScope(), settings.QuarantineAfter)
+func (t *tick) judgeReady(w *work.Worker, after int64, d1 settings.Decision) {
+	if len(w.FailedRuns) == 0 {
+		return
+	}
 	blame := t.blame(w)
 	if blame < int(after) && !(w.Probation && blame > 0) {
 		return
--- a/internal/systems/view.go
+++ b/internal/systems/view.go
@@ -163,6 +163,7 @@
 // empty one.
 type Memory struct {
 	reservations []placement.Reservation
+	runs         []placement.RunView
 	// waits holds the reason last recorded per waiting job.
 	waits map[model.JobID]string
 	// asked holds when a request about a subject was last made.
