Check the systems' fault cases; let a task that failed on all workers run again

Cause: quarantine, probation, jobs at fault, retries, lost workers, waves of cancellations, over-size tasks, moves and rebuilding had no test of their own. Found, seen failing first: on a cell of two workers a task that had failed on both avoided both and waited for ever. Now it leaves out the worker that failed it longest ago. Ruled out: ending the avoidance after a time, which would delay the retry for nothing.

--- a/internal/fake/worker/core.go
+++ b/internal/fake/worker/core.go
@@ -48,6 +48,8 @@
 	StopDelay time.Duration
 	// FailAfter is how long a task runs in ModeFails.
 	FailAfter time.Duration
+	// FailJobs lists jobs whose tasks fail whatever the mode.
+	FailJobs []model.JobID
 	// UsePercent is use relative to the task's size.
 	UsePercent int64
 	// CheckpointEvery is the interval of checkpoints.
@@ -198,7 +200,7 @@
 	c.remember(o.RunID)
 	r := &run{order: o, startedAt: now, checkpoint: time.Duration(o.FromMillis) * time.Millisecond}
 	switch {
-	case c.cfg.Mode == ModeFails:
+	case c.fails(r):
 		r.endsAt = now.Add(c.cfg.FailAfter)
 	case !o.Service:
 		r.endsAt = now.Add(time.Duration(max(o.RunMillis-o.FromMillis, 0)) * time.Millisecond)
@@ -261,11 +263,15 @@
 	}
 }
 
+func (c *Core) fails(r *run) bool {
+	return c.cfg.Mode == ModeFails || slices.Contains(c.cfg.FailJobs, r.order.Job)
+}
+
 func (c *Core) outcome(r *run) model.Outcome {
 	switch {
 	case r.stopping:
 		return model.OutcomeCancelled
-	case c.cfg.Mode == ModeFails:
+	case c.fails(r):
 		return model.OutcomeFailed
 	}
 	return model.OutcomeSucceeded
--- /dev/null
+++ b/internal/systems/faults_test.go
@@ -0,0 +1,285 @@
+package systems_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/fake/cell"
+	"kumquatwing/internal/fake/worker"
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/settings"
+	"kumquatwing/internal/systems"
+	"kumquatwing/internal/work"
+)
+
+const step = 500 * time.Millisecond
+
+func job(id model.JobID, tasks int) model.JobSpec {
+	return model.JobSpec{ID: id, Class: model.ClassBatch, Tasks: tasks, RunMillis: 3000, Idempotent: true}
+}
+
+func outcome(cl *cell.Cell, id model.JobID) model.Outcome {
+	for _, f := range cl.Last.Fleet.Finish {
+		if f.Job == id {
+			return f.Outcome
+		}
+	}
+	return model.OutcomeNone
+}
+
+// until steps the cell until the fleet is told the job's outcome.
+func until(c *qt.C, cl *cell.Cell, id model.JobID) model.Outcome {
+	for range 400 {
+		cl.Step(step)
+		if o := outcome(cl, id); o != model.OutcomeNone {
+			return o
+		}
+	}
+	c.Fatalf("job %s has no outcome", id)
+	return ""
+}
+
+func TestBadWorkerIsQuarantinedAndJobsSucceed(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	bad := cl.AddWorker(worker.Config{Mode: worker.ModeFails, FailAfter: time.Millisecond})
+	for range 3 {
+		cl.AddWorker(worker.Config{})
+	}
+	for i := range 20 {
+		cl.Submit(job(model.JobID(fmt.Sprintf("j%d", i)), 3))
+	}
+	c.Assert(until(c, cl, "j19"), qt.Equals, model.OutcomeSucceeded)
+	c.Assert(cl.Log.Count(systems.EventQuarantined), qt.Equals, 1)
+	c.Assert(cl.State.Worker("w00").State, qt.Equals, model.WorkerQuarantined)
+	c.Assert(cl.Log.Count(systems.EventFailed), qt.Equals, 0)
+	c.Assert(bad.Running(), qt.HasLen, 0)
+}
+
+func TestQuarantineGrowsAndEndsOnProbation(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	cl.AddWorker(worker.Config{Mode: worker.ModeFails, FailAfter: time.Millisecond})
+	for i := range 40 {
+		cl.Submit(model.JobSpec{ID: model.JobID(fmt.Sprintf("j%02d", i)), Class: model.ClassBatch, Tasks: 1, RunMillis: 1000})
+	}
+	cl.Steps(20, step)
+	w := cl.State.Worker("w00")
+	c.Assert(w.State, qt.Equals, model.WorkerQuarantined)
+	first := w.QuarantineMillis - cl.Millis()
+	cl.Steps(70, step)
+	c.Assert(cl.Log.Count(systems.EventProbation) > 0, qt.IsTrue)
+	// On probation one task at a time is enough to be quarantined for longer.
+	c.Assert(w.Quarantines > 1, qt.IsTrue)
+	c.Assert(cl.State.Worker("w00").QuarantineMillis-cl.Millis() > first, qt.IsTrue)
+}
+
+func TestJobThatFailsEverywhereIsToBlame(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	for range 4 {
+		cl.AddWorker(worker.Config{FailJobs: []model.JobID{"bad"}, FailAfter: time.Millisecond})
+	}
+	cl.Submit(job("bad", 20))
+	cl.Submit(job("good", 4))
+	c.Assert(until(c, cl, "bad"), qt.Equals, model.OutcomeFailed)
+	c.Assert(cl.State.Job("bad").Reason, qt.Equals, work.ReasonEverywhere)
+	c.Assert(cl.Log.Count(systems.EventQuarantined), qt.Equals, 0)
+	c.Assert(until(c, cl, "good"), qt.Equals, model.OutcomeSucceeded)
+}
+
+func TestRetriesHaveABudgetAndHonourNotIdempotent(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		attempts   uint32
+		reason     string
+	}{
+		{"idempotent", true, 3, work.ReasonRetriesSpent},
+		{"not idempotent", false, 1, work.ReasonNotIdempotent},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			cl := cell.New()
+			for range 2 {
+				cl.AddWorker(worker.Config{FailJobs: []model.JobID{"j"}, FailAfter: time.Millisecond})
+			}
+			s := job("j", 1)
+			s.Idempotent = tt.idempotent
+			cl.Submit(s)
+			c.Assert(until(c, cl, "j"), qt.Equals, model.OutcomeFailed)
+			row := cl.State.Task("j.0")
+			c.Assert(row.Attempt, qt.Equals, tt.attempts)
+			c.Assert(row.Reason, qt.Equals, tt.reason)
+		})
+	}
+}
+
+func TestLostWorkerSettlesByIdempotence(t *testing.T) {
+	tests := []struct {
+		idempotent bool
+		want       model.TaskState
+		outcome    model.Outcome
+	}{
+		{true, model.TaskRunning, model.OutcomeNone},
+		{false, model.TaskEnded, model.OutcomeUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.idempotent), func(t *testing.T) {
+			c := qt.New(t)
+			cl := cell.New()
+			cl.AddWorker(worker.Config{})
+			cl.Submit(model.JobSpec{ID: "j", Class: model.ClassBatch, Tasks: 1, RunMillis: 600_000, Idempotent: tt.idempotent})
+			cl.Steps(4, step)
+			cl.Workers = nil
+			cl.AddWorker(worker.Config{ID: "other"})
+			cl.Steps(8, step)
+			c.Assert(cl.State.Task("j.0").Worker, qt.Equals, model.WorkerID("w00"), qt.Commentf("its lease has not ended"))
+			cl.Steps(8, step)
+			row := cl.State.Task("j.0")
+			c.Assert(row.State, qt.Equals, tt.want)
+			c.Assert(row.Outcome, qt.Equals, tt.outcome)
+		})
+	}
+}
+
+func TestCancellationsComeInBatchesBesideStarts(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	for range 10 {
+		cl.AddWorker(worker.Config{})
+	}
+	const waves = 10_000
+	for i := range waves {
+		cl.Submit(job(model.JobID(fmt.Sprintf("j%05d", i)), 1))
+	}
+	cl.Steps(8, step)
+	for i := range cl.View.Jobs {
+		cl.View.Jobs[i].Cancelled = true
+	}
+	cl.Submit(model.JobSpec{ID: "now", Class: model.ClassUrgent, Tasks: 2, RunMillis: 60_000, Idempotent: true})
+	cl.Tick()
+	c.Assert(len(cl.Last.Command.Cancel) < waves, qt.IsTrue)
+	cl.Steps(3, step)
+	c.Assert(cl.States("now"), qt.DeepEquals, map[model.TaskState]int{model.TaskRunning: 2})
+	cl.Steps(6, step)
+	left := 0
+	for _, j := range cl.State.Jobs() {
+		if j.Outcome == model.OutcomeNone {
+			left++
+		}
+	}
+	c.Assert(left, qt.Equals, 1)
+	c.Assert(cl.State.Usage("t1"), qt.Equals, model.Resources{MilliCPU: 2000, MemoryMB: 1024})
+}
+
+func TestOverSizeTaskIsThrottledThenStopped(t *testing.T) {
+	tests := []struct {
+		name  string
+		size  model.Resources
+		event string
+	}{
+		{"processors", model.Resources{MilliCPU: 1500, MemoryMB: 128}, string(systems.EventThrottled)},
+		{"memory", model.Resources{MilliCPU: 100, MemoryMB: 1800}, string(systems.EventStopped)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			cl := cell.New()
+			cl.AddWorker(worker.Config{UsePercent: 160, Lag: time.Second})
+			cl.Submit(model.JobSpec{ID: "j", Class: model.ClassBatch, Tasks: 2, RunMillis: 600_000, Idempotent: true, Size: tt.size})
+			cl.Steps(10, step)
+			found := false
+			for _, e := range cl.Log.Events {
+				found = found || string(e.Kind) == tt.event && e.Cause == systems.ReasonOverSize
+			}
+			c.Assert(found, qt.IsTrue)
+			cl.Steps(20, step)
+			c.Assert(cl.State.Worker("w00").Free().Negative(), qt.IsFalse)
+		})
+	}
+}
+
+func TestDrainMovesServicesAboveTheirMinimum(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	for range 4 {
+		cl.AddWorker(worker.Config{})
+	}
+	cl.Submit(model.JobSpec{ID: "svc", Class: model.ClassService, Tasks: 6, MinRunning: 4, Idempotent: true})
+	cl.Submit(model.JobSpec{ID: "once", Class: model.ClassBatch, Tasks: 1, RunMillis: 4000})
+	cl.Steps(4, step)
+	cl.View.Out, cl.View.OutRevision = true, 9
+	cl.View.Revision++
+	cl.Gate.MayStart = 0
+	cl.Steps(6, step)
+	c.Assert(cl.States("svc"), qt.DeepEquals, map[model.TaskState]int{model.TaskRunning: 4, model.TaskPending: 2})
+	c.Assert(cl.States("once")[model.TaskRunning], qt.Equals, 1, qt.Commentf("not idempotent runs end by themselves"))
+	var moved []work.AdmitTask
+	for range 4 {
+		cl.Step(step)
+		for _, r := range cl.Last.Fleet.Reassign {
+			moved = append(moved, r.Tasks...)
+		}
+	}
+	c.Assert(len(moved) >= 2, qt.IsTrue)
+	// Once two run elsewhere, two more may stop.
+	cl.View.Jobs[0].RunningElsewhere = 2
+	cl.Steps(4, step)
+	c.Assert(cl.States("svc")[model.TaskRunning], qt.Equals, 2)
+}
+
+func TestMovesKeepTheirRate(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	for range 10 {
+		cl.AddWorker(worker.Config{})
+	}
+	cl.View.Tree.Set(settings.LevelDataCentre, "dc1", settings.MoveRate, settings.Value{Int: 2}, 1)
+	cl.Submit(model.JobSpec{ID: "j", Class: model.ClassBatch, Tasks: 40, RunMillis: 600_000, Idempotent: true})
+	cl.Steps(4, step)
+	cl.View.Out, cl.View.OutRevision = true, 9
+	cl.View.Revision++
+	cl.Steps(10, step)
+	c.Assert(cl.Log.Count(systems.EventMoved) <= 11, qt.IsTrue)
+	c.Assert(cl.Log.Count(systems.EventMoved) >= 4, qt.IsTrue)
+}
+
+func TestRebuildAfterLossOfTheGroup(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	cl.AddWorker(worker.Config{})
+	gone := cl.AddWorker(worker.Config{})
+	run := model.JobSpec{ID: "a", Class: model.ClassBatch, Tasks: 4, RunMillis: 600_000, Idempotent: true}
+	once := run
+	once.ID, once.Idempotent = "b", false
+	cl.Submit(run)
+	cl.Submit(once)
+	cl.Steps(4, step)
+	c.Assert(len(gone.Running()) > 0, qt.IsTrue)
+
+	cl.Generation, cl.View.Generation, cl.Term = 2, 2, 0
+	cl.State.Reset()
+	cl.Workers = cl.Workers[:1]
+	cl.Elect()
+	cl.Propose(&work.Command{Epoch: cl.Leader.Epoch(), Rebuild: &work.Rebuild{Generation: 2}})
+	cl.Steps(8, step)
+	c.Assert(cl.State.Rebuilding(), qt.IsTrue)
+	c.Assert(cl.State.Worker("w00").Tasks(), qt.HasLen, len(cl.Workers[0].Running()))
+	c.Assert(cl.Log.Count(systems.EventFinished), qt.Equals, 0)
+	cl.Steps(8, step)
+	c.Assert(cl.State.Rebuilding(), qt.IsFalse)
+	for _, j := range cl.State.Jobs() {
+		for _, row := range j.Tasks() {
+			want := model.OutcomeUnknown
+			if j.Spec.Idempotent || row.Worker == "w00" && row.Attempt == 1 {
+				want = model.OutcomeNone
+			}
+			c.Assert(row.Outcome, qt.Equals, want, qt.Commentf("task %s", row.ID))
+		}
+	}
+}
--- a/internal/systems/place.go
+++ b/internal/systems/place.go
@@ -92,17 +92,38 @@
 }
 
 func (t *tick) pendingTasks(j *work.Job) []placement.PendingTask {
+	ready := t.readyWorkers()
 	pending := make([]placement.PendingTask, 0, j.Pending())
 	for _, row := range j.Tasks() {
 		if row.Placeable() {
 			pending = append(pending, placement.PendingTask{
-				ID: row.ID, NotBeforeMillis: row.NotBeforeMillis, Avoid: row.Avoid,
+				ID: row.ID, NotBeforeMillis: row.NotBeforeMillis, Avoid: avoidOf(row, ready),
 			})
 		}
 	}
 	return pending
 }
 
+// avoidOf lists the workers on which a task failed last, but leaves it one of
+// the ready workers.
+func avoidOf(row *work.Task, ready int) []model.WorkerID {
+	over := max(len(row.Avoid)-max(ready-1, 0), 0)
+	return row.Avoid[over:]
+}
+
+// readyWorkers counts the workers that may get work.
+func (t *tick) readyWorkers() int {
+	if t.ready > 0 {
+		return t.ready
+	}
+	for _, w := range t.State.Workers() {
+		if w.State == model.WorkerReady {
+			t.ready++
+		}
+	}
+	return t.ready
+}
+
 func (t *tick) policy(s *model.JobSpec) placement.Policy {
 	scope := t.scope(s)
 	preemptible, d1 := t.View.Tree.Bool(scope, settings.Preemptible)
--- a/internal/systems/tick.go
+++ b/internal/systems/tick.go
@@ -38,6 +38,8 @@
 	stopped map[model.TaskID]bool
 	// sizes are the workers' different sizes; see workerSizes.
 	sizes []model.Resources
+	// ready is the number of ready workers; see readyWorkers.
+	ready int
 	// assignments of the view's jobs, while the view is not yet followed.
 	assignments map[model.JobID]uint64
 }
