Give a task that outgrew its size the room it needs, within its retries

Cause: a task stopped for lack of room was placed again by its declared size and overcommitted its worker again and again, going on from checkpoints. Seen failing first: a task of five times its size ended as succeeded after many stops. Also seen failing: tasks released while their data centre was out stayed released for ever when it came back in. Now a run's need is kept for its next placement, up to the largest worker and the team's limit; each such stop counts as a failed try; and released tasks ask the fleet for a new assignment here (Reassign.To). Ruled out: taking a release back in the tables alone, since the request to move the tasks may still be on its way.

--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -147,9 +147,33 @@
 	r := c.Propose(out.Command)
 	out.Commit(&c.Log, &r)
 	c.Last = out
+	c.answerGrants(&out.Fleet)
 	return out
 }
 
+// answerGrants changes the grants in the view as the fleet would, at once.
+func (c *Cell) answerGrants(r *systems.FleetRequests) {
+	for i := range c.View.Teams {
+		h := &c.View.Teams[i]
+		for _, g := range r.Returns {
+			if g.Team == h.ID && g.Version == h.Version {
+				c.regrant(h, g.Keep)
+			}
+		}
+		for _, g := range r.Grants {
+			if g.Team == h.ID {
+				c.regrant(h, g.Want.Min(h.Limit))
+			}
+		}
+	}
+}
+
+func (c *Cell) regrant(h *systems.TeamHere, amount model.Resources) {
+	c.View.Revision++
+	h.Granted, h.Target = amount, amount
+	h.Version++
+}
+
 // Decided runs the systems once and leaves their command to the caller.
 func (c *Cell) Decided() *systems.Output {
 	return systems.Tick(&systems.Input{
--- a/internal/systems/drain.go
+++ b/internal/systems/drain.go
@@ -140,11 +140,19 @@
 		}
 		t.out.Fleet.Reassign = append(t.out.Fleet.Reassign, Reassign{
 			Job: j.Spec.ID, Assignment: j.Assignment, Generation: t.Epoch.Generation(),
-			Tasks: released, Reason: ReasonMoving,
+			To: t.keeper(), Tasks: released, Reason: ReasonMoving,
 		})
 	}
 }
 
+// keeper is this data centre once it is in again.
+func (t *tick) keeper() model.DCID {
+	if t.View.Out {
+		return ""
+	}
+	return t.View.DC
+}
+
 func releasedTasks(j *work.Job) []work.AdmitTask {
 	var tasks []work.AdmitTask
 	for _, row := range j.Tasks() {
--- a/internal/systems/faults_test.go
+++ b/internal/systems/faults_test.go
@@ -283,3 +283,55 @@
 		}
 	}
 }
+
+// A task that outgrew its size is placed with the room it needs, and ends when
+// its retries are spent.
+func TestOverSizeTaskGetsTheRoomItNeeds(t *testing.T) {
+	tests := []struct {
+		name string
+		use  int64
+		want model.Outcome
+	}{
+		{"fits an empty worker", 200, model.OutcomeSucceeded},
+		{"fits no worker", 500, model.OutcomeFailed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			cl := cell.New()
+			cl.AddWorker(worker.Config{UsePercent: tt.use, Lag: time.Second})
+			s := model.JobSpec{ID: "j", Class: model.ClassBatch, Tasks: 3, RunMillis: 8000, Idempotent: true}
+			s.Size = model.Resources{MilliCPU: 100, MemoryMB: 1300}
+			cl.Submit(s)
+			c.Assert(until(c, cl, "j"), qt.Equals, tt.want)
+			stops := 0
+			for _, e := range cl.Log.Events {
+				if e.Kind == systems.EventStopped && e.Cause == systems.ReasonOverSize {
+					stops++
+				}
+			}
+			c.Assert(stops <= 9, qt.IsTrue, qt.Commentf("%d stops", stops))
+		})
+	}
+}
+
+func TestReleasedTasksStayWhenTheDataCentreIsInAgain(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	cl.AddWorker(worker.Config{})
+	cl.Submit(job("j", 2))
+	cl.View.Out, cl.View.OutRevision = true, 2
+	cl.Steps(4, step)
+	c.Assert(cl.State.Task("j.0").Released, qt.IsTrue)
+	cl.View.Out, cl.View.OutRevision = false, 3
+	for range 4 {
+		cl.Step(step)
+		for _, r := range cl.Last.Fleet.Reassign {
+			c.Assert(r.To, qt.Equals, model.DCID("dc1"))
+			cl.View.Revision++
+			cl.View.Jobs[0].Assignment = cl.View.Revision
+			cl.View.Jobs[0].Tasks = r.Tasks
+		}
+	}
+	c.Assert(until(c, cl, "j"), qt.Equals, model.OutcomeSucceeded)
+}
--- a/internal/systems/grants.go
+++ b/internal/systems/grants.go
@@ -41,8 +41,13 @@
 		if j.Outcome == model.OutcomeNone {
 			waiting = j.Pending()
 		}
-		if n := int64(j.Held() + waiting); n > 0 {
-			need[j.Spec.Team] = need[j.Spec.Team].Add(j.Spec.Size.Scale(n))
+		size := j.Spec.Size.Scale(int64(j.Held()))
+		if waiting > 0 {
+			// The planner asks for the room that it plans with.
+			size = size.Add(t.planned(j).Size.Scale(int64(waiting)))
+		}
+		if !size.IsZero() {
+			need[j.Spec.Team] = need[j.Spec.Team].Add(size)
 		}
 	}
 	return need
--- a/internal/systems/place.go
+++ b/internal/systems/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/model"
@@ -79,8 +78,8 @@
 			ArrivedMillis: j.ArrivedMillis,
 			Running:       j.Held(),
 		}
-		expected := t.State.Expected(j, t.workerSizes())
-		v.Spec.Size, v.RunMillis = expected.Size, expected.RunMillis
+		p := t.planned(j)
+		v.Spec.Size, v.RunMillis = p.Size, p.RunMillis
 		v.Pending = t.pendingTasks(j)
 		if len(v.Pending) == 0 {
 			continue
@@ -164,24 +163,10 @@
 	return runPolicy{
 		// A task that is not idempotent could never run again.
 		preemptible: set && j.Spec.Idempotent,
-		runMillis:   t.State.Expected(j, t.workerSizes()).RunMillis,
+		runMillis:   t.planned(j).RunMillis,
 	}
 }
 
-// workerSizes lists the different sizes of workers, in the order of the tables.
-func (t *tick) workerSizes() []model.Resources {
-	if t.sizes != nil {
-		return t.sizes
-	}
-	t.sizes = []model.Resources{}
-	for _, w := range t.State.Workers() {
-		if w.State != model.WorkerLost && !slices.Contains(t.sizes, w.Size) {
-			t.sizes = append(t.sizes, w.Size)
-		}
-	}
-	return t.sizes
-}
-
 func (t *tick) runView(row *work.Task, p runPolicy) placement.RunView {
 	s := &row.JobRow().Spec
 	v := placement.RunView{
@@ -243,7 +228,7 @@
 		}
 		probation[p.Worker] = true
 		t.cmd.Place = append(t.cmd.Place, work.Place{
-			Task: p.Task, Worker: p.Worker, Hold: t.State.Expected(row.JobRow(), t.workerSizes()).Size,
+			Task: p.Task, Worker: p.Worker, Hold: t.planned(row.JobRow()).Size,
 		})
 		delete(t.Memory.waits, p.Job)
 		t.recordPlaced(row, p)
@@ -252,7 +237,7 @@
 
 func (t *tick) recordPlaced(row *work.Task, p *placement.Placement) {
 	detail := p.Explain.Detail
-	if learnt := t.State.Expected(row.JobRow(), t.workerSizes()).Detail; learnt != "" {
+	if learnt := t.planned(row.JobRow()).Detail; learnt != "" {
 		detail += "; " + learnt
 	}
 	t.record(&eventlog.Event{
--- a/internal/systems/tick.go
+++ b/internal/systems/tick.go
@@ -6,6 +6,7 @@
 	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/placement"
+	"kumquatwing/internal/placement/estimate"
 	"kumquatwing/internal/settings"
 	"kumquatwing/internal/work"
 )
@@ -38,6 +39,8 @@
 	stopped map[model.TaskID]bool
 	// sizes are the workers' different sizes; see workerSizes.
 	sizes []model.Resources
+	// plans are the sizes and run times to plan with; see planned.
+	plans map[model.JobID]estimate.Correction
 	// ready is the number of ready workers; see readyWorkers.
 	ready int
 	// assignments of the view's jobs, while the view is not yet followed.
--- a/internal/systems/usage.go
+++ b/internal/systems/usage.go
@@ -10,7 +10,7 @@
 
 // ReasonOverSize is the cause of throttles and stops of tasks that outgrew
 // their size.
-const ReasonOverSize = "over-size"
+const ReasonOverSize = work.ReasonOverSize
 
 const (
 	// throttleShowsMillis is how long reports lag behind a throttle.
--- a/internal/systems/view.go
+++ b/internal/systems/view.go
@@ -155,8 +155,11 @@
 	// Assignment is the fleet revision that gave the tasks to this data centre.
 	Assignment uint64
 	Generation uint64
-	Tasks      []work.AdmitTask
-	Reason     string
+	// To is this data centre once it is in again, and empty while the choice is
+	// the fleet's. Either way the fleet must give a new assignment.
+	To     model.DCID
+	Tasks  []work.AdmitTask
+	Reason string
 }
 
 // Memory is the soft state of the leader's ticks; a new leader starts with an
--- a/internal/work/apply_run.go
+++ b/internal/work/apply_run.go
@@ -90,6 +90,9 @@
 	w := s.workers[t.Worker]
 	s.learn(nowMillis, t, e)
 	s.noteEnd(w, t, e)
+	if t.State == model.TaskStopping && t.Reason == ReasonOverSize {
+		t.Need = t.Need.Max(t.Hold)
+	}
 	s.unhold(t)
 	t.CheckpointMillis = max(t.CheckpointMillis, e.CheckpointMillis)
 	s.after(nowMillis, t, e)
@@ -149,6 +152,8 @@
 		s.toEnded(t, model.OutcomeUnknown, e.Reason)
 	case lost:
 		s.toPending(t, e.Reason)
+	case stopped && again && t.Reason == ReasonOverSize:
+		s.retry(nowMillis, t, &Ended{Reason: t.Reason, Retries: e.Retries, BackoffMillis: e.BackoffMillis}, again)
 	case stopped && again:
 		s.toPending(t, t.Reason)
 	case stopped:
@@ -158,6 +163,14 @@
 	}
 }
 
+// spentReason tells tasks that outgrew every worker from ones that failed.
+func spentReason(e *Ended) string {
+	if e.Reason == ReasonOverSize {
+		return ReasonOverSize
+	}
+	return ReasonRetriesSpent
+}
+
 // retry lets a failed task wait for its next run, or ends it.
 func (s *State) retry(nowMillis int64, t *Task, e *Ended, again bool) {
 	service := t.job.Spec.Class == model.ClassService
@@ -169,7 +182,7 @@
 	case !again:
 		s.toEnded(t, model.OutcomeFailed, ReasonNotIdempotent)
 	case !service && t.Failures > e.Retries:
-		s.toEnded(t, model.OutcomeFailed, ReasonRetriesSpent)
+		s.toEnded(t, model.OutcomeFailed, spentReason(e))
 	default:
 		t.NotBeforeMillis = nowMillis + e.BackoffMillis<<min(t.Failures-1, maxBackoffDoublings)
 		if e.Worker != "" {
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -232,5 +232,6 @@
 	ReasonNotIdempotent = "not-idempotent"
 	ReasonGroupLost     = "group-lost"
 	ReasonGangBroken    = "gang-broken"
+	ReasonOverSize      = "over-size"
 	ReasonEverywhere    = "fails-everywhere"
 )
--- a/internal/work/state.go
+++ b/internal/work/state.go
@@ -63,6 +63,9 @@
 	SavedMillis int64 `msgpack:"sv,omitempty"`
 	// Peak is the most that the newest run was reported to use.
 	Peak model.Resources `msgpack:"pk"`
+	// Need is the room that an earlier run took when it was stopped because it
+	// outgrew its size.
+	Need model.Resources `msgpack:"nd"`
 	// NotBeforeMillis holds a task back after a failure.
 	NotBeforeMillis int64 `msgpack:"nb,omitempty"`
 	Failures        int   `msgpack:"fl,omitempty"`
