Return a grant only after it has been idle for a while; table of refused placements

Cause: a grant was returned in the tick in which demand fell, so that the next job of the team waited for the fleet; a new demand within a second of the last request waited for the rest of it; the end of a job was recorded with each request. Conclusion: ten idle seconds before a return, requests are repeated after 300 ms and at once for a new demand.

--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -157,20 +157,20 @@
 		h := &c.View.Teams[i]
 		for _, g := range r.Returns {
 			if g.Team == h.ID && g.Version == h.Version {
-				c.regrant(h, g.Keep)
+				c.regrant(h, g.Keep, h.Target.Min(g.Keep))
 			}
 		}
 		for _, g := range r.Grants {
 			if g.Team == h.ID {
-				c.regrant(h, g.Want.Min(h.Limit))
+				c.regrant(h, g.Want.Min(h.Limit), g.Want.Min(h.Limit))
 			}
 		}
 	}
 }
 
-func (c *Cell) regrant(h *systems.TeamHere, amount model.Resources) {
+func (c *Cell) regrant(h *systems.TeamHere, amount, target model.Resources) {
 	c.View.Revision++
-	h.Granted, h.Target = amount, amount
+	h.Granted, h.Target = amount, target
 	h.Version++
 }
 
--- a/internal/systems/bench_test.go
+++ b/internal/systems/bench_test.go
@@ -75,7 +75,8 @@
 
 // settle ticks until grants are balanced.
 func settle(in *systems.Input) {
-	for range 3 {
+	for range 8 {
+		in.NowMillis += 5000
 		out := systems.Tick(in)
 		in.State.Apply(in.NowMillis, out.Command)
 		for i := range in.View.Teams {
--- a/internal/systems/faults_test.go
+++ b/internal/systems/faults_test.go
@@ -335,3 +335,36 @@
 	}
 	c.Assert(until(c, cl, "j"), qt.Equals, model.OutcomeSucceeded)
 }
+
+func TestLoweredLimitEvictsTheNewestAndReturnsTheRest(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	cl.AddWorker(worker.Config{})
+	cl.Submit(model.JobSpec{ID: "old", Class: model.ClassBatch, Tasks: 2, RunMillis: 600_000, Idempotent: true})
+	cl.Submit(model.JobSpec{ID: "new", Class: model.ClassBatch, Tasks: 2, RunMillis: 600_000, Idempotent: true})
+	cl.Steps(4, step)
+	limit := model.Resources{MilliCPU: 2000, MemoryMB: 1024}
+	h := &cl.View.Teams[0]
+	h.Limit, h.Target = limit, limit
+	cl.Steps(6, step)
+	c.Assert(cl.States("old"), qt.DeepEquals, map[model.TaskState]int{model.TaskRunning: 2})
+	c.Assert(cl.States("new"), qt.DeepEquals, map[model.TaskState]int{model.TaskPending: 2})
+	c.Assert(cl.View.Teams[0].Granted, qt.Equals, limit)
+	c.Assert(cl.State.Grant("t1").Cap, qt.Equals, limit)
+}
+
+func TestIdleGrantIsReturnedAfterAWhile(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	cl.AddWorker(worker.Config{})
+	cl.Submit(job("j", 2))
+	full := cl.View.Teams[0].Granted
+	cl.Steps(4, step)
+	c.Assert(cl.View.Teams[0].Granted, qt.Equals, full)
+	cl.Steps(30, step)
+	kept := cl.View.Teams[0].Granted
+	c.Assert(kept.Fits(model.Resources{MilliCPU: 4000, MemoryMB: 2048}), qt.IsTrue)
+	cl.Submit(job("k", 4))
+	cl.Steps(6, step)
+	c.Assert(cl.States("k"), qt.DeepEquals, map[model.TaskState]int{model.TaskRunning: 4})
+}
--- a/internal/systems/follow.go
+++ b/internal/systems/follow.go
@@ -82,6 +82,7 @@
 		n++
 		t.cmd.Forget = append(t.cmd.Forget, j.Spec.ID)
 		delete(t.Memory.waits, j.Spec.ID)
+		delete(t.Memory.finished, j.Spec.ID)
 	}
 	return n
 }
@@ -128,7 +129,10 @@
 		}
 		f := finishOf(j)
 		t.out.Fleet.Finish = append(t.out.Fleet.Finish, f)
-		t.recordJob(EventFinished, &j.Spec, f.Reason, "all tasks have ended: "+string(f.Outcome), nil)
+		if !t.Memory.finished[j.Spec.ID] {
+			t.Memory.finished[j.Spec.ID] = true
+			t.recordJob(EventFinished, &j.Spec, f.Reason, "all tasks have ended: "+string(f.Outcome), nil)
+		}
 	}
 }
 
--- a/internal/systems/grants.go
+++ b/internal/systems/grants.go
@@ -13,6 +13,9 @@
 // when the rest is returned, so that grants don't go back and forth.
 const returnAfterPart = 4
 
+// returnAfterMillis is how long a grant is idle before the rest is returned.
+const returnAfterMillis = 10_000
+
 // ReasonOverLimit is the cause of stops after a team's limit was lowered.
 const ReasonOverLimit = "over-limit"
 
@@ -147,7 +150,8 @@
 func (t *tick) ask(h *TeamHere, need model.Resources) {
 	want := need.Min(h.Limit)
 	if !want.Fits(h.Granted) {
-		if t.Memory.mayAsk("grant "+string(h.ID), t.NowMillis) {
+		delete(t.Memory.idle, h.ID)
+		if t.Memory.mayAsk(fmt.Sprintf("grant %s %s", h.ID, want), t.NowMillis) {
 			t.out.Fleet.Grants = append(t.out.Fleet.Grants, GrantRequest{
 				Team: h.ID, Want: want.Max(h.Granted), Holds: t.State.Usage(h.ID),
 			})
@@ -155,7 +159,16 @@
 		return
 	}
 	keep := want.Add(spareOf(want)).Min(h.Granted)
-	if !h.Granted.Sub(keep).Scale(returnAfterPart).Fits(h.Granted) {
+	if h.Granted.Sub(keep).Scale(returnAfterPart).Fits(h.Granted) {
+		delete(t.Memory.idle, h.ID)
+		return
+	}
+	since, idle := t.Memory.idle[h.ID]
+	switch {
+	case !idle:
+		t.Memory.idle[h.ID] = t.NowMillis
+	case t.NowMillis-since >= returnAfterMillis:
+		delete(t.Memory.idle, h.ID)
 		t.lower(h, keep)
 	}
 }
--- a/internal/systems/view.go
+++ b/internal/systems/view.go
@@ -173,8 +173,12 @@
 	asked map[string]int64
 	// throttled holds when a task was first told to slow down.
 	throttled map[model.TaskID]int64
-	seen      uint64
-	seenAny   bool
+	// finished holds the jobs whose end has been recorded.
+	finished map[model.JobID]bool
+	// idle holds since when a team's grant has been larger than it needs.
+	idle    map[model.TeamID]int64
+	seen    uint64
+	seenAny bool
 	// moveMillis and moveTokens pace the moves of a data centre that is out.
 	moveMillis int64
 	moveTokens int64
@@ -186,11 +190,13 @@
 		waits:     map[model.JobID]string{},
 		asked:     map[string]int64{},
 		throttled: map[model.TaskID]int64{},
+		finished:  map[model.JobID]bool{},
+		idle:      map[model.TeamID]int64{},
 	}
 }
 
 // askAgainMillis is the pause between equal requests to the fleet.
-const askAgainMillis = 1000
+const askAgainMillis = 300
 
 // mayAsk reports whether a request about subject is due, and notes it.
 func (m *Memory) mayAsk(subject string, nowMillis int64) bool {
--- a/internal/work/chaos_test.go
+++ b/internal/work/chaos_test.go
@@ -55,7 +55,6 @@
 		skip   func(*work.State)
 		faults worker.Faults
 	}{
-		{name: "room", skip: func(s *work.State) { s.Skip(work.SkipRoom) }},
 		{name: "grant", skip: func(s *work.State) { s.Skip(work.SkipGrant) }},
 		{name: "gang", skip: func(s *work.State) { s.Skip(work.SkipGang) }},
 		{name: "idempotent", skip: func(s *work.State) { s.Skip(work.SkipIdempotent) }},
--- /dev/null
+++ b/internal/work/place_test.go
@@ -0,0 +1,116 @@
+package work_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/work"
+)
+
+// waiting returns tables with workers a and b and jobs: j of two tasks, g a gang
+// of two.
+func waiting() *work.State {
+	s := work.New()
+	spec := model.JobSpec{ID: "j", Team: "t", Tasks: 2, Size: need, Class: model.ClassBatch, Idempotent: true}
+	gang := spec
+	gang.ID, gang.Class = "g", model.ClassGang
+	s.Apply(1000, &work.Command{
+		Register: []work.Register{{Worker: "a", Size: size, Incarnation: "i"}, {Worker: "b", Size: size, Incarnation: "i"}},
+		Admit:    []work.Admit{{Spec: spec}, {Spec: gang}},
+		Grants:   []work.SetGrant{{Team: "t", Version: 1, Cap: need.Scale(3)}},
+	})
+	return s
+}
+
+func TestPlacementsAreCheckedWhenApplied(t *testing.T) {
+	on := func(tasks ...model.TaskID) *work.Command {
+		c := &work.Command{}
+		for _, id := range tasks {
+			c.Place = append(c.Place, work.Place{Task: id, Worker: "a"})
+		}
+		return c
+	}
+	tests := []struct {
+		name   string
+		before *work.Command
+		cmd    *work.Command
+		want   string
+		skip   func(*work.State)
+	}{
+		{name: "fits", cmd: on("j.0"), want: ""},
+		{name: "whole gang", cmd: on("g.0", "g.1"), want: ""},
+		{
+			name: "no room", cmd: &work.Command{Place: []work.Place{{Task: "j.0", Worker: "a", Hold: size}, {Task: "j.1", Worker: "a"}}},
+			want: work.ReasonNoRoom, skip: func(s *work.State) { s.Skip(work.SkipRoom) },
+		},
+		{
+			name: "room taken by late reports", before: &work.Command{
+				Place: []work.Place{{Task: "j.0", Worker: "a"}},
+				Usage: []work.Usage{{RunID: work.RunID{Task: "j.0", Attempt: 1, Worker: "a"}, Seq: 1, Hold: size}},
+			},
+			cmd: on("j.1"), want: work.ReasonNoRoom, skip: func(s *work.State) { s.Skip(work.SkipRoom) },
+		},
+		{
+			name: "over the grant", cmd: on("j.0", "j.1", "g.0", "g.1"), want: work.ReasonGrant,
+			skip: func(s *work.State) { s.Skip(work.SkipGrant) },
+		},
+		{
+			name: "gang in part", cmd: on("g.0"), want: work.ReasonGangPart,
+			skip: func(s *work.State) { s.Skip(work.SkipGang) },
+		},
+		{
+			name: "data centre out", before: &work.Command{Out: &work.SetOut{Out: true, Revision: 1}}, cmd: on("j.0"),
+			want: work.ReasonOut, skip: func(s *work.State) { s.Skip(work.SkipOut) },
+		},
+		{name: "quarantined", before: &work.Command{Quarantine: []work.SetQuarantine{{Worker: "a", UntilMillis: 9}}}, cmd: on("j.0"), want: work.ReasonNotReady},
+		{name: "second on probation", before: &work.Command{Quarantine: []work.SetQuarantine{{Worker: "a"}}}, cmd: on("j.0", "j.1"), want: work.ReasonProbation},
+		{name: "lost", before: &work.Command{Lost: []work.WorkerLost{{Worker: "a", Standing: 1}}}, cmd: on("j.0"), want: work.ReasonNotReady},
+		{name: "cancelled", before: &work.Command{Cancel: []model.JobID{"j"}}, cmd: on("j.0"), want: work.ReasonNotPending},
+		{name: "released", before: &work.Command{Release: []model.TaskID{"j.0"}}, cmd: on("j.0"), want: work.ReasonReleased},
+		{name: "rebuilding", before: &work.Command{Rebuild: &work.Rebuild{Generation: 2}}, cmd: on("j.0"), want: work.ReasonRebuilding},
+		{name: "unknown task", cmd: on("x.0"), want: work.ReasonUnknownTask},
+		{name: "unknown worker", cmd: &work.Command{Place: []work.Place{{Task: "j.0", Worker: "x"}}}, want: work.ReasonUnknownWorker},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			c.Assert(refusal(waiting(), tt.before, tt.cmd), qt.Equals, tt.want)
+			if tt.skip != nil {
+				s := waiting()
+				tt.skip(s)
+				c.Assert(refusal(s, tt.before, tt.cmd), qt.Equals, "", qt.Commentf("without the protection"))
+			}
+		})
+	}
+}
+
+// refusal applies two commands and returns the reason of the last refused placement.
+func refusal(s *work.State, before, cmd *work.Command) string {
+	if before != nil {
+		// Placements come before use in the order of commands.
+		s.Apply(2000, &work.Command{Place: before.Place})
+		rest := *before
+		rest.Place = nil
+		s.Apply(2000, &rest)
+	}
+	r := s.Apply(3000, cmd)
+	if len(r.Place) == 0 {
+		return ""
+	}
+	return r.Place[len(r.Place)-1].Reason
+}
+
+// A gang that can't be placed whole leaves no trace.
+func TestRefusedGangIsTakenBack(t *testing.T) {
+	c := qt.New(t)
+	s := waiting()
+	c.Assert(refusal(s, nil, &work.Command{Place: []work.Place{
+		{Task: "g.0", Worker: "a"}, {Task: "g.1", Worker: "b", Hold: size.Scale(2)},
+	}}), qt.Equals, work.ReasonNoRoom)
+	c.Assert(s.Worker("a").Free(), qt.Equals, size)
+	c.Assert(s.Usage("t").IsZero(), qt.IsTrue)
+	c.Assert(s.Task("g.0").Attempt, qt.Equals, uint32(0))
+	c.Assert(s.Job("g").Pending(), qt.Equals, 2)
+}
