--- a/internal/systems/grants.go
+++ b/internal/systems/grants.go
@@ -13,6 +13,9 @@
 // when the rest is returned, so that grants don't go back and forth.
 const returnAfterPart = 4
 
+// returnAfterMillis is how long a grant is idle before the rest is returned.
+const returnAfterMillis = 10_000
+
 // ReasonOverLimit is the cause of stops after a team's limit was lowered.
 const ReasonOverLimit = "over-limit"
 
@@ -21,6 +24,10 @@
 // lowered in the group's tables before the fleet hears of it, and raised only
 // from a grant that the fleet shows.
 func (t *tick) balanceGrants() {
+	if t.State.Rebuilding() {
+		// Runs that no worker has reported yet need their grants.
+		return
+	}
 	need := t.demand()
 	for i := range t.View.Teams {
 		h := &t.View.Teams[i]
@@ -37,16 +44,14 @@
 		if j.Outcome == model.OutcomeNone {
 			waiting = j.Pending()
 		}
-		n := int64(j.Held() + waiting)
-		if n == 0 {
-			continue
-		}
-		// Waiting tasks are planned by their learnt size.
-		size := j.Spec.Size
+		size := j.Spec.Size.Scale(int64(j.Held()))
 		if waiting > 0 {
-			size = t.State.Expected(j)
+			// The planner asks for the room that it plans with.
+			size = size.Add(t.planned(j).Size.Scale(int64(waiting)))
+		}
+		if !size.IsZero() {
+			need[j.Spec.Team] = need[j.Spec.Team].Add(size)
 		}
-		need[j.Spec.Team] = need[j.Spec.Team].Add(size.Scale(n))
 	}
 	return need
 }
@@ -69,14 +74,11 @@
 	case allowed == h.Granted:
 		t.ask(h, need)
 	}
-	if !usage.Fits(allowed) && t.mayEvict() {
+	if !usage.Fits(allowed) {
 		t.evict(h.ID, usage, allowed)
 	}
 }
 
-// mayEvict is false while tables are being rebuilt: grants show late then.
-func (t *tick) mayEvict() bool { return !t.State.Rebuilding() }
-
 // evict stops runs of a team whose limit was lowered below what it holds, the
 // newest first. Runs of jobs that are not idempotent end by themselves.
 func (t *tick) evict(team model.TeamID, usage, allowed model.Resources) {
@@ -138,7 +140,9 @@
 		return
 	}
 	if t.Memory.mayAsk("return "+string(h.ID), t.NowMillis) {
-		t.out.Fleet.Returns = append(t.out.Fleet.Returns, GrantReturn{Team: h.ID, Version: h.Version, Keep: g.Cap})
+		t.out.Fleet.Returns = append(t.out.Fleet.Returns, GrantReturn{
+			Team: h.ID, Version: h.Version, Generation: t.Epoch.Generation(), Keep: g.Cap,
+		})
 	}
 }
 
@@ -146,7 +150,8 @@
 func (t *tick) ask(h *TeamHere, need model.Resources) {
 	want := need.Min(h.Limit)
 	if !want.Fits(h.Granted) {
-		if t.Memory.mayAsk("grant "+string(h.ID), t.NowMillis) {
+		delete(t.Memory.idle, h.ID)
+		if t.Memory.mayAsk(fmt.Sprintf("grant %s %s", h.ID, want), t.NowMillis) {
 			t.out.Fleet.Grants = append(t.out.Fleet.Grants, GrantRequest{
 				Team: h.ID, Want: want.Max(h.Granted), Holds: t.State.Usage(h.ID),
 			})
@@ -154,7 +159,16 @@
 		return
 	}
 	keep := want.Add(spareOf(want)).Min(h.Granted)
-	if !h.Granted.Sub(keep).Scale(returnAfterPart).Fits(h.Granted) {
+	if h.Granted.Sub(keep).Scale(returnAfterPart).Fits(h.Granted) {
+		delete(t.Memory.idle, h.ID)
+		return
+	}
+	since, idle := t.Memory.idle[h.ID]
+	switch {
+	case !idle:
+		t.Memory.idle[h.ID] = t.NowMillis
+	case t.NowMillis-since >= returnAfterMillis:
+		delete(t.Memory.idle, h.ID)
 		t.lower(h, keep)
 	}
 }
--- a/internal/work/state.go
+++ b/internal/work/state.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement/estimate"
 )
 
 // Job is a job that the fleet has given to this data centre, wholly or in part.
@@ -56,6 +57,15 @@
 	// PlacedMillis and StartedMillis are of the newest run.
 	PlacedMillis  int64 `msgpack:"pm,omitempty"`
 	StartedMillis int64 `msgpack:"sm,omitempty"`
+	// FromMillis is the progress that the newest run began with, and
+	// SavedMillis when its newest checkpoint was reported.
+	FromMillis  int64 `msgpack:"fm,omitempty"`
+	SavedMillis int64 `msgpack:"sv,omitempty"`
+	// Peak is the most that the newest run was reported to use.
+	Peak model.Resources `msgpack:"pk"`
+	// Need is the room that an earlier run took when it was stopped because it
+	// outgrew its size.
+	Need model.Resources `msgpack:"nd"`
 	// NotBeforeMillis holds a task back after a failure.
 	NotBeforeMillis int64 `msgpack:"nb,omitempty"`
 	Failures        int   `msgpack:"fl,omitempty"`
@@ -148,7 +158,7 @@
 	sorted    []*Worker // by id
 	usage     map[model.TeamID]model.Resources
 	grants    map[model.TeamID]Grant
-	estimates map[WorkloadKey]*Estimate
+	estimates estimate.Book
 
 	// skip switches single protections off, in tests that show what they are for.
 	skip protection
@@ -157,15 +167,21 @@
 // New returns empty tables.
 func New() *State {
 	return &State{
-		jobs:      map[model.JobID]*Job{},
-		tasks:     map[model.TaskID]*Task{},
-		workers:   map[model.WorkerID]*Worker{},
-		usage:     map[model.TeamID]model.Resources{},
-		grants:    map[model.TeamID]Grant{},
-		estimates: map[WorkloadKey]*Estimate{},
+		jobs:    map[model.JobID]*Job{},
+		tasks:   map[model.TaskID]*Task{},
+		workers: map[model.WorkerID]*Worker{},
+		usage:   map[model.TeamID]model.Resources{},
+		grants:  map[model.TeamID]Grant{},
 	}
 }
 
+// Reset empties the tables, as after the loss of the whole group.
+func (s *State) Reset() {
+	skip := s.skip
+	*s = *New()
+	s.skip = skip
+}
+
 // Epoch is the newest that a command was decided under.
 func (s *State) Epoch() model.Epoch { return s.epoch }
 
