--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -63,6 +63,20 @@
 	return nil
 }
 
+// late reports whether a member has not replied for an election timeout.
+func (r *Raft) late(p *progress) bool { return r.ticks-p.repliedTick > r.opts.ElectionTicks }
+
+// Late returns the members that a leader has not heard for an election timeout.
+func (r *Raft) Late() []ID {
+	var ids []ID
+	for _, p := range r.lead.peers {
+		if r.late(p) {
+			ids = append(ids, p.member.ID)
+		}
+	}
+	return ids
+}
+
 func (r *Raft) becomeLeader() {
 	r.role, r.leader = leader, r.opts.Self
 	r.transfer = false
@@ -151,12 +165,13 @@
 		if p.member.Learner && !slow && p.state == streaming && p.match == r.log.last() {
 			continue
 		}
-		if r.ticks-p.repliedTick > r.opts.ElectionTicks && p.state == streaming {
+		if r.late(p) {
 			p.probe(p.match + 1)
 		}
 		p.waiting = false
 		r.sendHeartbeat(p)
 	}
+	r.releaseSnapshot()
 }
 
 // sendHeartbeat sends an append without entries.
@@ -175,8 +190,9 @@
 }
 
 // sendEntries sends what the member is missing, as far as flow control lets it.
+// A late member gets heartbeats alone until it replies.
 func (r *Raft) sendEntries(p *progress) {
-	if p.state == snapshotting || p.waiting {
+	if p.state == snapshotting || p.waiting || r.late(p) {
 		return
 	}
 	if p.next <= r.log.base {
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -46,8 +46,7 @@
 		return r.configs[len(r.configs)-1].index, nil
 	}
 	p := r.lead.peer(id)
-	late := r.ticks-p.repliedTick > r.opts.ElectionTicks
-	if late || p.state != streaming || p.match+maxPromoteLag < r.log.last() {
+	if r.late(p) || p.state != streaming || p.match+maxPromoteLag < r.log.last() {
 		return 0, ErrLagging
 	}
 	m.Learner = false
@@ -124,8 +123,7 @@
 	}
 	var best *progress
 	for _, p := range r.lead.peers {
-		late := r.ticks-p.repliedTick > r.opts.ElectionTicks
-		if p.member.Learner || p.member.Witness || late {
+		if p.member.Learner || p.member.Witness || r.late(p) {
 			continue
 		}
 		if best == nil || p.match > best.match {
--- a/internal/consensus/raft_test.go
+++ b/internal/consensus/raft_test.go
@@ -190,3 +190,35 @@
 	}
 	qt.Assert(t, accepted < maxUncommitted, qt.IsTrue)
 }
+
+// TestNoSnapshotForSilentMember shows that a member that is gone costs its
+// leader no snapshots.
+func TestNoSnapshotForSilentMember(t *testing.T) {
+	now := clock.Instant(0)
+	r := New(testOptions(1), threeVoters(t), now)
+	elect(t, r, &now)
+	wanted := 0
+	for range 5 * r.opts.ElectionTicks {
+		_, err := r.Propose([]byte("x"))
+		qt.Assert(t, err, qt.IsNil)
+		now = now.Add(testTick)
+		r.Tick(now)
+		for r.HasOutput() {
+			out := r.Take()
+			r.Persisted()
+			if !out.WantSnapshot {
+				continue
+			}
+			wanted += len(r.Late())
+			r.OfferSnapshot(r.SnapshotAt())
+		}
+		r.Compact(0)
+		r.Step(now, Message{
+			Kind: MsgAppendReply, From: 2, To: 1, Term: r.term,
+			Index: r.Last(), Round: r.lead.beats.newest,
+		})
+	}
+	qt.Assert(t, r.Late(), qt.DeepEquals, []ID{3})
+	qt.Assert(t, wanted, qt.Equals, 0)
+	qt.Assert(t, r.lead.snapshot, qt.IsNil)
+}
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -30,7 +30,7 @@
 		return false
 	}
 	for _, p := range r.lead.peers {
-		if p.state == snapshotting {
+		if p.state == snapshotting && !r.late(p) {
 			return true
 		}
 	}
@@ -53,6 +53,9 @@
 
 // releaseSnapshot frees the snapshot once nobody needs it.
 func (r *Raft) releaseSnapshot() {
+	if r.lead.snapshot == nil {
+		return
+	}
 	for _, p := range r.lead.peers {
 		if p.state == snapshotting {
 			return
--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -108,6 +108,8 @@
 	switch r.Reason {
 	case verdict.ReasonNotLeader, verdict.ReasonNoLeader, verdict.ReasonUnreachable:
 		return true
+	case verdict.ReasonDeadline:
+		return req.Read
 	}
 	return false
 }
@@ -131,8 +133,14 @@
 	}
 }
 
-// askOnce puts a request to whom this member takes for the leader.
+// askOnce puts a request to whom this member takes for the leader. A read waits
+// for one election timeout only, since it may be put to the next leader.
 func (n *Node) askOnce(ctx context.Context, req *request) (*reply, error) {
+	if req.Read {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, electionTicks*n.cfg.Tick)
+		defer cancel()
+	}
 	leader := n.published.Load().status.Leader
 	switch leader {
 	case 0:
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -275,8 +275,12 @@
 		Applied: n.core.applied,
 		Members: membersIn(r.Members()),
 	}
+	for _, id := range r.Late() {
+		s.Late = append(s.Late, MemberID(id))
+	}
 	if n.core.failed != nil {
-		s.Leader = 0
+		s.Leader, s.Late = 0, nil
+		s.Failed = n.core.failed.Error()
 	}
 	return s
 }
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -219,6 +219,22 @@
 	back.node.View(func(Status) { qt.Check(t, back.machine.count, qt.Equals, uint64(2)) })
 }
 
+func TestLeaderNoticesSilentMember(t *testing.T) {
+	g := newGroup(t, 3, false)
+	l := g.leader()
+	qt.Assert(t, l.node.Status().Late, qt.HasLen, 0)
+	quiet := g.members[2]
+	g.drop(quiet)
+	for range 500 {
+		if late := l.node.Status().Late; len(late) == 1 {
+			qt.Assert(t, late[0], qt.Equals, quiet.self.ID)
+			return
+		}
+		time.Sleep(testTick)
+	}
+	t.Fatal("the silent member is not noticed")
+}
+
 func TestTransferLeadership(t *testing.T) {
 	g := newGroup(t, 3, false)
 	old := g.leader()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -44,6 +44,11 @@
 	Members []Member
 	// LeaseValid is set on a leader that no other member can have replaced yet.
 	LeaseValid bool
+	// Late lists the members that a leader has not heard from for an election
+	// timeout; it is nil on others.
+	Late []MemberID
+	// Failed says why this member has stopped taking part, "" if it has not.
+	Failed string
 }
 
 // IsLeader reports whether this member leads and its leader lease holds.
--- a/internal/replica/sim_faults_test.go
+++ b/internal/replica/sim_faults_test.go
@@ -62,13 +62,20 @@
 	}
 }
 
-// bounce restarts a follower quickly.
-func bounce(s *sim, m *simMember) {
-	if m.core == nil || m.core.raft.IsLeader() {
-		return
-	}
-	s.crash(m)
-	m.down = s.now + s.upTo(50*time.Millisecond)
+// restartBehindCut cuts a leader and a follower from each other and, once that
+// follower seeks votes, restarts the others quickly.
+func restartBehindCut(s *sim, l *simMember) {
+	cut := s.members[(l.vm+1)%len(s.members)]
+	end := s.now + 3*time.Second
+	s.cuts[l.vm][cut.vm], s.cuts[cut.vm][l.vm] = end, end
+	s.later(1500*time.Millisecond+s.upTo(time.Second), func() {
+		for _, m := range s.members {
+			if m != l && m != cut && m.core != nil {
+				s.crash(m)
+				m.down = s.now
+			}
+		}
+	})
 }
 
 // crashAtSync stops a member at one of its next syncs.
--- a/internal/replica/sim_run_test.go
+++ b/internal/replica/sim_run_test.go
@@ -185,7 +185,7 @@
 		faults  []simFault
 	}{
 		{"vote window", consensus.ProtectVoteWindow, []simFault{{800, cutPair}}},
-		{"restart window", consensus.ProtectRestartWindow, []simFault{{400, cutPair}, {200, bounce}}},
+		{"restart window", consensus.ProtectRestartWindow, []simFault{{800, onLeader(restartBehindCut)}}},
 		{"up-to-date log", consensus.ProtectUpToDate, []simFault{{300, cutLeader}}},
 		{"lease end", consensus.ProtectLeaseEnd, []simFault{{300, cutLeader}, {300, pauseLeader}}},
 		{"one vote a term", consensus.ProtectOneVote, []simFault{{500, crashLeader}}},
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -61,6 +61,32 @@
 	calm    bool
 	check   *checker
 	command int
+	planned []simPlan
+}
+
+// simPlan is something that happens at a later time.
+type simPlan struct {
+	at time.Duration
+	do func()
+}
+
+func (s *sim) later(d time.Duration, do func()) {
+	s.planned = append(s.planned, simPlan{s.now + d, do})
+}
+
+func (s *sim) runPlanned() {
+	var due, rest []simPlan
+	for _, p := range s.planned {
+		if p.at <= s.now {
+			due = append(due, p)
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	s.planned = rest
+	for _, p := range due {
+		p.do()
+	}
 }
 
 // simOptions choose the faults and take protections out.
@@ -175,6 +201,7 @@
 	s.now += simStep
 	s.deliver()
 	if !s.calm {
+		s.runPlanned()
 		s.inject()
 	}
 	for _, m := range s.members {
