--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -107,35 +107,59 @@
 	return term
 }
 
-// idleFor is how long BenchmarkIdle watches a group.
-const idleFor = 3 * time.Second
-
-// BenchmarkIdle measures the traffic of three members without load at the
-// default tick.
-func BenchmarkIdle(b *testing.B) {
-	g := &group{t: b, tick: DefaultTick}
-	b.Cleanup(g.close)
-	for i := range 3 {
-		m := g.start(string(rune('a'+i)), "", i == 0)
-		if i > 0 {
-			g.join(m)
-		}
+const (
+	// watchFor is how long BenchmarkTraffic watches a group.
+	watchFor = 3 * time.Second
+	// loadInterval and loadBytes make 64 writes/s of a data centre's size.
+	loadInterval = time.Second / 64
+	loadBytes    = 200
+)
+
+// BenchmarkTraffic measures traffic and processor time of a group at the
+// default tick, without load and with it.
+func BenchmarkTraffic(b *testing.B) {
+	cases := []struct {
+		name             string
+		voters, learners int
+		load             bool
+	}{
+		{"3 voters idle", 3, 0, false},
+		{"3 voters and 6 learners idle", 3, 6, false},
+		{"3 voters at 64 writes a second", 3, 0, true},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			g := &group{t: b, tick: DefaultTick}
+			b.Cleanup(g.close)
+			for i := range c.voters + c.learners {
+				m := g.start(string(rune('a'+i)), "", i == 0)
+				switch {
+				case i >= c.voters:
+					qt.Assert(b, g.members[0].node.AddLearner(context.Background(), m.self), qt.IsNil)
+				case i > 0:
+					g.join(m)
+				}
+			}
+			watch(b, g, c.load)
+		})
 	}
+}
+
+func watch(b *testing.B, g *group, load bool) {
 	l := g.leader()
-	var sent, sentByFollower uint64
-	var cpu time.Duration
 	for b.Loop() {
-		before, other := l.wire.Traffic(), g.members[1].wire.Traffic()
-		used := processorTime(b)
-		time.Sleep(idleFor)
-		cpu += processorTime(b) - used
-		sent += l.wire.Traffic().SentBytes - before.SentBytes
-		sentByFollower += g.members[1].wire.Traffic().SentBytes - other.SentBytes
+		leader, other, used := l.wire.Traffic(), g.members[1].wire.Traffic(), processorTime(b)
+		for end := time.Now().Add(watchFor); time.Now().Before(end); time.Sleep(loadInterval) {
+			if load {
+				go l.node.Propose(context.Background(), make([]byte, loadBytes))
+			}
+		}
+		seconds := watchFor.Seconds()
+		b.ReportMetric(float64(l.wire.Traffic().SentBytes-leader.SentBytes)/seconds, "leader-B/s")
+		b.ReportMetric(float64(g.members[1].wire.Traffic().SentBytes-other.SentBytes)/seconds, "follower-B/s")
+		cpu := (processorTime(b) - used).Seconds() / seconds / float64(len(g.members))
+		b.ReportMetric(100*cpu, "core-%/member")
 	}
-	total := float64(b.N) * idleFor.Seconds()
-	b.ReportMetric(float64(sent)/total, "leader-B/s")
-	b.ReportMetric(float64(sentByFollower)/total, "follower-B/s")
-	b.ReportMetric(100*cpu.Seconds()/total/3, "core-%/member")
 }
 
 func processorTime(b *testing.B) time.Duration {
