Check membership changes, long cuts and failed disks

Cause: the random runs show safety; who may be added, replaced or promoted, who leads through a silent cut in one direction or both, and what a caller is told when the disk fails had no test of their own. A member added again with its old address now appends no entry.

--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -18,6 +18,9 @@
 	m.Learner = true
 	ms := slices.Clone(r.Members())
 	if old, ok := ms.Find(m.ID); ok {
+		if old.Addr == m.Addr {
+			return r.configs[len(r.configs)-1].index, nil
+		}
 		old.Addr = m.Addr
 		return r.change(append(without(ms, m.ID), old))
 	}
--- a/internal/consensus/raft_test.go
+++ b/internal/consensus/raft_test.go
@@ -22,7 +22,7 @@
 
 // threeVoters is the state of a member of three after an entry of term 2.
 func threeVoters(t *testing.T) State {
-	data, err := Encode(Members{{ID: 1}, {ID: 2}, {ID: 3}})
+	data, err := Encode(Members{{ID: 1, VM: "a"}, {ID: 2, VM: "b"}, {ID: 3, VM: "c"}})
 	qt.Assert(t, err, qt.IsNil)
 	return State{
 		Hard: HardState{Term: 3},
@@ -222,3 +222,78 @@
 	qt.Assert(t, wanted, qt.Equals, 0)
 	qt.Assert(t, r.lead.snapshot, qt.IsNil)
 }
+
+// lead returns a leader of three whose first entry and peer 2 are caught up.
+func lead(t *testing.T) *Raft {
+	now := clock.Instant(0)
+	r := New(testOptions(1), threeVoters(t), now)
+	elect(t, r, &now)
+	r.Step(now, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: r.term, Index: 3, Round: 1})
+	drain(r)
+	return r
+}
+
+func TestMembershipChanges(t *testing.T) {
+	add := func(m Member) func(*Raft) (uint64, error) {
+		return func(r *Raft) (uint64, error) { return r.AddLearner(m) }
+	}
+	remove := func(id ID) func(*Raft) (uint64, error) {
+		return func(r *Raft) (uint64, error) { return r.Remove(id) }
+	}
+	promote := func(id ID) func(*Raft) (uint64, error) {
+		return func(r *Raft) (uint64, error) { return r.Promote(id) }
+	}
+	cases := []struct {
+		name string
+		call func(*Raft) (uint64, error)
+		err  error
+		want Members
+	}{
+		{"add", add(Member{ID: 4, VM: "d"}), nil, Members{
+			{ID: 1, VM: "a"}, {ID: 2, VM: "b"}, {ID: 3, VM: "c"}, {ID: 4, VM: "d", Learner: true},
+		}},
+		{"replace on the same VM", add(Member{ID: 4, VM: "c"}), nil, Members{
+			{ID: 1, VM: "a"}, {ID: 2, VM: "b"}, {ID: 4, VM: "c", Learner: true},
+		}},
+		{"new address", add(Member{ID: 3, VM: "c", Addr: "x"}), nil, Members{
+			{ID: 1, VM: "a"}, {ID: 2, VM: "b"}, {ID: 3, VM: "c", Addr: "x"},
+		}},
+		{"replace the leader", add(Member{ID: 4, VM: "a"}), ErrSelf, nil},
+		{"remove", remove(3), nil, Members{{ID: 1, VM: "a"}, {ID: 2, VM: "b"}}},
+		{"remove the leader", remove(1), ErrSelf, nil},
+		{"remove a stranger", remove(9), ErrUnknown, nil},
+		{"promote a stranger", promote(9), ErrUnknown, nil},
+		{"promote a voter", promote(3), nil, Members{{ID: 1, VM: "a"}, {ID: 2, VM: "b"}, {ID: 3, VM: "c"}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := lead(t)
+			_, err := c.call(r)
+			qt.Assert(t, err, qt.Equals, c.err)
+			if err != nil {
+				return
+			}
+			qt.Assert(t, r.Members(), qt.DeepEquals, c.want)
+			if r.Last() > r.Commit() {
+				_, err = r.Remove(2)
+				qt.Assert(t, err, qt.Equals, ErrChanging)
+			}
+		})
+	}
+}
+
+func TestLaggingLearnerIsNotPromoted(t *testing.T) {
+	r := lead(t)
+	_, err := r.AddLearner(Member{ID: 4, VM: "d"})
+	qt.Assert(t, err, qt.IsNil)
+	drain(r)
+	r.Step(r.now, Message{Kind: MsgAppendReply, From: 2, To: 1, Term: r.term, Index: r.Last(), Round: 1})
+	drain(r)
+	_, err = r.Promote(4)
+	qt.Assert(t, err, qt.Equals, ErrLagging)
+	r.Step(r.now, Message{Kind: MsgAppendReply, From: 4, To: 1, Term: r.term, Index: r.Last(), Round: 1})
+	drain(r)
+	_, err = r.Promote(4)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Members().Quorum(), qt.Equals, 3)
+}
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -14,6 +14,7 @@
 
 	"kumquatwing/internal/clock"
 	"kumquatwing/internal/storage"
+	"kumquatwing/internal/storage/faultfs"
 	"kumquatwing/internal/verdict"
 	"kumquatwing/internal/wire"
 )
@@ -260,6 +261,34 @@
 	qt.Assert(t, propose(t, fresh.node, "b"), qt.Equals, uint64(11))
 }
 
+// TestFailedDiskStopsMember shows that a member whose write failed says that
+// the command may have run and takes no further part.
+func TestFailedDiskStopsMember(t *testing.T) {
+	disk := faultfs.New()
+	store, err := storage.Open(disk)
+	qt.Assert(t, err, qt.IsNil)
+	w, err := wire.Listen("127.0.0.1:0", nil)
+	qt.Assert(t, err, qt.IsNil)
+	defer w.Close()
+	n, err := Open(Config{
+		Group: "test", Self: Member{ID: 1, VM: "a", Addr: w.Addr()}, Machine: &register{},
+		Store: store, Wire: w, Clock: clock.Boot{}, Found: true, Tick: testTick,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	defer n.Close()
+	propose(t, n, "a")
+	n.View(func(Status) { disk.CrashAt(1, false) })
+	_, err = n.Propose(context.Background(), []byte("b"))
+	qt.Assert(t, verdict.From(err).Verdict, qt.Equals, verdict.MayHaveRun)
+	s := n.Status()
+	qt.Assert(t, s.IsLeader(), qt.IsFalse)
+	qt.Assert(t, s.Failed, qt.Matches, "faultfs: crashed")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*testTick)
+	defer cancel()
+	_, err = n.Propose(ctx, []byte("c"))
+	qt.Assert(t, verdict.From(err).Verdict, qt.Equals, verdict.NotRun)
+}
+
 func TestOpenRefusesForeignStore(t *testing.T) {
 	dir := t.TempDir()
 	g := newGroup(t, 0, true)
--- a/internal/replica/sim_run_test.go
+++ b/internal/replica/sim_run_test.go
@@ -208,3 +208,51 @@
 		})
 	}
 }
+
+// TestLongCut cuts one member off silently and checks who leads meanwhile and
+// afterwards.
+func TestLongCut(t *testing.T) {
+	in := func(s *sim, from, to *simMember) { s.cuts[from.vm][to.vm] = s.now + simFaulty }
+	out := func(s *sim, from, to *simMember) { s.cuts[to.vm][from.vm] = s.now + simFaulty }
+	both := func(s *sim, from, to *simMember) { in(s, from, to); out(s, from, to) }
+	cases := []struct {
+		name   string
+		leader bool
+		cut    func(s *sim, from, to *simMember)
+		// newTerm says that another member has to take over.
+		newTerm bool
+	}{
+		{"follower hears nobody", false, in, false},
+		{"nobody hears follower", false, out, false},
+		{"follower cut off", false, both, false},
+		{"leader hears nobody", true, in, true},
+		{"nobody hears leader", true, out, true},
+		{"leader cut off", true, both, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSim(1, simOptions{size: 3})
+			s.calm = true
+			s.steps(simJoin)
+			m := s.anyLeader()
+			if !c.leader {
+				m = s.members[(m.vm+1)%3]
+			}
+			for _, o := range s.members {
+				if o != m {
+					c.cut(s, o, m)
+				}
+			}
+			term, acked := s.check.maxTerm(), len(s.check.ackedAll)
+			s.steps(simFaulty)
+			qt.Assert(t, len(s.check.ackedAll) > acked+100, qt.IsTrue)
+			qt.Assert(t, s.check.maxTerm() > term, qt.Equals, c.newTerm)
+			term = s.check.maxTerm()
+			s.steps(simHealed)
+			s.settled()
+			qt.Assert(t, s.check.violation, qt.Equals, "")
+			qt.Assert(t, s.check.maxTerm(), qt.Equals, term)
+		})
+	}
+}
