Spread the tasks of a job; fill a limit that tasks don't divide evenly

Cause: a batch job went whole to one data centre, so that 200 tasks of one core ran 128 at a time there while two others were idle; and three fair shares of a limit leave a remainder in each. Ruled out: grants in units of a task, since the sizes differ from job to job. Conclusion: each task goes to the least loaded; a data centre that waits states the floor of its next task.

--- a/internal/fleet/floor_test.go
+++ b/internal/fleet/floor_test.go
@@ -85,3 +85,39 @@
 	}
 	qt.Assert(t, m.state.Grant("shop", "dc2").Amount.MilliCPU >= 12_000, qt.IsTrue)
 }
+
+// TestFloorsFillTheLimit runs tasks that don't divide a fair share evenly. Each
+// data centre states what its next task needs.
+func TestFloorsFillTheLimit(t *testing.T) {
+	cases := []struct{ size, want int64 }{
+		{1000, 16_000}, {1500, 15_000}, {2000, 16_000}, {3000, 15_000}, {5000, 15_000}, {7000, 14_000},
+	}
+	for _, c := range cases {
+		m := newEscrowModel(t)
+		for range 20 {
+			for _, h := range m.holders {
+				m.startWhole(h, c.size)
+			}
+		}
+		var running int64
+		for _, h := range m.holders {
+			running += h.running.MilliCPU
+		}
+		qt.Check(t, running, qt.Equals, c.want, qt.Commentf("tasks of %d", c.size))
+	}
+}
+
+// startWhole asks for the next task's room, starts what fits and gives back what
+// is above the target.
+func (m *escrowModel) startWhole(h *holder, size int64) {
+	h.want.MilliCPU = m.limit.MilliCPU
+	h.floor.MilliCPU = h.running.MilliCPU + size
+	m.deliver(m.request(h), true)
+	g := m.state.Grant("shop", h.dc)
+	for h.running.MilliCPU+size <= min(h.cap.MilliCPU, g.Target.MilliCPU) {
+		h.running.MilliCPU += size
+	}
+	if g.Target != g.Amount {
+		m.deliver(m.giveBack(h), true)
+	}
+}
--- a/internal/fleet/jobindex.go
+++ b/internal/fleet/jobindex.go
@@ -10,8 +10,8 @@
 type placeJobs struct {
 	// jobs lists those with an open part there, by Seq.
 	jobs []*Job
-	// tasks counts all tasks that they and other unfinished jobs have there.
-	tasks int
+	// load is the declared size of all tasks of unfinished jobs there.
+	load model.Resources
 	// version is that of the table at the last change of one of the jobs.
 	version uint64
 }
@@ -42,13 +42,14 @@
 	}
 }
 
-// count adds the tasks of an unfinished job to its owners.
-func (t *jobTable) count(j *Job, sign int) {
+// count adds the tasks of an unfinished job to its owners' loads.
+func (t *jobTable) count(j *Job, sign int64) {
 	if j.Finished() {
 		return
 	}
 	for _, dc := range j.Owners {
-		t.place(dc).tasks += sign
+		p := t.place(dc)
+		p.load = p.load.Add(j.Spec.Size.Scale(sign))
 	}
 }
 
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,22 +12,29 @@
 // submitRetry is the pause before a team with too many jobs tries again.
 const submitRetry = time.Second
 
-// SpreadOwners chooses a data centre for each task of spec: a service is
-// spread over all that are in and allowed, other jobs go whole to the one with
-// the fewest unfinished tasks. It is a simple choice for a caller that knows
-// nothing of free room.
+// SpreadOwners chooses a data centre for each task of spec, of those that are in
+// and allowed: a gang goes whole to the least loaded, a service is spread evenly,
+// and each task of another job goes to the least loaded in turn. It counts what
+// unfinished jobs declare and knows nothing of free room.
 func (s *State) SpreadOwners(spec *model.JobSpec) ([]model.DCID, *verdict.Refusal) {
 	open := s.openDataCentres(spec.DataCentres)
 	if len(open) == 0 {
 		return nil, verdict.Refuse(verdict.ReasonOut, "no allowed data centre is in").RetryIn(submitRetry)
 	}
+	loads := make([]model.Resources, len(open))
+	for i, dc := range open {
+		loads[i] = s.LoadIn(dc)
+	}
 	owners := make([]model.DCID, max(0, min(spec.Tasks, MaxTasks)))
-	least := s.leastLoaded(open)
 	for i := range owners {
-		owners[i] = least
+		at := leastLoaded(loads)
 		if spec.Class == model.ClassService {
-			owners[i] = open[i%len(open)]
+			at = i % len(open)
+		}
+		if spec.Class != model.ClassGang {
+			loads[at] = loads[at].Add(spec.Size)
 		}
+		owners[i] = open[at]
 	}
 	return owners, nil
 }
@@ -42,20 +50,27 @@
 	return open
 }
 
-func (s *State) leastLoaded(open []model.DCID) model.DCID {
-	best := open[0]
-	for _, dc := range open[1:] {
-		if s.TasksIn(dc) < s.TasksIn(best) {
-			best = dc
+// leastLoaded returns the index of the least load, by processor time, then by
+// memory, then the first.
+func leastLoaded(loads []model.Resources) int {
+	best := 0
+	for i := range loads {
+		less := cmp.Or(
+			cmp.Compare(loads[i].MilliCPU, loads[best].MilliCPU),
+			cmp.Compare(loads[i].MemoryMB, loads[best].MemoryMB),
+		)
+		if less < 0 {
+			best = i
 		}
 	}
 	return best
 }
 
-// TasksIn counts the tasks of unfinished jobs that dc owns, ended ones included.
-func (s *State) TasksIn(dc model.DCID) int {
+// LoadIn is the declared size of the tasks of unfinished jobs that dc owns,
+// ended ones included.
+func (s *State) LoadIn(dc model.DCID) model.Resources {
 	if p := s.jobs.places[dc]; p != nil {
-		return p.tasks
+		return p.load
 	}
-	return 0
+	return model.Resources{}
 }
