Give a floor what is unused elsewhere

Ruled out: recalling only what exceeds a fair share. Figures (limit 16,000, tasks of 1000, 1500, 2000, 3000, 7000): all that whole tasks can use is used; without floors 15,000, 13,500, 12,000, 9000 and 0. Conclusion: a floor is served from what nothing runs in, before what is above a fair share, and is lent to first.

--- a/internal/fleet/escrow.go
+++ b/internal/fleet/escrow.go
@@ -172,7 +172,9 @@
 func (s *State) rebalanceDimension(grants []*Grant, first *Grant, d int, limit int64) {
 	shares := make([]share, len(grants))
 	for i, g := range grants {
-		shares[i] = share{amount: g.Amount.At(d), want: g.Want.At(d), out: s.dcs[g.DC].Out}
+		shares[i] = share{
+			amount: g.Amount.At(d), want: g.Want.At(d), holds: g.Holds.At(d), out: s.dcs[g.DC].Out,
+		}
 		if g == first {
 			shares[i].floor = g.Floor.At(d)
 		}
--- a/internal/fleet/floor_test.go
+++ b/internal/fleet/floor_test.go
@@ -93,7 +93,10 @@
 		{1000, 16_000}, {1500, 15_000}, {2000, 16_000}, {3000, 15_000}, {5000, 15_000}, {7000, 14_000},
 	}
 	for _, c := range cases {
-		m := newEscrowModel(t)
+		m := busy(t)
+		for _, h := range m.holders {
+			h.running = model.Resources{}
+		}
 		for range 20 {
 			for _, h := range m.holders {
 				m.startWhole(h, c.size)
--- a/internal/fleet/split.go
+++ b/internal/fleet/split.go
@@ -9,6 +9,8 @@
 type share struct {
 	amount int64
 	want   int64
+	// holds is what running tasks use.
+	holds int64
 	// floor is set for the one data centre whose waiting job can't start with a
 	// fair share.
 	floor int64
@@ -74,16 +76,20 @@
 	}
 }
 
-// lend raises amounts to the fair shares as far as the limit allows and
-// returns what is left of it, below zero if the limit is exceeded.
+// lend raises amounts to the fair shares as far as the limit allows, the one
+// with a floor first, and returns what is left, below zero if the limit is
+// exceeded.
 func lend(shares []share, limit int64) int64 {
 	free := limit
 	for _, s := range shares {
 		free -= s.amount
 	}
-	for i := range shares {
-		more := min(free, shares[i].fair-shares[i].amount)
-		if more > 0 {
+	for _, withFloor := range []bool{true, false} {
+		for i := range shares {
+			if (shares[i].floor > 0) != withFloor {
+				continue
+			}
+			more := max(0, min(free, shares[i].fair-shares[i].amount))
 			shares[i].amount += more
 			free -= more
 		}
@@ -92,29 +98,49 @@
 }
 
 // recall lowers targets by what is lacking: first what its holder doesn't want,
-// then what it has above its fair share. The latter is left alone while nobody
-// lacks a whole quantum; once somebody does, all that is lacking moves.
+// then, for a floor, what nothing runs in, then what a holder has above its fair
+// share. The last is left alone while nobody lacks a whole quantum; once somebody
+// does, all that is lacking moves.
 func recall(shares []share, limit, free int64) {
-	step := quantum(limit)
-	lacking, contended := -free, free < 0
-	for _, s := range shares {
-		deficit := max(0, s.fair-s.amount)
-		lacking += deficit
-		contended = contended || deficit >= step || deficit > 0 && (s.amount == 0 || s.floor > 0)
-	}
+	lacking := -free
 	for _, s := range shares {
-		lacking -= s.amount - s.target
+		lacking += s.deficit() - (s.amount - s.target)
 	}
 	if lacking <= 0 {
 		return
 	}
-	idle := func(s *share) int64 { return s.target - max(s.want, s.fair) }
-	lacking -= take(shares, roundUp(lacking, step), idle)
-	if contended {
+	step := quantum(limit)
+	lacking -= take(shares, roundUp(lacking, step), func(s *share) int64 { return s.target - max(s.want, s.fair) })
+	for _, s := range shares {
+		if s.floor > 0 {
+			lacking -= take(shares, min(lacking, s.deficit()), (*share).unused)
+		}
+	}
+	if contended(shares, step, free) {
 		take(shares, lacking, func(s *share) int64 { return s.target - s.fair })
 	}
 }
 
+// contended reports whether what is lacking is worth moving.
+func contended(shares []share, step, free int64) bool {
+	for _, s := range shares {
+		if d := s.deficit(); d >= step || d > 0 && (s.amount == 0 || s.floor > 0) {
+			return true
+		}
+	}
+	return free < 0
+}
+
+func (s *share) deficit() int64 { return max(0, s.fair-s.amount) }
+
+// unused is what a share could give to another's floor at once.
+func (s *share) unused() int64 {
+	if s.floor > 0 {
+		return 0
+	}
+	return s.target - s.holds
+}
+
 // take lowers targets by amount in all, most from the share with the most to
 // spare, and returns how much it took.
 func take(shares []share, amount int64, spare func(*share) int64) int64 {
