Bound the memory of the fleet's state

Cause: finished jobs kept their payloads of up to 64 KiB and an owner per task, and nothing bounded all unfinished jobs together. Ruled out: keeping fewer finished jobs, since a resend needs them. Conclusion: finished jobs are slim, payloads are at most 4 KiB and 4 MiB in all, 200,000 tasks and 50,000 jobs are unfinished at most, beyond that a submission is refused as not run.

--- a/internal/fleet/jobindex.go
+++ b/internal/fleet/jobindex.go
@@ -47,6 +47,8 @@
 	if j.Finished() {
 		return
 	}
+	t.tasks += int(sign) * len(j.Owners)
+	t.payloadBytes += int(sign) * len(j.Spec.Payload)
 	for _, dc := range j.Owners {
 		p := t.place(dc)
 		p.load = p.load.Add(j.Spec.Size.Scale(sign))
@@ -66,6 +68,19 @@
 	}
 }
 
+// shared returns owners with the names that the state holds already, so that a
+// job's many owners take no memory of their own. A data centre that was removed
+// since keeps the name it came with.
+func (s *State) shared(owners []model.DCID) []model.DCID {
+	list := slices.Clone(owners)
+	for i, dc := range owners {
+		if known, ok := s.dcs[dc]; ok {
+			list[i] = known.ID
+		}
+	}
+	return list
+}
+
 // distinct lists the data centres among owners, sorted.
 func distinct(owners []model.DCID) []model.DCID {
 	var list []model.DCID
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -12,7 +12,8 @@
 // Job is an accepted job.
 type Job struct {
 	Spec model.JobSpec `msgpack:"s" json:"spec"`
-	// Owners holds the data centre of each task, by the task's index.
+	// Owners holds the data centre of each task, by the task's index. A finished
+	// job keeps each data centre once, that of the first task first.
 	Owners []model.DCID `msgpack:"o" json:"owners"`
 	// Seq orders jobs by acceptance.
 	Seq uint64 `msgpack:"q" json:"seq"`
@@ -91,7 +92,7 @@
 	if refusal := s.checkJob(c); refusal != nil {
 		return &Result{Refusal: refusal}
 	}
-	job := &Job{Spec: c.Spec, Owners: c.Owners, Digest: digest}
+	job := &Job{Spec: c.Spec, Owners: s.shared(c.Owners), Digest: digest}
 	s.jobs.add(job)
 	return &Result{Job: job}
 }
--- a/internal/fleet/jobs_test.go
+++ b/internal/fleet/jobs_test.go
@@ -84,6 +84,38 @@
 	accepted(t, submit("c"))
 }
 
+// TestFinishedJobsAreSlim keeps what a resend and a status need, and no more.
+func TestFinishedJobsAreSlim(t *testing.T) {
+	f := started(t)
+	spec := batch("j1")
+	spec.Tasks, spec.Payload = 4, "some text"
+	submit := &Command{SubmitJob: &SubmitJob{Spec: spec, Owners: owners("dc2", "dc1", "dc2", "dc3")}}
+	f.ok(submit)
+	qt.Assert(t, f.state.jobs.payloadBytes, qt.Equals, 9)
+	f.ok(&Command{FinishJobs: &FinishJobs{[]FinishedJob{{Job: "j1", Outcome: model.OutcomeSucceeded}}}})
+	job, _ := f.state.Job("j1")
+	qt.Assert(t, job.Spec.Payload, qt.Equals, "")
+	qt.Assert(t, job.Owners, qt.DeepEquals, owners("dc2", "dc1", "dc3"))
+	qt.Assert(t, f.ok(submit).Repeat, qt.IsTrue)
+	qt.Assert(t, f.state.jobs.tasks+f.state.jobs.payloadBytes, qt.Equals, 0)
+}
+
+// TestFleetIsFull refuses what the state has no room for.
+func TestFleetIsFull(t *testing.T) {
+	f := started(t)
+	for _, fill := range []func(){
+		func() { f.state.jobs.tasks = maxAllTasks },
+		func() { f.state.jobs.tasks, f.state.jobs.payloadBytes = 0, maxPayloadBytes },
+	} {
+		fill()
+		spec := batch("j1")
+		spec.Payload = "x"
+		_, refusal := f.do(&Command{SubmitJob: &SubmitJob{Spec: spec, Owners: owners("dc1")}})
+		qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonOverload)
+		qt.Assert(t, refusal.Retry, qt.IsTrue)
+	}
+}
+
 func TestPartsOfAJob(t *testing.T) {
 	f := started(t)
 	spec := batch("j1")
--- a/internal/fleet/jobtable.go
+++ b/internal/fleet/jobtable.go
@@ -14,7 +14,7 @@
 	finishedKept = 8192
 	// spentKept bounds the finished jobs whose id alone is remembered, so that
 	// a late resend is not taken for a new job.
-	spentKept = 131_072
+	spentKept = 65_536
 )
 
 // jobTable holds the jobs. A stored Job is never changed: a change stores a
@@ -32,6 +32,8 @@
 	seq        uint64
 	// version grows with each change of the table.
 	version uint64
+	// tasks and payloadBytes are those of the unfinished jobs.
+	tasks, payloadBytes int
 	// places indexes the unfinished jobs by data centre.
 	places map[model.DCID]*placeJobs
 }
@@ -69,9 +71,21 @@
 	t.store(j)
 }
 
+// slim drops what nobody asks of a finished job.
+func slim(j *Job) *Job {
+	c := *j
+	c.Spec.Payload = ""
+	c.Handed, c.Ended = nil, nil
+	c.Owners = append([]model.DCID{j.Owners[0]}, distinct(j.Owners)...)
+	if at := slices.Index(c.Owners[1:], j.Owners[0]); at >= 0 {
+		c.Owners = slices.Delete(c.Owners, at+1, at+2)
+	}
+	return &c
+}
+
 // finish stores a job that got its final outcome.
 func (t *jobTable) finish(j *Job) {
-	t.store(j)
+	t.store(slim(j))
 	if i, ok := t.find(j.Seq); ok {
 		t.active = slices.Delete(t.active, i, i+1)
 	}
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -137,6 +137,7 @@
 	t.version = in.JobsVersion
 	t.active = in.Jobs
 	for _, j := range in.Jobs {
+		j.Owners = s.shared(j.Owners)
 		t.index(nil, j)
 		t.byID[j.Spec.ID] = j
 		t.unfinished[j.Spec.Team]++
--- a/internal/fleet/snapshot_test.go
+++ b/internal/fleet/snapshot_test.go
@@ -94,7 +94,9 @@
 	for _, dc := range places {
 		var owned []*Job
 		var load model.Resources
+		total := 0
 		for _, j := range s.jobs.active {
+			total += len(j.Owners)
 			if j.OwnedBy(dc) {
 				owned = append(owned, j)
 			}
@@ -104,6 +106,9 @@
 				}
 			}
 		}
+		if total != s.jobs.tasks {
+			t.Fatalf("%d tasks are unfinished, the table says %d", total, s.jobs.tasks)
+		}
 		if !slices.Equal(owned, s.JobsOwnedBy(dc)) || load != s.LoadIn(dc) {
 			t.Fatalf("%s owns %d jobs of %s, the index says %d of %s", dc, len(owned), load,
 				len(s.JobsOwnedBy(dc)), s.LoadIn(dc))
@@ -171,6 +176,22 @@
 	return next
 }
 
+// TestOwnerThatWasRemoved keeps the name of a data centre whose part of a job has
+// ended and that is no longer declared.
+func TestOwnerThatWasRemoved(t *testing.T) {
+	f := started(t)
+	spec := batch("j1")
+	spec.Tasks = 2
+	f.ok(&Command{SubmitJob: &SubmitJob{Spec: spec, Owners: owners("dc1", "dc3")}})
+	f.ok(&Command{FinishJobs: &FinishJobs{[]FinishedJob{{Job: "j1", DC: "dc3", Outcome: model.OutcomeSucceeded}}}})
+	f.ok(&Command{Header: f.header(), SetDataCentre: &SetDataCentre{DC: "dc3", Out: true}})
+	smaller := declared(16_000)
+	smaller.DataCentres = smaller.DataCentres[:2]
+	f.apply(smaller)
+	job, _ := restored(t, f.state).Job("j1")
+	qt.Assert(t, job.Owners, qt.DeepEquals, owners("dc1", "dc3"))
+}
+
 // TestBadSnapshotChangesNothing restores from what can't be read.
 func TestBadSnapshotChangesNothing(t *testing.T) {
 	f := started(t)
--- a/internal/fleet/submit.go
+++ b/internal/fleet/submit.go
@@ -15,11 +15,19 @@
 	// MaxRunMillis bounds a declared run time: 30 days.
 	MaxRunMillis = int64(30 * 24 * 3600 * 1000)
 	// MaxPayloadBytes bounds what is handed to the worker.
-	MaxPayloadBytes = 64 << 10
+	MaxPayloadBytes = 4 << 10
 	// MaxJobIDBytes bounds a job's id.
 	MaxJobIDBytes = 64
 )
 
+// Bounds of all unfinished jobs together, several times the design size, so that
+// the state fits the memory of an entry VM.
+const (
+	maxJobs         = 50_000
+	maxAllTasks     = 200_000
+	maxPayloadBytes = 4 << 20
+)
+
 // CheckSpec refuses a spec that is out of bounds, naming the field.
 func CheckSpec(spec *model.JobSpec) *verdict.Refusal {
 	checks := []struct {
@@ -36,7 +44,7 @@
 		{spec.RunMillis >= 0 && spec.RunMillis <= MaxRunMillis, "run_ms", "must be 0 to 30 days"},
 		{spec.Class != model.ClassService || spec.RunMillis == 0, "run_ms", "must be 0 for a service"},
 		{spec.MinRunning >= 0 && spec.MinRunning <= max(spec.Tasks, 0), "min_running", "must be 0 to the number of tasks"},
-		{len(spec.Payload) <= MaxPayloadBytes, "payload", "is over 65536 bytes"},
+		{len(spec.Payload) <= MaxPayloadBytes, "payload", "is over 4096 bytes"},
 	}
 	for _, c := range checks {
 		if !c.ok {
@@ -85,6 +93,9 @@
 	if refusal := s.checkOwners(c); refusal != nil {
 		return refusal
 	}
+	if refusal := s.checkRoom(&c.Spec); refusal != nil {
+		return refusal
+	}
 	bound, decision := s.queuedLimit(team.ID)
 	if int64(s.jobs.unfinished[team.ID]) >= bound {
 		return verdict.Refuse(verdict.ReasonOverload, "team %s has %d unfinished jobs", team.ID, bound).
@@ -93,6 +104,16 @@
 	return nil
 }
 
+// checkRoom refuses what the state has no room for.
+func (s *State) checkRoom(spec *model.JobSpec) *verdict.Refusal {
+	t := &s.jobs
+	if len(t.active) < maxJobs && t.tasks+spec.Tasks <= maxAllTasks && t.payloadBytes+len(spec.Payload) <= maxPayloadBytes {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonOverload, "the fleet has %d unfinished jobs with %d tasks and %d bytes of payload",
+		len(t.active), t.tasks, t.payloadBytes).RetryIn(submitRetry)
+}
+
 // checkFits refuses what exceeds the team's limit by itself.
 func (s *State) checkFits(spec *model.JobSpec, team model.Team) *verdict.Refusal {
 	need, what := spec.Size, "a task"
