--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -45,17 +45,19 @@
 
 // Cell steps the tables, a leader and fake workers in virtual time.
 type Cell struct {
-	State   *work.State
-	Leader  *workerapi.Leader
-	Memory  *systems.Memory
-	View    *systems.View
-	Clock   clock.Manual
-	Term    uint64
-	Gate    workerapi.Gate
-	Workers []*worker.Core
-	Log     Log
-	Last    *systems.Output
-	// Decide makes the plans; FirstFit by default.
+	State  *work.State
+	Leader *workerapi.Leader
+	Memory *systems.Memory
+	View   *systems.View
+	Clock  clock.Manual
+	Term   uint64
+	// Generation of the group, 1 at first.
+	Generation uint64
+	Gate       workerapi.Gate
+	Workers    []*worker.Core
+	Log        Log
+	Last       *systems.Output
+	// Decide makes the plans; placement.Decide by default.
 	Decide func(*placement.Snapshot) *placement.Plan
 	// OnElect, if set, is called with each new leader.
 	OnElect func(*workerapi.Leader)
@@ -63,7 +65,7 @@
 
 // New returns a cell with a leader and no workers.
 func New() *Cell {
-	c := &Cell{State: work.New(), Decide: FirstFit, View: &systems.View{DC: "dc1", Tree: settings.NewTree()}}
+	c := &Cell{State: work.New(), Decide: placement.Decide, Generation: 1, View: &systems.View{Generation: 1, DC: "dc1", Tree: settings.NewTree()}}
 	c.Clock.Advance(time.Hour)
 	c.Gate = workerapi.Gate{Leads: true, MayStart: 3 * time.Second}
 	c.Elect()
@@ -74,7 +76,10 @@
 func (c *Cell) Elect() {
 	c.Term++
 	policy := workerapi.Policy{Lease: Lease, Margin: Margin, HeadroomPercent: 10, Retry: retryTwice}
-	c.Leader = workerapi.NewLeader(c.State, model.NewEpoch(1, c.Term), policy, c.Clock.Now())
+	c.Leader = workerapi.NewLeader(c.State, model.NewEpoch(c.Generation, c.Term), policy, c.Clock.Now())
+	if c.OnElect != nil {
+		c.OnElect(c.Leader)
+	}
 	c.Memory = systems.NewMemory()
 	if cmd := c.Leader.Prepare(); cmd != nil {
 		c.Propose(cmd)
@@ -142,9 +147,33 @@
 	r := c.Propose(out.Command)
 	out.Commit(&c.Log, &r)
 	c.Last = out
+	c.answerGrants(&out.Fleet)
 	return out
 }
 
+// answerGrants changes the grants in the view as the fleet would, at once.
+func (c *Cell) answerGrants(r *systems.FleetRequests) {
+	for i := range c.View.Teams {
+		h := &c.View.Teams[i]
+		for _, g := range r.Returns {
+			if g.Team == h.ID && g.Version == h.Version {
+				c.regrant(h, g.Keep, h.Target.Min(g.Keep))
+			}
+		}
+		for _, g := range r.Grants {
+			if g.Team == h.ID {
+				c.regrant(h, g.Want.Min(h.Limit), g.Want.Min(h.Limit))
+			}
+		}
+	}
+}
+
+func (c *Cell) regrant(h *systems.TeamHere, amount, target model.Resources) {
+	c.View.Revision++
+	h.Granted, h.Target = amount, target
+	h.Version++
+}
+
 // Decided runs the systems once and leaves their command to the caller.
 func (c *Cell) Decided() *systems.Output {
 	return systems.Tick(&systems.Input{
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -56,10 +56,11 @@
 	t       testing.TB
 	members []*member
 	nextID  MemberID
+	tick    time.Duration
 }
 
 func newGroup(t testing.TB, size int, disk bool) *group {
-	g := &group{t: t}
+	g := &group{t: t, tick: testTick}
 	for i := range size {
 		dir := ""
 		if disk {
@@ -102,7 +103,7 @@
 	m := &member{wire: w, machine: &register{}, dir: dir, self: Member{ID: id, VM: vm, Addr: w.Addr()}}
 	m.node, err = Open(Config{
 		Group: "test", Self: m.self, Machine: m.machine, Store: store, Wire: w,
-		Clock: clock.Boot{}, Found: found, Tick: testTick,
+		Clock: clock.Boot{}, Found: found, Tick: g.tick,
 	})
 	qt.Assert(g.t, err, qt.IsNil)
 	g.members = append(g.members, m)
@@ -149,6 +150,21 @@
 	}
 }
 
+// settle waits until m knows a leader that runs. A call to one that has just
+// died may have run, and says so.
+func (g *group) settle(m *member) {
+	for range 500 {
+		leader := m.node.Status().Leader
+		for _, o := range g.members {
+			if s := o.node.Status(); o.self.ID == leader && s.IsLeader() {
+				return
+			}
+		}
+		time.Sleep(testTick)
+	}
+	g.t.Fatal("member knows no leader")
+}
+
 func propose(t testing.TB, n *Node, command string) uint64 {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -195,9 +211,7 @@
 	propose(t, g.members[0].node, "a")
 	old := g.leader()
 	g.drop(old)
-	// A proposal passed on to the old leader may truthfully have run; this one
-	// goes to the new one.
-	g.leader()
+	g.settle(g.members[0])
 	qt.Assert(t, propose(t, g.members[0].node, "b"), qt.Equals, uint64(2))
 	back := g.start(old.self.VM, old.dir, false)
 	qt.Assert(t, back.self.ID, qt.Equals, old.self.ID)
@@ -226,7 +240,7 @@
 	g.join(fresh)
 	qt.Assert(t, len(fresh.node.Status().Members), qt.Equals, 3)
 	g.drop(g.members[0])
-	g.leader()
+	g.settle(fresh)
 	qt.Assert(t, propose(t, fresh.node, "b"), qt.Equals, uint64(11))
 }
 
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -71,6 +71,10 @@
 	faults     []simFault
 	// lossPercent of messages are lost, and as many repeated.
 	lossPercent int
+	// memory gives the members no disks.
+	memory bool
+	// witness makes the last member a witness.
+	witness bool
 }
 
 func newSim(seed uint64, o simOptions) *sim {
@@ -91,7 +95,8 @@
 // incarnate gives a member without state a new identity.
 func (s *sim) incarnate(m *simMember) {
 	s.nextID++
-	m.self = Member{ID: s.nextID, VM: fmt.Sprint(m.vm)}
+	witness := s.opts.witness && m.vm == s.opts.size-1
+	m.self = Member{ID: s.nextID, VM: fmt.Sprint(m.vm), Witness: witness}
 	m.joining = s.nextID > 1
 	m.busy = false
 }
@@ -102,7 +107,7 @@
 
 // open starts the member's process from its disk.
 func (s *sim) open(m *simMember, found bool) {
-	store, err := storage.Open(m.disk)
+	store, err := s.store(m)
 	if err != nil {
 		s.check.fail("member %d can't open its store: %v", m.self.ID, err)
 		return
@@ -113,7 +118,7 @@
 	m.hist = &simMachine{check: s.check}
 	m.core, err = newCore(coreConfig{
 		Self: m.self, Found: found, Store: store, Machine: m.hist, Logger: zap.NewNop(),
-		Limits:  logLimits{compactBytes: 4000, keepBytes: 1000},
+		Limits:  logLimits{compactBytes: 4000, keepBytes: 1000, backlogBytes: 1 << 20},
 		Send:    func(out consensus.Message) { s.send(m, out) },
 		Options: s.raftOptions(m),
 	}, m.clock(s.now))
@@ -124,6 +129,13 @@
 	m.inbox = nil
 }
 
+func (s *sim) store(m *simMember) (storage.Store, error) {
+	if s.opts.memory {
+		return storage.NewMemory(), nil
+	}
+	return storage.Open(m.disk)
+}
+
 func (s *sim) raftOptions(m *simMember) consensus.Options {
 	o := options(Config{Self: m.self, Tick: simTick})
 	o.Rand = rand.New(rand.NewPCG(s.rng.Uint64(), 2))
@@ -226,6 +238,7 @@
 	if !m.disk.Crashed() {
 		s.check.fail("member %d failed: %v", m.self.ID, m.core.failed)
 	}
+	s.check.crashes++
 	s.crash(m)
 }
 
--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -58,6 +58,13 @@
 	attempt string
 	begun   bool
 	tried   []model.ServerID
+	// hop is set if an entry VM of another data centre sent the request, and
+	// keeps its record; overflowed once other data centres were asked.
+	hop, overflowed bool
+	// spent counts the tries that failed.
+	spent int
+	// bodyRead is set once the whole body is held.
+	bodyRead bool
 }
 
 // limits are the settings that bound one request.
@@ -93,6 +100,9 @@
 	c.id = model.RequestID(r.Header.Get(api.HeaderRequestID))
 	c.named = c.id != ""
 	var refusal *verdict.Refusal
+	if c.hop, refusal = rt.checkHop(r); refusal != nil {
+		return c, refusal
+	}
 	if c.idempotent, refusal = parseIdempotent(r); refusal != nil {
 		return c, refusal
 	}
@@ -178,15 +188,16 @@
 	buffer := bytes.NewBuffer(make([]byte, 0, max(size, bytes.MinRead)))
 	_, err := io.CopyN(buffer, body, size)
 	c.head = buffer.Bytes()
-	switch {
-	case errors.Is(err, io.EOF):
-		return nil
-	case err != nil:
+	if err != nil && !errors.Is(err, io.EOF) {
 		return bodyRefusal(err)
 	}
-	if c.length != size {
+	if err == nil && c.length != size {
 		c.rest = body
+		return nil
 	}
+	c.bodyRead = true
+	// The library goes on reading to see whether the caller leaves.
+	control.SetReadDeadline(time.Time{})
 	return nil
 }
 
@@ -203,9 +214,18 @@
 	return verdict.Refuse(verdict.ReasonTooLarge, "body is larger than %d bytes", c.limits.body).By(c.limits.bodyBy.String())
 }
 
+// recorded reports whether the request needs a record made here.
+func (c *call) recorded() bool { return !c.idempotent && !c.hop }
+
 // whole reports whether the body is held whole and can be sent again.
 func (c *call) whole() bool { return c.rest == nil }
 
+// repeatable reports whether the request may be sent again after it may have run.
+func (c *call) repeatable() bool { return c.idempotent && c.whole() }
+
+// triesLeft reports whether another server may be tried.
+func (c *call) triesLeft() bool { return c.spent < c.limits.tries && c.left() > 0 }
+
 // body returns the body from its beginning.
 func (c *call) body() io.Reader {
 	if c.rest == nil {
@@ -226,7 +246,7 @@
 // refuse turns a refusal decided before the request's record was read into a
 // true one: an earlier call with the same id may have run.
 func (c *call) refuse(r *verdict.Refusal) *verdict.Refusal {
-	if !c.named || c.idempotent || c.begun || r.Verdict != verdict.NotRun {
+	if !c.named || c.idempotent || c.begun || c.hop || r.Verdict != verdict.NotRun {
 		return r
 	}
 	out := *r
--- a/internal/systems/drain.go
+++ b/internal/systems/drain.go
@@ -139,11 +139,20 @@
 			continue
 		}
 		t.out.Fleet.Reassign = append(t.out.Fleet.Reassign, Reassign{
-			Job: j.Spec.ID, Tasks: released, Reason: ReasonMoving,
+			Job: j.Spec.ID, Assignment: j.Assignment, Generation: t.Epoch.Generation(),
+			To: t.keeper(), Tasks: released, Reason: ReasonMoving,
 		})
 	}
 }
 
+// keeper is this data centre once it is in again.
+func (t *tick) keeper() model.DCID {
+	if t.View.Out {
+		return ""
+	}
+	return t.View.DC
+}
+
 func releasedTasks(j *work.Job) []work.AdmitTask {
 	var tasks []work.AdmitTask
 	for _, row := range j.Tasks() {
--- a/internal/systems/view.go
+++ b/internal/systems/view.go
@@ -19,14 +19,21 @@
 	// Revision grows with every change of Jobs or Teams. Systems that only
 	// follow the fleet skip a view that they have seen.
 	Revision uint64
-	Region   string
-	DC       model.DCID
+	// Generation is the newest of the data centre's group that the fleet has on
+	// record. A view that does not show the leader's own is too old to act on:
+	// it may list tasks that have moved since. 0 is not checked.
+	Generation uint64
+	Region     string
+	DC         model.DCID
 	// Out is set while the data centre is taken out, by OutRevision.
 	Out         bool
 	OutRevision uint64
 	Tree        *settings.Tree
-	Jobs        []JobHere
-	Teams       []TeamHere
+	// FleetSize is the size of all workers of the fleet, against which shares
+	// are counted; zero means this data centre's.
+	FleetSize model.Resources
+	Jobs      []JobHere
+	Teams     []TeamHere
 }
 
 // JobHere is a job with tasks owned by this data centre and no final outcome.
@@ -65,7 +72,7 @@
 	// Lost lists the workers whose leases have provably ended.
 	Lost []work.WorkerLost
 	// RebuildOver is set once every worker's lease has ended or been renewed
-	// since the leader took over.
+	// since the leader took over. Before, workers may be missing in the tables.
 	RebuildOver bool
 	// MayStart is set while the settings lease holds.
 	MayStart bool
@@ -100,9 +107,11 @@
 
 // Finish tells the outcome of all tasks of a job that are owned here.
 type Finish struct {
-	Job     model.JobID
-	Outcome model.Outcome
-	Reason  string
+	Job model.JobID
+	// Assignment is the one that the outcome covers.
+	Assignment uint64
+	Outcome    model.Outcome
+	Reason     string
 	// Whole is set if all of the job's tasks are owned here.
 	Whole bool
 	Tasks []TaskOutcome
@@ -130,12 +139,25 @@
 	// Version is the one of the grant that the return is based on; the fleet
 	// must ignore a return of an older version, which may be a late repeat.
 	Version uint64
-	Keep    model.Resources
+	// Generation of the data centre's group; the fleet must ignore a return of
+	// an older one than it has on record, since that group's tables are lost.
+	Generation uint64
+	Keep       model.Resources
 }
 
 // Reassign gives tasks that hold nothing here to another data centre.
+//
+// The fleet must ignore a request of another Assignment than its own record of
+// the job, or of an older Generation of the group: it may be a late repeat, and
+// the tasks may run here by now.
 type Reassign struct {
-	Job    model.JobID
+	Job model.JobID
+	// Assignment is the fleet revision that gave the tasks to this data centre.
+	Assignment uint64
+	Generation uint64
+	// To is this data centre once it is in again, and empty while the choice is
+	// the fleet's. Either way the fleet must give a new assignment.
+	To     model.DCID
 	Tasks  []work.AdmitTask
 	Reason string
 }
@@ -144,14 +166,19 @@
 // empty one.
 type Memory struct {
 	reservations []placement.Reservation
+	runs         []placement.RunView
 	// waits holds the reason last recorded per waiting job.
 	waits map[model.JobID]string
 	// asked holds when a request about a subject was last made.
 	asked map[string]int64
 	// throttled holds when a task was first told to slow down.
 	throttled map[model.TaskID]int64
-	seen      uint64
-	seenAny   bool
+	// finished holds the jobs whose end has been recorded.
+	finished map[model.JobID]bool
+	// idle holds since when a team's grant has been larger than it needs.
+	idle    map[model.TeamID]int64
+	seen    uint64
+	seenAny bool
 	// moveMillis and moveTokens pace the moves of a data centre that is out.
 	moveMillis int64
 	moveTokens int64
@@ -163,11 +190,13 @@
 		waits:     map[model.JobID]string{},
 		asked:     map[string]int64{},
 		throttled: map[model.TaskID]int64{},
+		finished:  map[model.JobID]bool{},
+		idle:      map[model.TeamID]int64{},
 	}
 }
 
 // askAgainMillis is the pause between equal requests to the fleet.
-const askAgainMillis = 1000
+const askAgainMillis = 300
 
 // mayAsk reports whether a request about subject is due, and notes it.
 func (m *Memory) mayAsk(subject string, nowMillis int64) bool {
--- a/internal/work/apply_run.go
+++ b/internal/work/apply_run.go
@@ -36,7 +36,7 @@
 }
 
 // use takes in reported use. A run never takes less room than its size.
-func (s *State) use(u *Usage) {
+func (s *State) use(nowMillis int64, u *Usage) {
 	t := s.run(u.RunID)
 	if t == nil {
 		return
@@ -50,9 +50,11 @@
 	}
 	t.UsageSeq = u.Seq
 	t.Reported = u.Reported
-	t.CheckpointMillis = max(t.CheckpointMillis, u.CheckpointMillis)
+	t.Peak = t.Peak.Max(u.Reported)
+	if u.CheckpointMillis > t.CheckpointMillis {
+		t.CheckpointMillis, t.SavedMillis = u.CheckpointMillis, nowMillis
+	}
 	s.resize(t, t.job.Spec.Size.Max(u.Hold))
-	s.learnPeak(t)
 }
 
 // adopt takes in a run that its worker reports after the tables were lost. It
@@ -86,8 +88,11 @@
 		return
 	}
 	w := s.workers[t.Worker]
-	s.learnEnd(nowMillis, t, e)
+	s.learn(nowMillis, t, e)
 	s.noteEnd(w, t, e)
+	if t.State == model.TaskStopping && t.Reason == ReasonOverSize {
+		t.Need = t.Need.Max(t.Hold)
+	}
 	s.unhold(t)
 	t.CheckpointMillis = max(t.CheckpointMillis, e.CheckpointMillis)
 	s.after(nowMillis, t, e)
@@ -147,6 +152,8 @@
 		s.toEnded(t, model.OutcomeUnknown, e.Reason)
 	case lost:
 		s.toPending(t, e.Reason)
+	case stopped && again && t.Reason == ReasonOverSize:
+		s.retry(nowMillis, t, &Ended{Reason: t.Reason, Retries: e.Retries, BackoffMillis: e.BackoffMillis}, again)
 	case stopped && again:
 		s.toPending(t, t.Reason)
 	case stopped:
@@ -156,6 +163,14 @@
 	}
 }
 
+// spentReason tells tasks that outgrew every worker from ones that failed.
+func spentReason(e *Ended) string {
+	if e.Reason == ReasonOverSize {
+		return ReasonOverSize
+	}
+	return ReasonRetriesSpent
+}
+
 // retry lets a failed task wait for its next run, or ends it.
 func (s *State) retry(nowMillis int64, t *Task, e *Ended, again bool) {
 	service := t.job.Spec.Class == model.ClassService
@@ -167,7 +182,7 @@
 	case !again:
 		s.toEnded(t, model.OutcomeFailed, ReasonNotIdempotent)
 	case !service && t.Failures > e.Retries:
-		s.toEnded(t, model.OutcomeFailed, ReasonRetriesSpent)
+		s.toEnded(t, model.OutcomeFailed, spentReason(e))
 	default:
 		t.NotBeforeMillis = nowMillis + e.BackoffMillis<<min(t.Failures-1, maxBackoffDoublings)
 		if e.Worker != "" {
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -399,7 +399,8 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	c.t.Fatalf("not within %s: %s", limit, what)
+	out, _ := c.kqctl("status")
+	c.t.Fatalf("not within %s: %s\n%s", limit, what, out)
 }
 
 // submit sends a job to one entry VM after the other until one takes it.
