--- a/internal/fleet/jobs_test.go
+++ b/internal/fleet/jobs_test.go
@@ -84,6 +84,38 @@
 	accepted(t, submit("c"))
 }
 
+// TestFinishedJobsAreSlim keeps what a resend and a status need, and no more.
+func TestFinishedJobsAreSlim(t *testing.T) {
+	f := started(t)
+	spec := batch("j1")
+	spec.Tasks, spec.Payload = 4, "some text"
+	submit := &Command{SubmitJob: &SubmitJob{Spec: spec, Owners: owners("dc2", "dc1", "dc2", "dc3")}}
+	f.ok(submit)
+	qt.Assert(t, f.state.jobs.payloadBytes, qt.Equals, 9)
+	f.ok(&Command{FinishJobs: &FinishJobs{[]FinishedJob{{Job: "j1", Outcome: model.OutcomeSucceeded}}}})
+	job, _ := f.state.Job("j1")
+	qt.Assert(t, job.Spec.Payload, qt.Equals, "")
+	qt.Assert(t, job.Owners, qt.DeepEquals, owners("dc2", "dc1", "dc3"))
+	qt.Assert(t, f.ok(submit).Repeat, qt.IsTrue)
+	qt.Assert(t, f.state.jobs.tasks+f.state.jobs.payloadBytes, qt.Equals, 0)
+}
+
+// TestFleetIsFull refuses what the state has no room for.
+func TestFleetIsFull(t *testing.T) {
+	f := started(t)
+	for _, fill := range []func(){
+		func() { f.state.jobs.tasks = maxAllTasks },
+		func() { f.state.jobs.tasks, f.state.jobs.payloadBytes = 0, maxPayloadBytes },
+	} {
+		fill()
+		spec := batch("j1")
+		spec.Payload = "x"
+		_, refusal := f.do(&Command{SubmitJob: &SubmitJob{Spec: spec, Owners: owners("dc1")}})
+		qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonOverload)
+		qt.Assert(t, refusal.Retry, qt.IsTrue)
+	}
+}
+
 func TestPartsOfAJob(t *testing.T) {
 	f := started(t)
 	spec := batch("j1")
@@ -158,14 +190,29 @@
 
 func TestSpreadOwners(t *testing.T) {
 	f := started(t)
+	f.ok(&Command{SubmitJob: &SubmitJob{Spec: batch("busy"), Owners: owners("dc1")}})
+	cases := []struct {
+		class model.Class
+		tasks int
+		want  []model.DCID
+	}{
+		{model.ClassService, 4, owners("dc1", "dc2", "dc3", "dc1")},
+		{model.ClassBatch, 4, owners("dc2", "dc3", "dc1", "dc2")},
+		{model.ClassUrgent, 1, owners("dc2")},
+		{model.ClassGang, 3, owners("dc2", "dc2", "dc2")},
+	}
+	for _, c := range cases {
+		spec := batch("next")
+		spec.Class, spec.Tasks = c.class, c.tasks
+		got, refusal := f.state.SpreadOwners(&spec)
+		accepted(t, refusal)
+		qt.Check(t, got, qt.DeepEquals, c.want, qt.Commentf("%s", c.class))
+	}
 	f.ok(&Command{Header: f.header(), SetDataCentre: &SetDataCentre{DC: "dc2", Out: true}})
-	spec := batch("j1")
-	spec.Tasks, spec.Class, spec.RunMillis = 3, model.ClassService, 0
-	got, refusal := f.state.SpreadOwners(&spec)
-	accepted(t, refusal)
-	qt.Assert(t, got, qt.DeepEquals, owners("dc1", "dc3", "dc1"))
-	f.ok(&Command{SubmitJob: &SubmitJob{Spec: batch("j2"), Owners: owners("dc1")}})
-	spec = batch("j3")
-	got, _ = f.state.SpreadOwners(&spec)
+	spec := batch("next")
+	got, _ := f.state.SpreadOwners(&spec)
 	qt.Assert(t, got, qt.DeepEquals, owners("dc3"))
+	spec.DataCentres = owners("dc2")
+	_, refusal := f.state.SpreadOwners(&spec)
+	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonOut)
 }
