--- a/internal/entry/backend_test.go
+++ b/internal/entry/backend_test.go
@@ -16,6 +16,7 @@
 
 // TestBackendContract gives one request to a server that treats it badly.
 func TestBackendContract(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		mode    backend.Mode
 		status  int
@@ -81,6 +82,7 @@
 // TestLateAnswersGoNowhere sends requests to servers whose second copy of each
 // answer comes late, with and without the request's id in it.
 func TestLateAnswersGoNowhere(t *testing.T) {
+	t.Parallel()
 	for _, quiet := range []bool{false, true} {
 		c := newCell(t)
 		e := c.addEntry()
@@ -106,6 +108,7 @@
 // TestUnreachableServer checks requests to a server that is gone: nothing was
 // sent, so that also one that is not idempotent goes to another server.
 func TestUnreachableServer(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e := c.addEntry()
 	gone := c.addServer("orders")
@@ -124,6 +127,7 @@
 // TestLeavingServerGetsNothingNew covers a server that says so and one that
 // falls silent, and that what it runs is not cut.
 func TestLeavingServerGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name  string
 		leave func(s *backend.Server)
--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -38,6 +38,7 @@
 // TestCallerContract sends what callers may get wrong, and checks that it is
 // refused with a true verdict and reaches no server.
 func TestCallerContract(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	c.control.Set(func(v *api.EntryView) {
 		withdrawn := key("k3", "vets")
@@ -94,6 +95,7 @@
 
 // TestDecidingLevelIsNamed checks that a limit names the settings level behind it.
 func TestDecidingLevelIsNamed(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	c.control.Set(func(v *api.EntryView) {
 		v.Tree = settings.NewTree()
@@ -105,6 +107,7 @@
 }
 
 func TestOpenQueueTakesAll(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e := c.addEntry()
 	c.addServer("lookup")
@@ -124,6 +127,7 @@
 
 // TestLargeBodiesBothWays checks bodies beyond all buffers, sized and chunked.
 func TestLargeBodiesBothWays(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e := c.addEntry()
 	c.addServer("orders")
@@ -142,6 +146,7 @@
 
 // TestRepeats checks what a repeat of an id is told.
 func TestRepeats(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e, other := c.addEntry(), c.addEntry()
 	s := c.addServer("orders", func(cfg *fakeConfig) { cfg.Delay = 300 * time.Millisecond })
@@ -179,6 +184,7 @@
 // TestWithdrawnKeyStopsWaitingRequests checks that a key withdrawn while its
 // request waits for a slot doesn't get it sent.
 func TestWithdrawnKeyStopsWaitingRequests(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e := c.addEntry()
 	s := c.addServer("orders", func(cfg *fakeConfig) {
@@ -197,6 +203,7 @@
 }
 
 func TestAnnouncementContract(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e := c.addEntry()
 	good := `{"server":"s","addr":"127.0.0.1:1","dc":"a","queue":"orders","slots":8,"connections":60,"incarnation":"1","leaving":false}`
--- a/internal/entry/cell_test.go
+++ b/internal/entry/cell_test.go
@@ -120,6 +120,22 @@
 
 // addServer starts a backend server that announces itself by every entry VM.
 func (c *cell) addServer(queue model.QueueName, change ...func(*backend.Config)) *backend.Server {
+	c.t.Helper()
+	s := c.startServer(queue, change...)
+	c.awaitSlots()
+	return s
+}
+
+// awaitSlots waits until slots of every server are lent.
+func (c *cell) awaitSlots() {
+	c.t.Helper()
+	for _, s := range c.servers {
+		id := s.Announcement().Server
+		c.eventually("slots are lent", func() bool { return c.control.Held(id) > 0 })
+	}
+}
+
+func (c *cell) startServer(queue model.QueueName, change ...func(*backend.Config)) *backend.Server {
 	c.t.Helper()
 	cfg := backend.Config{
 		Server: model.ServerID(fmt.Sprint("s", len(c.servers))), DC: c.dc, Queue: queue, Incarnation: "1",
@@ -144,7 +160,6 @@
 		<-done
 	})
 	c.servers = append(c.servers, s)
-	c.eventually("slots are lent", func() bool { return c.control.Held(cfg.Server) > 0 })
 	return s
 }
 
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -82,6 +82,7 @@
 // TestSlotsAreNeverExceeded cuts one of two busy entry VMs off from the group
 // until its slots are lent to the other one, and lets it come back.
 func TestSlotsAreNeverExceeded(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e0, e1 := c.addEntry(), c.addEntry()
 	s := c.addServer("lookup", func(cfg *fakeConfig) {
@@ -113,6 +114,7 @@
 // TestRecordsOutOfReach checks what is said when the ledger fails, and that
 // nothing is sent without a record.
 func TestRecordsOutOfReach(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e := c.addEntry()
 	s := c.addServer("orders")
@@ -137,6 +139,7 @@
 
 // TestFinishIsLost checks a repeat of a request whose record was never closed.
 func TestFinishIsLost(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e, other := c.addEntry(), c.addEntry()
 	s := c.addServer("orders")
@@ -155,6 +158,7 @@
 // TestSharesAndShedding loads an open queue from two teams beyond its slots:
 // what is shed was not run, and what is answered follows the shares.
 func TestSharesAndShedding(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e := c.addEntry()
 	s := c.addServer("lookup", func(cfg *fakeConfig) { cfg.Slots, cfg.Delay = 4, 10*time.Millisecond })
@@ -181,3 +185,17 @@
 	t.Logf("shares 3:1, answers %d:%d", done["vets"], done["shop"])
 	qt.Assert(t, ratio > 2 && ratio < 4, qt.IsTrue, qt.Commentf("%.2f", ratio))
 }
+
+// TestAnnouncementsOutlastLostLeader checks that what a server announced while
+// the data centre had no leader reaches the next one.
+func TestAnnouncementsOutlastLostLeader(t *testing.T) {
+	t.Parallel()
+	c := newCell(t)
+	c.addEntry()
+	c.addServer("orders")
+	c.control.SetLeaderless(true)
+	c.startServer("lookup", func(cfg *fakeConfig) { cfg.Every = time.Hour })
+	time.Sleep(100 * time.Millisecond)
+	c.control.SetLeaderless(false)
+	c.awaitSlots()
+}
--- a/internal/entry/overflow_test.go
+++ b/internal/entry/overflow_test.go
@@ -26,6 +26,7 @@
 
 // TestOverflow sends requests that data centre a can't serve.
 func TestOverflow(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name   string
 		set    func(a, b *cell)
@@ -83,6 +84,7 @@
 // TestOverflowWhenFull loads one data centre beyond its slots: the other takes
 // part of it, and no request runs twice.
 func TestOverflowWhenFull(t *testing.T) {
+	t.Parallel()
 	a, b := twoCentres(t)
 	slow := func(cfg *fakeConfig) { cfg.Slots, cfg.Delay = 2, 100*time.Millisecond }
 	sa, sb := a.addServer("orders", slow), b.addServer("orders", slow)
@@ -108,6 +110,7 @@
 
 // TestCallersCantPretendToBeEntryVMs checks the header that entry VMs send.
 func TestCallersCantPretendToBeEntryVMs(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e := c.addEntry()
 	resp, err := rawCall(t, e, "POST /q/orders HTTP/1.1\r\nHost: x\r\nKq-Hop: b\r\nKq-Key: "+vetsKey+"\r\nContent-Length: 0\r\n\r\n", false)
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestThinPath(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	e := c.addEntry()
 	s := c.addServer("orders")
--- a/internal/entry/process_test.go
+++ b/internal/entry/process_test.go
@@ -21,15 +21,16 @@
 
 // process is a kqentry of its own, which can be killed and paused.
 type process struct {
-	t      *testing.T
+	t      testing.TB
 	binary string
 	vm     string
 	addr   string
 	wire   string
+	args   []string
 	cmd    *exec.Cmd
 }
 
-func buildEntry(t *testing.T) string {
+func buildEntry(t testing.TB) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "kqentry")
 	out, err := exec.Command("go", "build", "-o", binary, "kumquatwing/cmd/kqentry").CombinedOutput()
@@ -37,7 +38,7 @@
 	return binary
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	defer l.Close()
@@ -45,7 +46,8 @@
 }
 
 func (p *process) start() {
-	p.cmd = exec.Command(p.binary, "--vm", p.vm, "--dc", "a", "--listen", p.addr, "--control", p.wire, "--sync", "50ms", "--grace", "100ms")
+	args := []string{"--vm", p.vm, "--dc", "a", "--listen", p.addr, "--control", p.wire, "--sync", "50ms", "--grace", "100ms"}
+	p.cmd = exec.Command(p.binary, append(args, p.args...)...)
 	qt.Assert(p.t, p.cmd.Start(), qt.IsNil)
 }
 
@@ -74,7 +76,6 @@
 	c       *cell
 	addrs   []string
 	history *history
-	n       int
 }
 
 func (k *caller) mint(turn int) model.RequestID {
@@ -112,6 +113,7 @@
 // and one is stopped gracefully. Every answer is then held against what the
 // backend servers ran.
 func TestAtMostOnceOverFaults(t *testing.T) {
+	t.Parallel()
 	c := newCell(t)
 	c.client.Timeout = 2 * time.Second
 	binary := buildEntry(t)
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -11,6 +11,7 @@
 
 	"kumquatwing/internal/api"
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/verdict"
 )
 
 // minSyncPause bounds how often new demand leads to a sync.
@@ -109,9 +110,14 @@
 		e.logSyncFailure(err)
 		return err
 	}
+	e.router.Synced(asked, state)
+	if !state.SlotsValid {
+		// The data centre's leader did not get what the sync carried.
+		e.announced.putBack(req.Announcements)
+		return verdict.Refuse(verdict.ReasonNoLeader, "data centre's leader did not answer")
+	}
 	e.syncFailing = false
 	e.lastSync.Store(int64(asked))
-	e.router.Synced(asked, state)
 	return nil
 }
 
--- a/internal/fake/backend/backend.go
+++ b/internal/fake/backend/backend.go
@@ -62,7 +62,8 @@
 	Entries []string
 	// Every is the pause between two announcements.
 	Every time.Duration
-	// Delay is how long each request runs in mode Slow and Duplicate.
+	// Delay is how long each request runs in mode Slow, and the pause between the
+	// parts of faulty answers.
 	Delay       time.Duration
 	AnswerBytes int
 	// Quiet leaves the request's id out of answers.
--- a/internal/fake/control/control.go
+++ b/internal/fake/control/control.go
@@ -40,6 +40,8 @@
 	leader *slots.Leader
 	ledger *ledger.State
 	remote []api.RemoteEntry
+	// leaderless syncs get a lease and no slots.
+	leaderless bool
 	// isolated entry VMs get no answers.
 	isolated map[model.VMID]bool
 	// fail refuses the topics in it.
@@ -107,6 +109,13 @@
 	c.lease = d
 }
 
+// SetLeaderless answers syncs as while the data centre has no leader.
+func (c *Control) SetLeaderless(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaderless = on
+}
+
 // Isolate cuts an entry VM off from the group, or takes it back.
 func (c *Control) Isolate(vm model.VMID, cut bool) {
 	c.mu.Lock()
@@ -172,19 +181,17 @@
 	if c.isolated[req.Entry] {
 		return nil, verdict.Uncertain(verdict.ReasonUnreachable, "entry VM %s is cut off", req.Entry)
 	}
-	cmds, reply := c.leader.Sync(c.clock.Now(), req)
-	c.apply(cmds)
-	out := &api.EntryState{
-		LeaseMillis: c.lease.Milliseconds(),
-		Revision:    c.view.Revision,
-		Generation:  generation,
-		GroupMillis: now(),
-		Remote:      c.remote,
-	}
+	out := &api.EntryState{LeaseMillis: c.lease.Milliseconds(), Revision: c.view.Revision, Remote: c.remote}
 	if req.Revision < c.view.Revision {
 		v := c.view
 		out.View = &v
 	}
+	if c.leaderless {
+		return out, nil
+	}
+	out.Generation, out.GroupMillis = generation, now()
+	cmds, reply := c.leader.Sync(c.clock.Now(), req)
+	c.apply(cmds)
 	reply(c.clock.Now(), out)
 	return out, nil
 }
--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -193,6 +193,8 @@
 	}
 	if err == nil && c.length != size {
 		c.rest = body
+		// The answer may begin before the body has ended.
+		control.EnableFullDuplex()
 		return nil
 	}
 	c.bodyRead = true
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -25,6 +25,9 @@
 	// emptyLimit is after how long without slots a request that can go elsewhere
 	// no longer waits for the first one.
 	emptyLimit = 500 * time.Millisecond
+	// toldShare is the part of the demand last told by which it must grow to be
+	// told at once.
+	toldShare = 4
 	// holdWeight is the weight of the newest sample in the mean hold time.
 	holdWeight = 0.1
 	// longestWindow is for how long a long deadline is remembered.
@@ -96,8 +99,9 @@
 // slotQueue is one queue's waiting requests and figures.
 type slotQueue struct {
 	fair *fairQueue
-	// inUse counts slots in use, peak the most wanted since the last sync.
-	inUse, peak int
+	// inUse counts slots in use, peak the most wanted since the last sync, told
+	// what the last sync said.
+	inUse, peak, told int
 	// hold is the mean time that a slot is taken.
 	hold time.Duration
 	// empty is since when no slot was held whenever one was wanted.
@@ -226,15 +230,21 @@
 	q.fair.push(w)
 	longer := p.longest.note(time.Now(), time.Until(want.Deadline))
 	p.dispatch(want.Queue, q)
-	waits := w.index >= 0
+	news := w.index >= 0 && q.grown()
 	q.peak = max(q.peak, q.inUse+q.fair.len())
 	p.mu.Unlock()
-	if waits || longer {
+	if news || longer {
 		p.wake()
 	}
 	return w, nil
 }
 
+// grown reports whether so much more is wanted than the group was told that it
+// should be told at once. A steady load waits for the next sync.
+func (q *slotQueue) grown() bool {
+	return q.inUse+q.fair.len() > q.told+q.told/toldShare
+}
+
 // shed refuses a request that would wait in vain.
 func (p *Pool) shed(q *slotQueue, want *Want) error {
 	if q.fair.waiting(want.Team) >= want.Room {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"kumquatwing/internal/api"
 	"kumquatwing/internal/clock"
@@ -25,6 +26,8 @@
 const (
 	// randomBase writes the random part of an id.
 	randomBase = 36
+	// eventsPerSecond bounds the events of requests.
+	eventsPerSecond = 200
 	// slotTries bounds how often a slot is lost between its grant and its use.
 	slotTries = 8
 )
@@ -65,6 +68,7 @@
 	ledger      Ledger
 	log         *zap.Logger
 	events      eventlog.Recorder
+	eventRate   *rate.Limiter
 	observe     func(Outcome)
 
 	pool     *Pool
@@ -97,6 +101,7 @@
 		ledger:      cfg.Ledger,
 		log:         cfg.Log.Named("route"),
 		events:      cfg.Events,
+		eventRate:   rate.NewLimiter(eventsPerSecond, 2*eventsPerSecond),
 		observe:     cfg.Observe,
 		pool:        NewPool(cfg.Clock, cfg.Dial, cfg.Wake),
 		room:        int64(cfg.Requests),
@@ -165,6 +170,7 @@
 func (rt *Router) Wait() {
 	rt.pool.Close()
 	rt.remotes.set(nil)
+	rt.pool.drained(2 * cutLinger)
 	rt.work.Wait()
 }
 
@@ -193,6 +199,9 @@
 		return
 	}
 	rt.observe(Outcome{Verdict: verdict.Done, Took: time.Since(began)})
+	if c.begun {
+		rt.record(c, "request.done", "", "")
+	}
 }
 
 // accept reads and checks a request as far as it can be without a slot.
@@ -260,11 +269,21 @@
 // refusalTimeout bounds the writing of a refusal.
 const refusalTimeout = 5 * time.Second
 
-// note records a refusal.
+// note counts and records a refusal.
 func (rt *Router) note(c *call, began time.Time, refusal *verdict.Refusal) {
 	rt.observe(Outcome{refusal.Verdict, refusal.Reason, time.Since(began)})
-	e := eventlog.Event{Kind: "request.refused", DC: rt.dc, Cause: string(refusal.Reason), Detail: refusal.Message, Revision: rt.Revision()}
-	e.Request, e.Team = c.id, c.team
+	rt.record(c, "request.refused", string(refusal.Reason), refusal.Message)
+}
+
+// record writes an event, unless there are too many; metrics count them all.
+func (rt *Router) record(c *call, kind eventlog.Kind, cause, detail string) {
+	if !rt.eventRate.Allow() {
+		return
+	}
+	e := eventlog.Event{
+		Kind: kind, DC: rt.dc, Request: c.id, Team: c.team,
+		Revision: rt.Revision(), Cause: cause, Detail: detail,
+	}
 	if c.queue != nil {
 		e.Queue = c.queue.Name
 	}
--- a/internal/route/sync.go
+++ b/internal/route/sync.go
@@ -30,6 +30,7 @@
 	for name, q := range p.queues {
 		n := max(q.peak, q.inUse+q.fair.len())
 		q.peak = q.inUse + q.fair.len()
+		q.told = n
 		if n > 0 {
 			out = append(out, api.QueueDemand{Queue: name, Slots: n})
 		}
@@ -127,6 +128,17 @@
 	}
 }
 
+// drained waits until no slot is in use, up to limit. A slot outlasts its
+// request when the exchange was broken off.
+func (p *Pool) drained(limit time.Duration) {
+	for end := time.Now().Add(limit); p.Load().InUse > 0 && time.Now().Before(end); {
+		time.Sleep(drainPause)
+	}
+}
+
+// drainPause is the pause between two looks at the slots in use.
+const drainPause = 10 * time.Millisecond
+
 // Close refuses every waiting request and closes idle connections. Slots in
 // use stay so until they are released.
 func (p *Pool) Close() {
