Place nothing beside runs that the tables don't know; shrink with a worker

Cause, each seen failing first: after a rebuild a worker that still ran a job which the fleet had finished got new tasks beside it (8 tasks of 1 core on 4); a worker that came back smaller kept all its tasks; a delayed command could lower the longest lease term that a new leader waits for. Now a worker gets tasks once it has reported to this leader and runs nothing unknown (Input.Usable, to wire up as Leader.Usable); runs without room are stopped, newest first; the lease term is only ever raised within a generation. Ruled out: refusing such a worker's registration, since its lease would end and with it the runs that were to be adopted.

--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -179,7 +179,7 @@
 	return systems.Tick(&systems.Input{
 		NowMillis: c.Millis(), Epoch: c.Leader.Epoch(), Member: "vm1", State: c.State, View: c.View,
 		Lost: c.Leader.Expired(c.Clock.Now()), RebuildOver: c.Leader.TablesFilled(c.Clock.Now()),
-		MayStart: c.Gate.MayStart > 0, Memory: c.Memory, Decide: c.Decide,
+		Usable: c.Leader.Usable, MayStart: c.Gate.MayStart > 0, Memory: c.Memory, Decide: c.Decide,
 	})
 }
 
--- a/internal/fake/worker/core.go
+++ b/internal/fake/worker/core.go
@@ -320,6 +320,9 @@
 	return list
 }
 
+// Resize changes the size that the worker reports.
+func (c *Core) Resize(size model.Resources) { c.cfg.Size = size }
+
 // Epoch is the newest the worker has seen.
 func (c *Core) Epoch() model.Epoch { return c.epoch }
 
--- a/internal/systems/faults_test.go
+++ b/internal/systems/faults_test.go
@@ -368,3 +368,37 @@
 	cl.Steps(6, step)
 	c.Assert(cl.States("k"), qt.DeepEquals, map[model.TaskState]int{model.TaskRunning: 4})
 }
+
+// A worker that comes back smaller than what it runs gets rid of the newest runs.
+func TestShrunkWorkerStopsWhatHasNoRoom(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	w := cl.AddWorker(worker.Config{})
+	cl.Submit(model.JobSpec{ID: "j", Class: model.ClassBatch, Tasks: 4, RunMillis: 600_000, Idempotent: true})
+	cl.Steps(4, step)
+	w.Resize(model.Resources{MilliCPU: 2000, MemoryMB: 4096})
+	cl.Steps(6, step)
+	c.Assert(w.Running(), qt.HasLen, 2)
+	c.Assert(cl.State.Worker("w00").Free().Negative(), qt.IsFalse)
+}
+
+// Runs that the rebuilt tables don't know take room until they have stopped.
+func TestNothingIsPlacedBesideUnknownRuns(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	w := cl.AddWorker(worker.Config{StopDelay: 4 * time.Second})
+	cl.Submit(model.JobSpec{ID: "gone", Class: model.ClassBatch, Tasks: 4, RunMillis: 600_000, Idempotent: true})
+	cl.Steps(4, step)
+	c.Assert(w.Running(), qt.HasLen, 4)
+	cl.Generation, cl.View.Generation, cl.Term = 2, 2, 0
+	cl.State.Reset()
+	cl.View.Jobs = nil
+	cl.Elect()
+	cl.Propose(&work.Command{Epoch: cl.Leader.Epoch(), Rebuild: &work.Rebuild{Generation: 2}})
+	cl.Submit(model.JobSpec{ID: "new", Class: model.ClassBatch, Tasks: 4, RunMillis: 600_000, Idempotent: true})
+	for range 40 {
+		cl.Step(step)
+		c.Assert(len(w.Running()) <= 4, qt.IsTrue, qt.Commentf("%d tasks of 1000m on 4000m", len(w.Running())))
+	}
+	c.Assert(cl.States("new"), qt.DeepEquals, map[model.TaskState]int{model.TaskRunning: 4})
+}
--- a/internal/systems/place.go
+++ b/internal/systems/place.go
@@ -59,7 +59,8 @@
 	for _, w := range t.State.Workers() {
 		v := placement.WorkerView{ID: w.ID, Rack: w.Rack, Size: w.Size, Free: w.Free(), State: w.State}
 		// On probation a worker gets its next task when it holds none.
-		if w.Probation && len(w.Tasks()) > 0 {
+		unusable := t.Usable != nil && !t.Usable(w.ID)
+		if unusable || w.Probation && len(w.Tasks()) > 0 {
 			v.State = model.WorkerQuarantined
 		}
 		views = append(views, v)
--- a/internal/systems/usage.go
+++ b/internal/systems/usage.go
@@ -1,6 +1,7 @@
 package systems
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -51,6 +52,24 @@
 		}
 		free = free.Add(t.shrinkTask(row, free))
 	}
+	t.evictNewest(w, free)
+}
+
+// evictNewest stops runs of their own size on a worker that has become smaller,
+// the newest first. Runs that are not idempotent end by themselves.
+func (t *tick) evictNewest(w *work.Worker, free model.Resources) {
+	rows := slices.Clone(w.Tasks())
+	slices.SortStableFunc(rows, func(a, b *work.Task) int { return cmp.Compare(b.PlacedMillis, a.PlacedMillis) })
+	for _, row := range rows {
+		if !free.Negative() {
+			return
+		}
+		if !row.JobRow().Spec.Idempotent || !t.stop(row, work.ReasonNoRoom, true) {
+			continue
+		}
+		free = free.Add(row.Hold)
+		t.recordTask(EventStopped, row, work.ReasonNoRoom, fmt.Sprintf("worker %s has only %s now", w.ID, w.Size), nil)
+	}
 }
 
 // slowing reports whether a throttle has not yet had the time to show in reports.
--- a/internal/systems/view.go
+++ b/internal/systems/view.go
@@ -74,6 +74,8 @@
 	// RebuildOver is set once every worker's lease has ended or been renewed
 	// since the leader took over. Before, workers may be missing in the tables.
 	RebuildOver bool
+	// Usable reports whether a worker may get new tasks; nil means all may.
+	Usable func(model.WorkerID) bool
 	// MayStart is set while the settings lease holds.
 	MayStart bool
 	// Memory is the leader's own, kept from tick to tick.
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -63,7 +63,7 @@
 		s.out = *c.Out
 	}
 	if c.LeaseTerm != nil {
-		s.leaseMillis = c.LeaseTerm.Millis
+		s.leaseMillis = max(s.leaseMillis, c.LeaseTerm.Millis)
 	}
 }
 
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -63,8 +63,9 @@
 }
 
 // SetLeaseTerm sets the longest worker lease in milliseconds that a leader may
-// have granted. It is raised before a longer lease is granted, and lowered
-// once the longer ones have ended.
+// have granted. It is raised before a longer lease is granted and never lowered
+// within a generation, since a delayed command could lower it too soon; a new
+// leader then waits longer than it had to.
 type SetLeaseTerm struct {
 	Millis int64 `msgpack:"m"`
 }
--- a/internal/work/delayed_test.go
+++ b/internal/work/delayed_test.go
@@ -18,9 +18,10 @@
 func running() *work.State {
 	s := work.New()
 	s.Apply(1000, &work.Command{
-		Epoch:    model.NewEpoch(1, 2),
-		View:     7,
-		Register: []work.Register{{Worker: "w", DC: "dc1", Size: size, Incarnation: "i1"}},
+		Epoch:     model.NewEpoch(1, 2),
+		View:      7,
+		LeaseTerm: &work.SetLeaseTerm{Millis: 9000},
+		Register:  []work.Register{{Worker: "w", DC: "dc1", Size: size, Incarnation: "i1"}},
 		Admit: []work.Admit{{Assignment: 7, Spec: model.JobSpec{
 			ID: "j", Team: "t", Tasks: 1, Size: need, Class: model.ClassBatch, Idempotent: true,
 		}}},
@@ -49,6 +50,7 @@
 		{"a loss of an older standing", &work.Command{Lost: older}, func(s *work.State) { s.Skip(work.SkipStanding) }},
 		{"an admission by an older view", &work.Command{View: 6, Admit: []work.Admit{{Spec: other, Assignment: 6}}}, func(s *work.State) { s.Skip(work.SkipView) }},
 		{"a raise by the version that was lowered", &work.Command{Grants: []work.SetGrant{{Team: "t", Version: 3, Cap: size}}}, func(s *work.State) { s.Skip(work.SkipVersion) }},
+		{"a shorter lease term", &work.Command{LeaseTerm: &work.SetLeaseTerm{Millis: 5000}}, nil},
 		{"a stop of an older attempt", &work.Command{Stop: []work.Stop{{Task: "j.0", Attempt: 0}}}, nil},
 		{"a second placement", &work.Command{Place: []work.Place{{Task: "j.0", Worker: "w"}}}, nil},
 		{"an older process's registration", &work.Command{Register: []work.Register{{Worker: "w", Size: size, Incarnation: "i0"}}}, nil},
--- a/internal/workerapi/leader.go
+++ b/internal/workerapi/leader.go
@@ -57,8 +57,10 @@
 type seen struct {
 	incarnation string
 	// past lists the incarnations that a newer one has replaced.
-	past   []string
-	seq    uint64
+	past []string
+	seq  uint64
+	// strays is set if the report named runs that the tables don't hold there.
+	strays bool
 	report *api.WorkerReport
 	wake   chan struct{}
 }
@@ -145,6 +147,13 @@
 	return lost
 }
 
+// Usable reports whether the worker may get new tasks: it has reported to this
+// leader and runs nothing beyond what the tables account for.
+func (l *Leader) Usable(id model.WorkerID) bool {
+	s := l.seen[id]
+	return s != nil && s.report != nil && !s.strays
+}
+
 // ended reports whether the worker's lease has provably ended at now.
 func (l *Leader) ended(id model.WorkerID, now clock.Instant) bool {
 	if l.skip&skipLease != 0 && l.seen[id] == nil {
--- a/internal/workerapi/report.go
+++ b/internal/workerapi/report.go
@@ -39,7 +39,7 @@
 	c := &work.Command{Epoch: l.epoch}
 	w := l.state.Worker(r.Worker)
 	s.replace(r.Incarnation, s.incarnation, incarnationOf(w))
-	s.seq, s.report = r.Seq, r
+	s.seq, s.report, s.strays = r.Seq, r, l.runsUnknown(r)
 	if l.mustRegister(w, r) {
 		c.Register = append(c.Register, work.Register{
 			Worker: r.Worker, DC: r.DC, Rack: r.Rack, Size: r.Size, Incarnation: r.Incarnation,
@@ -94,15 +94,13 @@
 	case w.Incarnation != r.Incarnation:
 		return len(w.Tasks()) == 0
 	case w.State == model.WorkerLost:
-		return !l.runsUnknown(r)
+		return l.state.Rebuilding() || !l.runsUnknown(r)
 	}
 	return w.Size != r.Size || w.Rack != r.Rack
 }
 
+// runsUnknown reports whether the worker runs what the tables don't hold there.
 func (l *Leader) runsUnknown(r *api.WorkerReport) bool {
-	if l.state.Rebuilding() {
-		return false
-	}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		if t.State != model.TaskEnded && l.state.Run(runOf(r, t)) == nil {
