--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -15,6 +15,9 @@
 	HeaderDeadline = "Kq-Deadline-Ms"
 	// HeaderVerdict is set on every answer.
 	HeaderVerdict = "Kq-Verdict"
+	// HeaderHop names the data centre whose entry VM passes a request on to
+	// one of another data centre.
+	HeaderHop = "Kq-Hop"
 	// HeaderReason is the stable reason of a refusal.
 	HeaderReason = "Kq-Reason"
 	// HeaderOperator carries the operators' token.
@@ -36,6 +39,8 @@
 	PathJob  = "/v1/jobs/{job}"
 	// PathJobTasks lists a job's tasks over all data centres that own some.
 	PathJobTasks = "/v1/jobs/{job}/tasks"
+	// PathCancelJobs cancels many jobs in one call (POST).
+	PathCancelJobs = "/v1/jobs/cancel"
 	// PathWhy explains a subject: task, job, team or worker.
 	PathWhy = "/v1/why/{kind}/{id}"
 	// PathSettings applies (POST) and reads (GET) declarations.
