Record what became of tasks when their runs ended, and granted limits

Cause: the account of a task ended with its placement; why it failed, when it starts again and by which settings was nowhere. Ruled out: recording in the worker's report, whose result is known only after it is applied.

--- a/internal/systems/commit.go
+++ b/internal/systems/commit.go
@@ -32,8 +32,12 @@
 	}
 }
 
-// Abandon forgets what the tick decided: nothing is recorded, and reasons for
-// waiting are recorded anew by the next tick.
+// Abandon forgets what the tick decided: nothing is recorded now, and what holds
+// without the command is recorded by the next tick.
 func (o *Output) Abandon() {
 	clear(o.memory.waits)
+	o.memory.changes = o.changes
+	for _, id := range o.finished {
+		delete(o.memory.finished, id)
+	}
 }
--- a/internal/systems/faults_test.go
+++ b/internal/systems/faults_test.go
@@ -402,3 +402,21 @@
 	}
 	c.Assert(cl.States("new"), qt.DeepEquals, map[model.TaskState]int{model.TaskRunning: 4})
 }
+
+// What a tick whose command was not committed had to tell is told by the next.
+func TestAbandonedTickIsToldAgain(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	cl.AddWorker(worker.Config{})
+	cl.Submit(job("j", 1))
+	cl.Steps(8, step)
+	cl.Clock.Advance(step)
+	cl.Exchange(cl.Workers[0])
+	c.Assert(cl.State.Task("j.0").State, qt.Equals, model.TaskEnded)
+	before := cl.Log.Count(systems.EventEnded)
+	cl.Decided().Abandon()
+	cl.Tick()
+	c.Assert(cl.Log.Count(systems.EventEnded), qt.Equals, before+1)
+	cl.Steps(4, step)
+	c.Assert(cl.Log.Count(systems.EventFinished), qt.Equals, 1)
+}
--- a/internal/systems/follow.go
+++ b/internal/systems/follow.go
@@ -131,6 +131,7 @@
 		t.out.Fleet.Finish = append(t.out.Fleet.Finish, f)
 		if !t.Memory.finished[j.Spec.ID] {
 			t.Memory.finished[j.Spec.ID] = true
+			t.out.finished = append(t.out.finished, j.Spec.ID)
 			t.recordJob(EventFinished, &j.Spec, f.Reason, "all tasks have ended: "+string(f.Outcome), nil)
 		}
 	}
--- a/internal/systems/grants.go
+++ b/internal/systems/grants.go
@@ -68,6 +68,10 @@
 		t.lower(h, keep)
 	case g.Returning, g.Cap != h.Granted && allowed == h.Granted && g.Version < h.Version:
 		t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Version: h.Version, Cap: h.Granted})
+		t.record(&eventlog.Event{
+			Kind: EventGrant, Team: h.ID, Cause: "granted",
+			Detail: fmt.Sprintf("may run %s here, by version %d of the fleet's grant", h.Granted, h.Version),
+		}, nil)
 	case g.Cap != h.Granted && allowed == h.Granted:
 		// This version was lowered already; only a newer one can raise the cap.
 		t.lower(h, g.Cap)
--- a/internal/systems/systems_test.go
+++ b/internal/systems/systems_test.go
@@ -23,6 +23,7 @@
 	cl.Steps(6, 500*time.Millisecond)
 	c.Assert(cl.States("j1"), qt.DeepEquals, map[model.TaskState]int{model.TaskEnded: 6})
 	c.Assert(cl.Log.Count(systems.EventPlaced), qt.Equals, 6)
+	c.Assert(cl.Log.Count(systems.EventEnded), qt.Equals, 6)
 	c.Assert(cl.Log.Count(systems.EventFinished) > 0, qt.IsTrue)
 	cl.View.Jobs = nil
 	cl.View.Revision++
--- a/internal/systems/tick.go
+++ b/internal/systems/tick.go
@@ -51,6 +51,7 @@
 func Tick(in *Input) *Output {
 	t := &tick{Input: in, cmd: &work.Command{Epoch: in.Epoch, View: in.View.Revision}, stopped: map[model.TaskID]bool{}}
 	t.out = &Output{Command: t.cmd, memory: in.Memory}
+	t.tellEnds()
 	t.expire()
 	t.checkUsage()
 	t.judge()
--- a/internal/systems/view.go
+++ b/internal/systems/view.go
@@ -97,6 +97,9 @@
 
 	memory *Memory
 	events []eventlog.Event
+	// changes and finished say how to take the memory back; see Abandon.
+	changes  uint64
+	finished []model.JobID
 }
 
 // FleetRequests are the changes of the fleet's state that a tick asks for.
@@ -178,9 +181,12 @@
 	// finished holds the jobs whose end has been recorded.
 	finished map[model.JobID]bool
 	// idle holds since when a team's grant has been larger than it needs.
-	idle    map[model.TeamID]int64
-	seen    uint64
-	seenAny bool
+	idle map[model.TeamID]int64
+	// changes counts the changes of tasks that have been recorded.
+	changes     uint64
+	changesSeen bool
+	seen        uint64
+	seenAny     bool
 	// moveMillis and moveTokens pace the moves of a data centre that is out.
 	moveMillis int64
 	moveTokens int64
--- /dev/null
+++ b/internal/systems/wave_bench_test.go
@@ -0,0 +1,46 @@
+package systems_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/systems"
+	"kumquatwing/internal/work"
+)
+
+// BenchmarkCancelWave cancels 10,000 waiting jobs beside the running load and
+// reports how many ticks it takes and the longest of them, commit included.
+func BenchmarkCancelWave(b *testing.B) {
+	const waves = 10_000
+	for b.Loop() {
+		s, v := loaded(73, 1000)
+		for i := range waves {
+			spec := v.Jobs[0].Spec
+			spec.ID, spec.Tasks = model.JobID(fmt.Sprintf("wave-%05d", i)), 1
+			spec.Size = model.Resources{MilliCPU: 16_000, MemoryMB: 32_768}
+			v.Jobs = append(v.Jobs, systems.JobHere{Spec: spec, Assignment: 2, Cancelled: true})
+		}
+		v.Revision = 2
+		admit := &work.Command{View: 2}
+		for i := range waves {
+			admit.Admit = append(admit.Admit, work.Admit{Spec: v.Jobs[len(v.Jobs)-waves+i].Spec, Assignment: 2})
+		}
+		s.Apply(3500, admit)
+		in := tickInput(s, v)
+		ticks, longest := 0, time.Duration(0)
+		for {
+			began := time.Now()
+			out := systems.Tick(in)
+			s.Apply(in.NowMillis, out.Command)
+			longest = max(longest, time.Since(began))
+			if len(out.Command.Cancel) == 0 {
+				break
+			}
+			ticks++
+		}
+		b.ReportMetric(float64(ticks), "ticks")
+		b.ReportMetric(float64(longest.Microseconds())/1000, "longest-ms")
+	}
+}
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -132,8 +132,11 @@
 		return
 	}
 	for _, t := range slices.Clone(w.tasks) {
+		run := t.Run()
 		s.unhold(t)
-		s.after(nowMillis, t, &Ended{Outcome: model.OutcomeNone, Reason: ReasonWorkerLost})
+		e := &Ended{Outcome: model.OutcomeNone, Reason: ReasonWorkerLost}
+		s.after(nowMillis, t, e)
+		s.noteChange(run, t, e)
 	}
 	w.State = model.WorkerLost
 	w.Reason = l.Reason
--- a/internal/work/apply_job.go
+++ b/internal/work/apply_job.go
@@ -193,4 +193,5 @@
 	default:
 		t.Reason = ReasonGroupLost
 	}
+	s.noteChange(t.Run(), t, &Ended{Reason: ReasonGroupLost})
 }
--- a/internal/work/apply_run.go
+++ b/internal/work/apply_run.go
@@ -96,6 +96,7 @@
 	s.unhold(t)
 	t.CheckpointMillis = max(t.CheckpointMillis, e.CheckpointMillis)
 	s.after(nowMillis, t, e)
+	s.noteChange(e.RunID, t, e)
 }
 
 // endUnaccounted takes in the end of a run from before the tables were lost.
--- a/internal/work/snapshot.go
+++ b/internal/work/snapshot.go
@@ -73,6 +73,7 @@
 		fresh.grants[g.Team] = g.Grant
 	}
 	fresh.estimates = im.Estimates
+	fresh.changes = s.changes
 	*s = *fresh
 	return nil
 }
--- a/internal/work/state.go
+++ b/internal/work/state.go
@@ -160,6 +160,7 @@
 	grants    map[model.TeamID]Grant
 	estimates estimate.Book
 
+	changes changes
 	// skip switches single protections off, in tests that show what they are for.
 	skip protection
 }
