Keep a wave of cancellations out of the plan; look policies up once per workload

Cause: with 10,000 cancelled jobs beside 1,000 running tasks the longest tick took 79.9 ms, half of it planning jobs that the fleet shows as cancelled and looking the same settings up for each. Conclusion: cancelled jobs are left out of the plan as soon as the view shows them.

--- a/internal/systems/follow.go
+++ b/internal/systems/follow.go
@@ -54,8 +54,12 @@
 		if !h.Cancelled || row == nil || row.Outcome != model.OutcomeNone {
 			continue
 		}
+		if t.cancelled == nil {
+			t.cancelled = map[model.JobID]bool{}
+		}
+		t.cancelled[h.Spec.ID] = true
 		if n == maxCancelled {
-			break
+			continue
 		}
 		n++
 		t.cmd.Cancel = append(t.cmd.Cancel, h.Spec.ID)
@@ -104,9 +108,9 @@
 }
 
 // current reports whether the view lists the job here with the very tasks that
-// the tables have; others must not be placed.
+// the tables have, and not as cancelled; others must not be placed.
 func (t *tick) current(j *work.Job) bool {
-	return t.listed(j) && (t.assignments == nil || t.assignments[j.Spec.ID] <= j.Assignment)
+	return t.listed(j) && !t.cancelled[j.Spec.ID] && (t.assignments == nil || t.assignments[j.Spec.ID] <= j.Assignment)
 }
 
 // stopOrphans ends the runs of a job that the fleet no longer lists. The view
--- a/internal/systems/place.go
+++ b/internal/systems/place.go
@@ -124,12 +124,27 @@
 	return t.ready
 }
 
+// policy looks up what decides on a job, once per workload.
 func (t *tick) policy(s *model.JobSpec) placement.Policy {
 	scope := t.scope(s)
+	p, ok := t.policies[scope]
+	if !ok {
+		p = t.lookupPolicy(scope)
+		if t.policies == nil {
+			t.policies = map[settings.Scope]placement.Policy{}
+		}
+		t.policies[scope] = p
+	}
+	// A task that is not idempotent could never run again.
+	p.Preemptible = p.Preemptible && s.Idempotent
+	return p
+}
+
+func (t *tick) lookupPolicy(scope settings.Scope) placement.Policy {
 	preemptible, d1 := t.View.Tree.Bool(scope, settings.Preemptible)
 	reservation, d2 := t.View.Tree.Duration(scope, settings.GangReservation)
 	return placement.Policy{
-		Preemptible:           preemptible && s.Idempotent,
+		Preemptible:           preemptible,
 		GangReservationMillis: reservation.Milliseconds(),
 		Decisions:             []settings.Decision{d1, d2},
 	}
@@ -160,12 +175,7 @@
 }
 
 func (t *tick) runPolicy(j *work.Job) runPolicy {
-	set, _ := t.View.Tree.Bool(t.scope(&j.Spec), settings.Preemptible)
-	return runPolicy{
-		// A task that is not idempotent could never run again.
-		preemptible: set && j.Spec.Idempotent,
-		runMillis:   t.planned(j).RunMillis,
-	}
+	return runPolicy{preemptible: t.policy(&j.Spec).Preemptible, runMillis: t.planned(j).RunMillis}
 }
 
 func (t *tick) runView(row *work.Task, p runPolicy) placement.RunView {
--- a/internal/systems/tick.go
+++ b/internal/systems/tick.go
@@ -40,11 +40,14 @@
 	// sizes are the workers' different sizes; see workerSizes.
 	sizes []model.Resources
 	// plans are the sizes and run times to plan with; see planned.
-	plans map[model.JobID]estimate.Correction
+	plans    map[model.JobID]estimate.Correction
+	policies map[settings.Scope]placement.Policy
 	// ready is the number of ready workers; see readyWorkers.
 	ready int
 	// assignments of the view's jobs, while the view is not yet followed.
 	assignments map[model.JobID]uint64
+	// cancelled jobs of the view that the tables still have as going on.
+	cancelled map[model.JobID]bool
 }
 
 // Tick runs all systems once.
