Give back a limit that is lowered while the tables hold no cap

Cause, seen failing first: after a rebuild, or before a first cap, a lowered target was neither used nor given back: the fleet waited for the return and the data centre for a newer grant. Conclusion: the cap is raised to what may stay, then the rest is returned. Stops, throttles and moves name their settings.

--- a/internal/systems/drain.go
+++ b/internal/systems/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement"
 	"kumquatwing/internal/settings"
 	"kumquatwing/internal/work"
 )
@@ -80,7 +81,7 @@
 		}
 		t.Memory.moveTokens--
 		t.cmd.Release = append(t.cmd.Release, row.ID)
-		t.recordTask(EventReleased, row, ReasonMoving, "waits for another data centre", nil)
+		t.recordTask(EventReleased, row, ReasonMoving, "waits for another data centre", t.rateDecision())
 	}
 }
 
@@ -100,10 +101,15 @@
 		}
 		t.Memory.moveTokens--
 		spare--
-		t.recordTask(EventMoved, row, ReasonMoving, "is checkpointed and stopped to go on in another data centre", nil)
+		t.recordTask(EventMoved, row, ReasonMoving, "is checkpointed and stopped to go on in another data centre", t.rateDecision())
 	}
 }
 
+// rateDecision names the setting behind the pace of moves.
+func (t *tick) rateDecision() *placement.Explanation {
+	return &placement.Explanation{Decisions: []settings.Decision{t.View.Tree.Lookup(t.dcScope(), settings.MoveRate)}}
+}
+
 // spare is how many of the job's runs may stop now.
 func (t *tick) spare(j *work.Job) int {
 	if j.Spec.Class != model.ClassService {
--- a/internal/systems/grants.go
+++ b/internal/systems/grants.go
@@ -66,16 +66,15 @@
 		t.giveBack(h, g)
 	case keep != g.Cap:
 		t.lower(h, keep)
-	case g.Returning, g.Cap != h.Granted && allowed == h.Granted && g.Version < h.Version:
-		t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Version: h.Version, Cap: h.Granted})
-		t.record(&eventlog.Event{
-			Kind: EventGrant, Team: h.ID, Cause: "granted",
-			Detail: fmt.Sprintf("may run %s here, by version %d of the fleet's grant", h.Granted, h.Version),
-		}, nil)
-	case g.Cap != h.Granted && allowed == h.Granted:
-		// This version was lowered already; only a newer one can raise the cap.
+	case g.Returning:
+		t.raise(h, h.Granted)
+	case g.Cap != allowed.Max(usage) && g.Version < h.Version:
+		t.raise(h, allowed.Max(usage))
+	case g.Cap != h.Granted:
+		// The fleet wants a part back, or this version was lowered already and
+		// only a newer one can raise the cap.
 		t.lower(h, g.Cap)
-	case allowed == h.Granted:
+	default:
 		t.ask(h, need)
 	}
 	if !usage.Fits(allowed) {
@@ -125,6 +124,15 @@
 	}
 }
 
+// raise sets the cap to what the fleet's grant allows.
+func (t *tick) raise(h *TeamHere, to model.Resources) {
+	t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Version: h.Version, Cap: to})
+	t.record(&eventlog.Event{
+		Kind: EventGrant, Team: h.ID, Cause: "granted",
+		Detail: fmt.Sprintf("may run %s here, by version %d of the fleet's grant", to, h.Version),
+	}, nil)
+}
+
 // lower takes the cap down to keep in the tables; the fleet hears of it in a
 // later tick, when the tables show it.
 func (t *tick) lower(h *TeamHere, keep model.Resources) {
--- a/internal/systems/usage.go
+++ b/internal/systems/usage.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement"
+	"kumquatwing/internal/settings"
 	"kumquatwing/internal/work"
 )
 
@@ -118,7 +120,7 @@
 		return model.Resources{}
 	}
 	detail := fmt.Sprintf("uses %s of a declared %s and its worker lacks the room", row.Reported, size)
-	t.recordTask(EventStopped, row, ReasonOverSize, detail, nil)
+	t.recordTask(EventStopped, row, ReasonOverSize, detail, t.headroomDecision())
 	return row.Hold
 }
 
@@ -128,5 +130,10 @@
 		RunID: row.Run(), Throttled: true,
 	})
 	detail := fmt.Sprintf("uses %s of a declared %s", row.Reported, row.JobRow().Spec.Size)
-	t.recordTask(EventThrottled, row, ReasonOverSize, detail, nil)
+	t.recordTask(EventThrottled, row, ReasonOverSize, detail, t.headroomDecision())
+}
+
+// headroomDecision names the setting behind the room that a run takes.
+func (t *tick) headroomDecision() *placement.Explanation {
+	return &placement.Explanation{Decisions: []settings.Decision{t.View.Tree.Lookup(t.dcScope(), settings.Headroom)}}
 }
