--- a/internal/systems/tick.go
+++ b/internal/systems/tick.go
@@ -40,17 +40,21 @@
 	// sizes are the workers' different sizes; see workerSizes.
 	sizes []model.Resources
 	// plans are the sizes and run times to plan with; see planned.
-	plans map[model.JobID]estimate.Correction
+	plans    map[model.JobID]estimate.Correction
+	policies map[settings.Scope]placement.Policy
 	// ready is the number of ready workers; see readyWorkers.
 	ready int
 	// assignments of the view's jobs, while the view is not yet followed.
 	assignments map[model.JobID]uint64
+	// cancelled jobs of the view that the tables still have as going on.
+	cancelled map[model.JobID]bool
 }
 
 // Tick runs all systems once.
 func Tick(in *Input) *Output {
 	t := &tick{Input: in, cmd: &work.Command{Epoch: in.Epoch, View: in.View.Revision}, stopped: map[model.TaskID]bool{}}
 	t.out = &Output{Command: t.cmd, memory: in.Memory}
+	t.tellEnds()
 	t.expire()
 	t.checkUsage()
 	t.judge()
--- a/internal/systems/usage.go
+++ b/internal/systems/usage.go
@@ -1,10 +1,13 @@
 package systems
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement"
+	"kumquatwing/internal/settings"
 	"kumquatwing/internal/work"
 )
 
@@ -51,6 +54,24 @@
 		}
 		free = free.Add(t.shrinkTask(row, free))
 	}
+	t.evictNewest(w, free)
+}
+
+// evictNewest stops runs of their own size on a worker that has become smaller,
+// the newest first. Runs that are not idempotent end by themselves.
+func (t *tick) evictNewest(w *work.Worker, free model.Resources) {
+	rows := slices.Clone(w.Tasks())
+	slices.SortStableFunc(rows, func(a, b *work.Task) int { return cmp.Compare(b.PlacedMillis, a.PlacedMillis) })
+	for _, row := range rows {
+		if !free.Negative() {
+			return
+		}
+		if !row.JobRow().Spec.Idempotent || !t.stop(row, work.ReasonNoRoom, true) {
+			continue
+		}
+		free = free.Add(row.Hold)
+		t.recordTask(EventStopped, row, work.ReasonNoRoom, fmt.Sprintf("worker %s has only %s now", w.ID, w.Size), nil)
+	}
 }
 
 // slowing reports whether a throttle has not yet had the time to show in reports.
@@ -99,7 +120,7 @@
 		return model.Resources{}
 	}
 	detail := fmt.Sprintf("uses %s of a declared %s and its worker lacks the room", row.Reported, size)
-	t.recordTask(EventStopped, row, ReasonOverSize, detail, nil)
+	t.recordTask(EventStopped, row, ReasonOverSize, detail, t.headroomDecision())
 	return row.Hold
 }
 
@@ -109,5 +130,10 @@
 		RunID: row.Run(), Throttled: true,
 	})
 	detail := fmt.Sprintf("uses %s of a declared %s", row.Reported, row.JobRow().Spec.Size)
-	t.recordTask(EventThrottled, row, ReasonOverSize, detail, nil)
+	t.recordTask(EventThrottled, row, ReasonOverSize, detail, t.headroomDecision())
+}
+
+// headroomDecision names the setting behind the room that a run takes.
+func (t *tick) headroomDecision() *placement.Explanation {
+	return &placement.Explanation{Decisions: []settings.Decision{t.View.Tree.Lookup(t.dcScope(), settings.Headroom)}}
 }
