Keep moved tasks where their job may run

Cause: a reassignment did not look at the job's data centres; applying an older tree sorted lists that readers may hold. Ruled out: trusting the proposer. Conclusion: refused by the group; older trees are not sorted again.

--- a/internal/fleet/configure.go
+++ b/internal/fleet/configure.go
@@ -25,17 +25,19 @@
 // apply replaces the declarations, whole or not at all.
 func (s *State) apply(h Header, a *Apply) *Result {
 	next := a.Declarations
-	if a.FromRevision != 0 {
+	if a.FromRevision == 0 {
+		next.Sort()
+	} else {
 		older, refusal := s.declarationsAt(a.FromRevision)
 		if refusal != nil {
 			return &Result{Refusal: refusal}
 		}
+		// Readers may hold its lists, which are sorted already.
 		next = *older
 	}
 	if faults := next.Validate(); len(faults) > 0 {
 		return refuse(verdict.ReasonBadRequest, "%v", faults)
 	}
-	next.Sort()
 	if refusal := s.checkRemovals(&next); refusal != nil {
 		return &Result{Refusal: refusal}
 	}
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -247,6 +247,9 @@
 	if _, ok := s.dcs[c.To]; !ok {
 		return refuse(verdict.ReasonBadRequest, "data centre %q is not declared", c.To)
 	}
+	if len(j.Spec.DataCentres) > 0 && !slices.Contains(j.Spec.DataCentres, c.To) {
+		return refuse(verdict.ReasonBadRequest, "job %s may not run in data centre %s", c.Job, c.To)
+	}
 	if c.Assignment != 0 && c.Assignment != j.Assignment {
 		return refuse(verdict.ReasonConflict, "job %s has assignment %d", c.Job, j.Assignment)
 	}
--- a/internal/fleet/jobs_test.go
+++ b/internal/fleet/jobs_test.go
@@ -84,6 +84,18 @@
 	accepted(t, submit("c"))
 }
 
+func TestTasksStayWhereTheJobMayRun(t *testing.T) {
+	f := started(t)
+	spec := batch("j1")
+	spec.DataCentres = owners("dc1", "dc2")
+	f.ok(&Command{SubmitJob: &SubmitJob{Spec: spec, Owners: owners("dc1")}})
+	move := &ReassignTasks{Job: "j1", From: "dc1", To: "dc3", Tasks: []HandedTask{{Index: 0}}}
+	_, refusal := f.do(&Command{ReassignTasks: move})
+	qt.Assert(t, refusal.Message, qt.Contains, "may not run in data centre dc3")
+	move.To = "dc2"
+	f.ok(&Command{ReassignTasks: move})
+}
+
 // TestFinishedJobsAreSlim keeps what a resend and a status need, and no more.
 func TestFinishedJobsAreSlim(t *testing.T) {
 	f := started(t)
