--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -87,8 +87,10 @@
 	waitFigure(model.ClassGang, "p50", 0.5), waitFigure(model.ClassGang, "p99", 0.99),
 	waitFigure(model.ClassService, "p99", 0.99),
 	{"not started at the end", "tasks", func(s *stats) float64 { return float64(s.unstarted) }},
-	{"packing: used of offered", "part", func(s *stats) float64 { return s.used / float64(s.samples) }},
-	{"held of offered", "part", func(s *stats) float64 { return s.held / float64(s.samples) }},
+	{"packing: processors used of offered", "part", func(s *stats) float64 { return s.used / float64(s.samples) }},
+	{"packing: memory used of offered", "part", func(s *stats) float64 { return s.memory / float64(s.samples) }},
+	{"packing: mean of both", "part", func(s *stats) float64 { return (s.used + s.memory) / 2 / float64(s.samples) }},
+	{"processors held of offered", "part", func(s *stats) float64 { return s.held / float64(s.samples) }},
 	{"distance from shares while work waits", "part", func(s *stats) float64 { return s.distance / float64(max(s.contended, 1)) }},
 	{"work done", "core s", func(s *stats) float64 { return float64(s.done) / coreSeconds }},
 	{"tasks preempted", "tasks", func(s *stats) float64 { return float64(s.preempted) }},
@@ -118,20 +120,72 @@
 	return out
 }
 
-// today is the cell of the users' sizes, for 15 minutes.
-var today = loadPlan{seed: 3, workers: 50, shares: benchShares, millis: 900_000, load: 1.2, peak: 2.5, services: 12}
+// merge pools the measures of runs of one scheduler under several loads.
+func merge(runs [][]*stats) []*stats {
+	out := make([]*stats, len(schedulers))
+	for i := range out {
+		out[i] = &stats{}
+		for _, r := range runs {
+			out[i].merge(r[i])
+		}
+	}
+	return out
+}
 
-// large is a cell of 1,600 workers that is given 22,000 tasks at once and then
-// as many as it can take.
+// today is the cell of the users' sizes, for 15 minutes, once per seed.
+func today(seed uint64) loadPlan {
+	return loadPlan{seed: seed, workers: 50, shares: benchShares, millis: 900_000, load: 1.2, peak: 2.5, services: 12}
+}
+
+// large is a cell of 1,600 workers that is given more than 22,000 tasks at once
+// and then as many as it can take.
 var large = loadPlan{seed: 1, workers: 1600, shares: benchShares, millis: 40_000, load: 1, peak: 1, services: 100, backlog: 30_000, divide: 4}
 
+// moved is a load that two of three data centres can nearly carry.
+func moved(seed uint64) loadPlan {
+	return loadPlan{seed: seed, workers: 51, shares: benchShares, millis: 600_000, load: 0.8, peak: 0.8, services: 12}
+}
+
+// leaveAndReturn takes one of the data centres out for the middle third.
+func leaveAndReturn(d *driver) {
+	total := moved(0).millis
+	d.dcs[1].out = d.now >= total/3 && d.now < total*2/3
+}
+
+const benchSeeds = 4
+
+// overSeeds runs every scheduler under the loads of all seeds.
+func overSeeds(plan func(seed uint64) loadPlan, dcs int, during func(*driver)) []*stats {
+	var runs [][]*stats
+	for seed := range uint64(benchSeeds) {
+		runs = append(runs, runAll(plan(seed+1), dcs, during))
+	}
+	return merge(runs)
+}
+
 // BenchmarkCell prints the table of issue 5.
 func BenchmarkCell(b *testing.B) {
 	for range b.N {
-		runs := runAll(today, 1, nil)
-		fmt.Print(table("50 workers: cost", rowsOf(costFigures, runs)))
-		fmt.Print(table("50 workers: policy", rowsOf(policyFigures, runs)))
-		runs = runAll(large, 1, nil)
-		fmt.Print(table("1,600 workers: cost", rowsOf(costFigures, runs)))
+		runs := overSeeds(today, 1, nil)
+		fmt.Print(table("50 workers, 4 loads: cost", rowsOf(costFigures, runs)))
+		fmt.Print(table("50 workers, 4 loads: policy", rowsOf(policyFigures, runs)))
+		fmt.Print(table("1,600 workers: cost", rowsOf(costFigures, runAll(large, 1, nil))))
+		fmt.Print(table("3 data centres, one leaves, 4 loads", moveRows()))
+	}
+}
+
+// moveRows compares runs in which a data centre leaves and returns with the
+// same runs without.
+func moveRows() []row {
+	with, without := overSeeds(moved, 3, leaveAndReturn), overSeeds(moved, 3, nil)
+	part := row{name: "work done, of the run without", unit: "part"}
+	for i := range with {
+		part.figures = append(part.figures, float64(with[i].done)/float64(without[i].done))
+	}
+	rows := []row{part}
+	for _, f := range rowsOf(policyFigures, with) {
+		f.name += ", leaving"
+		rows = append(rows, f)
 	}
+	return append(rows, rowsOf(policyFigures[:6], without)...)
 }
--- a/internal/placement/estimate/estimate.go
+++ b/internal/placement/estimate/estimate.go
@@ -28,6 +28,10 @@
 	// meanGain and deviationGain are the inverse weights of a new sample.
 	meanGain      = 8
 	deviationGain = 4
+	// maxRaisedPart bounds a raise in processors to this part of the largest
+	// worker: a task can be throttled, but not split, and one that needs a whole
+	// worker for itself may wait very long.
+	maxRaisedPart = 2
 )
 
 // Key names a workload of a team.
@@ -167,7 +171,7 @@
 // raise raises each dimension for itself, as far as a worker has room.
 func (e *Entry) raise(size model.Resources, workers []model.Resources) model.Resources {
 	raised := size
-	raised.MilliCPU = e.CPU.upper(size.MilliCPU)
+	raised.MilliCPU = max(size.MilliCPU, min(e.CPU.upper(size.MilliCPU), largestCPU(workers)/maxRaisedPart))
 	raised.MemoryMB = e.Memory.upper(size.MemoryMB)
 	for _, try := range []model.Resources{
 		raised,
@@ -181,6 +185,15 @@
 	return size
 }
 
+// largestCPU is the most processors that any worker has.
+func largestCPU(workers []model.Resources) int64 {
+	var most int64
+	for _, w := range workers {
+		most = max(most, w.MilliCPU)
+	}
+	return most
+}
+
 // upper is the declared amount, or the mean with the deviation if that is more.
 func (r *Ratio) upper(declared int64) int64 {
 	if r.Samples < MinSamples {
--- a/internal/placement/stats_test.go
+++ b/internal/placement/stats_test.go
@@ -19,8 +19,8 @@
 	done, lost int64
 	preempted  int
 	// used and held sum parts of the cell over the samples.
-	used, held float64
-	samples    int
+	used, held, memory float64
+	samples            int
 	// distance sums the teams' distance from their share while work waits.
 	distance  float64
 	contended int
@@ -44,13 +44,16 @@
 // sample measures the cell after a step.
 func (s *stats) sample(d *driver) {
 	var size, held, used int64
+	var memory, memoryUsed int64
 	for _, dc := range d.dcs {
 		for i := range dc.workers {
 			size += dc.workers[i].Size.MilliCPU
+			memory += dc.workers[i].Size.MemoryMB
 			held += dc.workers[i].Size.MilliCPU - dc.workers[i].Free.MilliCPU
 		}
 		for _, t := range dc.running {
 			used += min(t.size.MilliCPU, t.job.use.MilliCPU)
+			memoryUsed += t.job.use.MemoryMB
 		}
 	}
 	running := 0
@@ -61,6 +64,7 @@
 	s.samples++
 	s.held += float64(held) / float64(size)
 	s.used += float64(used) / float64(size)
+	s.memory += float64(memoryUsed) / float64(memory)
 	s.shares(d)
 }
 
@@ -152,6 +156,42 @@
 	return off / sum
 }
 
+// merge adds the measures of another run.
+func (s *stats) merge(o *stats) {
+	s.took = append(s.took, o.took...)
+	s.perTask = append(s.perTask, o.perTask...)
+	s.placed += o.placed
+	s.deciding += o.deciding
+	s.mallocs += o.mallocs
+	s.done += o.done
+	s.lost += o.lost
+	s.preempted += o.preempted
+	s.used += o.used
+	s.held += o.held
+	s.memory += o.memory
+	s.samples += o.samples
+	s.distance += o.distance
+	s.contended += o.contended
+	s.unstarted += o.unstarted
+	s.most = max(s.most, o.most)
+	s.mostWaiting = max(s.mostWaiting, o.mostWaiting)
+	if s.waits == nil {
+		s.waits = make(map[model.Class][]int64)
+	}
+	for class, w := range o.waits {
+		s.waits[class] = append(s.waits[class], w...)
+	}
+	s.sort()
+}
+
+func (s *stats) sort() {
+	for _, w := range s.waits {
+		slices.Sort(w)
+	}
+	slices.Sort(s.took)
+	slices.Sort(s.perTask)
+}
+
 // finish counts the waits; a task that never started has waited to the end.
 // Work done so far by tasks that still run counts as done.
 func (s *stats) finish(d *driver) {
@@ -163,12 +203,11 @@
 			s.unstarted++
 		}
 		s.waits[t.job.spec.Class] = append(s.waits[t.job.spec.Class], waited)
+		if t.left > 0 {
+			s.done += (t.job.run - t.left) * t.job.use.MilliCPU
+		}
 	}
-	for _, w := range s.waits {
-		slices.Sort(w)
-	}
-	slices.Sort(s.took)
-	slices.Sort(s.perTask)
+	s.sort()
 	for _, dc := range d.dcs {
 		for _, t := range dc.running {
 			s.done += (d.now - t.started) * min(t.size.MilliCPU, t.job.use.MilliCPU)
