Test the slots and queues of an entry VM in virtual time

Cause: the last look at a slot before a byte is sent, returns and fair queueing were covered only through whole processes. Ruled out: clock.Wall as the clock, since its instants are below zero under testing/synctest and an empty lease.Held then counts as held.

--- /dev/null
+++ b/internal/entry/config_test.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestFlagsAreCheckedAtOnce checks that all faults of a command line are told
+// together, by the flag's name.
+func TestFlagsAreCheckedAtOnce(t *testing.T) {
+	cases := []struct {
+		name, line string
+		want       []string
+	}{
+		{"nothing", "", []string{"--vm", "--dc", "--listen", "--control"}},
+		{
+			"wrong values", "--vm v --dc a --listen host:1 --control 127.0.0.1 --sync 2s --requests 0 --header-bytes 3 --drain 0s",
+			[]string{"--listen", "--control", "--sync", "--requests", "--header-bytes", "--drain"},
+		},
+		{"good", "--vm v --dc a --listen 127.0.0.1:1 --control 127.0.0.1:2,127.0.0.1:3", nil},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			ran := false
+			cmd := Command(func(_ context.Context, cfg Config) error {
+				ran = true
+				qt.Assert(t, cfg.Control, qt.HasLen, 2)
+				qt.Assert(t, cfg.Wire, qt.Equals, "127.0.0.1:0")
+				return nil
+			})
+			err := cmd.Run(context.Background(), append([]string{"kqentry"}, strings.Fields(k.line)...))
+			qt.Assert(t, ran, qt.Equals, k.want == nil)
+			for _, flag := range k.want {
+				qt.Assert(t, err, qt.ErrorMatches, "(?s).*"+flag+" .*")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,259 @@
+package route
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"kumquatwing/internal/api"
+	"kumquatwing/internal/clock"
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/verdict"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// TestFairQueueFollowsShares checks the bound of the paper (theorem 1) for
+// random shares: while two teams wait, what they got divided by their shares
+// differs by at most one request of each.
+func TestFairQueueFollowsShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shares := rapid.SliceOfN(rapid.Int64Range(1, 9), 2, 5).Draw(t, "shares")
+		q := newFairQueue()
+		for i, share := range shares {
+			for range 200 {
+				q.push(&waiter{team: teamName(i), share: share})
+			}
+		}
+		got := map[model.TeamID]int{}
+		for range 100 {
+			got[q.pop().team]++
+			for i := range shares {
+				for j := range shares {
+					checkPair(t, got, i, j, float64(shares[i]), float64(shares[j]))
+				}
+			}
+		}
+	})
+}
+
+func teamName(i int) model.TeamID { return model.TeamID(rune('a' + i)) }
+
+func checkPair(t *rapid.T, got map[model.TeamID]int, i, j int, a, b float64) {
+	const rounding = 1e-9
+	off := float64(got[teamName(i)])/a - float64(got[teamName(j)])/b
+	if off > 1/a+1/b+rounding {
+		t.Fatalf("shares %v and %v got %d and %d", a, b, got[teamName(i)], got[teamName(j)])
+	}
+}
+
+// TestIdleTeamSavesNothingUp checks that a team that was idle doesn't get all
+// slots when it comes back.
+func TestIdleTeamSavesNothingUp(t *testing.T) {
+	q := newFairQueue()
+	for range 100 {
+		q.push(&waiter{team: "busy", share: 1})
+	}
+	for range 50 {
+		q.pop()
+	}
+	for range 20 {
+		q.push(&waiter{team: "back", share: 1})
+	}
+	busy := 0
+	for range 20 {
+		if q.pop().team == "busy" {
+			busy++
+		}
+	}
+	qt.Assert(t, busy >= 9 && busy <= 11, qt.IsTrue, qt.Commentf("%d of 20", busy))
+}
+
+func TestRemovedWaitersAreNotHandedOut(t *testing.T) {
+	q := newFairQueue()
+	first, second := &waiter{team: "a"}, &waiter{team: "b"}
+	q.push(first)
+	q.push(second)
+	qt.Assert(t, q.remove(first), qt.IsTrue)
+	qt.Assert(t, q.remove(first), qt.IsFalse)
+	qt.Assert(t, q.pop(), qt.Equals, second)
+	qt.Assert(t, q.len(), qt.Equals, 0)
+}
+
+func TestRetryBudget(t *testing.T) {
+	var b retryBudget
+	n := 0
+	for b.spend() {
+		n++
+	}
+	qt.Assert(t, n, qt.Equals, budgetMax/budgetUnit)
+	for range 5 {
+		b.earn(20)
+	}
+	qt.Assert(t, b.spend(), qt.IsTrue)
+	qt.Assert(t, b.spend(), qt.IsFalse)
+}
+
+func TestHeadersOfOneConnectionStay(t *testing.T) {
+	from := http.Header{
+		"Connection": {"close, X-Own"}, "X-Own": {"1"}, "Te": {"trailers"}, "Kq-Key": {"kq_a_b"},
+		"Content-Length": {"3"}, "Accept": {"text/csv"}, "Authorization": {"Basic x"},
+	}
+	to := http.Header{}
+	copyEndToEnd(to, from)
+	qt.Assert(t, to, qt.DeepEquals, http.Header{"Accept": {"text/csv"}, "Authorization": {"Basic x"}})
+}
+
+// bubbleClock follows the virtual time of testing/synctest from a start above 0.
+type bubbleClock struct{ start time.Time }
+
+func (c bubbleClock) Now() clock.Instant { return clock.Instant(time.Hour + time.Since(c.start)) }
+
+// poolWith returns a pool that holds n slots of one server, under a lease of 2 s.
+func poolWith(n int) (*Pool, *api.EntryState) {
+	p := NewPool(bubbleClock{time.Now()}, DialTCP(""), func() {})
+	state := &api.EntryState{SlotsValid: true, SlotLeaseMillis: 2000, Slots: []api.SlotGrant{{
+		Server: "s", Incarnation: "1", Addr: "127.0.0.1:1", Queue: "orders", Slots: n, Connections: n, Epoch: 1,
+	}}}
+	p.longest.note(time.Now(), time.Minute)
+	syncPool(p, state)
+	return p, state
+}
+
+func syncPool(p *Pool, state *api.EntryState) *api.EntrySync {
+	req := &api.EntrySync{}
+	p.FillSync(req, false)
+	if state != nil {
+		p.Synced(p.clock.Now(), state)
+	}
+	return req
+}
+
+func wantIn(d time.Duration) *Want {
+	return &Want{Queue: "orders", Team: "vets", Share: 1, Deadline: time.Now().Add(d), Room: 2}
+}
+
+func reasonOf(err error) verdict.Reason {
+	if r := verdict.From(err); r != nil && r.Verdict == verdict.NotRun {
+		return r.Reason
+	}
+	return ""
+}
+
+// TestAcquire checks what a request is told that waits for one taken slot.
+func TestAcquire(t *testing.T) {
+	cases := []struct {
+		name string
+		// before runs with the slot taken.
+		before           func(p *Pool, slot *Slot)
+		room             int
+		longer, patience time.Duration
+		reason           verdict.Reason
+		waits            time.Duration
+	}{
+		{"slot comes free", func(_ *Pool, s *Slot) { time.AfterFunc(100*time.Millisecond, s.Done) }, 1, 0, 0, "", 100 * time.Millisecond},
+		{"deadline passes", func(*Pool, *Slot) {}, 1, 0, 0, verdict.ReasonDeadline, time.Second},
+		{"patience ends", func(*Pool, *Slot) {}, 1, 0, 50 * time.Millisecond, verdict.ReasonOverload, 50 * time.Millisecond},
+		{"queue of the team is full", func(*Pool, *Slot) {}, 0, 0, 0, verdict.ReasonOverload, 0},
+		{"would be too late", func(p *Pool, _ *Slot) { p.queues["orders"].hold = 600 * time.Millisecond }, 1, 0, 0, verdict.ReasonOverload, 0},
+		{"entry VM stops", func(p *Pool, _ *Slot) { time.AfterFunc(10*time.Millisecond, p.Close) }, 1, 0, 0, verdict.ReasonStopping, 10 * time.Millisecond},
+		{"slot comes free after the lease", func(_ *Pool, s *Slot) { time.AfterFunc(2500*time.Millisecond, s.Done) }, 1, 3 * time.Second, 0, verdict.ReasonNoServer, 4 * time.Second},
+		{"slot is asked back", func(p *Pool, s *Slot) {
+			p.servers[serverKey{"s", "1"}].grant.Recall = 1
+			time.AfterFunc(100*time.Millisecond, s.Done)
+		}, 1, 0, 0, verdict.ReasonNoServer, time.Second},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, _ := poolWith(1)
+				slot, err := p.Acquire(context.Background(), wantIn(time.Second))
+				qt.Assert(t, err, qt.IsNil)
+				k.before(p, slot)
+				w := wantIn(time.Second)
+				w.Patience, w.Room = k.patience, k.room
+				w.Deadline = w.Deadline.Add(k.longer)
+				ctx, cancel := context.WithDeadline(context.Background(), w.Deadline)
+				defer cancel()
+				began := time.Now()
+				_, err = p.Acquire(ctx, w)
+				qt.Assert(t, reasonOf(err), qt.Equals, k.reason)
+				qt.Assert(t, time.Since(began), qt.Equals, k.waits)
+			})
+		})
+	}
+}
+
+// TestSlotEndsWithItsLease checks the last look before a request is sent.
+func TestSlotEndsWithItsLease(t *testing.T) {
+	cases := []struct {
+		name string
+		then func(p *Pool, state *api.EntryState)
+		want bool
+	}{
+		{"nothing changed", func(*Pool, *api.EntryState) {}, true},
+		{"lease ended", func(*Pool, *api.EntryState) { time.Sleep(2 * time.Second) }, false},
+		{"lease renewed", func(p *Pool, s *api.EntryState) {
+			time.Sleep(time.Second)
+			syncPool(p, s)
+			time.Sleep(time.Second)
+		}, true},
+		{"grant gone", func(p *Pool, s *api.EntryState) {
+			s.Slots = nil
+			syncPool(p, s)
+		}, false},
+		{"server leaving", func(p *Pool, s *api.EntryState) {
+			s.Slots[0].Leaving = true
+			syncPool(p, s)
+		}, false},
+		{"group told of shorter deadlines only", func(p *Pool, s *api.EntryState) {
+			p.longest = longestDeadline{}
+			syncPool(p, s)
+		}, false},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, state := poolWith(1)
+				deadline := time.Now().Add(10 * time.Second)
+				slot, err := p.Acquire(context.Background(), wantIn(10*time.Second))
+				qt.Assert(t, err, qt.IsNil)
+				k.then(p, state)
+				qt.Assert(t, slot.Valid(deadline), qt.Equals, k.want)
+			})
+		})
+	}
+}
+
+// TestReturnsAreRepeated checks that returned slots stay returned until a sync
+// that carried them is answered, also when the lease ends meanwhile.
+func TestReturnsAreRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, state := poolWith(3)
+		state.Slots[0].Recall = 2
+		syncPool(p, state)
+		lost := syncPool(p, nil)
+		qt.Assert(t, lost.Returned, qt.HasLen, 1)
+		qt.Assert(t, lost.Returned[0].Slots, qt.Equals, 2)
+		qt.Assert(t, lost.Returned[0].Epoch, qt.Equals, model.Epoch(1))
+		time.Sleep(3 * time.Second)
+		state.Slots[0].Slots, state.Slots[0].Recall, state.Slots[0].Epoch = 1, 0, 2
+		again := syncPool(p, state)
+		qt.Assert(t, again.Returned, qt.DeepEquals, lost.Returned)
+		qt.Assert(t, syncPool(p, state).Returned, qt.HasLen, 0)
+		qt.Assert(t, p.Load().Slots, qt.Equals, 1)
+	})
+}
