Give a job up only once a task has spent its retries

Cause, seen failing first: a fault of a second that met a job's tasks on three workers failed the whole job at once, although each had retries left. Conclusion: such a job still takes the blame off the workers, and what is left of it is given up when the first task has spent its retries.

--- a/internal/fake/worker/core.go
+++ b/internal/fake/worker/core.go
@@ -320,6 +320,9 @@
 	return list
 }
 
+// Heal makes the worker healthy.
+func (c *Core) Heal() { c.cfg.Mode, c.cfg.FailJobs = ModeHealthy, nil }
+
 // Resize changes the size that the worker reports.
 func (c *Core) Resize(size model.Resources) { c.cfg.Size = size }
 
--- a/internal/systems/faults_test.go
+++ b/internal/systems/faults_test.go
@@ -323,3 +323,25 @@
 
 // After a rebuild the tables hold no cap; a limit that is being lowered at the
 // time must still be given back, and what is left be used.
+
+// Tasks that fail at first on many workers and then succeed don't fail the job.
+func TestPassingFaultDoesNotFailTheJob(t *testing.T) {
+	c := qt.New(t)
+	cl := cell.New()
+	var workers []*worker.Core
+	for range 4 {
+		workers = append(workers, cl.AddWorker(worker.Config{FailJobs: []model.JobID{"j"}, FailAfter: time.Millisecond}))
+	}
+	cl.Submit(job("j", 12))
+	for range 40 {
+		cl.Step(100 * time.Millisecond)
+		if j := cl.State.Job("j"); j != nil && len(j.FailedOn) >= 3 {
+			break
+		}
+	}
+	c.Assert(len(cl.State.Job("j").FailedOn) >= 3, qt.IsTrue)
+	for _, w := range workers {
+		w.Heal()
+	}
+	c.Assert(until(c, cl, "j"), qt.Equals, model.OutcomeSucceeded)
+}
--- a/internal/systems/quarantine.go
+++ b/internal/systems/quarantine.go
@@ -25,7 +25,10 @@
 // judge tells workers that fail everything from jobs that fail everywhere.
 func (t *tick) judge() {
 	for _, j := range t.State.Jobs() {
-		if j.Outcome == model.OutcomeNone && t.failsEverywhere(j) && j.Ended() < len(j.Tasks()) {
+		// A fault may pass: only once a task has spent its retries is the rest of
+		// the job given up too.
+		spent := j.Ended() > 0 && j.Ended() < len(j.Tasks())
+		if spent && j.Outcome == model.OutcomeNone && t.failsEverywhere(j) {
 			t.failJob(j)
 		}
 	}
