Compare two members' tables in the random runs

Conclusion: a second member applies the same commands; rows, loads, counts and usage are compared before and after each restore.

--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -45,12 +45,14 @@
 
 // Cell steps the tables, a leader and fake workers in virtual time.
 type Cell struct {
-	State  *work.State
-	Leader *workerapi.Leader
-	Memory *systems.Memory
-	View   *systems.View
-	Clock  clock.Manual
-	Term   uint64
+	State *work.State
+	// Follower, if set, applies the same commands as State.
+	Follower *work.State
+	Leader   *workerapi.Leader
+	Memory   *systems.Memory
+	View     *systems.View
+	Clock    clock.Manual
+	Term     uint64
 	// Generation of the group, 1 at first.
 	Generation uint64
 	Gate       workerapi.Gate
@@ -97,11 +99,18 @@
 	if err != nil {
 		panic(err)
 	}
-	var decoded work.Command
-	if err := msgpack.Unmarshal(data, &decoded); err != nil {
+	if c.Follower != nil {
+		c.Follower.Apply(c.Millis(), decode(data))
+	}
+	return c.State.Apply(c.Millis(), decode(data))
+}
+
+func decode(data []byte) *work.Command {
+	cmd := &work.Command{}
+	if err := msgpack.Unmarshal(data, cmd); err != nil {
 		panic(err)
 	}
-	return c.State.Apply(c.Millis(), &decoded)
+	return cmd
 }
 
 // AddWorker adds a fake worker; empty fields get defaults.
--- a/internal/fake/cell/chaos.go
+++ b/internal/fake/cell/chaos.go
@@ -67,6 +67,19 @@
 	return ch
 }
 
+// WithFollower adds a second member, whose tables must stay the same.
+func (ch *Chaos) WithFollower() *Chaos {
+	ch.Follower = work.New()
+	data, err := ch.State.Snapshot()
+	if err == nil {
+		err = ch.Follower.Restore(data)
+	}
+	if err != nil {
+		ch.fail("snapshot: %v", err)
+	}
+	return ch
+}
+
 func (ch *Chaos) spawn(cfg worker.Config) {
 	ch.serial++
 	cfg.Incarnation = fmt.Sprintf("i%d", ch.serial)
@@ -284,6 +297,7 @@
 }
 
 func (ch *Chaos) restore() {
+	ch.compare()
 	data, err := ch.State.Snapshot()
 	if err == nil {
 		err = ch.State.Restore(data)
@@ -291,11 +305,15 @@
 	if err != nil {
 		ch.fail("snapshot: %v", err)
 	}
+	ch.compare()
 }
 
 // loseGroup loses all tables; a new generation is rebuilt from reports.
 func (ch *Chaos) loseGroup() {
 	ch.State.Reset()
+	if ch.Follower != nil {
+		ch.Follower.Reset()
+	}
 	ch.commands = nil
 	ch.fleet.generation++
 	ch.fleet.revision++
--- a/internal/fake/cell/check.go
+++ b/internal/fake/cell/check.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"bytes"
 	"fmt"
 
 	"kumquatwing/internal/model"
@@ -13,6 +14,34 @@
 	}
 }
 
+// compare reports members whose tables differ, in rows or in what the indexes
+// derive from them.
+func (ch *Chaos) compare() {
+	if ch.Follower == nil {
+		return
+	}
+	mine, err1 := ch.State.Snapshot()
+	theirs, err2 := ch.Follower.Snapshot()
+	if err1 != nil || err2 != nil || !bytes.Equal(mine, theirs) {
+		ch.fail("members' tables differ")
+		return
+	}
+	for _, w := range ch.State.Workers() {
+		if other := ch.Follower.Worker(w.ID); w.Held() != other.Held() || len(w.Tasks()) != len(other.Tasks()) {
+			ch.fail("members' loads of worker %s differ", w.ID)
+		}
+	}
+	for _, j := range ch.State.Jobs() {
+		other := ch.Follower.Job(j.Spec.ID)
+		if j.Pending() != other.Pending() || j.Held() != other.Held() || j.Ended() != other.Ended() {
+			ch.fail("members' counts of job %s differ", j.Spec.ID)
+		}
+	}
+	if ch.State.Usage("t1") != ch.Follower.Usage("t1") {
+		ch.fail("members' usage differs")
+	}
+}
+
 // commit applies a command and checks what its placements did.
 func (ch *Chaos) commit(c *work.Command) work.Result {
 	r := ch.Propose(c)
--- a/internal/work/chaos_test.go
+++ b/internal/work/chaos_test.go
@@ -34,7 +34,8 @@
 
 func TestPromisesHoldThroughChaos(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		if bad := cell.NewChaos(drawn{t}, worker.Faults{}).Run(chaosSteps); bad != "" {
+		ch := cell.NewChaos(drawn{t}, worker.Faults{})
+		if bad := ch.WithFollower().Run(chaosSteps); bad != "" {
 			t.Fatal(bad)
 		}
 	})
@@ -43,7 +44,7 @@
 func TestPromisesHoldForSeeds(t *testing.T) {
 	for seed := range int64(200) {
 		ch := cell.NewChaos(rand.New(rand.NewSource(seed)), worker.Faults{})
-		if bad := ch.Run(chaosSteps); bad != "" {
+		if bad := ch.WithFollower().Run(chaosSteps); bad != "" {
 			t.Fatalf("seed %d: %s", seed, bad)
 		}
 	}
