--- a/cmd/kqtimeline/main.go
+++ b/cmd/kqtimeline/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"kumquatwing/internal/program"
 	"kumquatwing/internal/timeline"
 	"kumquatwing/internal/version"
 )
@@ -28,8 +29,8 @@
 			&cli.StringFlag{Name: "vm", Usage: "only this VM"},
 			&cli.StringFlag{Name: "worker", Usage: "only this worker"},
 			&cli.StringFlag{Name: "server", Usage: "only this backend server"},
-			&cli.StringFlag{Name: "data-centre", Usage: "only this data centre"},
-			&cli.StringFlag{Name: "process", Usage: "only this kind of process"},
+			&cli.StringFlag{Name: "dc", Aliases: []string{"data-centre"}, Usage: "only this data centre"},
+			&cli.StringFlag{Name: "process", Usage: "only this binary, such as kqcontrol"},
 			&cli.StringFlag{Name: "kind", Usage: "only this kind of event; with a trailing dot all of a part"},
 			&cli.TimestampFlag{Name: "since", Usage: "only from this time on (RFC 3339)", Config: cli.TimestampConfig{Layouts: []string{time.RFC3339}}},
 			&cli.TimestampFlag{Name: "until", Usage: "only up to this time (RFC 3339)", Config: cli.TimestampConfig{Layouts: []string{time.RFC3339}}},
@@ -37,15 +38,12 @@
 		},
 		Action: run,
 	}
-	if err := cmd.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "kqtimeline:", err)
-		os.Exit(1)
-	}
+	os.Exit(program.Run(cmd, os.Args, os.Stderr))
 }
 
 func run(_ context.Context, c *cli.Command) error {
 	if c.Args().Len() == 0 {
-		return cli.Exit("name at least one folder of event files", 2)
+		return program.Usagef("name at least one folder of event files")
 	}
 	events, damage, err := timeline.Load(c.Args().Slice()...)
 	if err != nil {
@@ -75,7 +73,7 @@
 		VM:          c.String("vm"),
 		Worker:      c.String("worker"),
 		Server:      c.String("server"),
-		DC:          c.String("data-centre"),
+		DC:          c.String("dc"),
 		Process:     c.String("process"),
 		Kind:        c.String("kind"),
 		SinceMillis: millis(c.Timestamp("since")),
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -4,14 +4,10 @@
 package control
 
 import (
-	"fmt"
-	"net"
-	"strings"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/program"
 )
 
 // Config is the setting of one process, from flags and environment variables.
@@ -47,55 +43,32 @@
 	maxTick     = 5 * time.Second
 )
 
-// Check returns one error that names every fault of c.
+// Check returns a *program.SettingsError that names every fault of c, by flag.
 func (c *Config) Check() error {
-	var faults []string
-	fault := func(format string, args ...any) {
-		faults = append(faults, fmt.Sprintf(format, args...))
-	}
-	if c.VM == "" {
-		fault("--vm is missing")
-	}
-	if c.DC == "" {
-		fault("--dc is missing")
-	}
-	checkAddr(fault, "--wire", c.WireAddr)
-	checkAddr(fault, "--http", c.HTTPAddr)
+	var faults program.Faults
+	faults.Missing("--vm", string(c.VM))
+	faults.Missing("--dc", string(c.DC))
+	faults.Addr("--wire", c.WireAddr)
+	faults.Addr("--http", c.HTTPAddr)
 	if c.AdvertiseAddr == "" {
 		c.AdvertiseAddr = c.WireAddr
+	} else {
+		faults.Addr("--advertise", c.AdvertiseAddr)
 	}
-	checkAddr(fault, "--advertise", c.AdvertiseAddr)
 	if c.EntryAddr != "" {
-		checkAddr(fault, "--entry", c.EntryAddr)
+		faults.Addr("--entry", c.EntryAddr)
 	}
 	for _, a := range c.Join {
-		checkAddr(fault, "--join", a)
+		faults.Addr("--join", a)
 	}
 	if c.Tick == 0 {
 		c.Tick = defaultTick
 	}
 	if c.Tick < minTick || c.Tick > maxTick {
-		fault("--tick %s is not between %s and %s", c.Tick, minTick, maxTick)
+		faults.Add("--tick is %s, not between %s and %s", c.Tick, minTick, maxTick)
 	}
 	if c.StopGrace < 0 {
-		fault("--stop-grace %s is negative", c.StopGrace)
-	}
-	if len(faults) > 0 {
-		return merry.New("bad settings: " + strings.Join(faults, "; "))
-	}
-	return nil
-}
-
-func checkAddr(fault func(string, ...any), flag, addr string) {
-	host, port, err := net.SplitHostPort(addr)
-	if err != nil {
-		fault("%s %q is not host:port", flag, addr)
-		return
-	}
-	if net.ParseIP(host) == nil {
-		fault("%s %q does not name an IP number", flag, addr)
-	}
-	if port == "" || port == "0" {
-		fault("%s %q has no port", flag, addr)
+		faults.Add("--stop-grace is %s, not at least 0s", c.StopGrace)
 	}
+	return faults.Err()
 }
--- a/internal/logx/logx.go
+++ b/internal/logx/logx.go
@@ -3,16 +3,23 @@
 package logx
 
 import (
-	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"kumquatwing/internal/program"
 )
 
-// New returns a logger that drops messages below level.
+// DefaultLevel is the level of a process started without --log-level.
+const DefaultLevel = "info"
+
+// New returns a logger that drops messages below level. An unknown level is
+// a fault of the flag --log-level.
 func New(level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, merry.Prepend(err, "--log-level")
+		var faults program.Faults
+		faults.Add("--log-level is %q, not debug, info, warn or error", level)
+		return nil, faults.Err()
 	}
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(l)
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -23,7 +23,7 @@
     --wire "$ip:7201" --http "$ip:7200" --entry "$ip:7100" --join "$JOIN" \
     --data "$DATA/vm/dc$dc-$vm" --events "$DATA/events"
   start "dc$dc-$vm.kqentry" "$BIN/kqentry" --vm "dc$dc-$vm" --dc "dc$dc" \
-    --listen "$ip:7100" --control "$ip:7201" --events "$DATA/events"
+    --http "$ip:7100" --control "$ip:7201" --events "$DATA/events"
 }
 
 start_workers() {
