Bound the events of requests per kind and reason; record retries and overflow

Cause, seen in a make demo run: 16,446 of 17,392 events of entry VMs were refusals, nearly all for one wrong key, and filled the bound of 200 a second that all kinds shared; a page of 20 MB came of it. Retries and requests passed to other data centres were not recorded at all. Ruled out: one bound for all, since a repeated refusal hides the others; a bound per request id, which doesn't bound the sum. Conclusion: 20 a second and 100 at once of each kind and reason; what is left out is counted (TestSamplerBoundsEachCause, TestSamplerIsBounded).

--- a/internal/route/overflow.go
+++ b/internal/route/overflow.go
@@ -131,6 +131,7 @@
 		if c.left() <= 0 {
 			break
 		}
+		rt.record(c, EventOverflow, string(cause.Reason), "passed to "+string(e.VM)+" in "+string(e.DC))
 		next := rt.hop(ctx, w, c, e)
 		if next.refusal == nil || !next.untouched() {
 			return next
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -11,7 +11,6 @@
 
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"kumquatwing/internal/api"
 	"kumquatwing/internal/clock"
@@ -26,12 +25,26 @@
 const (
 	// randomBase writes the random part of an id.
 	randomBase = 36
-	// eventsPerSecond bounds the events of requests.
-	eventsPerSecond = 200
+	// eventsPerSecond and eventsBurst bound the events of requests of one kind and
+	// reason.
+	eventsPerSecond = 20
+	eventsBurst     = 100
 	// slotTries bounds how often a slot is lost between its grant and its use.
 	slotTries = 8
 )
 
+// Kinds of the events of requests.
+const (
+	// EventDone is recorded for requests that are not idempotent.
+	EventDone eventlog.Kind = "request.done"
+	// EventRefused is recorded for every refusal that reaches a caller.
+	EventRefused eventlog.Kind = "request.refused"
+	// EventRetried is recorded when a request is sent to another backend server.
+	EventRetried eventlog.Kind = "request.retried"
+	// EventOverflow is recorded when a request is passed to another data centre.
+	EventOverflow eventlog.Kind = "request.overflow"
+)
+
 // Config is what a Router works with. All fields but Events and Observe are
 // required.
 type Config struct {
@@ -67,8 +80,7 @@
 	clock       clock.Clock
 	ledger      Ledger
 	log         *zap.Logger
-	events      eventlog.Recorder
-	eventRate   *rate.Limiter
+	events      *eventlog.Sampler
 	observe     func(Outcome)
 
 	pool     *Pool
@@ -100,15 +112,14 @@
 		clock:       cfg.Clock,
 		ledger:      cfg.Ledger,
 		log:         cfg.Log.Named("route"),
-		events:      cfg.Events,
-		eventRate:   rate.NewLimiter(eventsPerSecond, 2*eventsPerSecond),
 		observe:     cfg.Observe,
 		pool:        NewPool(cfg.Clock, cfg.Dial, cfg.Wake),
 		room:        int64(cfg.Requests),
 	}
-	if rt.events == nil {
-		rt.events = eventlog.Discard{}
+	if cfg.Events == nil {
+		cfg.Events = eventlog.Discard{}
 	}
+	rt.events = eventlog.NewSampler(cfg.Events, eventsPerSecond, eventsBurst, time.Now)
 	if rt.observe == nil {
 		rt.observe = func(Outcome) {}
 	}
@@ -200,7 +211,7 @@
 	}
 	rt.observe(Outcome{Verdict: verdict.Done, Took: time.Since(began)})
 	if c.begun {
-		rt.record(c, "request.done", "", "")
+		rt.record(c, EventDone, "", "")
 	}
 }
 
@@ -272,14 +283,15 @@
 // note counts and records a refusal.
 func (rt *Router) note(c *call, began time.Time, refusal *verdict.Refusal) {
 	rt.observe(Outcome{refusal.Verdict, refusal.Reason, time.Since(began)})
-	rt.record(c, "request.refused", string(refusal.Reason), refusal.Message)
+	rt.record(c, EventRefused, string(refusal.Reason), refusal.Message)
 }
 
+// FlushEvents records how many events were left out since the last call. It is
+// called once a second or so.
+func (rt *Router) FlushEvents() { rt.events.Flush() }
+
 // record writes an event, unless there are too many; metrics count them all.
 func (rt *Router) record(c *call, kind eventlog.Kind, cause, detail string) {
-	if !rt.eventRate.Allow() {
-		return
-	}
 	e := eventlog.Event{
 		Kind: kind, DC: rt.dc, Request: c.id, Team: c.team,
 		Revision: rt.Revision(), Cause: cause, Detail: detail,
@@ -342,6 +354,7 @@
 		if !res.again || !c.triesLeft() || !rt.budget.spend() {
 			return result{refusal: worst(res.refusal, uncertain)}
 		}
+		rt.record(c, EventRetried, string(res.refusal.Reason), res.refusal.Message)
 	}
 }
 
