Record what changes an entry VM's standing

Cause: the time line showed of kqentry only requests: not that its lease was lost, its settings changed, syncs failed, slots came or that it stopped; and its frames carried no logical time, so that its events could come before their cause.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -112,8 +114,13 @@
 	if e.listener, err = net.Listen("tcp", e.cfg.Listen); err != nil {
 		return err
 	}
-	e.node, err = wire.Listen(e.cfg.Wire, nil)
-	return err
+	if e.node, err = wire.Listen(e.cfg.Wire, nil); err != nil {
+		return err
+	}
+	if f, ok := e.events.(*eventlog.File); ok {
+		e.node.SetStamper(f)
+	}
+	return nil
 }
 
 func (e *Entry) close() {
@@ -135,33 +142,33 @@
 func (e *Entry) Run(ctx context.Context) error {
 	defer e.close()
 	syncing, stopSync := context.WithCancel(context.Background())
-	synced := make(chan struct{})
-	go func() {
-		defer close(synced)
-		e.syncLoop(syncing)
-	}()
-	defer func() {
+	var loops sync.WaitGroup
+	loops.Go(func() { e.syncLoop(syncing) })
+	loops.Go(func() { e.noteLoop(syncing) })
+	stopLoops := func() {
 		stopSync()
-		<-synced
-	}()
+		loops.Wait()
+	}
+	defer stopLoops()
 	served := make(chan error, 1)
 	go func() { served <- e.server.Serve(e.listener) }()
 	e.ready.Store(true)
 	e.log.Info("serving", zap.String("addr", e.Addr()))
+	e.record(eventStarted, "", "serves callers at "+e.Addr())
 	select {
 	case err := <-served:
 		return err
 	case <-ctx.Done():
 	}
 	err := e.drain()
-	stopSync()
-	<-synced
+	stopLoops()
 	return errors.Join(err, e.handBack())
 }
 
 // drain ends serving without cutting a request that is in flight.
 func (e *Entry) drain() error {
 	e.ready.Store(false)
+	e.record(eventStopping, "", fmt.Sprintf("unready; refuses new requests after %s", e.cfg.Grace))
 	e.log.Info("unready, waiting for the balancer", zap.Duration("grace", e.cfg.Grace))
 	time.Sleep(e.cfg.Grace)
 	e.log.Info("refusing new requests")
@@ -183,9 +190,12 @@
 func (e *Entry) handBack() error {
 	ctx, cancel := context.WithTimeout(context.Background(), handBackTimeout)
 	defer cancel()
+	detail := "slots handed back"
 	if err := e.syncOnce(ctx, true); err != nil {
-		e.log.Warn("slots come back only after their lease", zap.Error(err))
+		detail = "slots come back only after their lease"
+		e.log.Warn(detail, zap.Error(err))
 	}
+	e.record(eventStopped, "", detail)
 	e.log.Info("stopped")
 	return nil
 }
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"kumquatwing/internal/api"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/verdict"
@@ -107,24 +105,18 @@
 	e.metrics.synced(err)
 	if err != nil {
 		e.announced.putBack(req.Announcements)
-		e.logSyncFailure(err)
+		e.noteSyncFailure(err)
 		return err
 	}
 	e.router.Synced(asked, state)
 	if !state.SlotsValid {
 		// The data centre's leader did not get what the sync carried.
 		e.announced.putBack(req.Announcements)
-		return verdict.Refuse(verdict.ReasonNoLeader, "data centre's leader did not answer")
+		refusal := verdict.Refuse(verdict.ReasonNoLeader, "data centre's leader did not answer")
+		e.noteSyncFailure(refusal)
+		return refusal
 	}
-	e.syncFailing = false
+	e.noteSync()
 	e.lastSync.Store(int64(asked))
 	return nil
 }
-
-// logSyncFailure logs the first failure of a row.
-func (e *Entry) logSyncFailure(err error) {
-	if !e.syncFailing {
-		e.log.Warn("sync with kqcontrol failed", zap.Error(err))
-	}
-	e.syncFailing = true
-}
--- a/internal/fake/control/control.go
+++ b/internal/fake/control/control.go
@@ -109,6 +109,13 @@
 	c.lease = d
 }
 
+// Lease is the settings lease that syncs grant.
+func (c *Control) Lease() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease
+}
+
 // SetLeaderless answers syncs as while the data centre has no leader.
 func (c *Control) SetLeaderless(on bool) {
 	c.mu.Lock()
