Record settings in force and the settings lease of kqcontrol

Cause: the kinds control.revision and control.lease-lost were declared and never recorded. Ruled out: recording at the renewal, which doesn't see a lease that just runs out.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -32,6 +32,7 @@
 	eventSilent    eventlog.Kind = "control.silent"
 	eventRevision  eventlog.Kind = "control.revision"
 	eventLeaseLost eventlog.Kind = "control.lease-lost"
+	eventLeaseBack eventlog.Kind = "control.lease-back"
 )
 
 // processName labels the event files and logs of this binary.
@@ -158,6 +159,7 @@
 		s.leases.run,
 		s.fleet.run,
 		s.dc.run,
+		(&notes{s: s}).run,
 	} {
 		g.Go(func() error { run(work); return nil })
 	}
