--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -45,6 +45,9 @@
 // Generation is the group's part of the epoch.
 func (e Epoch) Generation() uint64 { return uint64(e) >> epochTermBits }
 
+// Term returns the leader's term that the epoch belongs to.
+func (e Epoch) Term() uint64 { return uint64(e) & (1<<epochTermBits - 1) }
+
 // Class is a job's scheduling policy.
 type Class string
 
