Make the time line's page small, bounded and readable

Cause: a page of one make demo had 20.5 MB: a cell per lane in each of 17,800 rows; explanations were one line of JSON; times had no date; epochs were missing. Ruled out: drawing rows by script, which shows nothing where scripts are off. Lanes can be picked, parts chosen, words left out. Not done: seen in a browser, since there is none here; the script was parsed and the markup read. Conclusion: TestPageIsBoundedAndEscaped.

--- a/internal/timeline/render.go
+++ b/internal/timeline/render.go
@@ -1,18 +1,28 @@
 package timeline
 
 import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
 	"fmt"
 	"html/template"
 	"io"
 	"slices"
+	"strings"
 	"time"
 
 	"kumquatwing/internal/eventlog"
 )
 
-// timeFormat labels events for people.
-const timeFormat = "15:04:05.000"
+const (
+	// clockFormat and dateFormat label events for people, in UTC.
+	clockFormat = "15:04:05.000"
+	dateFormat  = "2006-01-02 " + clockFormat
+	// maxRows bounds the events of a page, the newest; browsers get slow beyond.
+	maxRows = 20_000
+)
 
+// lane names the process that recorded e.
 func lane(e *eventlog.Event) string {
 	if e.VM == "" {
 		return e.Process
@@ -20,15 +30,15 @@
 	return string(e.VM) + "/" + e.Process
 }
 
-func wall(e *eventlog.Event) string {
-	return time.UnixMilli(e.At.WallMillis).UTC().Format(timeFormat)
+func wall(e *eventlog.Event, format string) string {
+	return time.UnixMilli(e.At.WallMillis).UTC().Format(format)
 }
 
 // WriteText writes one line an event.
 func WriteText(w io.Writer, events []eventlog.Event) error {
 	for i := range events {
 		e := &events[i]
-		_, err := fmt.Fprintf(w, "%s.%03d %-20s %-22s %s  %s\n", wall(e), e.At.Counter, lane(e), e.Kind, subject(e), e.Detail)
+		_, err := fmt.Fprintf(w, "%s.%03d %-20s %-22s %s  %s\n", wall(e, dateFormat), e.At.Counter, lane(e), e.Kind, subject(e), e.Detail)
 		if err != nil {
 			return err
 		}
@@ -39,65 +49,80 @@
 // page is the data of the HTML template.
 type page struct {
 	Lanes []string
+	// Parts are the first halves of the kinds, such as "work".
+	Parts []string
 	Rows  []row
+	// LeftOut counts older events that the page has no room for.
+	LeftOut     int
+	First, Last string
 }
 
 // row is one event on the page.
 type row struct {
-	Time, Kind, Subject, Detail, Explain string
-	Lane                                 int
+	Time, Date, Kind, Part, Subject, Detail, Explain string
+	Lane                                             int
 }
 
-// WriteHTML writes one self-contained page with a lane per process. The page
-// has a text box that filters the rows as one types.
+// WriteHTML writes one self-contained page of the newest events with a lane per
+// process. It filters by text, by part and by lane.
 func WriteHTML(w io.Writer, events []eventlog.Event) error {
-	p := page{Lanes: lanes(events)}
+	p := page{LeftOut: max(0, len(events)-maxRows)}
+	events = events[p.LeftOut:]
+	p.Lanes = distinct(events, lane)
+	p.Parts = distinct(events, part)
+	if len(events) > 0 {
+		p.First, p.Last = wall(&events[0], dateFormat), wall(&events[len(events)-1], dateFormat)
+	}
 	for i := range events {
-		e := &events[i]
-		p.Rows = append(p.Rows, row{
-			Time:    wall(e),
-			Kind:    string(e.Kind),
-			Subject: subject(e),
-			Detail:  e.Detail,
-			Explain: string(e.Explain),
-			Lane:    slices.Index(p.Lanes, lane(e)),
-		})
+		p.Rows = append(p.Rows, newRow(&events[i], p.Lanes))
 	}
 	return pageTemplate.Execute(w, p)
 }
 
-func lanes(events []eventlog.Event) []string {
+func newRow(e *eventlog.Event, lanes []string) row {
+	at, _ := slices.BinarySearch(lanes, lane(e))
+	return row{
+		Time:    wall(e, clockFormat),
+		Date:    wall(e, dateFormat),
+		Kind:    string(e.Kind),
+		Part:    part(e),
+		Subject: subject(e),
+		Detail:  e.Detail,
+		Explain: indented(e.Explain),
+		Lane:    at,
+	}
+}
+
+// part is the first half of an event's kind.
+func part(e *eventlog.Event) string {
+	first, _, _ := strings.Cut(string(e.Kind), ".")
+	return first
+}
+
+// distinct returns the values of key over all events, sorted.
+func distinct(events []eventlog.Event, key func(*eventlog.Event) string) []string {
+	seen := map[string]bool{}
 	var out []string
 	for i := range events {
-		out = append(out, lane(&events[i]))
+		if k := key(&events[i]); !seen[k] {
+			seen[k] = true
+			out = append(out, k)
+		}
 	}
 	slices.Sort(out)
-	return slices.Compact(out)
+	return out
+}
+
+// indented lays an explanation out for reading.
+func indented(explain []byte) string {
+	var out bytes.Buffer
+	if json.Indent(&out, explain, "", "  ") != nil {
+		return string(explain)
+	}
+	return out.String()
 }
 
-var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
-<html lang="en"><head><meta charset="utf-8"><title>kumquatwing time line</title>
-<style>
-body{font:13px/1.4 system-ui,sans-serif;margin:1rem;color:#222;background:#fff}
-input{font:inherit;width:30rem;padding:.3rem}
-table{border-collapse:collapse;margin-top:1rem;width:100%}
-th{position:sticky;top:0;background:#eef;text-align:left;font-weight:600;padding:.2rem .4rem}
-th.lane{writing-mode:vertical-rl;font-weight:400;padding:.3rem 0;min-width:1.1rem}
-td{padding:.1rem .4rem;border-top:1px solid #eee;vertical-align:top}
-td.lane{padding:0;border-left:1px solid #eee;text-align:center}
-td.lane.on{background:#dbe7ff}
-code{color:#555}details{color:#555}
-</style></head><body>
-<h1>Time line</h1>
-<p><label>Filter <input id="q" placeholder="task, request, team, VM, kind…"></label> <span id="n"></span></p>
-<table><thead><tr><th>time</th>{{range .Lanes}}<th class="lane">{{.}}</th>{{end}}<th>event</th><th>about</th><th>what</th></tr></thead><tbody>
-{{$lanes := .Lanes}}{{range .Rows}}{{$row := .}}<tr><td>{{.Time}}</td>{{range $i, $l := $lanes}}<td class="lane{{if eq $i $row.Lane}} on{{end}}" title="{{$l}}">{{if eq $i $row.Lane}}●{{end}}</td>{{end}}<td>{{.Kind}}</td><td><code>{{.Subject}}</code></td><td>{{.Detail}}{{if .Explain}}<details><summary>why</summary>{{.Explain}}</details>{{end}}</td></tr>
-{{end}}</tbody></table>
-<script>
-const q=document.getElementById("q"),n=document.getElementById("n"),rows=[...document.querySelectorAll("tbody tr")];
-const texts=rows.map(r=>(r.textContent+" "+(r.querySelector("td.on")||{title:""}).title).toLowerCase());
-function show(){const w=q.value.toLowerCase().split(/\s+/).filter(Boolean);let c=0;
-rows.forEach((r,i)=>{const on=w.every(x=>texts[i].includes(x));r.hidden=!on;if(on)c++});n.textContent=c+" of "+rows.length+" events"}
-q.addEventListener("input",show);show();
-</script></body></html>
-`))
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -184,6 +184,9 @@
 	add("queue", string(e.Queue))
 	add("key", string(e.Key))
 	add("dc", string(e.DC))
+	if e.Epoch != 0 {
+		add("epoch", fmt.Sprintf("%d.%d", e.Epoch.Generation(), e.Epoch.Term()))
+	}
 	if e.Revision != 0 {
 		add("revision", fmt.Sprint(e.Revision))
 	}
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"kumquatwing/internal/eventlog"
+	"kumquatwing/internal/model"
 )
 
 // TestLoadOrdersByCause has two processes exchange a message whose receiver's
@@ -68,3 +71,32 @@
 		qt.Assert(t, events[i-1].At.Less(events[i].At), qt.IsTrue)
 	}
 }
+
+// TestPageIsBoundedAndEscaped checks what a page shows of many events and of
+// text that comes from callers.
+func TestPageIsBoundedAndEscaped(t *testing.T) {
+	events := make([]eventlog.Event, maxRows+5)
+	for i := range events {
+		events[i] = eventlog.Event{
+			At:   eventlog.Stamp{WallMillis: int64(i)},
+			VM:   model.VMID(fmt.Sprintf("dc%d-1", i%3)),
+			Kind: "work.placed", Process: "kqcontrol",
+		}
+	}
+	last := &events[len(events)-1]
+	last.Kind = "request.refused"
+	last.Detail = "<script>alert(1)</script>"
+	last.Explain = []byte(`{"considered":16}`)
+	last.Epoch = model.NewEpoch(2, 7)
+	var page bytes.Buffer
+	qt.Assert(t, WriteHTML(&page, events), qt.IsNil)
+	text := page.String()
+	qt.Assert(t, strings.Count(text, "<tr data-l="), qt.Equals, maxRows)
+	qt.Assert(t, text, qt.Contains, "5 older events are left out")
+	qt.Assert(t, strings.Count(text, "<button"), qt.Equals, 3)
+	qt.Assert(t, text, qt.Contains, "<option>request</option><option>work</option>")
+	qt.Assert(t, text, qt.Not(qt.Contains), "<script>alert")
+	qt.Assert(t, text, qt.Contains, "epoch=2.7")
+	qt.Assert(t, text, qt.Contains, "&#34;considered&#34;: 16")
+	qt.Assert(t, len(text) < 300*maxRows, qt.IsTrue, qt.Commentf("%d bytes", len(text)))
+}
