Give both daemons their common flags from one place

Cause: vm, dc, events, stop-grace and log-level stood twice with other texts, and the check of a log level was told apart from the other faults; kqcontrol's check had no test. Ruled out: one configuration type, since little else is shared.

--- a/cmd/kqentry/main.go
+++ b/cmd/kqentry/main.go
@@ -16,8 +16,8 @@
 	os.Exit(program.Run(entry.Command(serve), os.Args, os.Stderr))
 }
 
-func serve(ctx context.Context, cfg entry.Config, log *zap.Logger) error {
-	e, err := entry.Open(cfg, log, clock.Boot{})
+func serve(ctx context.Context, cfg *entry.Config, log *zap.Logger) error {
+	e, err := entry.Open(*cfg, log, clock.Boot{})
 	if err != nil {
 		return err
 	}
--- a/cmd/kqfake/main.go
+++ b/cmd/kqfake/main.go
@@ -16,7 +16,7 @@
 		Name:     "kqfake",
 		Usage:    "run fake machines for demos and tests",
 		Version:  version.Version,
-		Commands: []*cli.Command{backendCommand(), callerCommand(), workerCommand},
+		Commands: []*cli.Command{backendCommand(), callerCommand(), workerCommand()},
 	}
 	os.Exit(program.Run(root, os.Args, os.Stderr))
 }
--- a/cmd/kqfake/worker.go
+++ b/cmd/kqfake/worker.go
@@ -23,26 +23,28 @@
 const workersPerRack = 8
 
 // workerCommand runs fake workers.
-var workerCommand = &cli.Command{
-	Name:  "worker",
-	Usage: "run fake workers",
-	Flags: []cli.Flag{
-		&cli.StringSliceFlag{Name: "control", Required: true, Usage: "base `URL` of kqcontrol or kqentry; several are tried in turn", Sources: cli.EnvVars("KQ_CONTROL")},
-		&cli.StringFlag{Name: "dc", Required: true, Usage: "data centre `ID`", Sources: cli.EnvVars("KQ_DC")},
-		&cli.StringFlag{Name: "name", Value: "w", Usage: "prefix of the workers' ids"},
-		&cli.IntFlag{Name: "count", Value: 1, Usage: "number of workers in this process"},
-		&cli.Int64Flag{Name: "milli-cpu", Value: 16_000, Usage: "processors of each worker, in thousandths of a core"},
-		&cli.Int64Flag{Name: "memory-mb", Value: 32_768, Usage: "memory of each worker, in MiB"},
-		&cli.Int64Flag{Name: "accelerators", Usage: "devices of each worker"},
-		&cli.StringFlag{Name: "mode", Value: string(worker.ModeHealthy), Usage: "healthy, fails, overuses, silent or slow-stop"},
-		&cli.Int64Flag{Name: "use-percent", Usage: "use relative to the tasks' sizes; 0 for the mode's own"},
-		&cli.DurationFlag{Name: "lag", Value: 2 * time.Second, Usage: "age of reported use"},
-		&cli.DurationFlag{Name: "stop-delay", Value: 100 * time.Millisecond, Usage: "how long a task takes to stop"},
-		&cli.DurationFlag{Name: "silent-after", Value: 10 * time.Second, Usage: "when mode silent stops reporting"},
-		&cli.DurationFlag{Name: "silent-for", Value: 30 * time.Second, Usage: "how long it is silent"},
-		&cli.StringFlag{Name: "events", Usage: "`FOLDER` of the event file; none if empty", Sources: cli.EnvVars("KQ_EVENTS")},
-	},
-	Action: runWorkers,
+func workerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "worker",
+		Usage: "run fake workers",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "control", Required: true, Usage: "base `URL` of kqcontrol or kqentry; several are tried in turn", Sources: cli.EnvVars("KQ_CONTROL")},
+			&cli.StringFlag{Name: "dc", Required: true, Usage: "data centre `ID`", Sources: cli.EnvVars("KQ_DC")},
+			&cli.StringFlag{Name: "name", Value: "w", Usage: "prefix of the workers' ids"},
+			&cli.IntFlag{Name: "count", Value: 1, Usage: "number of workers in this process"},
+			&cli.Int64Flag{Name: "milli-cpu", Value: 16_000, Usage: "processors of each worker, in thousandths of a core"},
+			&cli.Int64Flag{Name: "memory-mb", Value: 32_768, Usage: "memory of each worker, in MiB"},
+			&cli.Int64Flag{Name: "accelerators", Usage: "devices of each worker"},
+			&cli.StringFlag{Name: "mode", Value: string(worker.ModeHealthy), Usage: "healthy, fails, overuses, silent or slow-stop"},
+			&cli.Int64Flag{Name: "use-percent", Usage: "use relative to the tasks' sizes; 0 for the mode's own"},
+			&cli.DurationFlag{Name: "lag", Value: 2 * time.Second, Usage: "age of reported use"},
+			&cli.DurationFlag{Name: "stop-delay", Value: 100 * time.Millisecond, Usage: "how long a task takes to stop"},
+			&cli.DurationFlag{Name: "silent-after", Value: 10 * time.Second, Usage: "when mode silent stops reporting"},
+			&cli.DurationFlag{Name: "silent-for", Value: 30 * time.Second, Usage: "how long it is silent"},
+			&cli.StringFlag{Name: "events", Usage: "`FOLDER` of the event file; none if empty", Sources: cli.EnvVars("KQ_EVENTS")},
+		},
+		Action: runWorkers,
+	}
 }
 
 func runWorkers(ctx context.Context, cmd *cli.Command) error {
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -65,8 +65,8 @@
 		{"events", []string{"internal"}, `(?:Kind\w*|vent\w+) +(?:eventlog\.)?(?:Kind )?= "([a-z]+\.[a-z-]+)"`, "", 30},
 		{"kqcontrol metrics", []string{"internal/control"}, `"(kq_[a-z_]+)"`, "", 9},
 		{"kqentry metrics", []string{"internal/entry"}, `(?:Namespace: namespace, Name: |gauge\()"([a-z_]+)"`, "kqentry_", 8},
-		{"flags", []string{"cmd/kqcontrol", "internal/entry"}, `Flag\{Name: "([a-z-]+)"`, "--", 17},
-		{"variables", []string{"cmd/kqcontrol", "internal/entry"}, `"(KQ_[A-Z_]+)"`, "", 18},
+		{"flags", []string{"internal/program", "internal/control", "internal/entry"}, `Flag\{Name: "([a-z-]+)"`, "--", 17},
+		{"variables", []string{"internal/program", "internal/control", "internal/entry"}, `"(KQ_[A-Z_]+)"`, "", 18},
 	}
 	for _, k := range cases {
 		t.Run(k.name, func(t *testing.T) {
@@ -109,7 +109,7 @@
 
 // TestEnvironmentFiles checks that the examples set only what a binary reads.
 func TestEnvironmentFiles(t *testing.T) {
-	known := found(source(t, "cmd/kqcontrol", "internal/entry"), `"(KQ_[A-Z_]+)"`)
+	known := found(source(t, "internal/program", "internal/control", "internal/entry"), `"(KQ_[A-Z_]+)"`)
 	files, err := filepath.Glob("../deploy/*.env")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, files, qt.HasLen, 3)
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// DefaultGrace is how long an entry VM stays open after it turned unready.
-	DefaultGrace = time.Second
 	// DefaultDrain bounds the time for requests in flight to end.
 	DefaultDrain = 60 * time.Second
 	// DefaultRequests bounds the requests taken in at the same time.
--- a/internal/entry/config_test.go
+++ b/internal/entry/config_test.go
@@ -27,7 +27,7 @@
 	for _, k := range cases {
 		t.Run(k.name, func(t *testing.T) {
 			ran := false
-			cmd := Command(func(_ context.Context, cfg Config, _ *zap.Logger) error {
+			cmd := Command(func(_ context.Context, cfg *Config, _ *zap.Logger) error {
 				ran = true
 				qt.Assert(t, cfg.Control, qt.HasLen, 2)
 				qt.Assert(t, cfg.Wire, qt.Equals, "127.0.0.1:0")
--- a/internal/entry/flags.go
+++ b/internal/entry/flags.go
@@ -7,7 +7,6 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
-	"kumquatwing/internal/logx"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/program"
 	"kumquatwing/internal/version"
@@ -15,39 +14,26 @@
 
 // Command returns the kqentry command line. run gets a checked configuration
 // and the log.
-func Command(run func(ctx context.Context, cfg Config, log *zap.Logger) error) *cli.Command {
+func Command(run func(ctx context.Context, cfg *Config, log *zap.Logger) error) *cli.Command {
 	return &cli.Command{
 		Name:    "kqentry",
 		Usage:   "take callers' requests to backend servers",
 		Version: version.Version,
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "vm", Usage: "name of this VM", Sources: cli.EnvVars("KQ_VM")},
-			&cli.StringFlag{Name: "dc", Usage: "data centre of this VM", Sources: cli.EnvVars("KQ_DC")},
+		Flags: append(program.CommonFlags(),
 			&cli.StringFlag{Name: "http", Aliases: []string{"listen"}, Usage: "`IP:PORT` for callers, backend servers, operators and metrics", Sources: cli.EnvVars("KQ_ENTRY_HTTP", "KQ_LISTEN")},
 			&cli.StringFlag{Name: "wire", Usage: "`IP:PORT` of the own end towards kqcontrol; by default the IP of --http with a free port", Sources: cli.EnvVars("KQ_ENTRY_WIRE")},
 			&cli.StringSliceFlag{Name: "control", Usage: "`IP:PORT` of kqcontrol's --wire, the own VM's first; may be given several times", Sources: cli.EnvVars("KQ_CONTROL", "KQ_CONTROL_WIRE")},
-			&cli.StringFlag{Name: "events", Usage: "`FOLDER` of the event file; none if empty", Sources: cli.EnvVars("KQ_EVENTS")},
-			&cli.DurationFlag{Name: "stop-grace", Aliases: []string{"grace"}, Value: DefaultGrace, Usage: "how long readiness is withdrawn before new requests are refused at a stop", Sources: cli.EnvVars("KQ_STOP_GRACE", "KQ_GRACE")},
 			&cli.DurationFlag{Name: "drain", Value: DefaultDrain, Usage: "longest wait for requests in flight at a stop", Sources: cli.EnvVars("KQ_DRAIN")},
 			&cli.DurationFlag{Name: "sync", Value: DefaultSync, Usage: "pause between two syncs with kqcontrol", Sources: cli.EnvVars("KQ_SYNC")},
 			&cli.IntFlag{Name: "requests", Value: DefaultRequests, Usage: "requests taken in at the same time", Sources: cli.EnvVars("KQ_REQUESTS")},
 			&cli.IntFlag{Name: "header-bytes", Value: DefaultHeaderBytes, Usage: "bound of a request's headers", Sources: cli.EnvVars("KQ_HEADER_BYTES")},
-			&cli.StringFlag{Name: "log-level", Value: logx.DefaultLevel, Usage: "debug, info, warn or error", Sources: cli.EnvVars("KQ_LOG_LEVEL")},
-		},
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			cfg := configOf(cmd)
-			log, err := logx.New(cmd.String("log-level"))
-			if err := program.Join(cfg.Check(), err); err != nil {
-				return err
-			}
-			defer log.Sync()
-			return run(ctx, cfg, log)
-		},
+		),
+		Action: program.Daemon(configOf, run),
 	}
 }
 
-func configOf(cmd *cli.Command) Config {
-	cfg := Config{
+func configOf(cmd *cli.Command) *Config {
+	cfg := &Config{
 		VM:          model.VMID(cmd.String("vm")),
 		DC:          model.DCID(cmd.String("dc")),
 		Listen:      cmd.String("http"),
--- a/internal/logx/logx.go
+++ b/internal/logx/logx.go
@@ -3,23 +3,20 @@
 package logx
 
 import (
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
-
-	"kumquatwing/internal/program"
 )
 
-// DefaultLevel is the level of a process started without --log-level.
+// DefaultLevel is the level of a process that is not told another.
 const DefaultLevel = "info"
 
-// New returns a logger that drops messages below level. An unknown level is
-// a fault of the flag --log-level.
+// New returns a logger that drops messages below level. Its error names a level
+// that there is not.
 func New(level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
-		var faults program.Faults
-		faults.Add("--log-level is %q, not debug, info, warn or error", level)
-		return nil, faults.Err()
+		return nil, merry.Errorf("%q, not debug, info, warn or error", level)
 	}
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(l)
