Give every answer of the HTTP interfaces a true verdict

Cause, seen failing first: kqentry marked an answer of kqcontrol that had an error status but no verdict as done, so that a wrong path under /v1 and an internal fault looked like effects; kqcontrol answered unknown paths in plain text. Ruled out: guessing from the status code.

--- a/internal/control/httpapi.go
+++ b/internal/control/httpapi.go
@@ -57,14 +57,21 @@
 	r := chi.NewRouter()
 	r.Use(s.passToLeader)
 	c.fleet.Routes(r)
+	s.callerRoutes(r)
+	c.Handler = r
+	s.routed.Store(c)
+	return c
+}
+
+// callerRoutes registers what is not the fleet's own interface.
+func (s *Server) callerRoutes(r chi.Router) {
+	r.NotFound(httpx.UnknownPath)
+	r.MethodNotAllowed(httpx.UnknownPath)
 	r.Post(api.PathWorkerReport, s.workerReport)
 	r.Get(api.PathWhy, s.explainSubject)
 	r.Get(api.PathStatus, s.status)
 	r.Post(api.PathInit, s.initFleet)
 	r.Get(api.PathJobTasks, s.jobTasks)
-	c.Handler = r
-	s.routed.Store(c)
-	return c
 }
 
 // ready answers the balancer: the process is ready while it knows a leader of
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -38,8 +38,8 @@
 // handler routes all of kqentry's HTTP interface.
 func (e *Entry) handler() http.Handler {
 	m := chi.NewRouter()
-	m.NotFound(e.unknownPath)
-	m.MethodNotAllowed(e.unknownPath)
+	m.NotFound(httpx.UnknownPath)
+	m.MethodNotAllowed(httpx.UnknownPath)
 	m.Handle(api.PathRequest, e.router)
 	m.Handle(api.PathRequest+"/*", e.router)
 	m.Group(func(small chi.Router) {
@@ -65,10 +65,6 @@
 	})
 }
 
-func (e *Entry) unknownPath(w http.ResponseWriter, r *http.Request) {
-	httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonBadRequest, "no interface %s %s", r.Method, r.URL.Path))
-}
-
 func (e *Entry) live(w http.ResponseWriter, _ *http.Request) {
 	httpx.WriteJSON(w, http.StatusOK, "live")
 }
--- a/internal/entry/pass.go
+++ b/internal/entry/pass.go
@@ -26,14 +26,23 @@
 // writeReply passes on kqcontrol's answer. A refusal in it sets the headers
 // that every refusal has.
 func writeReply(w http.ResponseWriter, reply *api.HTTPReply) {
-	refusal := &verdict.Refusal{}
-	if reply.Status >= http.StatusBadRequest && json.Unmarshal(reply.Body, refusal) == nil && refusal.Verdict != "" {
-		httpx.SetVerdict(w.Header(), refusal)
-	} else {
+	if reply.Status < http.StatusBadRequest {
 		w.Header().Set(api.HeaderVerdict, string(verdict.Done))
+	} else {
+		httpx.SetVerdict(w.Header(), refusalOf(reply))
 	}
 	w.Header().Set("Content-Type", reply.ContentType)
 	w.Header().Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	w.WriteHeader(reply.Status)
 	w.Write(reply.Body)
 }
+
+// refusalOf returns the refusal in an answer. One without a verdict may have
+// run, since nothing shows that it did not.
+func refusalOf(reply *api.HTTPReply) *verdict.Refusal {
+	refusal := &verdict.Refusal{}
+	if json.Unmarshal(reply.Body, refusal) != nil || refusal.Verdict == "" {
+		return verdict.Uncertain(verdict.ReasonInternal, "kqcontrol answered %d without a verdict", reply.Status)
+	}
+	return refusal
+}
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -83,6 +83,11 @@
 	writeBody(w, Status(r), r)
 }
 
+// UnknownPath refuses a path or method that there is not.
+func UnknownPath(w http.ResponseWriter, r *http.Request) {
+	WriteRefusal(w, verdict.Refuse(verdict.ReasonBadRequest, "no interface %s %s", r.Method, r.URL.Path))
+}
+
 // WriteJSON answers a request that was done.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set(api.HeaderVerdict, string(verdict.Done))
