Bound how long sent bytes may stay unacknowledged between our processes

Cause: one-way messages have no reply on their connection, and TCP's own pauses between tries grow to two minutes, so that a link that works again after a long silent cut could stay unused as long. Relays in tests can't show it, since their two connections go on acknowledging. Ruled out: a heartbeat on each connection, which costs bytes and needs a reader; keep-alive probes, which are not sent while bytes wait for an acknowledgement. The effect itself was not run, since losing packets needs rights that tests don't have. Conclusion: TCP_USER_TIMEOUT of 3 s on both ends (TestBothEndsBoundUnackedTime).

--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -304,6 +304,11 @@
 			c.Close()
 			return
 		}
+		if err := setUnackedTimeout(c); err != nil {
+			n.untrack(c)
+			c.Close()
+			continue
+		}
 		n.wg.Add(1)
 		go n.serve(c)
 	}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -178,6 +178,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := setUnackedTimeout(conn); err != nil {
+		conn.Close()
+		return nil, err
+	}
 	if !p.node.track(conn) {
 		conn.Close()
 		return nil, net.ErrClosed
