Don't follow a clock that is far ahead in events

Cause, seen failing first: the logical time of events followed any stamp, so that one VM with a wrong clock labelled the events of all processes with its time for as long as they ran. Ruled out: leaving out stamps ahead by less, which would order effects before causes at usual clock faults.

--- a/internal/eventlog/file.go
+++ b/internal/eventlog/file.go
@@ -15,6 +15,10 @@
 	DefaultFileBytes = 8 << 20
 	// keptFiles is how many rotated files stay beside the current one.
 	keptFiles = 3
+	// maxAheadMillis bounds how far a stamp of another process may move this one's
+	// clock ahead of the wall clock, so that one VM with a wrong clock doesn't
+	// label the events of all.
+	maxAheadMillis = 10 * 60 * 1000
 	// FileSuffix ends the name of every current event file; rotated ones have a
 	// dot and a digit behind it.
 	FileSuffix = ".events.jsonl"
@@ -106,11 +110,12 @@
 	f.size += int64(n)
 }
 
-// Observe moves the file's clock past a stamp received from another process.
+// Observe moves the file's clock past a stamp received from another process. A
+// stamp more than ten minutes ahead of the wall clock is left out.
 func (f *File) Observe(s Stamp) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.last.Less(s) {
+	if f.last.Less(s) && s.WallMillis <= time.Now().UnixMilli()+maxAheadMillis {
 		f.last = s
 	}
 }
