Let two demos run on one machine

Cause: a demo met the callers of another on the same addresses: 13,900 refusals for keys of the other system in one run. Ruled out: addresses drawn at random, since the page and the log should name known ones. Conclusion: KQ_DEMO_NET, and a check that the addresses are free.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -3,12 +3,25 @@
 # in $DATA/pids and ended by that id.
 
 BIN=${BIN:-bin}
+# NET begins every address, so that two systems can run on one machine.
+NET=${KQ_DEMO_NET:-127.0.0}
 DCS="1 2 3"
 VMS="1 2 3"
-JOIN=127.0.0.11:7201,127.0.0.21:7201,127.0.0.31:7201
+JOIN=$NET.11:7201,$NET.21:7201,$NET.31:7201
 
 say() { echo "[$(date +%H:%M:%S)] $*"; }
 
+# addresses_free fails if another system listens at one of our addresses.
+addresses_free() {
+  local dc vm port
+  for dc in $DCS; do for vm in $VMS; do for port in 7100 7200 7201; do
+    if (exec 3<>"/dev/tcp/$NET.$dc$vm/$port") 2>/dev/null; then
+      echo "$NET.$dc$vm:$port is in use; end what runs there, or set KQ_DEMO_NET to another net, such as 127.0.7" >&2
+      return 1
+    fi
+  done; done; done
+}
+
 # start NAME COMMAND... runs a process with its log in $DATA/log.
 start() {
   local name=$1
@@ -18,7 +31,7 @@
 }
 
 start_vm() {
-  local dc=$1 vm=$2 ip=127.0.0.$1$2
+  local dc=$1 vm=$2 ip=$NET.$1$2
   start "dc$dc-$vm.kqcontrol" "$BIN/kqcontrol" --vm "dc$dc-$vm" --dc "dc$dc" --region mauritius \
     --wire "$ip:7201" --http "$ip:7200" --entry "$ip:7100" --join "$JOIN" \
     --data "$DATA/vm/dc$dc-$vm" --events "$DATA/events"
@@ -29,7 +42,7 @@
 start_workers() {
   local dc=$1 count=$2
   start "dc$dc.workers" "$BIN/kqfake" worker --dc "dc$dc" --name "w$dc" --count "$count" --accelerators 1 \
-    --control "http://127.0.0.${dc}1:7100" --control "http://127.0.0.${dc}2:7100" --control "http://127.0.0.${dc}3:7100" \
+    --control "http://$NET.${dc}1:7100" --control "http://$NET.${dc}2:7100" --control "http://$NET.${dc}3:7100" \
     --events "$DATA/events"
 }
 
@@ -37,13 +50,13 @@
 start_backend() {
   local dc=$1 n=$2 queue=$3
   start "dc$dc.$queue.$n" "$BIN/kqfake" backend --server "$queue-$dc-$n" --dc "dc$dc" --queue "$queue" \
-    --listen "127.0.0.1$dc$n:8000" --entry "127.0.0.${dc}1:7100" --entry "127.0.0.${dc}2:7100" \
-    --entry "127.0.0.${dc}3:7100" --delay 2ms --drain 1s --runs "$DATA/runs/$queue-$dc-$n"
+    --listen "$NET.1$dc$n:8000" --entry "$NET.${dc}1:7100" --entry "$NET.${dc}2:7100" \
+    --entry "$NET.${dc}3:7100" --delay 2ms --drain 1s --runs "$DATA/runs/$queue-$dc-$n"
 }
 
 # entries prints the flags that name every entry VM.
 entries() {
-  for dc in $DCS; do for vm in $VMS; do printf ' --entry 127.0.0.%s%s:7100' "$dc" "$vm"; done; done
+  for dc in $DCS; do for vm in $VMS; do printf ' --entry %s.%s%s:7100' "$NET" "$dc" "$vm"; done; done
 }
 
 # end PATTERN sends SIGTERM to the processes whose names match, and waits.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -17,20 +17,21 @@
 }
 trap finish EXIT
 
-export KQ_SERVER=http://127.0.0.11:7100,http://127.0.0.21:7100,http://127.0.0.31:7100
+export KQ_SERVER=http://$NET.11:7100,http://$NET.21:7100,http://$NET.31:7100
 export KQ_ACTOR=demo
 REQUESTS=${REQUESTS:-1500}
 kqctl() { "$BIN/kqctl" "$@"; }
 
+addresses_free
 say "starting 9 entry VMs, 48 workers and 18 backend servers; data in $DATA"
 for dc in $DCS; do for vm in $VMS; do start_vm "$dc" "$vm"; done; done
-until_ok 10 curl -sf http://127.0.0.11:7200/healthz
-"$BIN/kqctl" --server http://127.0.0.11:7200 init >/dev/null
+until_ok 10 curl -sf http://$NET.11:7200/healthz
+"$BIN/kqctl" --server http://$NET.11:7200 init >/dev/null
 for dc in $DCS; do
   start_workers "$dc" 16
   for n in 1 2 3; do start_backend "$dc" "$n" extracts; start_backend "$dc" $((n + 3)) calendar; done
 done
-for dc in $DCS; do for vm in $VMS; do until_ok 20 curl -sf "http://127.0.0.$dc$vm:7200/readyz"; done; done
+for dc in $DCS; do for vm in $VMS; do until_ok 20 curl -sf "http://$NET.$dc$vm:7200/readyz"; done; done
 
 say "applying the declarations of examples/fleet"
 until_ok 10 kqctl status
