Give lent shares back in bounded time whatever the plans' pace; cheaper plans

Services scanned all workers for each task, and the run index was read in random order. What is stopped at once is bounded by the cell, what one plan does by its cost.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -66,6 +66,8 @@
 	{"placements per second of deciding", "1/s", func(s *stats) float64 { return float64(s.placed) / s.deciding.Seconds() }},
 	{"one plan, p50", "ms", func(s *stats) float64 { return millis(quantile(s.took, 0.5)) }},
 	{"one plan, p99", "ms", func(s *stats) float64 { return millis(quantile(s.took, 0.99)) }},
+	{"one plan, processor time, p50", "ms", func(s *stats) float64 { return millis(quantile(s.worked, 0.5)) }},
+	{"one plan, processor time, p99", "ms", func(s *stats) float64 { return millis(quantile(s.worked, 0.99)) }},
 	{"plan per placement, p50", "ms", func(s *stats) float64 { return millis(quantile(s.perTask, 0.5)) }},
 	{"plan per placement, p99", "ms", func(s *stats) float64 { return millis(quantile(s.perTask, 0.99)) }},
 	{"allocations per placement", "count", func(s *stats) float64 { return float64(s.mallocs) / float64(max(s.placed, 1)) }},
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -13,7 +13,7 @@
 )
 
 // shape is what the rating of workers depends on, for tasks that have failed
-// nowhere and are no service's.
+// nowhere and are no service's; a service has a table of its own.
 type shape struct {
 	cpu, memory, accelerators int64
 	endsBy                    int64
@@ -119,12 +119,15 @@
 	return int(w)
 }
 
-// existingTable returns the up-to-date table of a's shape, or nil.
+// existingTable returns the up-to-date table for a, or nil.
 func (d *decider) existingTable(a *ask) *table {
-	if a.service || len(a.avoid) > 0 {
+	if len(a.avoid) > 0 {
 		return nil
 	}
-	t := d.tables[a.shape()]
+	t := a.own
+	if !a.service {
+		t = d.tables[a.shape()]
+	}
 	if t != nil {
 		t.follow(d.c)
 	}
@@ -133,11 +136,15 @@
 
 // table is existingTable, but makes one when the shape is asked for again.
 func (d *decider) table(a *ask) *table {
-	if t := d.existingTable(a); t != nil || a.service || len(a.avoid) > 0 {
+	if t := d.existingTable(a); t != nil || len(a.avoid) > 0 || d.maxTables == 0 {
 		return t
 	}
+	if a.service {
+		a.own = newTable(d.c, a)
+		return a.own
+	}
 	s := a.shape()
-	if d.uses[s]++; d.uses[s] <= usesBeforeTable || len(d.tables) >= maxTables {
+	if d.uses[s]++; d.uses[s] <= usesBeforeTable || len(d.tables) >= d.maxTables {
 		return nil
 	}
 	t := newTable(d.c, a)
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -10,8 +10,13 @@
 // Decide makes a plan for s. It is pure: equal snapshots, whatever the order of
 // their slices, give equal plans. The plan's placements never need more than
 // the workers' Free; room of preempted runs counts only in a later snapshot.
-func Decide(s *Snapshot) *Plan {
+func Decide(s *Snapshot) *Plan { return decide(s, maxTables) }
+
+// decide is Decide with a bound on the number of candidate tables, which has no
+// influence on the plan.
+func decide(s *Snapshot, tables int) *Plan {
 	d := newDecider(normalise(s))
+	d.maxTables = tables
 	if s.Out {
 		d.waitAll(ReasonOut)
 		return d.finish()
@@ -39,13 +44,16 @@
 	// full holds the sizes that fit on no worker; see noFit.
 	full map[model.Resources]int64
 	// tables rate workers per shape; uses counts how often one was asked for.
-	tables map[shape]*table
-	uses   map[shape]int
+	tables    map[shape]*table
+	uses      map[shape]int
+	maxTables int
 	// reservations that stand, in the order of their jobs.
 	reservations []reservedFor
 	// runs is nil until a step needs it; see index.
 	runs *runIndex
 	plan *Plan
+	// services is nil until a service is placed; see serviceRuns.
+	services map[model.JobID][]int32
 	// evicted is the run of each preemption of the plan.
 	evicted []int32
 }
@@ -240,7 +248,7 @@
 
 // ask describes what the job's i-th pending task wants.
 func (d *decider) ask(j *jobState, i int) *ask {
-	if j.ask.scorers == nil {
+	if j.ask.weights == nil {
 		d.describe(&j.ask, j.view)
 	}
 	j.ask.avoid = j.view.Pending[i].Avoid
@@ -251,43 +259,19 @@
 func (d *decider) describe(a *ask, v *JobView) {
 	a.size = v.Spec.Size
 	a.urgent = isUrgent(v)
-	a.scorers = scorersOf(v.Spec.Class)
+	a.weights = weightsOf(v.Spec.Class)
 	if v.Spec.Class == model.ClassService {
-		d.countSpread(a, v.Spec.ID)
+		d.describeService(a, v.Spec.ID)
 		return
 	}
 	a.endsBy = endsBy(d.s.NowMillis, v.RunMillis)
 }
 
-// countSpread counts the service's tasks per rack and worker.
-func (d *decider) countSpread(a *ask, job model.JobID) {
-	a.service = true
-	a.perRack = make([]int32, d.c.racks)
-	a.perWorker = make(map[int32]int32)
-	for i := range d.s.Runs {
-		if d.s.Runs[i].Job != job {
-			continue
-		}
-		if w, ok := d.c.byID[d.s.Runs[i].Worker]; ok {
-			d.c.countService(a, int(w), 1)
-		}
-	}
-}
-
-// countService adds n tasks of the service on worker w.
-func (c *cell) countService(a *ask, w int, n int32) {
-	if !a.service {
-		return
-	}
-	a.perRack[c.rack[w]] += n
-	a.perWorker[int32(w)] += n
-}
-
 // place puts the i-th pending task of j on worker w.
 func (d *decider) place(j *jobState, i, w int, explain Explanation) {
 	size := j.view.Spec.Size
 	d.c.take(w, size)
-	d.c.countService(&j.ask, w, 1)
+	d.c.countService(&j.ask, w)
 	d.teams[j.team].add(size, d.total)
 	j.mark(i)
 	d.plan.Place = append(d.plan.Place, Placement{
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -39,6 +39,15 @@
 	})
 }
 
+func TestSamePlanWithoutTables(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := genSnapshot(t)
+		if got, want := text(decide(s, maxTables)), text(decide(s, 0)); got != want {
+			t.Fatalf("got %s\nwant %s", got, want)
+		}
+	})
+}
+
 // workerOf returns a ready worker of the usual size.
 func workerOf(id, rack string) WorkerView {
 	size := model.Resources{MilliCPU: 16_000, MemoryMB: 32_768}
--- a/internal/placement/driver_test.go
+++ b/internal/placement/driver_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/placement"
 	"kumquatwing/internal/placement/dispatch"
@@ -288,11 +290,13 @@
 	s := d.snapshot(dc)
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	start := time.Now()
+	runtime.LockOSThread()
+	start, cpu := time.Now(), threadTime()
 	p := d.scheduler.decide(s)
-	took := time.Since(start)
+	took, worked := time.Since(start), threadTime()-cpu
+	runtime.UnlockOSThread()
 	runtime.ReadMemStats(&after)
-	d.stats.decided(took, len(p.Place), after.Mallocs-before.Mallocs)
+	d.stats.decided(took, worked, len(p.Place), after.Mallocs-before.Mallocs)
 	if d.check {
 		if err := placement.Check(s, p); err != nil {
 			panic(err)
@@ -311,6 +315,15 @@
 	}
 }
 
+// threadTime is the processor time that the calling thread has used.
+func threadTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &ts); err != nil {
+		panic(err)
+	}
+	return time.Duration(ts.Nano())
+}
+
 // start runs the tasks that p places.
 func (d *driver) start(dc *driverDC, p *placement.Plan) {
 	where := make(map[model.TaskID]int, len(p.Place))
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -25,10 +25,12 @@
 
 // parts is the score of worker w by scorer, weighted.
 func (c *cell) parts(w int, a *ask) []ScorePart {
-	out := make([]ScorePart, len(a.scorers))
-	for i := range a.scorers {
-		s := &a.scorers[i]
-		out[i] = ScorePart{s.name, s.weight * s.points(c, w, a)}
+	p := c.points(w, a)
+	out := make([]ScorePart, 0, scorerCount)
+	for i := range p {
+		if a.weights[i] > 0 {
+			out = append(out, ScorePart{scorerNames[i], a.weights[i] * p[i]})
+		}
 	}
 	return out
 }
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -12,10 +12,12 @@
 	endsBy int64
 	// avoid lists workers on which the task has failed.
 	avoid []model.WorkerID
-	// perRack and perWorker count the job's tasks; nil unless service.
+	// perRack and perWorker count the job's tasks; nil unless service. own is
+	// the service's candidate table, since its counts are no other job's.
 	perRack   []int32
-	perWorker map[int32]int32
-	scorers   []scorer
+	perWorker []int32
+	own       *table
+	weights   *points
 }
 
 // filterID names a filter by its place in filterNames.
--- a/internal/placement/gang_reserve.go
+++ b/internal/placement/gang_reserve.go
@@ -183,9 +183,10 @@
 	}
 	x := d.index()
 	room := d.c.free[w].Sub(d.c.urgentHeld[w]).Sub(d.c.held[w])
-	for _, run := range x.byWorker[w] {
-		if x.stopped[run] || x.ends[run] <= at {
-			room = room.Add(x.runs[run].Holds)
+	for i := range x.byWorker[w] {
+		r := &x.byWorker[w][i]
+		if r.ends <= at || x.stopped[r.run] {
+			room = room.Add(r.holds)
 		}
 	}
 	return slotsIn(room, a.size, n)
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -1,9 +1,11 @@
 package placement_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"kumquatwing/internal/model"
 )
@@ -164,3 +166,8 @@
 		run: math.MaxInt32 * 1000, use: size,
 	}
 }
+
+// sortLoad puts jobs in the order of their arrival.
+func sortLoad(load []*loadJob) {
+	slices.SortStableFunc(load, func(a, b *loadJob) int { return cmp.Compare(a.arrives, b.arrives) })
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -14,7 +14,7 @@
 // eviction is a set of runs of one worker whose end makes room for a task.
 type eviction struct {
 	worker int
-	runs   []int32
+	runs   []indexedRun
 	lost   int64
 }
 
@@ -59,25 +59,25 @@
 // false, when size does not fit or more work than limit would be lost.
 func (d *decider) collect(e *eviction, size, room model.Resources, may mayEvict, limit int64) bool {
 	x := d.index()
-	for _, run := range x.cheapestFirst(e.worker) {
+	for _, r := range x.cheapestFirst(e.worker) {
 		if size.Fits(room) {
 			break
 		}
-		if x.lost[run] > limit {
+		if r.lost > limit {
 			return false
 		}
-		if !x.mayStop(run) || !may(run) || !helps(size, room, x.runs[run].Holds) {
+		if !x.mayStop(r.run) || !may(r.run) || !helps(size, room, r.holds) {
 			continue
 		}
-		e.runs = append(e.runs, run)
-		room = room.Add(x.runs[run].Holds)
+		e.runs = append(e.runs, r)
+		room = room.Add(r.holds)
 	}
 	if !size.Fits(room) {
 		return false
 	}
-	d.prune(e, size, room)
-	for _, run := range e.runs {
-		e.lost += x.lost[run]
+	prune(e, size, room)
+	for i := range e.runs {
+		e.lost += e.runs[i].lost
 	}
 	return e.lost <= limit
 }
@@ -93,13 +93,12 @@
 }
 
 // prune takes runs out of e, the dearest first, while size still fits.
-func (d *decider) prune(e *eviction, size, room model.Resources) {
-	x := d.index()
+func prune(e *eviction, size, room model.Resources) {
 	for i := len(e.runs) - 1; i >= 0; i-- {
-		without := room.Sub(x.runs[e.runs[i]].Holds)
+		without := room.Sub(e.runs[i].holds)
 		if size.Fits(without) {
 			room = without
-			e.runs = append(e.runs[:i], e.runs[i+1:]...)
+			e.runs = slices.Delete(e.runs, i, i+1)
 		}
 	}
 }
@@ -134,10 +133,10 @@
 // evict stops the runs of e for a task and reserves the room for its job.
 func (d *decider) evict(e eviction, j *jobState, task model.TaskID, until int64, why string) {
 	x := d.index()
-	for _, run := range e.runs {
-		r := &x.runs[run]
-		x.stop(e.worker, run)
-		d.evicted = append(d.evicted, run)
+	for _, stopped := range e.runs {
+		r := &x.runs[stopped.run]
+		x.stop(e.worker, stopped.run)
+		d.evicted = append(d.evicted, stopped.run)
 		d.plan.Preempt = append(d.plan.Preempt, Preemption{
 			Task: r.Task, Worker: r.Worker, For: task,
 			Explain: d.explainEviction(j, r, why),
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -13,9 +13,14 @@
 	// reclaimHoldMillis is how long the room of stopped runs is held.
 	reclaimHoldMillis = 5000
 	// minReclaims and reclaimWorkers bound the tasks for which one plan stops
-	// runs: at least minReclaims, and one per reclaimWorkers workers.
-	minReclaims    = 2
-	reclaimWorkers = 100
+	// runs: minReclaims, or one per reclaimWorkers workers if that is more. It
+	// bounds the cost of a plan.
+	minReclaims    = 8
+	reclaimWorkers = 50
+	// minOutstanding and outstandingWorkers bound in the same way the tasks
+	// whose room is on its way. It bounds what is stopped at the same time.
+	minOutstanding     = 16
+	outstandingWorkers = 2
 )
 
 // entitlement is the part of the fleet that a team may count on while the teams
@@ -85,7 +90,7 @@
 func newReclaim(d *decider) *reclaim {
 	r := &reclaim{
 		d:        d,
-		budget:   max(minReclaims, len(d.c.workers)/reclaimWorkers),
+		budget:   reclaimBudget(d),
 		entitled: make([]int64, len(d.teams)),
 		expected: make([]model.Resources, len(d.teams)),
 		byID:     make(map[model.TeamID]int, len(d.teams)),
@@ -102,6 +107,18 @@
 	return r
 }
 
+// reclaimBudget is for how many tasks this plan may stop runs.
+func reclaimBudget(d *decider) int {
+	workers := len(d.c.workers)
+	left := max(minOutstanding, workers/outstandingWorkers)
+	for _, j := range d.jobs {
+		if !isUrgent(j.view) && !isGang(j.view) {
+			left -= j.reservedTasks()
+		}
+	}
+	return max(min(left, max(minReclaims, workers/reclaimWorkers)), 0)
+}
+
 // expectReserved counts reserved room as its team's.
 func (r *reclaim) expectReserved() {
 	for _, j := range r.d.jobs {
@@ -180,7 +197,7 @@
 func (r *reclaim) staysOver(e eviction) bool {
 	after := make(map[int]model.Resources, 1)
 	for _, run := range e.runs {
-		view := &r.d.runs.runs[run]
+		view := &r.d.runs.runs[run.run]
 		t := r.byID[view.Team]
 		if _, ok := after[t]; !ok {
 			after[t] = r.expected[t]
@@ -196,7 +213,7 @@
 // count moves the room of e from its teams to the job's.
 func (r *reclaim) count(e eviction, j *jobState) {
 	for _, run := range e.runs {
-		view := &r.d.runs.runs[run]
+		view := &r.d.runs.runs[run.run]
 		t := r.byID[view.Team]
 		r.expected[t] = r.expected[t].Sub(view.Holds)
 	}
--- a/internal/placement/runs.go
+++ b/internal/placement/runs.go
@@ -19,45 +19,50 @@
 // runIndex finds the runs of a worker. It is built when a plan first needs it.
 type runIndex struct {
 	runs []RunView
-	// byWorker holds indexes of runs; sorted marks workers whose runs are in
-	// the order of cheapestFirst.
-	byWorker [][]int32
+	// byWorker holds the runs of each worker side by side; sorted marks workers
+	// whose runs are in the order of cheapestFirst.
+	byWorker [][]indexedRun
 	sorted   []bool
-	// lost and ends are the runs' lostWork and expectedEnd.
-	lost []int64
-	ends []int64
 	// coming is the room of runs that stop, by worker.
 	coming []model.Resources
-	// stopped marks the runs that this plan preempts.
+	// stopped marks the runs that this plan preempts, by index of runs.
 	stopped []bool
-	now     int64
+}
+
+// indexedRun is what the searches need of a run.
+type indexedRun struct {
+	// run is the index of the run.
+	run   int32
+	ends  int64
+	lost  int64
+	holds model.Resources
 }
 
 func newRunIndex(c *cell, s *Snapshot) *runIndex {
 	x := &runIndex{
 		runs:     s.Runs,
-		byWorker: make([][]int32, len(c.workers)),
+		byWorker: make([][]indexedRun, len(c.workers)),
 		sorted:   make([]bool, len(c.workers)),
 		coming:   make([]model.Resources, len(c.workers)),
 		stopped:  make([]bool, len(s.Runs)),
-		lost:     make([]int64, len(s.Runs)),
-		ends:     make([]int64, len(s.Runs)),
-		now:      s.NowMillis,
 	}
-	x.group(c)
-	for i := range x.runs {
+	on := x.makeRoom(c)
+	for i, w := range on {
+		if w < 0 {
+			continue
+		}
 		r := &x.runs[i]
-		x.lost[i] = lostWork(r, x.now)
-		x.ends[i] = expectedEnd(r, x.now)
-		if w, ok := c.byID[r.Worker]; ok && r.Stopping {
+		x.byWorker[w] = append(x.byWorker[w], indexedRun{int32(i), expectedEnd(r, s.NowMillis), lostWork(r, s.NowMillis), r.Holds})
+		if r.Stopping {
 			x.coming[w] = x.coming[w].Add(r.Holds)
 		}
 	}
 	return x
 }
 
-// group fills byWorker.
-func (x *runIndex) group(c *cell) {
+// makeRoom gives each worker of byWorker room for its runs, and returns the
+// worker of each run, or -1.
+func (x *runIndex) makeRoom(c *cell) []int32 {
 	on := make([]int32, len(x.runs))
 	count := make([]int32, len(c.workers))
 	for i := range x.runs {
@@ -69,19 +74,15 @@
 		on[i] = w
 		count[w]++
 	}
-	all := make([]int32, len(x.runs))
+	all := make([]indexedRun, len(x.runs))
 	for w, n := range count {
 		x.byWorker[w], all = all[:0:n], all[n:]
 	}
-	for i, w := range on {
-		if w >= 0 {
-			x.byWorker[w] = append(x.byWorker[w], int32(i))
-		}
-	}
+	return on
 }
 
 // cheapestFirst lists the runs of worker w, those that lose least work first.
-func (x *runIndex) cheapestFirst(w int) []int32 {
+func (x *runIndex) cheapestFirst(w int) []indexedRun {
 	if !x.sorted[w] {
 		slices.SortFunc(x.byWorker[w], x.compareLost)
 		x.sorted[w] = true
@@ -90,11 +91,11 @@
 }
 
 // compareLost orders runs by the work that a stop loses, then by task.
-func (x *runIndex) compareLost(a, b int32) int {
-	if d := cmp.Compare(x.lost[a], x.lost[b]); d != 0 {
+func (x *runIndex) compareLost(a, b indexedRun) int {
+	if d := cmp.Compare(a.lost, b.lost); d != 0 {
 		return d
 	}
-	return strings.Compare(string(x.runs[a].Task), string(x.runs[b].Task))
+	return strings.Compare(string(x.runs[a.run].Task), string(x.runs[b.run].Task))
 }
 
 // acceleratorMilliCPU is what an accelerator counts for in lost work.
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -5,55 +5,64 @@
 // fullPoints is the most that one scorer gives before its weight.
 const fullPoints = 1000
 
-// Weights of the scorers. Spread outweighs all others together.
-const (
-	packWeight    = 2
-	balanceWeight = 1
-	devicesWeight = 4
-	spreadWeight  = 10
-)
-
 // workerSpreadPoints is how many points of spread one task of the same job on
 // the worker costs; one in the rack costs fullPoints.
 const workerSpreadPoints = 200
 
-// scorer rates a worker that all filters have accepted; more points are better.
-type scorer struct {
-	name   string
-	weight int64
-	points func(c *cell, w int, a *ask) int64
-}
+// The scorers. More points are better.
+const (
+	scorerPack = iota
+	scorerBalance
+	scorerDevices
+	scorerSpread
+	scorerCount
+)
+
+// scorerNames are the scorers' names in explanations.
+var scorerNames = [scorerCount]string{ScorerPack, ScorerBalance, ScorerDevices, ScorerSpread}
+
+// points holds one number per scorer.
+type points [scorerCount]int64
 
+// The weights of the scorers. Of a service's, spread outweighs all others
+// together; a scorer without weight is left out of explanations.
 var (
-	packScorers = []scorer{
-		{ScorerPack, packWeight, scorePack},
-		{ScorerBalance, balanceWeight, scoreBalance},
-		{ScorerDevices, devicesWeight, scoreDevices},
-	}
-	serviceScorers = []scorer{
-		{ScorerSpread, spreadWeight, scoreSpread},
-		{ScorerBalance, balanceWeight, scoreBalance},
-		{ScorerDevices, devicesWeight, scoreDevices},
-	}
+	packWeights    = points{scorerPack: 2, scorerBalance: 1, scorerDevices: 4}
+	serviceWeights = points{scorerSpread: 10, scorerBalance: 1, scorerDevices: 4}
 )
 
-// scorersOf returns the scorers of a class.
-func scorersOf(class model.Class) []scorer {
+// weightsOf returns the weights of a class.
+func weightsOf(class model.Class) *points {
 	if class == model.ClassService {
-		return serviceScorers
+		return &serviceWeights
 	}
-	return packScorers
+	return &packWeights
 }
 
-// score is the weighted sum of a's scorers.
+// score is the weighted sum of worker w's points for a.
 func (c *cell) score(w int, a *ask) int64 {
+	p := c.points(w, a)
 	var sum int64
-	for i := range a.scorers {
-		sum += a.scorers[i].weight * a.scorers[i].points(c, w, a)
+	for i := range p {
+		sum += a.weights[i] * p[i]
 	}
 	return sum
 }
 
+// points rates worker w, which all filters have accepted, by every scorer.
+func (c *cell) points(w int, a *ask) points {
+	cpu, memory := c.left(w, a)
+	p := points{
+		scorerPack:    scorePack(cpu, memory),
+		scorerBalance: scoreBalance(cpu, memory),
+		scorerDevices: c.scoreDevices(w, a),
+	}
+	if a.service {
+		p[scorerSpread] = c.scoreSpread(w, a)
+	}
+	return p
+}
+
 // scale holds, per dimension, fullPoints per unit of a worker's size as fixed
 // point numbers, so that scoring needs no division.
 type scale struct{ cpu, memory int64 }
@@ -82,29 +91,23 @@
 
 // scorePack prefers workers that will be nearly full, so that whole workers
 // stay free for large tasks and gangs.
-func scorePack(c *cell, w int, a *ask) int64 {
-	cpu, memory := c.left(w, a)
-	return fullPoints - (cpu+memory)/2
-}
+func scorePack(cpu, memory int64) int64 { return fullPoints - (cpu+memory)/2 }
 
 // scoreBalance prefers to leave processors and memory in equal parts, since
 // one without the other is of no use.
-func scoreBalance(c *cell, w int, a *ask) int64 {
-	cpu, memory := c.left(w, a)
-	return fullPoints - max(cpu-memory, memory-cpu)
-}
+func scoreBalance(cpu, memory int64) int64 { return fullPoints - max(cpu-memory, memory-cpu) }
 
 // scoreDevices keeps workers with accelerators for the tasks that need them.
-func scoreDevices(c *cell, w int, a *ask) int64 {
-	if a.size.Accelerators == 0 && c.workers[w].Size.Accelerators > 0 {
+func (c *cell) scoreDevices(w int, a *ask) int64 {
+	if a.size.Accelerators == 0 && c.size[w].Accelerators > 0 {
 		return 0
 	}
 	return fullPoints
 }
 
 // scoreSpread prefers racks, then workers, with fewer tasks of the same job.
-func scoreSpread(c *cell, w int, a *ask) int64 {
+func (c *cell) scoreSpread(w int, a *ask) int64 {
 	inRack := int64(a.perRack[c.rack[w]])
-	onWorker := int64(a.perWorker[int32(w)])
+	onWorker := int64(a.perWorker[w])
 	return -inRack*fullPoints - onWorker*workerSpreadPoints
 }
--- a/internal/placement/stats_test.go
+++ b/internal/placement/stats_test.go
@@ -9,8 +9,10 @@
 
 // stats is what a run of the driver measures.
 type stats struct {
-	// took is per plan, perTask per placement of a plan that has any.
+	// took is per plan, worked the same in processor time of its thread, perTask
+	// took per placement of a plan that has any.
 	took     []time.Duration
+	worked   []time.Duration
 	perTask  []time.Duration
 	placed   int
 	deciding time.Duration
@@ -31,8 +33,9 @@
 	most, mostWaiting int
 }
 
-func (s *stats) decided(took time.Duration, placed int, mallocs uint64) {
+func (s *stats) decided(took, worked time.Duration, placed int, mallocs uint64) {
 	s.took = append(s.took, took)
+	s.worked = append(s.worked, worked)
 	s.deciding += took
 	s.placed += placed
 	s.mallocs += mallocs
@@ -159,6 +162,7 @@
 // merge adds the measures of another run.
 func (s *stats) merge(o *stats) {
 	s.took = append(s.took, o.took...)
+	s.worked = append(s.worked, o.worked...)
 	s.perTask = append(s.perTask, o.perTask...)
 	s.placed += o.placed
 	s.deciding += o.deciding
@@ -189,6 +193,7 @@
 		slices.Sort(w)
 	}
 	slices.Sort(s.took)
+	slices.Sort(s.worked)
 	slices.Sort(s.perTask)
 }
 
