Keep reservations through changes of learnt sizes; reserve less at a time

Cause: a reservation was counted in tasks of the present size, so that a learnt size that grew by a little voided it, and a gang's hold began anew without end; the new test failed before (hold ended 1,000 ms later after a plan 1,000 ms on). Resized room may not exceed a worker: seen failing in random cells first. After: rooms carry their tasks; corrections come in steps of an eighth. Cause: up to a quarter of the cell was reserved, and idle, at the same time. After: a tenth.

--- a/internal/placement/check_reserve.go
+++ b/internal/placement/check_reserve.go
@@ -72,12 +72,9 @@
 
 // unusedRooms is what is left of r after the plan's placements of its job.
 func (c *checker) unusedRooms(r *Reservation) []ReservedRoom {
-	size := c.jobs[r.Job].Spec.Size
-	covered := 0
-	for _, room := range r.Workers {
-		covered += slotsIn(room.Room, size, len(c.jobs[r.Job].Pending))
-	}
-	return firstRooms(r.Workers, size, covered-c.placed[r.Job])
+	j := c.jobs[r.Job]
+	covered := min(reservedTasks(r.Workers), len(j.Pending))
+	return firstRooms(r.Workers, j.Spec.Size, covered-c.placed[r.Job])
 }
 
 // heldFrom sums the held room that p may not use.
--- a/internal/placement/estimate/estimate.go
+++ b/internal/placement/estimate/estimate.go
@@ -21,6 +21,10 @@
 	// MinRatio and MaxRatio bound every correction.
 	MinRatio = 250
 	MaxRatio = 4000
+	// ratioStep is the precision of corrections. A ratio that moves a little must
+	// not change the sizes of waiting tasks, for which room may be reserved, and
+	// like jobs should ask for like room.
+	ratioStep = 125
 	// MinSamples is how many ended tasks a workload needs before it is corrected.
 	MinSamples = 3
 	// MaxWorkloads bounds a Book; the one not seen for longest is forgotten.
@@ -159,7 +163,7 @@
 	e := &b.Entries[i]
 	c.Size = e.raise(size, workers)
 	if e.Run.Samples >= MinSamples {
-		c.RunMillis = runMillis * e.Run.Mean / whole
+		c.RunMillis = runMillis * inSteps(e.Run.Mean) / whole
 	}
 	if c.Size != size || c.RunMillis != runMillis {
 		c.Detail = fmt.Sprintf("declared %s for %d ms; planned with %s for %d ms after %d ended tasks of the workload",
@@ -194,11 +198,16 @@
 	return most
 }
 
+// inSteps rounds a ratio up.
+func inSteps(ratio int64) int64 {
+	return (ratio + ratioStep - 1) / ratioStep * ratioStep
+}
+
 // upper is the declared amount, or the mean with the deviation if that is more.
 func (r *Ratio) upper(declared int64) int64 {
 	if r.Samples < MinSamples {
 		return declared
 	}
-	ratio := min(r.Mean+r.Deviation, MaxRatio)
+	ratio := min(inSteps(r.Mean+r.Deviation), MaxRatio)
 	return max(declared, declared*ratio/whole)
 }
--- a/internal/placement/explain_test.go
+++ b/internal/placement/explain_test.go
@@ -52,8 +52,9 @@
 		}
 		covered := 0
 		for _, room := range o.Workers {
-			covered += slotsIn(room.Room, owner.Spec.Size, len(owner.Pending))
+			covered += room.Tasks
 		}
+		covered = min(covered, len(owner.Pending))
 		o.Workers = firstRooms(o.Workers, owner.Spec.Size, covered-r.placed[o.Job])
 		out = append(out, o)
 	}
--- a/internal/placement/gang_reserve.go
+++ b/internal/placement/gang_reserve.go
@@ -23,7 +23,7 @@
 	maxNewReservations = 1
 	// maxReservedPercent bounds the part of the cell that is reserved, unless
 	// a single job needs more.
-	maxReservedPercent = 25
+	maxReservedPercent = 10
 	// horizonMillis is how far ahead room is planned.
 	horizonMillis = 24 * 3_600_000
 	// firstStepMillis is the first step of the search for a start; it doubles.
--- a/internal/placement/gen_test.go
+++ b/internal/placement/gen_test.go
@@ -171,4 +171,10 @@
 		earlier.Workers[i].Free = earlier.Workers[i].Free.Min(model.Resources{MilliCPU: g.Int64N(4000)})
 	}
 	s.Reservations = Decide(&earlier).Reservations
+	// Learnt sizes change between two plans.
+	for i := range s.Jobs {
+		if g.chance(3) {
+			s.Jobs[i].Spec.Size.MilliCPU += s.Jobs[i].Spec.Size.MilliCPU / 8
+		}
+	}
 }
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -195,7 +195,7 @@
 	s := &Snapshot{NowMillis: genNow, Workers: []WorkerView{workerOf("w1", "r1")}}
 	c := newCell(s)
 	for _, start := range []int64{genNow + 30_000, genNow + 10_000} {
-		c.hold(&Reservation{StartMillis: start, Workers: []ReservedRoom{{"w1", model.Resources{MilliCPU: 8000}}}})
+		c.hold(&Reservation{StartMillis: start, Workers: []ReservedRoom{{Worker: "w1", Tasks: 1, Room: model.Resources{MilliCPU: 8000}}}})
 	}
 	for _, tc := range []struct {
 		run  int64
@@ -205,3 +205,20 @@
 		qt.Check(t, c.mayBackfill(0, a), qt.Equals, tc.want)
 	}
 }
+
+func TestReservationFollowsLearntSize(t *testing.T) {
+	ends := int64(genNow + 20_000)
+	s := occupied([]WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1")},
+		runOf("a", "x", "w1", 15_000, 0, 0, ends), runOf("c", "x", "w2", 15_000, 0, 0, ends))
+	s.Jobs = []JobView{jobOf("g", "y", model.ClassGang, 2, 12_000)}
+	first := Decide(s).Reservations
+	s.Reservations = first
+	s.NowMillis += 1000
+	s.Jobs[0].Spec.Size.MilliCPU += 100
+	p := Decide(s)
+	qt.Assert(t, Check(s, p), qt.IsNil)
+	qt.Assert(t, p.Reservations, qt.HasLen, 1)
+	// The reservation goes on, and still ends when it was to end.
+	qt.Check(t, p.Reservations[0].UntilMillis, qt.Equals, first[0].UntilMillis)
+	qt.Check(t, p.Reservations[0].Workers[0].Room, qt.Equals, s.Jobs[0].Spec.Size)
+}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -1,6 +1,10 @@
 package placement
 
-import "kumquatwing/internal/model"
+import (
+	"slices"
+
+	"kumquatwing/internal/model"
+)
 
 // pauseMillis is how long a job whose room could not be planned waits before it
 // is tried again.
@@ -19,6 +23,7 @@
 	ended := r.UntilMillis <= d.s.NowMillis
 	switch {
 	case !ended && len(r.Workers) > 0:
+		r.Workers = d.resized(j, r)
 		j.reservation = r
 		d.c.hold(r)
 		d.reservations = append(d.reservations, reservedFor{j, r})
@@ -35,6 +40,26 @@
 	}
 }
 
+// resized is r's rooms by the present size of the job's tasks, for as many of
+// them as the workers can hold besides what others have reserved.
+func (d *decider) resized(j *jobState, r *Reservation) []ReservedRoom {
+	size := j.view.Spec.Size
+	rooms := slices.Clone(r.Workers)
+	for i := range rooms {
+		w, ok := d.c.byID[rooms[i].Worker]
+		if !ok {
+			rooms[i].Tasks = 0
+			continue
+		}
+		room := d.c.size[w]
+		if !isUrgent(j.view) {
+			room = room.Sub(d.c.held[w])
+		}
+		rooms[i].Tasks = slotsIn(room, size, rooms[i].Tasks)
+	}
+	return firstRooms(rooms, size, len(j.view.Pending))
+}
+
 // pause keeps j from reserving for some time.
 func (d *decider) pause(j *jobState, attempt int, millis int64) {
 	j.paused = true
@@ -51,9 +76,14 @@
 	if j.reservation == nil {
 		return 0
 	}
+	return reservedTasks(j.reservation.Workers)
+}
+
+// reservedTasks is for how many tasks rooms are.
+func reservedTasks(rooms []ReservedRoom) int {
 	n := 0
-	for _, room := range j.reservation.Workers {
-		n += slotsIn(room.Room, j.view.Spec.Size, len(j.view.Pending))
+	for _, room := range rooms {
+		n += room.Tasks
 	}
 	return n
 }
@@ -81,20 +111,22 @@
 	}
 	r := j.reservation
 	r.UntilMillis = max(r.UntilMillis, until)
-	r.add(d.c.workers[w].ID, j.view.Spec.Size.Scale(int64(n)))
+	r.add(d.c.workers[w].ID, n, j.view.Spec.Size)
 	d.c.hold(r)
 	j.reason = ReasonReserved
 }
 
-// add holds more room on a worker.
-func (r *Reservation) add(w model.WorkerID, room model.Resources) {
+// add holds room for n more tasks of a size on a worker.
+func (r *Reservation) add(w model.WorkerID, n int, size model.Resources) {
+	room := size.Scale(int64(n))
 	for i := range r.Workers {
 		if r.Workers[i].Worker == w {
+			r.Workers[i].Tasks += n
 			r.Workers[i].Room = r.Workers[i].Room.Add(room)
 			return
 		}
 	}
-	r.Workers = append(r.Workers, ReservedRoom{w, room})
+	r.Workers = append(r.Workers, ReservedRoom{w, n, room})
 }
 
 // shrinkReservation holds again room for n more tasks of j, whose reservation
@@ -112,15 +144,15 @@
 	}
 }
 
-// firstRooms is the part of rooms that covers n tasks.
+// firstRooms is the part of rooms that covers n tasks of a size.
 func firstRooms(rooms []ReservedRoom, size model.Resources, n int) []ReservedRoom {
 	var out []ReservedRoom
 	for _, room := range rooms {
-		k := slotsIn(room.Room, size, n)
-		if k == 0 {
+		k := min(room.Tasks, n)
+		if k <= 0 {
 			continue
 		}
-		out = append(out, ReservedRoom{room.Worker, size.Scale(int64(k))})
+		out = append(out, ReservedRoom{room.Worker, k, size.Scale(int64(k))})
 		n -= k
 	}
 	return out
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -163,7 +163,10 @@
 // ReservedRoom is a part of a worker that is held back.
 type ReservedRoom struct {
 	Worker model.WorkerID
-	Room   model.Resources
+	// Tasks is for how many tasks the room is, Room what they need together. It
+	// follows the learnt size of the tasks.
+	Tasks int
+	Room  model.Resources
 }
 
 // Explanation is the recorded account of one decision.
