Measure the cost of each role with real processes

Cause: docs/CAPACITY.md needs slopes. make capacity starts the binaries on loopback addresses, varies one size at a time, reads memory, processor time and wire bytes per role and fits a line; make bench runs every suite once.

--- a/Makefile
+++ b/Makefile
@@ -13,18 +13,20 @@
 	$(GO) build -ldflags '$(LDFLAGS)' -o $(BIN)/ ./cmd/...
 
 fmt:
-	$(GO) tool gofumpt -w cmd internal proof
+	$(GO) tool gofumpt -w cmd internal proof capacity
 
 fmt-check:
-	@out=$$($(GO) tool gofumpt -l cmd internal proof); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@out=$$($(GO) tool gofumpt -l cmd internal proof capacity); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
 	$(GO) vet -tags proof ./proof
+	$(GO) vet -tags capacity ./capacity
 
 lint:
 	$(GO) tool staticcheck ./...
 	$(GO) tool staticcheck -tags proof ./proof
+	$(GO) tool staticcheck -tags capacity ./capacity
 
 unit:
 	$(GO) test -timeout 9m ./...
@@ -40,3 +42,12 @@
 # The cells of docs/PROOF.md that need real processes; about five minutes.
 proof: build
 	scripts/proof.sh
+
+# The points and slopes of docs/CAPACITY.md, from real processes on loopback
+# addresses; about six minutes.
+capacity: build
+	$(GO) test -tags capacity -count=1 -timeout 15m -v ./capacity
+
+# Every suite of benchmarks once; about three minutes.
+bench:
+	GO=$(GO) scripts/bench.sh
