Bound the addresses in the answer to an announcement

Cause: every process announces itself each second and was answered with the addresses of all members, so the fleet leader's bytes grew with the square of the fleet. Ruled out: announcing less often, which would delay noticing a silent VM.

--- a/internal/control/hello.go
+++ b/internal/control/hello.go
@@ -21,6 +21,9 @@
 	silentAfter = 5 * time.Second
 	// helloTimeout bounds one announcement.
 	helloTimeout = 800 * time.Millisecond
+	// maxKnown bounds the addresses in the answer to an announcement, which
+	// every process of the fleet gets every helloPeriod.
+	maxKnown = maxFleetVoters
 )
 
 // hello is what a process says of itself.
@@ -39,7 +42,7 @@
 type helloReply struct {
 	// Leader is the wire address of the fleet's leader, if known.
 	Leader string `msgpack:"l"`
-	// Known lists wire addresses of the fleet's members.
+	// Known lists wire addresses of some of the fleet's members, voters first.
 	Known []string `msgpack:"k"`
 }
 
@@ -159,14 +162,26 @@
 	if m, ok := s.fleetLeader(); ok {
 		reply.Leader = m.Addr
 	}
-	st := s.fleetStatus()
-	for _, m := range st.Members {
-		reply.Known = append(reply.Known, m.Addr)
+	reply.Known = knownAddrs(s.fleetStatus().Members, s.roster)
+	return reply, nil
+}
+
+// knownAddrs lists at most maxKnown addresses at which the fleet can be found:
+// its voters, then its learners; before there is a fleet, who was heard here.
+func knownAddrs(members []replica.Member, r *roster) []string {
+	var voters, learners []string
+	for _, m := range members {
+		if m.Learner {
+			learners = append(learners, m.Addr)
+		} else {
+			voters = append(voters, m.Addr)
+		}
 	}
-	if len(reply.Known) == 0 {
-		for _, o := range s.roster.list() {
-			reply.Known = append(reply.Known, o.WireAddr)
+	addrs := append(voters, learners...)
+	if len(addrs) == 0 {
+		for _, h := range r.list() {
+			addrs = append(addrs, h.WireAddr)
 		}
 	}
-	return reply, nil
+	return addrs[:min(len(addrs), maxKnown)]
 }
