Keep less memory per connection between our processes

Cause: a leader's memory grew by 0.33 MiB per process of the fleet: a queue of 4,096 places and four 16 KiB buffers each. Now 1,024 places, as many requests as one kqentry takes in, and 4 KiB buffers; longer bodies pass a buffer by.

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -21,9 +21,10 @@
 	maxBodyBytes = MaxFrameBytes - 64<<10
 	// lengthBytes is the size of the length prefix.
 	lengthBytes = 4
-	// readBufferBytes and writeBufferBytes size a connection's buffers.
-	readBufferBytes  = 16 << 10
-	writeBufferBytes = 16 << 10
+	// readBufferBytes and writeBufferBytes size a connection's buffers. Longer
+	// bodies pass them by, and a leader keeps four of them per process.
+	readBufferBytes  = 4 << 10
+	writeBufferBytes = 4 << 10
 )
 
 // frameKind tells requests, replies and one-way messages apart.
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -13,7 +13,7 @@
 
 const (
 	// peerQueue bounds the frames that wait for one connection.
-	peerQueue = 4096
+	peerQueue = 1024
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = time.Second
 	// backoffMin and backoffMax bound the pause between attempts.
