Let a worker report changes only, about once a second

Cause: each worker listed every run twice a second, so that a data centre leader received 277 B/s per running task and 640 B/s per worker. A report may now build on the newest answered one of its incarnation and list only what differs; the leader refuses it unless it has that one as its newest, and the worker then sends a whole one. The answer is held for up to 1 s, and not at all after a failure, so that one lost report leaves the lease its margin. Ruled out: a longer hold, which would delay the news of a task's use.

--- a/internal/api/worker.go
+++ b/internal/api/worker.go
@@ -2,8 +2,8 @@
 
 import "kumquatwing/internal/model"
 
-// WorkerReport is what a worker sends about every half second, and at once
-// when a task ends. Control holds the answer back for up to HoldMillis while
+// WorkerReport is what a worker sends about every second, and at once when a
+// task ends. Control holds the answer back for up to HoldMillis while
 // there is nothing to tell.
 type WorkerReport struct {
 	Worker model.WorkerID  `json:"worker" msgpack:"w"`
@@ -16,9 +16,15 @@
 	Seq uint64 `json:"seq" msgpack:"q"`
 	// Epoch is the newest the worker has seen.
 	Epoch model.Epoch `json:"epoch" msgpack:"e"`
+	// Base, unless 0, is the Seq of the incarnation's newest answered report.
+	// Tasks then lists only what differs from it, and Gone the runs that it had
+	// and that are to be forgotten. Control refuses the report if it doesn't know
+	// Base as the newest; the worker then sends a whole one.
+	Base uint64 `json:"base,omitempty" msgpack:"b,omitempty"`
 	// Tasks lists every run the worker holds, and those ended since the last
 	// report that was answered.
 	Tasks      []TaskReport `json:"tasks,omitempty" msgpack:"t,omitempty"`
+	Gone       []RunID      `json:"gone,omitempty" msgpack:"g,omitempty"`
 	HoldMillis int64        `json:"hold_ms,omitempty" msgpack:"h,omitempty"`
 }
 
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -13,13 +13,14 @@
 
 	"kumquatwing/internal/api"
 	"kumquatwing/internal/clock"
+	"kumquatwing/internal/workerapi"
 )
 
 const (
 	// reportEvery is the pause between reports when nothing happens.
 	reportEvery = 500 * time.Millisecond
 	// holdMillis is how long control may hold an answer.
-	holdMillis = 400
+	holdMillis = 1000
 	// askTimeout bounds one report with its answer.
 	askTimeout = 2 * time.Second
 	// retryPause is the pause after a failed report.
@@ -37,6 +38,8 @@
 	client *http.Client
 	clock  clock.Clock
 	log    *zap.Logger
+	// answered is the newest report, if it was answered.
+	answered *api.WorkerReport
 	// SilentAfter and SilentFor are of ModeSilent, from the start of Run.
 	SilentAfter, SilentFor time.Duration
 }
@@ -44,6 +47,7 @@
 // answer is the outcome of one report.
 type answer struct {
 	askedAt clock.Instant
+	report  *api.WorkerReport
 	orders  *api.WorkerOrders
 	err     error
 }
@@ -99,6 +103,7 @@
 func (p *Process) take(a answer, askAt clock.Instant) clock.Instant {
 	now := p.clock.Now()
 	if a.err != nil {
+		p.answered = nil
 		p.next++
 		p.log.Debug("report failed", zap.String("id", string(p.cfg.ID)), zap.Error(a.err))
 		if askAt > a.askedAt {
@@ -106,6 +111,7 @@
 		}
 		return now.Add(retryPause)
 	}
+	p.answered = a.report
 	p.core.Apply(a.askedAt, now, a.orders)
 	if len(a.orders.Start)+len(a.orders.Stop)+len(a.orders.Known) > 0 {
 		return now
@@ -120,13 +126,18 @@
 // ask sends a report; the answer comes on the channel.
 func (p *Process) ask(ctx context.Context, now clock.Instant) (chan answer, context.CancelFunc) {
 	r := p.core.Report(now)
-	r.HoldMillis = holdMillis
+	sent := r
+	if p.answered != nil {
+		sent = workerapi.Changes(p.answered, r)
+		// After a failure the answer isn't held back, so that the lease is renewed.
+		sent.HoldMillis = holdMillis
+	}
 	base := p.bases[p.next%len(p.bases)]
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	out := make(chan answer, 1)
 	go func() {
-		o, err := p.post(ctx, base+api.PathWorkerReport, r)
-		out <- answer{askedAt: now, orders: o, err: err}
+		o, err := p.post(ctx, base+api.PathWorkerReport, sent)
+		out <- answer{askedAt: now, report: r, orders: o, err: err}
 	}()
 	return out, cancel
 }
--- a/internal/workerapi/leader.go
+++ b/internal/workerapi/leader.go
@@ -74,6 +74,7 @@
 	skipMayStart
 	skipLosing
 	skipCurrent
+	skipBase
 )
 
 // NewLeader returns the soft state of a member that has just become leader at
--- a/internal/workerapi/report.go
+++ b/internal/workerapi/report.go
@@ -35,6 +35,10 @@
 	if err := l.check(dc, r); err != nil {
 		return nil, err
 	}
+	r, err := l.whole(r)
+	if err != nil {
+		return nil, err
+	}
 	s := l.see(r.Worker)
 	c := &work.Command{Epoch: l.epoch}
 	w := l.state.Worker(r.Worker)
