--- a/internal/control/hello.go
+++ b/internal/control/hello.go
@@ -21,6 +21,9 @@
 	silentAfter = 5 * time.Second
 	// helloTimeout bounds one announcement.
 	helloTimeout = 800 * time.Millisecond
+	// maxKnown bounds the addresses in the answer to an announcement, which
+	// every process of the fleet gets every helloPeriod.
+	maxKnown = maxFleetVoters
 )
 
 // hello is what a process says of itself.
@@ -41,8 +44,8 @@
 type helloReply struct {
 	// Leader is the wire address of the fleet's leader, if known.
 	Leader string `msgpack:"l"`
-	// Known lists wire addresses of the fleet's members.
-	Known []string `msgpack:"k,omitempty"`
+	// Known lists wire addresses of some of the fleet's members, voters first.
+	Known []string `msgpack:"k"`
 	// FleetSize is the size of all workers, from the fleet's leader.
 	FleetSize model.Resources `msgpack:"s"`
 }
@@ -168,8 +171,7 @@
 	s.roster.note(*h, now)
 }
 
-// handleHello notes an announcement and tells the sender who leads. The leader
-// leaves out the members, since a sender that knows it needs no others.
+// handleHello notes an announcement and tells the sender who leads.
 func (s *Server) handleHello(_ context.Context, h *hello) (*helloReply, error) {
 	s.noteHello(h)
 	reply := &helloReply{FleetSize: s.rooms.fleetSize(s.clock.Now())}
@@ -177,16 +179,26 @@
 	if m, ok := st.LeaderMember(); ok {
 		reply.Leader = m.Addr
 	}
-	if st.IsLeader() {
-		return reply, nil
-	}
-	for _, m := range st.Members {
-		reply.Known = append(reply.Known, m.Addr)
+	reply.Known = knownAddrs(st.Members, s.roster)
+	return reply, nil
+}
+
+// knownAddrs lists at most maxKnown addresses at which the fleet can be found:
+// its voters, then its learners; before there is a fleet, who was heard here.
+func knownAddrs(members []replica.Member, r *roster) []string {
+	var voters, learners []string
+	for _, m := range members {
+		if m.Learner {
+			learners = append(learners, m.Addr)
+		} else {
+			voters = append(voters, m.Addr)
+		}
 	}
-	if len(reply.Known) == 0 {
-		for _, o := range s.roster.list() {
-			reply.Known = append(reply.Known, o.WireAddr)
+	addrs := append(voters, learners...)
+	if len(addrs) == 0 {
+		for _, h := range r.list() {
+			addrs = append(addrs, h.WireAddr)
 		}
 	}
-	return reply, nil
+	return addrs[:min(len(addrs), maxKnown)]
 }
