--- a/internal/logx/logx.go
+++ b/internal/logx/logx.go
@@ -8,11 +8,15 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// New returns a logger that drops messages below level.
+// DefaultLevel is the level of a process that is not told another.
+const DefaultLevel = "info"
+
+// New returns a logger that drops messages below level. Its error names a level
+// that there is not.
 func New(level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, merry.Prepend(err, "--log-level")
+		return nil, merry.Errorf("%q, not debug, info, warn or error", level)
 	}
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(l)
