Let the entry VMs of a data centre that is out pass requests on

Cause: kqcontrol left them out of the list of remote entry VMs, so that the others took their passed-on requests for a caller's pretence and refused them with bad-request; callers with an id of the data centre then saw may-have-run. Ruled out: the source address of the connections, which is the VM's own.

--- a/internal/api/entry.go
+++ b/internal/api/entry.go
@@ -81,6 +81,8 @@
 	VM   model.VMID `msgpack:"v"`
 	DC   model.DCID `msgpack:"d"`
 	Addr string     `msgpack:"a"`
+	// Out is set while the data centre is out: it sends requests and takes none.
+	Out bool `msgpack:"o,omitempty"`
 }
 
 // EntryView is the part of the fleet's state that traffic needs.
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -45,7 +45,8 @@
 	return out, nil
 }
 
-// remoteEntries lists the entry VMs of other data centres that are in.
+// remoteEntries lists the entry VMs of other data centres. Those of one that is
+// out are among them, since they pass their callers' requests on.
 func (s *Server) remoteEntries(v *fleetView) []api.RemoteEntry {
 	outside := map[model.DCID]bool{}
 	for _, dc := range v.entry.DataCentres {
@@ -53,8 +54,8 @@
 	}
 	var out []api.RemoteEntry
 	for _, m := range v.members {
-		if m.DC != s.cfg.DC && m.EntryAddr != "" && !outside[m.DC] {
-			out = append(out, api.RemoteEntry{VM: m.VM, DC: m.DC, Addr: m.EntryAddr})
+		if m.DC != s.cfg.DC && m.EntryAddr != "" {
+			out = append(out, api.RemoteEntry{VM: m.VM, DC: m.DC, Addr: m.EntryAddr, Out: outside[m.DC]})
 		}
 	}
 	return out
--- a/internal/route/overflow.go
+++ b/internal/route/overflow.go
@@ -51,8 +51,9 @@
 	defer r.mu.Unlock()
 	var next []*remote
 	for _, e := range list {
-		i := slices.IndexFunc(r.all, func(o *remote) bool { return o.RemoteEntry == e })
+		i := slices.IndexFunc(r.all, func(o *remote) bool { return o.VM == e.VM && o.DC == e.DC && o.Addr == e.Addr })
 		if i >= 0 {
+			r.all[i].Out = e.Out
 			next = append(next, r.all[i])
 			continue
 		}
@@ -68,7 +69,7 @@
 	r.all = next
 }
 
-// pick returns one entry VM of each other data centre, in random order.
+// pick returns one entry VM of each other data centre that is in, in random order.
 func (r *remotes) pick(now time.Time) []*remote {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -76,7 +77,7 @@
 	seen := map[model.DCID]bool{}
 	for _, i := range rand.Perm(len(r.all)) {
 		e := r.all[i]
-		if !seen[e.DC] && !now.Before(e.until) {
+		if !seen[e.DC] && !e.Out && !now.Before(e.until) {
 			seen[e.DC] = true
 			out = append(out, e)
 		}
