Let urgent tasks stop their own team's runs at the limit, and no others in vain

Cause: several urgent jobs of one team each counted only their own promises against the grant, so that two runs were stopped where the limit allowed one start; and an urgent task waited without end behind its own team's batch runs. Ruled out: marking such runs as always needed, since a later stop can make one needless (random cells found it). Conclusion: promises are counted per team; Check knows both grounds.

--- a/internal/placement/check_preempt.go
+++ b/internal/placement/check_preempt.go
@@ -80,11 +80,15 @@
 	return out
 }
 
-// checkNeeded checks that the room held on p's worker would not be there
-// without p. Urgent tasks are served first, so that only what they hold and
+// checkNeeded checks that the room held on p's worker, or within the limit of
+// the team if p's run is its own, would not be there without p. Urgent tasks are served first, so that only what they hold and
 // what was stopped for them counts there.
 func (c *checker) checkNeeded(p *Preemption, holds model.Resources, stopped map[model.TaskID]*Preemption) error {
-	urgent := isUrgent(c.jobOfTask(p.For))
+	j := c.jobOfTask(p.For)
+	urgent := isUrgent(j)
+	if team := c.teams[j.Spec.Team]; c.teamOf(p.Task) == team.ID && !holds.Fits(c.limitLeft(team, stopped)) {
+		return nil
+	}
 	room := c.workers[p.Worker].Free.Sub(c.placedOn(p.Worker))
 	for i := range c.s.Runs {
 		r := &c.s.Runs[i]
@@ -107,6 +111,38 @@
 	return nil
 }
 
+// teamOf is the team of a run.
+func (c *checker) teamOf(task model.TaskID) model.TeamID {
+	for i := range c.s.Runs {
+		if c.s.Runs[i].Task == task {
+			return c.s.Runs[i].Team
+		}
+	}
+	return ""
+}
+
+// limitLeft is what the team's grant covers after the plan, when its runs that
+// stop have ended and its urgent tasks with reserved room have started.
+func (c *checker) limitLeft(t *TeamView, stopped map[model.TaskID]*Preemption) model.Resources {
+	left := t.Grant.Sub(t.Usage)
+	for i := range c.p.Place {
+		if spec := &c.jobs[c.p.Place[i].Job].Spec; spec.Team == t.ID {
+			left = left.Sub(spec.Size)
+		}
+	}
+	for i := range c.s.Runs {
+		if r := &c.s.Runs[i]; r.Team == t.ID && (r.Stopping || stopped[r.Task] != nil) {
+			left = left.Add(r.Holds)
+		}
+	}
+	for i := range c.p.Reservations {
+		if r := &c.p.Reservations[i]; r.Class == model.ClassUrgent {
+			left = left.Sub(c.reservedBy(t.ID, r))
+		}
+	}
+	return left
+}
+
 // placedOn sums what the plan places on a worker.
 func (c *checker) placedOn(w model.WorkerID) model.Resources {
 	var sum model.Resources
--- a/internal/placement/check_test.go
+++ b/internal/placement/check_test.go
@@ -99,6 +99,9 @@
 		if len(p.Preempt) == 0 {
 			return false
 		}
+		for i := range s.Teams {
+			s.Teams[i].Grant = teamOf("", 1).Grant
+		}
 		for i := range s.Workers {
 			if s.Workers[i].ID == p.Preempt[0].Worker {
 				s.Workers[i].Free = s.Workers[i].Size.Scale(2)
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -55,7 +55,9 @@
 	// services is nil until a service is placed; see serviceRuns.
 	services map[model.JobID][]int32
 	// evicted is the run of each preemption of the plan.
-	evicted []int32
+	evicted []evictedRun
+	// stoppingRooms is nil until it is needed; see stopping.
+	stoppingRooms map[model.TeamID]model.Resources
 }
 
 func newDecider(s *Snapshot) *decider {
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -222,3 +222,27 @@
 	qt.Check(t, p.Reservations[0].UntilMillis, qt.Equals, first[0].UntilMillis)
 	qt.Check(t, p.Reservations[0].Workers[0].Room, qt.Equals, s.Jobs[0].Spec.Size)
 }
+
+func TestUrgentStopsNoMoreThanTheLimitAllows(t *testing.T) {
+	s := occupied([]WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1")},
+		runOf("a", "x", "w1", 8000, 0, 0, 0), runOf("b", "x", "w1", 8000, 0, 0, 0), runOf("c", "x", "w2", 16_000, 0, 0, 0))
+	s.Jobs = []JobView{jobOf("u", "y", model.ClassUrgent, 1, 8000), jobOf("v", "y", model.ClassUrgent, 1, 8000)}
+	s.Teams[1].Grant.MilliCPU = 8000
+	p := Decide(s)
+	qt.Assert(t, Check(s, p), qt.IsNil)
+	qt.Check(t, p.Preempt, qt.HasLen, 1)
+}
+
+func TestUrgentStopsOwnTeamsRunsAtTheLimit(t *testing.T) {
+	s := occupied([]WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1")},
+		runOf("a", "x", "w1", 4000, genNow-10, 0, 0), runOf("b", "y", "w1", 4000, 0, 0, 0), runOf("c", "y", "w1", 4000, genNow-20, 0, 0))
+	s.Jobs = []JobView{jobOf("u", "y", model.ClassUrgent, 1, 2000)}
+	s.Teams[1].Grant.MilliCPU = 9000
+	p := Decide(s)
+	qt.Assert(t, Check(s, p), qt.IsNil)
+	qt.Assert(t, preempted(p), qt.DeepEquals, []model.TaskID{"c.0"})
+	// The run that stops makes the room within the limit: nothing more is stopped.
+	s.Reservations = p.Reservations
+	s.Runs[2].Stopping = true
+	qt.Assert(t, Decide(s).Preempt, qt.HasLen, 0)
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -23,23 +23,24 @@
 
 // findEviction returns the cheapest way to make room for a: the worker on which
 // the least work is lost, with no run more than needed. Room that runs which
-// already stop will free is used first. ok is false if there is no way.
-func (d *decider) findEviction(a *ask, may mayEvict) (best eviction, ok bool) {
+// already stop will free is used first. No more room than limit is counted on
+// any worker. ok is false if there is no way.
+func (d *decider) findEviction(a *ask, may mayEvict, limit model.Resources) (best eviction, ok bool) {
 	x := d.index()
 	for w := range d.c.workers {
 		if !d.c.takes(w, a) {
 			continue
 		}
-		room := d.c.room(w, a).Add(x.coming[w])
+		room := d.c.room(w, a).Add(x.coming[w]).Min(limit)
 		if a.size.Fits(room) {
 			return eviction{worker: w}, true
 		}
 		e := eviction{worker: w}
-		limit := int64(neverEnds)
+		most := int64(neverEnds)
 		if ok {
-			limit = best.lost
+			most = best.lost
 		}
-		if d.collect(&e, a.size, room, may, limit) && (!ok || cheaper(&e, &best)) {
+		if d.collect(&e, a.size, room, may, most) && (!ok || cheaper(&e, &best)) {
 			best, ok = e, true
 		}
 	}
@@ -56,14 +57,14 @@
 
 // collect adds runs to e until size fits, those that lose least first, and then
 // takes out the ones that turned out not to be needed. It gives up, returning
-// false, when size does not fit or more work than limit would be lost.
-func (d *decider) collect(e *eviction, size, room model.Resources, may mayEvict, limit int64) bool {
+// false, when size does not fit or more work than most would be lost.
+func (d *decider) collect(e *eviction, size, room model.Resources, may mayEvict, most int64) bool {
 	x := d.index()
 	for _, r := range x.cheapestFirst(e.worker) {
 		if size.Fits(room) {
 			break
 		}
-		if r.lost > limit {
+		if r.lost > most {
 			return false
 		}
 		if !x.mayStop(r.run) || !may(r.run) || !helps(size, room, r.holds) {
@@ -79,7 +80,7 @@
 	for i := range e.runs {
 		e.lost += e.runs[i].lost
 	}
-	return e.lost <= limit
+	return e.lost <= most
 }
 
 // helps reports whether holds adds to a dimension in which room is short.
@@ -103,18 +104,28 @@
 	}
 }
 
+// evictedRun is a run that the plan preempts.
+type evictedRun struct {
+	run int32
+	// team is the one that it is stopped for; forLimit is set if the run is the
+	// team's own and its room is needed within the limit.
+	team     int
+	forLimit bool
+}
+
 // dropUnneeded takes back the preemptions from the first-th on that later ones
-// on the same worker have made needless, the dearest first. spare is the room
-// of a worker that no reservation in question needs.
+// on the same worker have made needless, the last first. spare is the room of a
+// worker that no reservation in question needs.
 func (d *decider) dropUnneeded(first int, spare func(w int) model.Resources) {
 	x := d.index()
 	for i := len(d.plan.Preempt) - 1; i >= first; i-- {
 		w := int(d.c.byID[d.plan.Preempt[i].Worker])
-		run := d.evicted[i]
-		if !x.runs[run].Holds.Fits(spare(w)) {
+		e := d.evicted[i]
+		holds := x.runs[e.run].Holds
+		if !holds.Fits(spare(w)) || e.forLimit && !holds.Fits(d.limitLeft(e.team, true)) {
 			continue
 		}
-		x.goOn(w, run)
+		x.goOn(w, e.run)
 		d.plan.Preempt = slices.Delete(d.plan.Preempt, i, i+1)
 		d.evicted = slices.Delete(d.evicted, i, i+1)
 	}
@@ -131,12 +142,12 @@
 }
 
 // evict stops the runs of e for a task and reserves the room for its job.
-func (d *decider) evict(e eviction, j *jobState, task model.TaskID, until int64, why string) {
+func (d *decider) evict(e eviction, j *jobState, task model.TaskID, until int64, why evictReason) {
 	x := d.index()
 	for _, stopped := range e.runs {
 		r := &x.runs[stopped.run]
 		x.stop(e.worker, stopped.run)
-		d.evicted = append(d.evicted, stopped.run)
+		d.evicted = append(d.evicted, evictedRun{stopped.run, j.team, why == evictForLimit})
 		d.plan.Preempt = append(d.plan.Preempt, Preemption{
 			Task: r.Task, Worker: r.Worker, For: task,
 			Explain: d.explainEviction(j, r, why),
@@ -145,10 +156,19 @@
 	d.reserveRoom(j, e.worker, 1, d.s.NowMillis, until)
 }
 
+// evictReason says in words why a run is stopped.
+type evictReason string
+
+const (
+	evictForUrgent evictReason = "stopped for an urgent task"
+	evictForLimit  evictReason = "stopped for an urgent task of its team, whose limit is used up"
+	evictForShare  evictReason = "stopped for the share of the waiting task's team"
+)
+
 // coreMillis is one core millisecond in the units of lostWork.
 const coreMillis = 1000
 
-func (d *decider) explainEviction(j *jobState, r *RunView, why string) Explanation {
+func (d *decider) explainEviction(j *jobState, r *RunView, why evictReason) Explanation {
 	lost := lostWork(r, d.s.NowMillis) / coreMillis
 	return Explanation{
 		Considered: len(d.c.workers),
@@ -157,59 +177,3 @@
 		Detail:     fmt.Sprintf("%s; loses %d core milliseconds, the least found that makes room", why, lost),
 	}
 }
-
-// Bounds of preemption for urgent tasks.
-const (
-	// urgentHoldMillis is how long the room of preempted runs is held.
-	urgentHoldMillis = 5000
-	// maxUrgentEvictions bounds the urgent tasks that one plan preempts for.
-	maxUrgentEvictions = 64
-)
-
-// preemptForUrgent makes room for urgent tasks that found none.
-func (d *decider) preemptForUrgent() {
-	budget := maxUrgentEvictions
-	for _, j := range d.jobs {
-		if !isUrgent(j.view) || j.refused || (j.reason != ReasonRoom && j.reason != ReasonReserved) {
-			continue
-		}
-		budget = d.preemptFor(j, budget)
-	}
-	if len(d.plan.Preempt) > 1 {
-		d.dropUnneeded(0, d.spareForUrgent)
-	}
-}
-
-// preemptFor makes room for the job's tasks that wait without reserved room.
-func (d *decider) preemptFor(j *jobState, budget int) int {
-	covered := j.reservedTasks()
-	for i := range j.view.Pending {
-		p := &j.view.Pending[i]
-		if j.placed[i] || p.NotBeforeMillis > d.s.NowMillis {
-			continue
-		}
-		if covered > 0 {
-			covered--
-			continue
-		}
-		if budget == 0 || !d.mayPromise(j) {
-			return budget
-		}
-		budget--
-		a := d.ask(j, i)
-		a.avoid = append(j.endedWorkers(), a.avoid...)
-		e, ok := d.findEviction(a, func(int32) bool { return true })
-		if !ok {
-			return budget
-		}
-		d.evict(e, j, p.ID, d.s.NowMillis+urgentHoldMillis, "stopped for an urgent task")
-	}
-	return budget
-}
-
-// mayPromise reports whether the team's grant covers one more task of j besides
-// those that have reserved room.
-func (d *decider) mayPromise(j *jobState) bool {
-	n := int64(j.reservedTasks() + 1)
-	return d.teams[j.team].allows(j.view.Spec.Size.Scale(n))
-}
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -135,8 +135,8 @@
 			r.expectStop(&runs[i])
 		}
 	}
-	for _, run := range r.d.evicted {
-		r.expectStop(&runs[run])
+	for _, e := range r.d.evicted {
+		r.expectStop(&runs[e.run])
 	}
 }
 
@@ -159,16 +159,16 @@
 			covered--
 			continue
 		}
-		if r.budget == 0 || !r.under(j.team, size) || !d.mayPromise(j) {
+		if r.budget == 0 || !r.under(j.team, size) || !size.Fits(d.limitLeft(j.team, false)) {
 			return
 		}
 		r.budget--
-		e, ok := d.findEviction(d.shareAsk(j, i), r.mayEvict)
+		e, ok := d.findEviction(d.shareAsk(j, i), r.mayEvict, noLimit)
 		if !ok || !r.staysOver(e) {
 			return
 		}
 		r.count(e, j)
-		d.evict(e, j, j.view.Pending[i].ID, d.s.NowMillis+reclaimHoldMillis, "stopped for the share of team "+string(j.view.Spec.Team))
+		d.evict(e, j, j.view.Pending[i].ID, d.s.NowMillis+reclaimHoldMillis, evictForShare)
 	}
 }
 
