Let a request that is passed on show its record's attempt

Ruled out: the sender's IP number as proof, which needs lists that agree; the attempt that holds the open record proves it by itself and is checked in the ledger. A record that may have been made by a Begin without a reply is now closed as not run, as its request was never sent.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -15,8 +15,8 @@
 	HeaderDeadline = "Kq-Deadline-Ms"
 	// HeaderVerdict is set on every answer.
 	HeaderVerdict = "Kq-Verdict"
-	// HeaderHop names the data centre whose entry VM passes a request on to
-	// one of another data centre.
+	// HeaderHop is set by an entry VM that passes a request on to one of another
+	// data centre, to the attempt that holds the request's record.
 	HeaderHop = "Kq-Hop"
 	// HeaderReason is the stable reason of a refusal.
 	HeaderReason = "Kq-Reason"
--- a/internal/fake/control/control.go
+++ b/internal/fake/control/control.go
@@ -40,6 +40,8 @@
 	leader *slots.Leader
 	ledger *ledger.State
 	remote []api.RemoteEntry
+	// homes are the controls of other data centres, for their records.
+	homes map[model.DCID]*Control
 	// leaderless syncs get a lease and no slots.
 	leaderless bool
 	// isolated entry VMs get no answers.
@@ -68,6 +70,7 @@
 		ledger: ledger.New(dc, generation, ledger.Limits{Records: ledger.DefaultRecords, AnswerBytes: ledger.DefaultAnswerBytes}),
 		fail:   map[string]*verdict.Refusal{},
 
+		homes:    map[model.DCID]*Control{},
 		isolated: map[model.VMID]bool{},
 
 		delay: map[string]time.Duration{},
@@ -130,6 +133,13 @@
 	c.remote = r
 }
 
+// SetHome names the control that keeps the records of another data centre.
+func (c *Control) SetHome(dc model.DCID, home *Control) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.homes[dc] = home
+}
+
 // Fail refuses a topic from now on; nil takes it up again.
 func (c *Control) Fail(topic string, r *verdict.Refusal) {
 	c.mu.Lock()
@@ -203,11 +213,22 @@
 }
 
 func (c *Control) begin(req *api.RecordBegin) (*api.RecordReply, error) {
-	return c.record(&ledger.Command{Begin: req})
+	return c.home(req.ID).record(&ledger.Command{Begin: req})
 }
 
 func (c *Control) finish(req *api.RecordFinish) (*api.RecordReply, error) {
-	return c.record(&ledger.Command{Finish: req})
+	return c.home(req.ID).record(&ledger.Command{Finish: req})
+}
+
+// home is the control that keeps the record of an id.
+func (c *Control) home(text model.RequestID) *Control {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id, err := ledger.Parse(text)
+	if home := c.homes[id.DC]; err == nil && home != nil {
+		return home
+	}
+	return c
 }
 
 func (c *Control) record(cmd *ledger.Command) (*api.RecordReply, error) {
--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -100,8 +100,8 @@
 	c.id = model.RequestID(r.Header.Get(api.HeaderRequestID))
 	c.named = c.id != ""
 	var refusal *verdict.Refusal
-	if c.hop, refusal = rt.checkHop(r); refusal != nil {
-		return c, refusal
+	if attempt := r.Header.Get(api.HeaderHop); attempt != "" {
+		c.hop, c.attempt = true, attempt
 	}
 	if c.idempotent, refusal = parseIdempotent(r); refusal != nil {
 		return c, refusal
@@ -240,7 +240,12 @@
 func (c *call) digest() uint64 {
 	d := xxhash.New()
 	d.WriteString(c.r.Method)
-	d.WriteString("\x00" + c.target.RequestURI() + "\x00" + strconv.FormatInt(c.length, 10) + "\x00")
+	length := c.length
+	if c.whole() {
+		// The length need not have been declared to be known.
+		length = int64(len(c.head))
+	}
+	d.WriteString("\x00" + c.target.RequestURI() + "\x00" + strconv.FormatInt(length, 10) + "\x00")
 	d.Write(c.head)
 	return d.Sum64()
 }
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -28,8 +28,8 @@
 	conn *serverConn
 	// server names the server in refusals.
 	server model.ServerID
-	// hop is our data centre if the other end is an entry VM of another one.
-	hop    model.DCID
+	// hop is set if the other end is an entry VM of another one.
+	hop    bool
 	reader *bufio.Reader
 	limit  *io.LimitedReader
 	resp   *http.Response
@@ -91,9 +91,9 @@
 		h.Set(api.HeaderIdempotent, "true")
 	}
 	target := c.target
-	if x.hop != "" {
+	if x.hop {
 		target = c.r.URL
-		h.Set(api.HeaderHop, string(x.hop))
+		h.Set(api.HeaderHop, c.attempt)
 		if c.key != "" {
 			h.Set(api.HeaderKey, c.key)
 		}
--- a/internal/route/overflow.go
+++ b/internal/route/overflow.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -91,30 +90,18 @@
 	e.until = now.Add(remotePause)
 }
 
-// knows reports whether a connection comes from one of the entry VMs.
-func (r *remotes) knows(remoteAddr string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	host, _, _ := net.SplitHostPort(remoteAddr)
-	for _, e := range r.all {
-		if h, _, _ := net.SplitHostPort(e.Addr); h == host {
-			return true
-		}
-	}
-	return false
-}
-
-// checkHop says whether a request comes from an entry VM of another data
-// centre, which keeps its record and its answer for repeats. No caller may
-// pretend that.
-func (rt *Router) checkHop(r *http.Request) (bool, *verdict.Refusal) {
-	if r.Header.Get(api.HeaderHop) == "" {
-		return false, nil
+// verifyHop checks that a request which says that it comes from another entry
+// VM does: it shows the attempt under which the record was made, which no
+// caller knows. The other VM closes the record, and repeats are its matter.
+func (rt *Router) verifyHop(ctx context.Context, c *call) *verdict.Refusal {
+	reply, err := rt.makeRecord(ctx, c)
+	if err != nil {
+		return unrecorded(err)
 	}
-	if !rt.remotes.knows(r.RemoteAddr) {
-		return false, verdict.Refuse(verdict.ReasonBadRequest, "header %s is only for entry VMs", api.HeaderHop)
+	if reply.State != api.RecordFresh {
+		return verdict.Refuse(verdict.ReasonBadRequest, "header %s names no request of an entry VM that is in flight", api.HeaderHop)
 	}
-	return true, nil
+	return nil
 }
 
 // mayOverflow reports whether other data centres can be asked.
@@ -156,7 +143,7 @@
 		conn.pool.put(conn)
 		return result{refusal: refusal}
 	}
-	x := &exchange{c: c, conn: conn, server: model.ServerID(e.VM), hop: rt.dc}
+	x := &exchange{c: c, conn: conn, server: model.ServerID(e.VM), hop: true}
 	refusal := x.send(ctx)
 	if refusal == nil {
 		refusal = x.remoteRefusal()
--- a/internal/route/record.go
+++ b/internal/route/record.go
@@ -39,7 +39,8 @@
 	for {
 		reply, err := rt.makeRecord(ctx, c)
 		if err != nil {
-			return false, c.refuse(unrecorded(c, err))
+			rt.closeUnsent(c, err)
+			return false, c.refuse(unrecorded(err))
 		}
 		if reply.State != api.RecordOpen {
 			return rt.settle(w, c, reply)
@@ -81,7 +82,7 @@
 
 // unrecorded explains why a request has no record. It was not sent, and no
 // other call may send it under this attempt's name.
-func unrecorded(c *call, err error) *verdict.Refusal {
+func unrecorded(err error) *verdict.Refusal {
 	cause := verdict.From(err)
 	r := verdict.Refuse(cause.Reason, "request can't be recorded: %s", cause.Message)
 	r.Retry, r.RetryAfterMillis = true, cause.RetryAfterMillis
@@ -116,18 +117,26 @@
 	return nil
 }
 
+// closeUnsent closes a record that may have been made by a call whose reply
+// was lost, so that a repeat is told that the request was not run.
+func (rt *Router) closeUnsent(c *call, err error) {
+	if verdict.From(err).Verdict == verdict.NotRun {
+		return
+	}
+	rt.closeLater(&api.RecordFinish{ID: c.id, Entry: rt.vm, NotRun: true, Attempt: c.attempt})
+}
+
 // finish closes the request's record in the background. The caller's answer
 // does not wait for it: a repeat that comes earlier waits for the record.
 func (rt *Router) finish(c *call, answer *api.StoredAnswer) {
 	if !c.begun {
 		return
 	}
-	req := &api.RecordFinish{ID: c.id, Entry: rt.vm, NotRun: answer == nil, Answer: answer, Attempt: c.attempt}
-	rt.work.Add(1)
-	go func() {
-		defer rt.work.Done()
-		rt.closeRecord(req)
-	}()
+	rt.closeLater(&api.RecordFinish{ID: c.id, Entry: rt.vm, NotRun: answer == nil, Answer: answer, Attempt: c.attempt})
+}
+
+func (rt *Router) closeLater(req *api.RecordFinish) {
+	rt.work.Go(func() { rt.closeRecord(req) })
 }
 
 func (rt *Router) closeRecord(req *api.RecordFinish) {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -179,7 +179,7 @@
 	began := time.Now()
 	defer rt.taken.Add(-1)
 	if rt.taken.Add(1) > rt.room {
-		c := rt.unread(r)
+		c := unread(r)
 		rt.refuse(w, c, began, c.refuse(verdict.Refuse(verdict.ReasonOverload, "entry VM has %d requests in flight", rt.room).RetryIn(time.Second)))
 		return
 	}
@@ -208,10 +208,10 @@
 func (rt *Router) accept(w http.ResponseWriter, r *http.Request) (*call, *verdict.Refusal) {
 	v := rt.view.Load()
 	if rt.stopping.Load() {
-		return rt.unread(r), verdict.Refuse(verdict.ReasonStopping, "entry VM is stopping").RetryIn(0)
+		return unread(r), verdict.Refuse(verdict.ReasonStopping, "entry VM is stopping").RetryIn(0)
 	}
 	if v == nil {
-		return rt.unread(r), verdict.Refuse(verdict.ReasonNoLease, "entry VM has no settings yet").RetryIn(time.Second)
+		return unread(r), verdict.Refuse(verdict.ReasonNoLease, "entry VM has no settings yet").RetryIn(time.Second)
 	}
 	c, refusal := rt.parse(v, model.QueueName(chi.URLParam(r, "queue")), r)
 	if refusal != nil {
@@ -225,11 +225,11 @@
 }
 
 // unread is a call of which only what decides its verdict was read.
-func (rt *Router) unread(r *http.Request) *call {
+func unread(r *http.Request) *call {
 	c := &call{r: r, id: model.RequestID(r.Header.Get(api.HeaderRequestID))}
 	c.named = c.id != ""
 	c.idempotent, _ = parseIdempotent(r)
-	c.hop, _ = rt.checkHop(r)
+	c.hop = r.Header.Get(api.HeaderHop) != ""
 	return c
 }
 
@@ -317,6 +317,11 @@
 			return result{refusal: refusal}
 		}
 	}
+	if c.hop && !c.idempotent {
+		if refusal := rt.verifyHop(ctx, c); refusal != nil {
+			return result{refusal: refusal}
+		}
+	}
 	rt.budget.earn(c.limits.retryShare)
 	res := rt.tries(ctx, w, c)
 	if res.refusal != nil && res.refusal.Verdict == verdict.NotRun {
