--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -199,3 +199,24 @@
 	c.control.SetLeaderless(false)
 	c.awaitSlots()
 }
+
+// TestLostBegin checks a request whose record was made by a call without a
+// reply: it was not sent, and a repeat of its id is told so.
+func TestLostBegin(t *testing.T) {
+	t.Parallel()
+	c := newCell(t)
+	e, other := c.addEntry(), c.addEntry()
+	s := c.addServer("orders")
+	c.control.Delay(api.TopicRecord, 600*time.Millisecond)
+	id := e.router.MintID()
+	q := request{path: "/q/orders", key: vetsKey, body: "x", id: id, deadline: 300 * time.Millisecond}
+	got := c.send(e, q)
+	qt.Assert(t, got.reason, qt.Equals, verdict.ReasonDeadline)
+	qt.Assert(t, c.control.Records(), qt.Equals, 1)
+	c.control.Delay(api.TopicRecord, 0)
+	q.deadline = 3 * time.Second
+	again := c.send(other, q)
+	qt.Assert(t, again.verdict, qt.Equals, verdict.NotRun)
+	qt.Assert(t, again.reason, qt.Equals, verdict.ReasonRepeat)
+	qt.Assert(t, s.Counts().Runs, qt.HasLen, 0)
+}
