Never go back to an older view; bound tries and slow callers in tests

Cause: an entry VM that asks another kqcontrol than its own took over that one's view also when it was older, so that a withdrawn key could work again. Ruled out: refusing such a sync, since its slots are good. Figures: TestViewNeverGoesBack saw revision 1 after 6, now 6; an idempotent request to five failing servers ran on 3 of them, once each.

--- a/internal/entry/backend_test.go
+++ b/internal/entry/backend_test.go
@@ -1,6 +1,11 @@
 package entry
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -153,3 +158,56 @@
 		})
 	}
 }
+
+// TestTriesAreBounded sends one idempotent request to servers that all fail.
+func TestTriesAreBounded(t *testing.T) {
+	t.Parallel()
+	c := newCell(t)
+	e := c.addEntry()
+	for range 5 {
+		c.startServer("orders").SetMode(backend.Drop)
+	}
+	c.awaitSlots()
+	got := c.send(e, request{path: "/q/orders", key: vetsKey, body: "x", idempotent: true})
+	qt.Assert(t, got.verdict, qt.Equals, verdict.MayHaveRun)
+	runs := 0
+	for _, s := range c.servers {
+		n := s.Counts().Runs[got.id]
+		qt.Assert(t, n <= 1, qt.IsTrue, qt.Commentf("a server that failed was tried again"))
+		runs += n
+	}
+	qt.Assert(t, runs, qt.Equals, 3)
+}
+
+// TestSlowCallerGivesItsSlotBack sends a request and doesn't read the answer.
+func TestSlowCallerGivesItsSlotBack(t *testing.T) {
+	t.Parallel()
+	c := newCell(t)
+	c.control.Set(func(v *api.EntryView) {
+		v.Tree = settings.NewTree()
+		v.Tree.Set(settings.LevelTeam, "vets", settings.RequestIdle, settings.Value{Int: 300}, 7)
+	})
+	e := c.addEntry()
+	s := c.addServer("orders", func(cfg *fakeConfig) { cfg.AnswerBytes = 15 << 20 })
+	s.SetMode(backend.Large)
+	conn, err := net.Dial("tcp", e.Addr())
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /q/orders HTTP/1.1\r\nHost: x\r\nKq-Idempotent: true\r\nKq-Key: %s\r\n\r\n", vetsKey)
+	c.eventually("runs", func() bool { return e.router.Pool().Load().InUse == 1 })
+	c.eventually("slot is back", func() bool { return e.router.Pool().Load().InUse == 0 })
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
+
+// TestNextControlIsAsked starts an entry VM whose own kqcontrol is gone.
+func TestNextControlIsAsked(t *testing.T) {
+	t.Parallel()
+	c := newCell(t)
+	e := c.addEntry(func(cfg *Config) { cfg.Control = append([]string{freeAddr(t)}, cfg.Control...) })
+	c.addServer("orders")
+	qt.Assert(t, c.send(e, request{path: "/q/orders", key: vetsKey, body: "x"}).body, qt.Equals, "x")
+}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
 	"kumquatwing/internal/api"
@@ -257,3 +258,12 @@
 		qt.Assert(t, p.Load().Slots, qt.Equals, 1)
 	})
 }
+
+// TestViewNeverGoesBack checks syncs with a kqcontrol that is behind.
+func TestViewNeverGoesBack(t *testing.T) {
+	rt := New(Config{DC: "a", Clock: &clock.Manual{}, Dial: DialTCP(""), Log: zap.NewNop(), Wake: func() {}, Requests: 1})
+	for _, revision := range []uint64{5, 4, 6, 1} {
+		rt.Synced(0, &api.EntryState{Revision: revision, View: &api.EntryView{Revision: revision}})
+	}
+	qt.Assert(t, rt.Revision(), qt.Equals, uint64(6))
+}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -119,7 +119,8 @@
 
 // Synced takes in the answer to the newest sync, sent at askedAt.
 func (rt *Router) Synced(askedAt clock.Instant, state *api.EntryState) {
-	if state.View != nil {
+	// A kqcontrol asked in place of the own one may be behind.
+	if state.View != nil && state.View.Revision >= rt.Revision() {
 		rt.view.Store(newView(state.View, rt.dc))
 	}
 	if state.LeaseMillis > 0 && rt.Revision() >= state.Revision {
