--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -21,8 +21,10 @@
 	designTasks   = 1000
 	designVMs     = 8
 	designStarts  = 64
-	// serviceTasks is the size of one service job.
-	serviceTasks = 50
+	// jobTasks is the size of one job of long tasks.
+	jobTasks = 50
+	// longRun is longer than a series takes.
+	longRun = time.Hour
 	// shortRun is the run time of the tasks of load jobs.
 	shortRun = 200 * time.Millisecond
 )
@@ -104,11 +106,12 @@
 	c.until(fmt.Sprintf("%d workers", n), func() bool { w, _, _ := c.counts(dc); return w == n })
 }
 
-func (c *cluster) runServices(dc int, key string, tasks int) {
+// run submits jobs until so many tasks run.
+func (c *cluster) run(dc int, key string, tasks int, class model.Class, time time.Duration) {
 	_, running, _ := c.counts(dc)
-	for ; running < tasks; running += serviceTasks {
-		if !c.submit(dc, key, model.ClassService, serviceTasks, 0) {
-			c.t.Errorf("a service was refused")
+	for ; running < tasks; running += jobTasks {
+		if !c.submit(dc, key, class, jobTasks, time) {
+			c.t.Errorf("a job was refused")
 		}
 	}
 	c.until(fmt.Sprintf("%d tasks run", tasks), func() bool { _, r, p := c.counts(dc); return r >= tasks && p == 0 })
@@ -129,12 +132,26 @@
 	tasks := []point{points[len(points)-1]}
 	tasks[0].x = 0
 	for _, n := range []int{250, 500, designTasks} {
-		c.runServices(dc, key, n)
+		c.run(dc, key, n, model.ClassService, 0)
 		tasks = append(tasks, c.measure(dc, float64(n)))
 	}
 	c.report("tasks running in a data centre of 150 workers", tasks)
 }
 
+// TestCheckpoints varies the running tasks of batch jobs, which workers
+// checkpoint each second.
+func TestCheckpoints(t *testing.T) {
+	c, dc, key := threeByThree(t, 68)
+	c.startWorkers(dc, "w", designWorkers)
+	c.awaitWorkers(dc, designWorkers)
+	points := []point{c.measure(dc, 0)}
+	for _, n := range []int{250, designTasks} {
+		c.run(dc, key, n, model.ClassBatch, longRun)
+		points = append(points, c.measure(dc, float64(n)))
+	}
+	c.report("batch tasks running in a data centre of 73 workers, checkpointed each second", points)
+}
+
 // TestTeamsAndChanges varies the teams with a key each, then the changes.
 func TestTeamsAndChanges(t *testing.T) {
 	c, dc, _ := threeByThree(t, 64)
@@ -228,7 +245,7 @@
 	c.startWorkers(dc, "w", designWorkers)
 	c.awaitWorkers(dc, designWorkers)
 	points := []point{c.measure(dc, 0)}
-	c.runServices(dc, key, designTasks)
+	c.run(dc, key, designTasks, model.ClassService, 0)
 	points = append(points, c.measure(dc, 1))
 	stop := every(1, func() { c.submit(dc, key, model.ClassBatch, designStarts, shortRun) })
 	points = append(points, c.measure(dc, 2))
--- a/cmd/kqcontrol/main.go
+++ b/cmd/kqcontrol/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -18,6 +19,10 @@
 	"kumquatwing/internal/version"
 )
 
+// defaultThreads is one for control state and one for what comes in. More cost
+// processor time in the runtime's search for work and memory for its caches.
+const defaultThreads = 2
+
 func main() {
 	cmd := &cli.Command{
 		Name:    "kqcontrol",
@@ -49,6 +54,7 @@
 		&cli.StringFlag{Name: "operator-token", Usage: "token that operators' calls must show", Sources: cli.EnvVars("KQ_OPERATOR_TOKEN")},
 		&cli.DurationFlag{Name: "tick", Usage: "period of the scheduler", Value: 100 * time.Millisecond, Sources: cli.EnvVars("KQ_TICK")},
 		&cli.DurationFlag{Name: "stop-grace", Usage: "how long readiness is withdrawn before a graceful stop goes on", Value: time.Second, Sources: cli.EnvVars("KQ_STOP_GRACE")},
+		&cli.IntFlag{Name: "threads", Usage: "threads that run at the same time", Value: defaultThreads, Sources: cli.EnvVars("KQ_THREADS")},
 		&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info", Sources: cli.EnvVars("KQ_LOG_LEVEL")},
 	}
 }
@@ -58,6 +64,9 @@
 	if err != nil {
 		return err
 	}
+	if n := c.Int("threads"); n > 0 {
+		runtime.GOMAXPROCS(n)
+	}
 	server, err := control.New(control.Config{
 		VM:            model.VMID(c.String("vm")),
 		DC:            model.DCID(c.String("dc")),
