Take note of checkpoints every ten seconds of progress

Cause: the leader wrote each second of a running task's saved progress to the group's log, although it matters only when a worker is lost; a planned stop reports its newest checkpoint with the end. Workers now tell progress in the same steps. The window is now 20 s, so that it holds two steps. Ruled out: a longer step, since up to a step is run again.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -142,6 +142,7 @@
 // checkpoint each second.
 func TestCheckpoints(t *testing.T) {
 	c, dc, key := threeByThree(t, 68)
+	c.measureFor = longWindow
 	c.startWorkers(dc, "w", designWorkers)
 	c.awaitWorkers(dc, designWorkers)
 	points := []point{c.measure(dc, 0)}
--- a/capacity/cluster_test.go
+++ b/capacity/cluster_test.go
@@ -54,6 +54,8 @@
 	vms   []*vm
 	procs []*exec.Cmd
 	http  *http.Client
+	// measureFor is the time that one point is measured over.
+	measureFor time.Duration
 }
 
 func newCluster(t *testing.T, base int) *cluster {
@@ -61,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &cluster{t: t, base: base, dir: t.TempDir(), bin: bin, http: &http.Client{Timeout: callTimeout}}
+	c := &cluster{t: t, base: base, dir: t.TempDir(), bin: bin, http: &http.Client{Timeout: callTimeout}, measureFor: window}
 	t.Cleanup(c.close)
 	return c
 }
--- a/capacity/sample_test.go
+++ b/capacity/sample_test.go
@@ -21,8 +21,10 @@
 	clockTicks = 100
 	// settle is the pause between a change of size and its window.
 	settle = 2500 * time.Millisecond
-	// window is the time that one point is measured over.
-	window = 6 * time.Second
+	// window is the time that one point is measured over; longWindow covers
+	// what happens every ten seconds.
+	window     = 6 * time.Second
+	longWindow = 20 * time.Second
 	// attempts bounds how often a window is repeated because a leader changed.
 	attempts = 3
 )
@@ -214,7 +216,7 @@
 	for _, p := range probes {
 		p.begin = c.read(p.cmd, p.base, true)
 	}
-	time.Sleep(window)
+	time.Sleep(c.measureFor)
 	sums, counts := map[role]cost{}, map[role]float64{}
 	for _, p := range probes {
 		n, s := costBetween(p.begin, c.read(p.cmd, p.base, false)), sums[p.role]
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -38,7 +38,7 @@
 	client *http.Client
 	clock  clock.Clock
 	log    *zap.Logger
-	// answered is the newest report, if it was answered.
+	// answered is what control knows by the newest report, if it was answered.
 	answered *api.WorkerReport
 	// SilentAfter and SilentFor are of ModeSilent, from the start of Run.
 	SilentAfter, SilentFor time.Duration
@@ -126,9 +126,10 @@
 // ask sends a report; the answer comes on the channel.
 func (p *Process) ask(ctx context.Context, now clock.Instant) (chan answer, context.CancelFunc) {
 	r := p.core.Report(now)
-	sent := r
+	sent, told := r, r
 	if p.answered != nil {
 		sent = workerapi.Changes(p.answered, r)
+		told = workerapi.Merge(p.answered, sent)
 		// After a failure the answer isn't held back, so that the lease is renewed.
 		sent.HoldMillis = holdMillis
 	}
@@ -137,7 +138,7 @@
 	out := make(chan answer, 1)
 	go func() {
 		o, err := p.post(ctx, base+api.PathWorkerReport, sent)
-		out <- answer{askedAt: now, report: r, orders: o, err: err}
+		out <- answer{askedAt: now, report: told, orders: o, err: err}
 	}()
 	return out, cancel
 }
--- a/internal/workerapi/delta.go
+++ b/internal/workerapi/delta.go
@@ -12,12 +12,13 @@
 const ReasonWholeWanted verdict.Reason = "whole-report-wanted"
 
 // Changes returns next as changes to base, the newest answered report of the
-// same incarnation.
+// same incarnation. Progress of checkpoints that control takes no note of is
+// left out.
 func Changes(base, next *api.WorkerReport) *api.WorkerReport {
 	out := *next
 	out.Base, out.Tasks, out.Gone = base.Seq, nil, nil
 	for _, t := range next.Tasks {
-		if !slices.Contains(base.Tasks, t) {
+		if i := findRun(base.Tasks, runIDOf(&t)); i < 0 || differs(&base.Tasks[i], &t) {
 			out.Tasks = append(out.Tasks, t)
 		}
 	}
@@ -29,6 +30,15 @@
 	return &out
 }
 
+// differs reports whether control must hear of next after it heard of base.
+func differs(base, next *api.TaskReport) bool {
+	same := *next
+	if d := next.CheckpointMillis - base.CheckpointMillis; d >= 0 && d < checkpointStep && next.State == base.State {
+		same.CheckpointMillis = base.CheckpointMillis
+	}
+	return same != *base
+}
+
 // whole returns the report that r stands for.
 func (l *Leader) whole(r *api.WorkerReport) (*api.WorkerReport, error) {
 	if r.Base == 0 {
@@ -42,11 +52,11 @@
 	if s == nil || s.report == nil {
 		return r, nil
 	}
-	return merge(s.report, r), nil
+	return Merge(s.report, r), nil
 }
 
-// merge applies the changes of r to base.
-func merge(base, r *api.WorkerReport) *api.WorkerReport {
+// Merge applies the changes of r to base.
+func Merge(base, r *api.WorkerReport) *api.WorkerReport {
 	out := *r
 	out.Base, out.Gone, out.Tasks = 0, nil, nil
 	for _, t := range base.Tasks {
--- a/internal/workerapi/delta_test.go
+++ b/internal/workerapi/delta_test.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		task := running(model.TaskID(fmt.Sprintf("j.%d", i)), rapid.Uint32Range(1, 2).Draw(t, "attempt"))
-		task.CheckpointMillis = rapid.Int64Range(0, 2).Draw(t, "checkpoint")
+		task.CheckpointMillis = 10_000 * rapid.Int64Range(0, 2).Draw(t, "checkpoint")
 		if rapid.Bool().Draw(t, "ended") {
 			task.State = model.TaskEnded
 		}
@@ -99,6 +99,33 @@
 	}
 }
 
+func TestProgressIsToldBySteps(t *testing.T) {
+	report := func(seq uint64, millis int64, state model.TaskState) *api.WorkerReport {
+		task := running("j.0", 1)
+		task.CheckpointMillis, task.State = millis, state
+		return &api.WorkerReport{Worker: "w", Seq: seq, Tasks: []api.TaskReport{task}}
+	}
+	base := report(1, 5000, model.TaskRunning)
+	for _, tt := range []struct {
+		name   string
+		next   *api.WorkerReport
+		listed int
+	}{
+		{"a little", report(2, 14_999, model.TaskRunning), 0},
+		{"a step", report(2, 15_000, model.TaskRunning), 1},
+		{"backwards", report(2, 4999, model.TaskRunning), 1},
+		{"a little with the end", report(2, 6000, model.TaskEnded), 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			sent := workerapi.Changes(base, tt.next)
+			qt.Assert(t, sent.Tasks, qt.HasLen, tt.listed)
+			if tt.listed > 0 {
+				qt.Assert(t, workerapi.Merge(base, sent).Tasks, qt.DeepEquals, tt.next.Tasks)
+			}
+		})
+	}
+}
+
 func TestGoneRunsEnd(t *testing.T) {
 	b := newBench()
 	r := b.base(3)
--- a/internal/workerapi/export_test.go
+++ b/internal/workerapi/export_test.go
@@ -12,6 +12,3 @@
 
 // Skip switches protections off.
 func (l *Leader) Skip(p protection) { l.skip = p }
-
-// Merge applies the changes of a report to its base.
-var Merge = merge
--- a/internal/workerapi/report.go
+++ b/internal/workerapi/report.go
@@ -25,8 +25,10 @@
 	// usageStep is the change of use worth a command, one part in so many of
 	// the task's size; a step up to the worker's last room always is.
 	usageStep = 20
-	// checkpointStep is the progress worth a command, in milliseconds.
-	checkpointStep = 1000
+	// checkpointStep is the progress worth a command, in milliseconds. A planned
+	// stop reports the newest checkpoint with the end of the run, so that this
+	// bounds what is run again after the loss of a worker.
+	checkpointStep = 10_000
 )
 
 // Report takes in a worker's report and returns the command it leads to, which
