--- a/capacity/cluster_test.go
+++ b/capacity/cluster_test.go
@@ -86,7 +86,7 @@
 		"--data", filepath.Join(c.dir, v.name), "--log-level", "warn")
 	if withEntry {
 		v.entry = c.start(v.name+".kqentry", "kqentry", "--vm", v.name, "--dc", dcName(dc),
-			"--listen", v.ip+entryPort, "--control", v.ip+wirePort)
+			"--http", v.ip+entryPort, "--control", v.ip+wirePort)
 	}
 	c.vms = append(c.vms, v)
 }
--- a/internal/control/hello.go
+++ b/internal/control/hello.go
@@ -36,6 +36,8 @@
 	HTTPAddr  string           `msgpack:"h"`
 	EntryAddr string           `msgpack:"e"`
 	Disk      bool             `msgpack:"k"`
+	// Room is set by the leader of a data centre.
+	Room *dcRoom `msgpack:"m,omitempty"`
 }
 
 // helloReply points at the fleet's leader and at other processes.
@@ -44,6 +46,8 @@
 	Leader string `msgpack:"l"`
 	// Known lists wire addresses of some of the fleet's members, voters first.
 	Known []string `msgpack:"k"`
+	// FleetSize is the size of all workers, from the fleet's leader.
+	FleetSize model.Resources `msgpack:"s"`
 }
 
 // heard is the newest announcement of one VM.
@@ -113,8 +117,11 @@
 }
 
 func (a *announcer) once(ctx context.Context) {
+	h := a.s.hello()
 	if a.s.fleetStatus().IsLeader() {
-		a.s.roster.note(a.s.hello(), a.s.clock.Now())
+		a.s.noteHello(&h)
+		size := a.s.rooms.fleetSize(a.s.clock.Now())
+		a.s.fleetSize.Store(&size)
 		return
 	}
 	target := a.target()
@@ -124,12 +131,14 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	var reply helloReply
-	h := a.s.hello()
 	if err := a.s.wire.Call(ctx, target, topicHello, &h, &reply); err != nil {
 		a.leader = ""
 		return
 	}
 	a.leader = reply.Leader
+	if !reply.FleetSize.IsZero() {
+		a.s.fleetSize.Store(&reply.FleetSize)
+	}
 	for _, addr := range reply.Known {
 		if !slices.Contains(a.known, addr) {
 			a.known = append(a.known, addr)
@@ -155,14 +164,22 @@
 	return ""
 }
 
+func (s *Server) noteHello(h *hello) {
+	now := s.clock.Now()
+	s.rooms.note(h.Room, now)
+	h.Room = nil
+	s.roster.note(*h, now)
+}
+
 // handleHello notes an announcement and tells the sender who leads.
 func (s *Server) handleHello(_ context.Context, h *hello) (*helloReply, error) {
-	s.roster.note(*h, s.clock.Now())
-	reply := &helloReply{}
-	if m, ok := s.fleetLeader(); ok {
+	s.noteHello(h)
+	reply := &helloReply{FleetSize: s.rooms.fleetSize(s.clock.Now())}
+	st := s.fleetStatus()
+	if m, ok := st.LeaderMember(); ok {
 		reply.Leader = m.Addr
 	}
-	reply.Known = knownAddrs(s.fleetStatus().Members, s.roster)
+	reply.Known = knownAddrs(st.Members, s.roster)
 	return reply, nil
 }
 
