Write integers at their least size on the wire and in the logs

Cause: the msgpack library spends nine bytes on each integer, and a report of use holds seven of them. Package codec encodes commands and frames compactly; any decoder reads them. The digests of operators' commands keep their old form, since they are part of the stored state. Ruled out: structs as arrays, which would tie the stored form to the order of fields.

--- a/internal/dcstate/state.go
+++ b/internal/dcstate/state.go
@@ -6,6 +6,7 @@
 import (
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/ledger"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/replica"
@@ -70,7 +71,7 @@
 	} else {
 		s.execute(&c, &r)
 	}
-	out, err := msgpack.Marshal(&r)
+	out, err := codec.Marshal(&r)
 	if err != nil {
 		// The types of a result always encode.
 		panic(err)
@@ -114,7 +115,7 @@
 	if im.Ledger, err = s.Ledger.Snapshot(); err != nil {
 		return nil, err
 	}
-	return msgpack.Marshal(&im)
+	return codec.Marshal(&im)
 }
 
 // Restore implements replica.Machine.
@@ -137,7 +138,7 @@
 }
 
 // Encode returns a command as it is proposed.
-func Encode(c *Command) ([]byte, error) { return msgpack.Marshal(c) }
+func Encode(c *Command) ([]byte, error) { return codec.Marshal(c) }
 
 // DecodeResult reads the result of a proposed command.
 func DecodeResult(b []byte) (*Result, error) {
--- a/internal/fleet/command.go
+++ b/internal/fleet/command.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/replica"
 	"kumquatwing/internal/settings"
@@ -184,7 +185,7 @@
 }
 
 // Encode returns the command as it is proposed.
-func Encode(c *Command) ([]byte, error) { return msgpack.Marshal(c) }
+func Encode(c *Command) ([]byte, error) { return codec.Marshal(c) }
 
 // decode reads a proposed command.
 func decode(b []byte) (*Command, error) {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,6 +10,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/verdict"
 )
@@ -53,7 +54,7 @@
 
 // writeFrame appends f to w without flushing it.
 func writeFrame(w *bufio.Writer, f *frame) error {
-	body, err := msgpack.Marshal(f)
+	body, err := codec.Marshal(f)
 	if err != nil {
 		return err
 	}
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -10,6 +10,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/verdict"
 )
@@ -162,7 +163,7 @@
 
 // Send publishes v, encoded as msgpack, to the node at addr.
 func (n *Node) Send(addr, topic string, v any) error {
-	body, err := msgpack.Marshal(v)
+	body, err := codec.Marshal(v)
 	if err != nil {
 		return err
 	}
@@ -218,7 +219,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return msgpack.Marshal(resp)
+		return codec.Marshal(resp)
 	})
 }
 
@@ -226,7 +227,7 @@
 // a Refusal: NotRun when the request never left, MayHaveRun when it did and no
 // reply came.
 func (n *Node) Call(ctx context.Context, addr, topic string, req, resp any) error {
-	body, err := msgpack.Marshal(req)
+	body, err := codec.Marshal(req)
 	if err != nil {
 		return verdict.Refuse(verdict.ReasonBadRequest, "%s: request can't be encoded: %v", topic, err)
 	}
