--- a/capacity/cluster_test.go
+++ b/capacity/cluster_test.go
@@ -54,6 +54,8 @@
 	vms   []*vm
 	procs []*exec.Cmd
 	http  *http.Client
+	// measureFor is the time that one point is measured over.
+	measureFor time.Duration
 }
 
 func newCluster(t *testing.T, base int) *cluster {
@@ -61,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &cluster{t: t, base: base, dir: t.TempDir(), bin: bin, http: &http.Client{Timeout: callTimeout}}
+	c := &cluster{t: t, base: base, dir: t.TempDir(), bin: bin, http: &http.Client{Timeout: callTimeout}, measureFor: window}
 	t.Cleanup(c.close)
 	return c
 }
@@ -84,7 +86,7 @@
 		"--data", filepath.Join(c.dir, v.name), "--log-level", "warn")
 	if withEntry {
 		v.entry = c.start(v.name+".kqentry", "kqentry", "--vm", v.name, "--dc", dcName(dc),
-			"--listen", v.ip+entryPort, "--control", v.ip+wirePort)
+			"--http", v.ip+entryPort, "--control", v.ip+wirePort)
 	}
 	c.vms = append(c.vms, v)
 }
--- a/cmd/kqcontrol/main.go
+++ b/cmd/kqcontrol/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"os"
+	"runtime"
 
 	"go.uber.org/zap"
 
@@ -21,5 +22,6 @@
 	if err != nil {
 		return err
 	}
+	runtime.GOMAXPROCS(cfg.Threads)
 	return server.Run(ctx)
 }
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -32,6 +32,8 @@
 	OperatorToken string
 	// Tick is the period of the scheduler.
 	Tick time.Duration
+	// Threads bounds the threads that run at the same time.
+	Threads int
 	// StopGrace is how long readiness is withdrawn before the process hands
 	// its duties over on a graceful stop.
 	StopGrace time.Duration
@@ -41,6 +43,9 @@
 	defaultTick = 100 * time.Millisecond
 	minTick     = 10 * time.Millisecond
 	maxTick     = 5 * time.Second
+	// defaultThreads is one for control state and one for what comes in. More
+	// cost processor time in the runtime's search for work, and memory.
+	defaultThreads = 2
 )
 
 // Check returns a *program.SettingsError that names every fault of c, by flag.
@@ -67,6 +72,12 @@
 	if c.Tick < minTick || c.Tick > maxTick {
 		faults.Add("--tick is %s, not between %s and %s", c.Tick, minTick, maxTick)
 	}
+	if c.Threads == 0 {
+		c.Threads = defaultThreads
+	}
+	if c.Threads < 1 {
+		faults.Add("--threads is %d, not at least 1", c.Threads)
+	}
 	if c.StopGrace < 0 {
 		faults.Add("--stop-grace is %s, not at least 0s", c.StopGrace)
 	}
--- a/internal/control/flags.go
+++ b/internal/control/flags.go
@@ -28,6 +28,7 @@
 			&cli.StringFlag{Name: "data", Usage: "`FOLDER` of the durable state; none on a VM without a disk", Sources: cli.EnvVars("KQ_DATA")},
 			&cli.StringFlag{Name: "operator-token", Usage: "`TOKEN` that operators' calls must show; none is asked for if empty", Sources: cli.EnvVars("KQ_OPERATOR_TOKEN")},
 			&cli.DurationFlag{Name: "tick", Usage: "period of the scheduler", Value: defaultTick, Sources: cli.EnvVars("KQ_TICK")},
+			&cli.IntFlag{Name: "threads", Usage: "threads that run at the same time", Value: defaultThreads, Sources: cli.EnvVars("KQ_THREADS")},
 		),
 		Action: program.Daemon(configOf, run),
 	}
@@ -47,6 +48,7 @@
 		EventDir:      cmd.String("events"),
 		OperatorToken: cmd.String("operator-token"),
 		Tick:          cmd.Duration("tick"),
+		Threads:       cmd.Int("threads"),
 		StopGrace:     cmd.Duration("stop-grace"),
 	}
 }
--- a/internal/control/flags_test.go
+++ b/internal/control/flags_test.go
@@ -19,8 +19,8 @@
 	}{
 		{"nothing", "", []string{"--vm", "--dc", "--wire", "--http"}},
 		{
-			"wrong values", "--wire host:1 --http 127.0.0.1 --entry 1 --advertise x:y --join 127.0.0.1:0 --tick 1h --stop-grace=-1s --log-level loud",
-			[]string{"--vm", "--dc", "--wire", "--http", "--entry", "--advertise", "--join", "--tick", "--stop-grace", "--log-level"},
+			"wrong values", "--wire host:1 --http 127.0.0.1 --entry 1 --advertise x:y --join 127.0.0.1:0 --tick 1h --threads=-1 --stop-grace=-1s --log-level loud",
+			[]string{"--vm", "--dc", "--wire", "--http", "--entry", "--advertise", "--join", "--tick", "--threads", "--stop-grace", "--log-level"},
 		},
 		{"good", good, nil},
 	}
@@ -31,6 +31,7 @@
 				ran = true
 				qt.Assert(t, cfg.AdvertiseAddr, qt.Equals, cfg.WireAddr)
 				qt.Assert(t, cfg.Tick, qt.Equals, defaultTick)
+				qt.Assert(t, cfg.Threads, qt.Equals, defaultThreads)
 				return nil
 			})
 			err := cmd.Run(context.Background(), append([]string{"kqcontrol"}, strings.Fields(k.line)...))
