Give lent shares back to gangs too

After: runs of teams over their share are stopped on the workers reserved for the gang, when that frees all of its room and no team goes below its share; the test was seen failing first. Ruled out: choosing other workers than those reserved.

--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -246,3 +246,27 @@
 	s.Runs[2].Stopping = true
 	qt.Assert(t, Decide(s).Preempt, qt.HasLen, 0)
 }
+
+func TestShareReturnForGang(t *testing.T) {
+	var runs []RunView
+	for _, w := range []string{"w1", "w2", "w3", "w4"} {
+		runs = append(runs, runOf("a"+w, "x", w, 8000, 0, 0, genNow+600_000), runOf("b"+w, "x", w, 8000, 0, 0, genNow+700_000))
+	}
+	s := occupied([]WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1"), workerOf("w3", "r1"), workerOf("w4", "r1")}, runs...)
+	s.Jobs = []JobView{jobOf("g", "y", model.ClassGang, 2, 12_000)}
+	s.Jobs[0].ArrivedMillis = genNow - reclaimPatienceMillis
+	p := Decide(s)
+	qt.Assert(t, p.Reservations, qt.HasLen, 1)
+	s.Reservations = p.Reservations
+	p = Decide(s)
+	qt.Assert(t, Check(s, p), qt.IsNil)
+	// Two whole workers: half of the cell, which is the team's share.
+	qt.Assert(t, p.Preempt, qt.HasLen, 4)
+	qt.Check(t, p.Reservations[0].StartMillis, qt.Equals, int64(genNow+stopMillis))
+	// A larger gang would take its team over its share.
+	s.Reservations = nil
+	s.Jobs[0] = jobOf("g", "y", model.ClassGang, 3, 12_000)
+	s.Reservations = Decide(s).Reservations
+	qt.Assert(t, s.Reservations, qt.HasLen, 1)
+	qt.Assert(t, Decide(s).Preempt, qt.HasLen, 0)
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -143,6 +143,12 @@
 
 // evict stops the runs of e for a task and reserves the room for its job.
 func (d *decider) evict(e eviction, j *jobState, task model.TaskID, until int64, why evictReason) {
+	d.stopRuns(e, j, task, why)
+	d.reserveRoom(j, e.worker, 1, d.s.NowMillis, until)
+}
+
+// stopRuns stops the runs of e for a task.
+func (d *decider) stopRuns(e eviction, j *jobState, task model.TaskID, why evictReason) {
 	x := d.index()
 	for _, stopped := range e.runs {
 		r := &x.runs[stopped.run]
@@ -153,7 +159,6 @@
 			Explain: d.explainEviction(j, r, why),
 		})
 	}
-	d.reserveRoom(j, e.worker, 1, d.s.NowMillis, until)
 }
 
 // evictReason says in words why a run is stopped.
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -61,7 +61,11 @@
 		if r.budget == 0 {
 			break
 		}
-		r.reclaimFor(j)
+		if isGang(j.view) {
+			r.reclaimForGang(j)
+		} else {
+			r.reclaimFor(j)
+		}
 	}
 	if len(d.plan.Preempt) > first+1 {
 		d.dropUnneeded(first, d.spareForAll)
@@ -70,9 +74,12 @@
 
 // mayReclaim reports whether runs may be stopped for j's team's share.
 func (d *decider) mayReclaim(j *jobState) bool {
-	if isUrgent(j.view) || isGang(j.view) || j.refused || d.s.NowMillis-j.view.ArrivedMillis < reclaimPatienceMillis {
+	if isUrgent(j.view) || j.refused || d.s.NowMillis-j.view.ArrivedMillis < reclaimPatienceMillis {
 		return false
 	}
+	if isGang(j.view) {
+		return j.reason == ReasonReserved && j.reservation != nil
+	}
 	return j.reason == ReasonRoom || j.reason == ReasonReserved
 }
 
@@ -212,10 +219,15 @@
 
 // count moves the room of e from its teams to the job's.
 func (r *reclaim) count(e eviction, j *jobState) {
+	r.takeOff(e)
+	r.expected[j.team] = r.expected[j.team].Add(j.view.Spec.Size)
+}
+
+// takeOff no longer counts the runs of e.
+func (r *reclaim) takeOff(e eviction) {
 	for _, run := range e.runs {
 		view := &r.d.runs.runs[run.run]
 		t := r.byID[view.Team]
 		r.expected[t] = r.expected[t].Sub(view.Holds)
 	}
-	r.expected[j.team] = r.expected[j.team].Add(j.view.Spec.Size)
 }
