--- a/internal/control/hello.go
+++ b/internal/control/hello.go
@@ -21,6 +21,9 @@
 	silentAfter = 5 * time.Second
 	// helloTimeout bounds one announcement.
 	helloTimeout = 800 * time.Millisecond
+	// maxKnown bounds the addresses in the answer to an announcement, which
+	// every process of the fleet gets every helloPeriod.
+	maxKnown = maxFleetVoters
 )
 
 // hello is what a process says of itself.
@@ -33,14 +36,18 @@
 	HTTPAddr  string           `msgpack:"h"`
 	EntryAddr string           `msgpack:"e"`
 	Disk      bool             `msgpack:"k"`
+	// Room is set by the leader of a data centre.
+	Room *dcRoom `msgpack:"m,omitempty"`
 }
 
 // helloReply points at the fleet's leader and at other processes.
 type helloReply struct {
 	// Leader is the wire address of the fleet's leader, if known.
 	Leader string `msgpack:"l"`
-	// Known lists wire addresses of the fleet's members.
+	// Known lists wire addresses of some of the fleet's members, voters first.
 	Known []string `msgpack:"k"`
+	// FleetSize is the size of all workers, from the fleet's leader.
+	FleetSize model.Resources `msgpack:"s"`
 }
 
 // heard is the newest announcement of one VM.
@@ -110,8 +117,11 @@
 }
 
 func (a *announcer) once(ctx context.Context) {
+	h := a.s.hello()
 	if a.s.fleetStatus().IsLeader() {
-		a.s.roster.note(a.s.hello(), a.s.clock.Now())
+		a.s.noteHello(&h)
+		size := a.s.rooms.fleetSize(a.s.clock.Now())
+		a.s.fleetSize.Store(&size)
 		return
 	}
 	target := a.target()
@@ -121,12 +131,14 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	var reply helloReply
-	h := a.s.hello()
 	if err := a.s.wire.Call(ctx, target, topicHello, &h, &reply); err != nil {
 		a.leader = ""
 		return
 	}
 	a.leader = reply.Leader
+	if !reply.FleetSize.IsZero() {
+		a.s.fleetSize.Store(&reply.FleetSize)
+	}
 	for _, addr := range reply.Known {
 		if !slices.Contains(a.known, addr) {
 			a.known = append(a.known, addr)
@@ -152,21 +164,41 @@
 	return ""
 }
 
+func (s *Server) noteHello(h *hello) {
+	now := s.clock.Now()
+	s.rooms.note(h.Room, now)
+	h.Room = nil
+	s.roster.note(*h, now)
+}
+
 // handleHello notes an announcement and tells the sender who leads.
 func (s *Server) handleHello(_ context.Context, h *hello) (*helloReply, error) {
-	s.roster.note(*h, s.clock.Now())
-	reply := &helloReply{}
-	if m, ok := s.fleetLeader(); ok {
+	s.noteHello(h)
+	reply := &helloReply{FleetSize: s.rooms.fleetSize(s.clock.Now())}
+	st := s.fleetStatus()
+	if m, ok := st.LeaderMember(); ok {
 		reply.Leader = m.Addr
 	}
-	st := s.fleetStatus()
-	for _, m := range st.Members {
-		reply.Known = append(reply.Known, m.Addr)
+	reply.Known = knownAddrs(st.Members, s.roster)
+	return reply, nil
+}
+
+// knownAddrs lists at most maxKnown addresses at which the fleet can be found:
+// its voters, then its learners; before there is a fleet, who was heard here.
+func knownAddrs(members []replica.Member, r *roster) []string {
+	var voters, learners []string
+	for _, m := range members {
+		if m.Learner {
+			learners = append(learners, m.Addr)
+		} else {
+			voters = append(voters, m.Addr)
+		}
 	}
-	if len(reply.Known) == 0 {
-		for _, o := range s.roster.list() {
-			reply.Known = append(reply.Known, o.WireAddr)
+	addrs := append(voters, learners...)
+	if len(addrs) == 0 {
+		for _, h := range r.list() {
+			addrs = append(addrs, h.WireAddr)
 		}
 	}
-	return reply, nil
+	return addrs[:min(len(addrs), maxKnown)]
 }
--- a/internal/placement/estimate/estimate.go
+++ b/internal/placement/estimate/estimate.go
@@ -21,6 +21,10 @@
 	// MinRatio and MaxRatio bound every correction.
 	MinRatio = 250
 	MaxRatio = 4000
+	// ratioStep is the precision of corrections. A ratio that moves a little must
+	// not change the sizes of waiting tasks, for which room may be reserved, and
+	// like jobs should ask for like room.
+	ratioStep = 125
 	// MinSamples is how many ended tasks a workload needs before it is corrected.
 	MinSamples = 3
 	// MaxWorkloads bounds a Book; the one not seen for longest is forgotten.
@@ -28,6 +32,10 @@
 	// meanGain and deviationGain are the inverse weights of a new sample.
 	meanGain      = 8
 	deviationGain = 4
+	// maxRaisedPart bounds a raise in processors to this part of the largest
+	// worker: a task can be throttled, but not split, and one that needs a whole
+	// worker for itself may wait very long.
+	maxRaisedPart = 2
 )
 
 // Key names a workload of a team.
@@ -155,7 +163,7 @@
 	e := &b.Entries[i]
 	c.Size = e.raise(size, workers)
 	if e.Run.Samples >= MinSamples {
-		c.RunMillis = runMillis * e.Run.Mean / whole
+		c.RunMillis = runMillis * inSteps(e.Run.Mean) / whole
 	}
 	if c.Size != size || c.RunMillis != runMillis {
 		c.Detail = fmt.Sprintf("declared %s for %d ms; planned with %s for %d ms after %d ended tasks of the workload",
@@ -167,7 +175,7 @@
 // raise raises each dimension for itself, as far as a worker has room.
 func (e *Entry) raise(size model.Resources, workers []model.Resources) model.Resources {
 	raised := size
-	raised.MilliCPU = e.CPU.upper(size.MilliCPU)
+	raised.MilliCPU = max(size.MilliCPU, min(e.CPU.upper(size.MilliCPU), largestCPU(workers)/maxRaisedPart))
 	raised.MemoryMB = e.Memory.upper(size.MemoryMB)
 	for _, try := range []model.Resources{
 		raised,
@@ -181,11 +189,25 @@
 	return size
 }
 
+// largestCPU is the most processors that any worker has.
+func largestCPU(workers []model.Resources) int64 {
+	var most int64
+	for _, w := range workers {
+		most = max(most, w.MilliCPU)
+	}
+	return most
+}
+
+// inSteps rounds a ratio up.
+func inSteps(ratio int64) int64 {
+	return (ratio + ratioStep - 1) / ratioStep * ratioStep
+}
+
 // upper is the declared amount, or the mean with the deviation if that is more.
 func (r *Ratio) upper(declared int64) int64 {
 	if r.Samples < MinSamples {
 		return declared
 	}
-	ratio := min(r.Mean+r.Deviation, MaxRatio)
+	ratio := min(inSteps(r.Mean+r.Deviation), MaxRatio)
 	return max(declared, declared*ratio/whole)
 }
--- a/internal/placement/stats_test.go
+++ b/internal/placement/stats_test.go
@@ -9,8 +9,10 @@
 
 // stats is what a run of the driver measures.
 type stats struct {
-	// took is per plan, perTask per placement of a plan that has any.
+	// took is per plan, worked the same in processor time of its thread, perTask
+	// took per placement of a plan that has any.
 	took     []time.Duration
+	worked   []time.Duration
 	perTask  []time.Duration
 	placed   int
 	deciding time.Duration
@@ -19,8 +21,8 @@
 	done, lost int64
 	preempted  int
 	// used and held sum parts of the cell over the samples.
-	used, held float64
-	samples    int
+	used, held, memory float64
+	samples            int
 	// distance sums the teams' distance from their share while work waits.
 	distance  float64
 	contended int
@@ -31,8 +33,9 @@
 	most, mostWaiting int
 }
 
-func (s *stats) decided(took time.Duration, placed int, mallocs uint64) {
+func (s *stats) decided(took, worked time.Duration, placed int, mallocs uint64) {
 	s.took = append(s.took, took)
+	s.worked = append(s.worked, worked)
 	s.deciding += took
 	s.placed += placed
 	s.mallocs += mallocs
@@ -44,13 +47,16 @@
 // sample measures the cell after a step.
 func (s *stats) sample(d *driver) {
 	var size, held, used int64
+	var memory, memoryUsed int64
 	for _, dc := range d.dcs {
 		for i := range dc.workers {
 			size += dc.workers[i].Size.MilliCPU
+			memory += dc.workers[i].Size.MemoryMB
 			held += dc.workers[i].Size.MilliCPU - dc.workers[i].Free.MilliCPU
 		}
 		for _, t := range dc.running {
 			used += min(t.size.MilliCPU, t.job.use.MilliCPU)
+			memoryUsed += t.job.use.MemoryMB
 		}
 	}
 	running := 0
@@ -61,6 +67,7 @@
 	s.samples++
 	s.held += float64(held) / float64(size)
 	s.used += float64(used) / float64(size)
+	s.memory += float64(memoryUsed) / float64(memory)
 	s.shares(d)
 }
 
@@ -152,6 +159,44 @@
 	return off / sum
 }
 
+// merge adds the measures of another run.
+func (s *stats) merge(o *stats) {
+	s.took = append(s.took, o.took...)
+	s.worked = append(s.worked, o.worked...)
+	s.perTask = append(s.perTask, o.perTask...)
+	s.placed += o.placed
+	s.deciding += o.deciding
+	s.mallocs += o.mallocs
+	s.done += o.done
+	s.lost += o.lost
+	s.preempted += o.preempted
+	s.used += o.used
+	s.held += o.held
+	s.memory += o.memory
+	s.samples += o.samples
+	s.distance += o.distance
+	s.contended += o.contended
+	s.unstarted += o.unstarted
+	s.most = max(s.most, o.most)
+	s.mostWaiting = max(s.mostWaiting, o.mostWaiting)
+	if s.waits == nil {
+		s.waits = make(map[model.Class][]int64)
+	}
+	for class, w := range o.waits {
+		s.waits[class] = append(s.waits[class], w...)
+	}
+	s.sort()
+}
+
+func (s *stats) sort() {
+	for _, w := range s.waits {
+		slices.Sort(w)
+	}
+	slices.Sort(s.took)
+	slices.Sort(s.worked)
+	slices.Sort(s.perTask)
+}
+
 // finish counts the waits; a task that never started has waited to the end.
 // Work done so far by tasks that still run counts as done.
 func (s *stats) finish(d *driver) {
@@ -163,12 +208,11 @@
 			s.unstarted++
 		}
 		s.waits[t.job.spec.Class] = append(s.waits[t.job.spec.Class], waited)
+		if t.left > 0 {
+			s.done += (t.job.run - t.left) * t.job.use.MilliCPU
+		}
 	}
-	for _, w := range s.waits {
-		slices.Sort(w)
-	}
-	slices.Sort(s.took)
-	slices.Sort(s.perTask)
+	s.sort()
 	for _, dc := range d.dcs {
 		for _, t := range dc.running {
 			s.done += (d.now - t.started) * min(t.size.MilliCPU, t.job.use.MilliCPU)
--- a/internal/route/try.go
+++ b/internal/route/try.go
@@ -68,6 +68,7 @@
 		if !res.again || !c.triesLeft() || !rt.budget.spend() {
 			return result{refusal: worst(res.refusal, uncertain)}
 		}
+		rt.record(c, EventRetried, string(res.refusal.Reason), res.refusal.Message)
 	}
 }
 
--- a/internal/systems/view.go
+++ b/internal/systems/view.go
@@ -29,6 +29,8 @@
 	Out         bool
 	OutRevision uint64
 	Tree        *settings.Tree
+	// Config is the configuration revision, which events name.
+	Config uint64
 	// FleetSize is the size of all workers of the fleet, against which shares
 	// are counted; zero means this data centre's.
 	FleetSize model.Resources
@@ -54,6 +56,11 @@
 	// Granted is what the fleet holds reserved for this data centre, Target
 	// what it wants that to come down to; equal to Granted if all may stay.
 	Granted, Target model.Resources
+	// Over is set while a lowered limit is exceeded: what runs beyond Target is
+	// to be stopped. Without it that runs on, and nothing new starts.
+	Over bool
+	// Asked, AskedFloor and AskedHolds are the newest request that the fleet has.
+	Asked, AskedFloor, AskedHolds model.Resources
 	// Version grows with every change of Granted.
 	Version uint64
 	// Elsewhere is what the team's tasks hold in other data centres.
@@ -135,6 +142,9 @@
 	Want model.Resources
 	// Holds is what the team's tasks take here now.
 	Holds model.Resources
+	// Floor is the least with which the oldest waiting job could start; zero if
+	// none waits.
+	Floor model.Resources
 }
 
 // GrantReturn lowers a team's grant here to Keep. The data centre's own tables
@@ -166,65 +176,3 @@
 	Tasks  []work.AdmitTask
 	Reason string
 }
-
-// Memory is the soft state of the leader's ticks; a new leader starts with an
-// empty one.
-type Memory struct {
-	reservations []placement.Reservation
-	runs         []placement.RunView
-	// waits holds the reason last recorded per waiting job.
-	waits map[model.JobID]string
-	// asked holds when a request about a subject was last made.
-	asked map[string]int64
-	// throttled holds when a task was first told to slow down.
-	throttled map[model.TaskID]int64
-	// finished holds the jobs whose end has been recorded.
-	finished map[model.JobID]bool
-	// idle holds since when a team's grant has been larger than it needs.
-	idle map[model.TeamID]int64
-	// changes counts the changes of tasks that have been recorded.
-	changes     uint64
-	changesSeen bool
-	seen        uint64
-	seenAny     bool
-	// moveMillis and moveTokens pace the moves of a data centre that is out.
-	moveMillis int64
-	moveTokens int64
-}
-
-// NewMemory returns the memory of a leader that has just taken over.
-func NewMemory() *Memory {
-	return &Memory{
-		waits:     map[model.JobID]string{},
-		asked:     map[string]int64{},
-		throttled: map[model.TaskID]int64{},
-		finished:  map[model.JobID]bool{},
-		idle:      map[model.TeamID]int64{},
-	}
-}
-
-// askAgainMillis is the pause between equal requests to the fleet.
-const askAgainMillis = 300
-
-// mayAsk reports whether a request about subject is due, and notes it.
-func (m *Memory) mayAsk(subject string, nowMillis int64) bool {
-	if at, ok := m.asked[subject]; ok && nowMillis-at < askAgainMillis {
-		return false
-	}
-	m.asked[subject] = nowMillis
-	return true
-}
-
-// expire drops old notes so that the memory stays bounded.
-func (m *Memory) expire(nowMillis int64) {
-	for k, at := range m.asked {
-		if nowMillis-at >= askAgainMillis {
-			delete(m.asked, k)
-		}
-	}
-	for k, at := range m.throttled {
-		if nowMillis-at >= throttleKeptMillis {
-			delete(m.throttled, k)
-		}
-	}
-}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -13,7 +13,7 @@
 
 const (
 	// peerQueue bounds the frames that wait for one connection.
-	peerQueue = 4096
+	peerQueue = 1024
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = time.Second
 	// backoffMin and backoffMax bound the pause between attempts.
@@ -178,6 +178,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := setUnackedTimeout(conn); err != nil {
+		conn.Close()
+		return nil, err
+	}
 	if !p.node.track(conn) {
 		conn.Close()
 		return nil, net.ErrClosed
