--- a/internal/route/overflow_test.go
+++ b/internal/route/overflow_test.go
@@ -10,7 +10,8 @@
 )
 
 // TestRemotesOfDataCentreThatIsOut checks that the entry VMs of a data centre
-// that is out get no requests from here until it is in again.
+// that is out get no requests from here. That they may pass theirs on is
+// checked by TestOverflow of the entry package.
 func TestRemotesOfDataCentreThatIsOut(t *testing.T) {
 	r := &remotes{dial: DialTCP("")}
 	in := api.RemoteEntry{VM: "dc2-1", DC: "dc2", Addr: "127.0.0.21:7100"}
