--- /dev/null
+++ b/internal/placement/driver_view_test.go
@@ -0,0 +1,78 @@
+package placement_test
+
+import (
+	"cmp"
+	"slices"
+
+	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement"
+)
+
+// snapshot is what the data centre's scheduler sees.
+func (d *driver) snapshot(dc *driverDC) *placement.Snapshot {
+	s := &placement.Snapshot{NowMillis: d.now, Out: dc.out, Workers: slices.Clone(dc.workers), Reservations: dc.reservations, MaxPlacements: driverBound}
+	s.Teams = d.usage(dc)
+	for _, o := range d.dcs {
+		for i := range o.workers {
+			s.Fleet = s.Fleet.Add(o.workers[i].Size)
+		}
+	}
+	for _, j := range dc.jobs {
+		v := placement.JobView{Spec: j.job.spec, ArrivedMillis: j.arrived, RunMillis: j.run, Policy: placement.Policy{Preemptible: true, GangReservationMillis: 10_000}}
+		v.Spec.Size = j.size
+		for _, t := range j.pending {
+			v.Pending = append(v.Pending, placement.PendingTask{ID: t.id})
+		}
+		s.Jobs = append(s.Jobs, v)
+	}
+	slices.SortFunc(s.Jobs, func(a, b placement.JobView) int {
+		return cmp.Or(cmp.Compare(a.ArrivedMillis, b.ArrivedMillis), cmp.Compare(a.Spec.ID, b.Spec.ID))
+	})
+	for _, t := range dc.running {
+		s.Runs = append(s.Runs, d.runView(dc, t))
+	}
+	return s
+}
+
+func (d *driver) runView(dc *driverDC, t *driverTask) placement.RunView {
+	spec := &t.job.spec
+	v := placement.RunView{
+		Task: t.id, Job: spec.ID, Team: spec.Team, Class: spec.Class, Worker: dc.workers[t.worker].ID, Holds: t.size,
+		StartedMillis: t.started, Preemptible: spec.Class == model.ClassBatch, Stopping: t.stopAt != 0,
+	}
+	if spec.Class == model.ClassBatch {
+		v.CheckpointMillis = t.checkpoint(d.now)
+	}
+	if spec.RunMillis > 0 {
+		v.EndsMillis = t.started + d.expected(spec)
+	}
+	return v
+}
+
+// expected is the run time that the scheduler expects.
+func (d *driver) expected(spec *model.JobSpec) int64 {
+	if !d.scheduler.learn {
+		return spec.RunMillis
+	}
+	return d.book.Correct(keyOf(spec), spec.Size, spec.RunMillis, nil).RunMillis
+}
+
+// usage is the teams' standing as the data centre sees it.
+func (d *driver) usage(here *driverDC) []placement.TeamView {
+	out := slices.Clone(d.teams)
+	for _, dc := range d.dcs {
+		for _, t := range dc.running {
+			for i := range out {
+				if out[i].ID != t.job.spec.Team {
+					continue
+				}
+				if dc == here {
+					out[i].Usage = out[i].Usage.Add(t.size)
+				} else {
+					out[i].Elsewhere = out[i].Elsewhere.Add(t.size)
+				}
+			}
+		}
+	}
+	return out
+}
