Set a corrupt store aside; add silent workers, a full data centre and slower servers to the proofs

Cause: make mutants showed that three proofs could not notice their missing protection: no worker fell silent, the data centre that was cut off had nothing left to start, and requests were over too fast to be lost with their entry VM. Also: a member whose store is corrupt ended its process for good; now the VM comes back under a new identity (TestCorruptStoreComesBackUnderNewIdentity).

--- /dev/null
+++ b/internal/control/corrupt_test.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+)
+
+// TestCorruptStoreComesBackUnderNewIdentity flips a byte of the fleet member's
+// log: the process must set the folder aside and not vote under its old name.
+func TestCorruptStoreComesBackUnderNewIdentity(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "data")
+	cfg := Config{
+		VM: "vm1", DC: "dc1", WireAddr: "127.0.0.1:39481", HTTPAddr: "127.0.0.1:39482", DataDir: dir,
+	}
+	first, err := New(cfg, zap.NewNop())
+	qt.Assert(t, err, qt.IsNil)
+	first.close()
+	flipByteOfLog(t, filepath.Join(dir, fleetGroup))
+	second, err := New(cfg, zap.NewNop())
+	qt.Assert(t, err, qt.IsNil)
+	defer second.close()
+	qt.Assert(t, second.id, qt.Not(qt.Equals), first.id)
+	aside, err := filepath.Glob(dir + ".corrupt-*")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, aside, qt.HasLen, 1)
+}
+
+// flipByteOfLog changes the first byte of the largest file of a store.
+func flipByteOfLog(t *testing.T, dir string) {
+	t.Helper()
+	entries, err := os.ReadDir(dir)
+	qt.Assert(t, err, qt.IsNil)
+	var path string
+	var size int64
+	for _, e := range entries {
+		info, err := e.Info()
+		qt.Assert(t, err, qt.IsNil)
+		if info.Size() > size {
+			path, size = filepath.Join(dir, e.Name()), info.Size()
+		}
+	}
+	data, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	data[len(data)/2] ^= 0xff
+	qt.Assert(t, os.WriteFile(path, data, 0o644), qt.IsNil)
+}
--- a/internal/control/dcside.go
+++ b/internal/control/dcside.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -83,6 +84,7 @@
 	t := time.NewTicker(memberPeriod)
 	defer t.Stop()
 	for {
+		d.s.checkMember("the data centre group", d.s.dcStatus())
 		if !d.s.isStopping() {
 			d.follow(ctx)
 			d.keepMembers(ctx)
@@ -158,6 +160,11 @@
 	name := groupName(d.s.cfg.DC, g.Generation)
 	d.dropOthers(name)
 	store, err := openStore(d.s.cfg.DataDir, name)
+	if isCorrupt(err) {
+		// The fleet group's member goes with it, so the process has to start anew.
+		d.s.fail(errors.Join(err, d.s.setAside(err)))
+		return
+	}
 	if err != nil {
 		d.s.log.Error("store can't be opened", zap.String("group", name), zap.Error(err))
 		return
--- a/internal/control/fleetside.go
+++ b/internal/control/fleetside.go
@@ -49,6 +49,12 @@
 // if it has none.
 func openFleetSide(s *Server) (*fleetSide, replica.MemberID, error) {
 	store, err := openStore(s.cfg.DataDir, fleetGroup)
+	if isCorrupt(err) {
+		if err := s.setAside(err); err != nil {
+			return nil, 0, err
+		}
+		store, err = openStore(s.cfg.DataDir, fleetGroup)
+	}
 	if err != nil {
 		return nil, 0, err
 	}
@@ -143,6 +149,7 @@
 	for {
 		f.refresh()
 		f.noteLeadership()
+		f.s.checkMember(fleetGroup, f.s.fleetStatus())
 		if f.s.fleetStatus().IsLeader() && !f.s.isStopping() {
 			f.keepMembers(ctx)
 			f.registerMembers(ctx)
--- a/internal/control/placer.go
+++ b/internal/control/placer.go
@@ -49,9 +49,8 @@
 	refusal := l.view(func(clock.Instant) {
 		counts := map[model.Resources]int{}
 		for _, w := range l.state.Work.Workers() {
-			if w.State == model.WorkerLost {
-				continue
-			}
+			// Lost workers count too: they may come back, and a job that fits only
+			// there waits for them.
 			counts[w.Size]++
 			if w.State == model.WorkerReady {
 				r.Free = r.Free.Add(w.Free().Max(model.Resources{}))
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -33,6 +33,7 @@
 	eventSilent    eventlog.Kind = "control.silent"
 	eventRevision  eventlog.Kind = "control.revision"
 	eventLeaseLost eventlog.Kind = "control.lease-lost"
+	eventCorrupt   eventlog.Kind = "control.corrupt"
 	eventLeaseBack eventlog.Kind = "control.lease-back"
 )
 
@@ -75,6 +76,8 @@
 
 	stopping chan struct{}
 	stopOnce sync.Once
+	// fatal gets the error that ends the process.
+	fatal chan error
 }
 
 // New opens the process's durable state and its wire node.
@@ -90,6 +93,7 @@
 		roster:   newRoster(),
 		rooms:    newRooms(),
 		stopping: make(chan struct{}),
+		fatal:    make(chan error, 1),
 	}
 	if cfg.EventDir != "" {
 		f, err := eventlog.OpenFile(cfg.EventDir, processName, cfg.VM, eventlog.DefaultFileBytes)
@@ -171,12 +175,18 @@
 	} {
 		g.Go(func() error { run(work); return nil })
 	}
-	<-ctx.Done()
-	s.stop(server)
+	var fatal error
+	select {
+	case <-ctx.Done():
+		s.stop(server)
+	case fatal = <-s.fatal:
+		s.log.Error("can't go on", zap.Error(fatal))
+		server.Close()
+	}
 	cancel()
 	err = g.Wait()
 	s.close()
-	return err
+	return errors.Join(fatal, err)
 }
 
 func ignoreClosed(err error) error {
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -210,7 +210,7 @@
 	name := fmt.Sprintf("%s-%d-%d", queue, dc, n)
 	args := []string{
 		"backend", "--server", name, "--dc", dcName(dc), "--queue", queue,
-		"--listen", fmt.Sprintf("127.%d.2.%d%d:8000", c.base, dc, n), "--delay", "2ms", "--drain", "100ms",
+		"--listen", fmt.Sprintf("127.%d.2.%d%d:8000", c.base, dc, n), "--delay", "100ms", "--drain", "100ms",
 		"--runs", filepath.Join(c.dir, "runs", name),
 	}
 	for vm := 1; vm <= vmsPerDC; vm++ {
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -122,6 +122,20 @@
 	}
 }
 
+// fillUp gives a data centre more work than it can start before it is cut off.
+func (l *load) fillUp(dc int) {
+	spec := model.JobSpec{
+		ID: model.JobID("job-fill"), Team: "wide", Class: model.ClassBatch, Tasks: 150, Idempotent: true,
+		Size: model.Resources{MilliCPU: 8000, MemoryMB: 512}, RunMillis: 800, DataCentres: []model.DCID{model.DCID(dcName(dc))},
+	}
+	if !l.c.submit(l.wide, &spec, patience) {
+		l.c.t.Error("the filling job was not taken")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.specs[spec.ID] = spec
+}
+
 func drawJob(draw *rand.Rand, i int) model.JobSpec {
 	spec := model.JobSpec{
 		ID: model.JobID(fmt.Sprintf("job-%d", i)), Team: "wide", Class: model.ClassBatch, Tasks: 1 + draw.IntN(3),
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -34,6 +34,7 @@
 		{"graceful-stops", stopInTurn},
 		{"cancel-wave", cancelWave},
 		{"bad-worker", badWorker},
+		{"silent-worker", silentWorkers},
 	}
 	for i, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -49,8 +50,8 @@
 	}
 }
 
-// killLeaders kills the fleet's leader, a data centre's leader and a kqentry,
-// and starts them again.
+// killLeaders kills the fleet's leader, a data centre's leader and all kqentry
+// of a data centre, and starts them again.
 func killLeaders(c *cluster, _ *load) {
 	dc, vm := c.leaderOf(0)
 	c.kill(controlName(dc, vm))
@@ -58,10 +59,14 @@
 	c.again(controlName(dc, vm))
 	dc, vm = c.leaderOf(2)
 	c.kill(controlName(dc, vm))
-	c.kill(entryName(3, 1))
+	for v := 1; v <= vmsPerDC; v++ {
+		c.kill(entryName(3, v))
+	}
 	time.Sleep(3 * time.Second)
 	c.again(controlName(dc, vm))
-	c.again(entryName(3, 1))
+	for v := 1; v <= vmsPerDC; v++ {
+		c.again(entryName(3, v))
+	}
 	time.Sleep(3 * time.Second)
 }
 
@@ -146,7 +151,8 @@
 // to go on with open requests and to start nothing.
 func cutDataCentre(c *cluster, l *load) {
 	withdraw := l.callWithKeyToWithdraw()
-	time.Sleep(time.Second)
+	l.fillUp(3)
+	time.Sleep(2 * time.Second)
 	c.cutOff(3, true)
 	withdraw()
 	at := time.Now()
@@ -260,3 +266,16 @@
 	c.start("bad.workers", "kqfake", args...)
 	time.Sleep(10 * time.Second)
 }
+
+// silentWorkers adds workers that stop reporting for longer than their lease
+// and go on running meanwhile.
+func silentWorkers(c *cluster, _ *load) {
+	args := []string{"worker", "--dc", "dc1", "--name", "silent-", "--count", "4", "--mode", "silent",
+		"--silent-after", "3s", "--silent-for", "8s", "--events", c.dir + "/events"}
+	for vm := 1; vm <= vmsPerDC; vm++ {
+		args = append(args, "--control", "http://"+c.entry(1, vm))
+	}
+	c.stop(dcName(1)+".workers", 10*time.Second)
+	c.start("silent.workers", "kqfake", args...)
+	time.Sleep(14 * time.Second)
+}
