Record accepted changes on the time line, with who made them

Cause: the time line of a demo showed revisions come into force, but not that an operator had taken dc2 out, which is what an engineer looks for first. Ruled out: recording in fleetapi, which takes a call at any member and may not hear of its acceptance.

--- a/internal/control/note_test.go
+++ b/internal/control/note_test.go
@@ -2,16 +2,26 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"kumquatwing/internal/eventlog"
+	"kumquatwing/internal/fleet"
 )
 
-// recorded is a Recorder that keeps the kinds of events.
-type recorded []eventlog.Kind
+// recorded is a Recorder that keeps the events.
+type recorded []eventlog.Event
 
-func (r *recorded) Record(e eventlog.Event) { *r = append(*r, e.Kind) }
+func (r *recorded) Record(e eventlog.Event) { *r = append(*r, e) }
+
+func (r recorded) kinds() []eventlog.Kind {
+	var out []eventlog.Kind
+	for i := range r {
+		out = append(out, r[i].Kind)
+	}
+	return out
+}
 
 // TestNotesRecordChangesOnly checks that each change of the standing is recorded
 // once.
@@ -34,6 +44,31 @@
 	for i, step := range steps {
 		got = nil
 		n.note(step.revision, step.leased)
-		qt.Assert(t, []eventlog.Kind(got), qt.DeepEquals, step.want, qt.Commentf("step %d", i))
+		qt.Assert(t, got.kinds(), qt.DeepEquals, step.want, qt.Commentf("step %d", i))
 	}
 }
+
+// TestAcceptedChangesAreRecorded checks who is named for which change, and that
+// neither known nor old ones are recorded again.
+func TestAcceptedChangesAreRecorded(t *testing.T) {
+	now := time.UnixMilli(10_000_000)
+	at := now.UnixMilli()
+	history := []fleet.Change{
+		{Revision: 1, AtMillis: at - 2*recentChange.Milliseconds(), Actor: "old", Kind: "apply"},
+		{Revision: 2, AtMillis: at, Actor: "known", Kind: "apply"},
+		{Revision: 3, AtMillis: at, Actor: "ana", Kind: "dc-out", OpID: "o3", Changes: []string{"data centre dc2 is out"}},
+		{Revision: 4, AtMillis: at, Actor: "bo", Kind: "apply", OpID: "o4", Changes: []string{"first", "second", "third"}},
+	}
+	var got recorded
+	n := &notes{s: &Server{events: &got}}
+	n.noteChanges(history, 2, now)
+	qt.Assert(t, got, qt.HasLen, 2)
+	qt.Check(t, got[0].Revision, qt.Equals, uint64(3))
+	qt.Check(t, got[0].Cause, qt.Equals, "dc-out")
+	qt.Check(t, got[0].Detail, qt.Equals, "by ana: data centre dc2 is out (operation o3)")
+	qt.Check(t, got[1].Detail, qt.Equals, "by bo: first and 2 more lines (operation o4)")
+
+	got = nil
+	n.noteChanges(history[:1], 0, now)
+	qt.Assert(t, got, qt.HasLen, 0)
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -32,6 +32,7 @@
 	eventMembers   eventlog.Kind = "control.members"
 	eventSilent    eventlog.Kind = "control.silent"
 	eventRevision  eventlog.Kind = "control.revision"
+	eventAccepted  eventlog.Kind = "control.accepted"
 	eventLeaseLost eventlog.Kind = "control.lease-lost"
 	eventLeaseBack eventlog.Kind = "control.lease-back"
 )
