Name all faults of a job's flags at once

Cause: kqctl job submit told one wrong flag at a time, and left a wrong class, count or time to the server. Ruled out: leaving it to the server, which names the fields of the message and not the flags. Conclusion: two cases more in the table of command lines.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -124,6 +124,14 @@
 		{"faulty file", []string{"check", "-f", bad}, ExitUsage, `bad.yaml:2: settings.request.tries: "many" is not a whole number`},
 		{"no server", []string{"status"}, ExitUsage, "KQ_SERVER"},
 		{"unknown flag", []string{"status", "--nope"}, ExitUsage, "nope"},
+		{
+			"all faults of a job", operator(server, "job", "submit", "--class", "bogus", "--cpu", "x", "--memory", "y", "--tasks", "0", "--run=-1s"),
+			ExitUsage, `--cpu: "x" is not a number of cores, such as 2, 1.5 or 1500m`,
+		},
+		{
+			"the last of them", operator(server, "job", "submit", "--class", "bogus", "--cpu", "x", "--memory", "y", "--tasks", "0", "--run=-1s"),
+			ExitUsage, "--run is -1s, not at least 0s",
+		},
 		{"missing argument", operator(server, "dc", "out"), ExitUsage, "needs 1 arguments"},
 		{"wrong token", []string{"--server", server.URL, "history"}, ExitRefused, "Kq-Operator is missing"},
 		{"stale revision", operator(server, "dc", "out", "--expect-revision", "0", "dc1"), ExitRefused, "by ada made revision 1"},
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -12,7 +12,9 @@
 	"github.com/urfave/cli/v3"
 
 	"kumquatwing/internal/api"
+	"kumquatwing/internal/fleet"
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/program"
 	"kumquatwing/internal/settings"
 	"kumquatwing/internal/verdict"
 )
@@ -59,15 +61,30 @@
 	}
 }
 
-// specOf reads a job from the command line.
+// specOf reads a job from the command line. Its error names every fault.
 func specOf(cmd *cli.Command) (*model.JobSpec, error) {
+	var faults program.Faults
 	cpu, err := settings.ParseCPU(cmd.String("cpu"))
-	if err != nil {
-		return nil, usagef("--cpu: %v", err)
-	}
+	faults.Check("--cpu", err)
 	memory, err := settings.ParseMemory(cmd.String("memory"))
-	if err != nil {
-		return nil, usagef("--memory: %v", err)
+	faults.Check("--memory", err)
+	if class := model.Class(cmd.String("class")); !class.Valid() {
+		faults.Add("--class is %q, not service, batch, gang or urgent", class)
+	}
+	if n := cmd.Int("tasks"); n < 1 || n > fleet.MaxTasks {
+		faults.Add("--tasks is %d, not 1 to %d", n, fleet.MaxTasks)
+	}
+	if n := cmd.Int64("accelerators"); n < 0 {
+		faults.Add("--accelerators is %d, not at least 0", n)
+	}
+	if n := cmd.Int("min-running"); n < 0 {
+		faults.Add("--min-running is %d, not at least 0", n)
+	}
+	if d := cmd.Duration("run"); d < 0 {
+		faults.Add("--run is %s, not at least 0s", d)
+	}
+	if err := faults.Err(); err != nil {
+		return nil, &usageError{err}
 	}
 	spec := &model.JobSpec{
 		ID:         model.JobID(cmd.String("id")),
--- a/internal/program/faults.go
+++ b/internal/program/faults.go
@@ -7,12 +7,13 @@
 	"strings"
 )
 
-// SettingsError names every fault of a process's flags and environment.
+// SettingsError names every fault of a command line, or of the environment
+// variables that stand for flags.
 type SettingsError struct{ Faults []string }
 
 // Error implements error; each fault stands on a line of its own.
 func (e *SettingsError) Error() string {
-	return "bad settings:\n  " + strings.Join(e.Faults, "\n  ")
+	return "bad flags:\n  " + strings.Join(e.Faults, "\n  ")
 }
 
 // Join returns one error with the faults of all errs, or nil if none has any. An
@@ -40,6 +41,13 @@
 	f.list = append(f.list, fmt.Sprintf(format, args...))
 }
 
+// Check notes the fault err of a flag, unless it is nil.
+func (f *Faults) Check(flag string, err error) {
+	if err != nil {
+		f.Add("%s: %v", flag, err)
+	}
+}
+
 // Missing notes a fault if a value is empty.
 func (f *Faults) Missing(flag, value string) {
 	if value == "" {
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -23,7 +23,7 @@
 		{"failed", nil, errors.New("address in use"), ExitFailed, "kqx: address in use\n"},
 		{"own code", nil, cli.Exit("lost", 7), 7, "kqx: lost\n"},
 		{"usage", nil, Usagef("no %s", "folder"), ExitUsage, "kqx: no folder\n"},
-		{"settings", nil, &SettingsError{[]string{"--vm is missing", "--dc is missing"}}, ExitUsage, "kqx: bad settings:\n  --vm is missing\n  --dc is missing\n"},
+		{"settings", nil, &SettingsError{[]string{"--vm is missing", "--dc is missing"}}, ExitUsage, "kqx: bad flags:\n  --vm is missing\n  --dc is missing\n"},
 		{"unknown flag", []string{"--nonsense"}, nil, ExitUsage, "kqx: flag provided but not defined: -nonsense\n"},
 		{"bad value", []string{"--n", "x"}, nil, ExitUsage, `kqx: invalid value "x" for flag -n: .*\n`},
 		{"stray argument", []string{"vm=a"}, nil, ExitUsage, "kqx: unexpected argument \"vm=a\"\n"},
