Say on the status line that a process is in no fleet group yet

Cause: before kqctl init the line spoke of a data centre without leader; init answered text with JSON.

--- a/internal/control/httpapi.go
+++ b/internal/control/httpapi.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/url"
 
@@ -98,13 +99,18 @@
 		httpx.WriteRefusal(w, refusal)
 		return
 	}
-	httpx.WriteJSON(w, http.StatusOK, &initAnswer{VM: string(s.cfg.VM), Member: uint64(s.id)})
+	httpx.WriteJSON(w, http.StatusOK, &initAnswer{
+		VM: string(s.cfg.VM), Member: uint64(s.id),
+		Lines: []string{fmt.Sprintf("founded the fleet group with %s as its first member", s.cfg.VM)},
+	})
 }
 
 // initAnswer answers PathInit.
 type initAnswer struct {
 	VM     string `json:"vm"`
 	Member uint64 `json:"member"`
+	// Lines says the same for people.
+	Lines []string `json:"lines"`
 }
 
 // passToLeader passes workers' reports on to the data centre's leader.
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -122,6 +122,8 @@
 	switch {
 	case p.Stopping:
 		line += "; stopping"
+	case p.Fleet.Voters == 0:
+		line += "; in no fleet group: waits to be taken in, or for kqctl init on one VM of a new fleet"
 	case p.Rebuilding:
 		line += "; rebuilding from workers' reports, starts nothing"
 	case p.DataCentre.Leader == "":
