--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -270,12 +270,13 @@
 // silentWorkers adds workers that stop reporting for longer than their lease
 // and go on running meanwhile.
 func silentWorkers(c *cluster, _ *load) {
-	args := []string{"worker", "--dc", "dc1", "--name", "silent-", "--count", "4", "--mode", "silent",
-		"--silent-after", "3s", "--silent-for", "8s", "--events", c.dir + "/events"}
+	args := []string{
+		"worker", "--dc", "dc1", "--name", "silent-", "--count", "4", "--mode", "silent",
+		"--silent-after", "3s", "--silent-for", "8s", "--events", c.dir + "/events",
+	}
 	for vm := 1; vm <= vmsPerDC; vm++ {
 		args = append(args, "--control", "http://"+c.entry(1, vm))
 	}
-	c.stop(dcName(1)+".workers", 10*time.Second)
 	c.start("silent.workers", "kqfake", args...)
 	time.Sleep(14 * time.Second)
 }
