Read the confirmed revision after the check of leadership; one Sleep for all

Cause: the root of the settings leases read its revision before it knew that it had applied all that its predecessor committed, so that its floor could be older than what had been declared in force (found by reading). The same wait stood in four places. The corrupt-store test took a port that a client may hold. Conclusion: read after the check, with the reason beside it.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"kumquatwing/internal/api"
+	"kumquatwing/internal/clock"
 	"kumquatwing/internal/verdict"
 )
 
@@ -64,7 +65,7 @@
 			}
 			failures.add(refusal)
 		}
-		if !pause(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			return nil, failures.verdict()
 		}
 	}
@@ -177,15 +178,3 @@
 	}
 	return &r
 }
-
-// pause waits for d; it reports false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"kumquatwing/internal/api"
+	"kumquatwing/internal/clock"
 	"kumquatwing/internal/fleet"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/program"
@@ -179,7 +180,7 @@
 		if err != nil && !elsewhere(verdict.From(err)) {
 			return err
 		}
-		if !pause(ctx, pollPause) {
+		if !clock.Sleep(ctx, pollPause) {
 			return &pendingError{fmt.Sprintf("job %s has not ended", id)}
 		}
 	}
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"kumquatwing/internal/api"
+	"kumquatwing/internal/clock"
 	"kumquatwing/internal/fleet"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/verdict"
@@ -71,7 +72,7 @@
 		if err != nil && !elsewhere(verdict.From(err)) {
 			return err
 		}
-		if !pause(ctx, pollPause) {
+		if !clock.Sleep(ctx, pollPause) {
 			return &pendingError{waitingText(revision, &last, err)}
 		}
 	}
--- a/internal/control/corrupt_test.go
+++ b/internal/control/corrupt_test.go
@@ -14,7 +14,7 @@
 func TestCorruptStoreComesBackUnderNewIdentity(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "data")
 	cfg := Config{
-		VM: "vm1", DC: "dc1", WireAddr: "127.0.0.1:39481", HTTPAddr: "127.0.0.1:39482", DataDir: dir,
+		VM: "vm1", DC: "dc1", WireAddr: "127.0.77.1:7201", HTTPAddr: "127.0.77.1:7200", DataDir: dir,
 	}
 	first, err := New(cfg, zap.NewNop())
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -135,7 +135,6 @@
 
 // grantRoot grants a lease as the fleet's leader.
 func (l *settingsLeases) grantRoot(req *api.LeaseRenew) (*api.LeaseGrant, error) {
-	own := l.s.fleetView().revision
 	term := l.term(req.DC)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -143,6 +142,9 @@
 	if !st.IsLeader() || st.Applied < st.Commit {
 		return nil, verdict.Refuse(verdict.ReasonNotLeader, "%s no longer leads the fleet", l.s.cfg.VM)
 	}
+	// The revision is read after the check, so that it holds all that a
+	// predecessor may have confirmed.
+	own := l.s.fleetView().revision
 	now := l.s.clock.Now()
 	l.takeOver(now, st, own)
 	l.root.Arrived(now, own)
@@ -163,13 +165,13 @@
 // inForce says whether every process acts on revision or newer. It is answered
 // by the fleet's leader alone.
 func (l *settingsLeases) inForce(revision uint64) (*api.InForce, error) {
-	own := l.s.fleetView().revision
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	st := l.s.fleetStatus()
 	if !st.IsLeader() || st.Applied < st.Commit {
 		return nil, verdict.Refuse(verdict.ReasonNotLeader, "%s does not lead the fleet", l.s.cfg.VM)
 	}
+	own := l.s.fleetView().revision
 	now := l.s.clock.Now()
 	l.takeOver(now, st, own)
 	out := &api.InForce{Revision: revision, InForce: l.root.Confirmed(now, own) >= revision}
--- a/internal/fake/caller/caller.go
+++ b/internal/fake/caller/caller.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	"kumquatwing/internal/api"
+	"kumquatwing/internal/clock"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/verdict"
 )
@@ -149,7 +150,7 @@
 	t := Try{Request: i, Once: c.draw(100) < c.cfg.OncePercent}
 	wait := time.Duration(0)
 	last := verdict.NotRun
-	for c.sleep(ctx, wait) {
+	for clock.Sleep(ctx, wait) {
 		wait = pause
 		t.Entry = c.entry()
 		if t.Once && t.ID == "" {
@@ -296,15 +297,3 @@
 	defer c.mu.Unlock()
 	c.cfg.Log.Write(append(line, '\n'))
 }
-
-// sleep waits for d; it reports false once ctx has ended.
-func (c *Caller) sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -95,7 +95,7 @@
 			return r, nil
 		}
 		refused := verdict.From(err)
-		if !n.mayRepeat(req, refused) || !pause(ctx) {
+		if !n.mayRepeat(req, refused) || !clock.Sleep(ctx, retryPause) {
 			return nil, refused
 		}
 	}
@@ -121,18 +121,6 @@
 	return context.WithTimeout(ctx, defaultTimeout)
 }
 
-// pause waits before a repeat; false once ctx has ended.
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // askOnce puts a request to whom this member takes for the leader. A read waits
 // for one election timeout only, since it may be put to the next leader.
 func (n *Node) askOnce(ctx context.Context, req *request) (*reply, error) {
@@ -288,7 +276,7 @@
 		if leader := n.Status().Leader; leader != 0 && leader != n.cfg.Self.ID {
 			return nil
 		}
-		if !pause(ctx) {
+		if !clock.Sleep(ctx, retryPause) {
 			return verdict.Uncertain(verdict.ReasonDeadline, "no other member took over in time")
 		}
 	}
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -123,7 +123,7 @@
 			return
 		}
 		qt.Assert(g.t, verdict.From(err).Reason, qt.Equals, verdict.ReasonConflict)
-		qt.Assert(g.t, pause(ctx), qt.IsTrue)
+		qt.Assert(g.t, clock.Sleep(ctx, retryPause), qt.IsTrue)
 	}
 }
 
--- a/internal/route/record.go
+++ b/internal/route/record.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"kumquatwing/internal/api"
+	"kumquatwing/internal/clock"
 	"kumquatwing/internal/verdict"
 )
 
@@ -45,7 +46,7 @@
 		if reply.State != api.RecordOpen {
 			return rt.settle(w, c, reply)
 		}
-		if c.left() < 2*pause || !sleep(ctx, pause) {
+		if c.left() < 2*pause || !clock.Sleep(ctx, pause) {
 			return false, verdict.Uncertain(verdict.ReasonRepeat, "an earlier call with this id is in flight or was lost; it may have run")
 		}
 		pause = min(2*pause, repeatPauseMax)
@@ -66,7 +67,7 @@
 	}
 	var err error
 	for try := range beginTries {
-		if try > 0 && !sleep(ctx, repeatPause) {
+		if try > 0 && !clock.Sleep(ctx, repeatPause) {
 			break
 		}
 		var reply *api.RecordReply
@@ -147,21 +148,9 @@
 		if err == nil {
 			return
 		}
-		if !sleep(ctx, finishPause) {
+		if !clock.Sleep(ctx, finishPause) {
 			rt.log.Warn("record could not be closed", zap.String("request", string(req.ID)), zap.Error(err))
 			return
 		}
 	}
 }
-
-// sleep waits for d; it reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
