Give the silent workers long runs

Cause: make mutants: a worker taken for lost too early was not noticed, since the tasks of the load had ended by then.

--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -122,11 +122,12 @@
 	}
 }
 
-// fillUp gives a data centre more work than it can start before it is cut off.
-func (l *load) fillUp(dc int) {
+// fillUp gives a data centre many tasks at once.
+func (l *load) fillUp(dc, tasks int, milliCPU int64, run time.Duration) {
 	spec := model.JobSpec{
-		ID: model.JobID("job-fill"), Team: "wide", Class: model.ClassBatch, Tasks: 150, Idempotent: true,
-		Size: model.Resources{MilliCPU: 8000, MemoryMB: 512}, RunMillis: 800, DataCentres: []model.DCID{model.DCID(dcName(dc))},
+		ID: model.JobID("job-fill"), Team: "wide", Class: model.ClassBatch, Tasks: tasks, Idempotent: true,
+		Size:      model.Resources{MilliCPU: milliCPU, MemoryMB: 512},
+		RunMillis: run.Milliseconds(), DataCentres: []model.DCID{model.DCID(dcName(dc))},
 	}
 	if !l.c.submit(l.wide, &spec, patience) {
 		l.c.t.Error("the filling job was not taken")
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -151,7 +151,8 @@
 // to go on with open requests and to start nothing.
 func cutDataCentre(c *cluster, l *load) {
 	withdraw := l.callWithKeyToWithdraw()
-	l.fillUp(3)
+	// More than the data centre can start before it is cut off.
+	l.fillUp(3, 150, 8000, 800*time.Millisecond)
 	time.Sleep(2 * time.Second)
 	c.cutOff(3, true)
 	withdraw()
@@ -269,7 +270,7 @@
 
 // silentWorkers adds workers that stop reporting for longer than their lease
 // and go on running meanwhile.
-func silentWorkers(c *cluster, _ *load) {
+func silentWorkers(c *cluster, l *load) {
 	args := []string{
 		"worker", "--dc", "dc1", "--name", "silent-", "--count", "4", "--mode", "silent",
 		"--silent-after", "3s", "--silent-for", "8s", "--events", c.dir + "/events",
@@ -278,5 +279,8 @@
 		args = append(args, "--control", "http://"+c.entry(1, vm))
 	}
 	c.start("silent.workers", "kqfake", args...)
-	time.Sleep(14 * time.Second)
+	time.Sleep(time.Second)
+	// Long runs on every worker, so that the silent ones have some.
+	l.fillUp(1, 60, 1500, 5*time.Second)
+	time.Sleep(16 * time.Second)
 }
