--- a/internal/control/account.go
+++ b/internal/control/account.go
@@ -169,9 +169,13 @@
 
 // jobTasks lists a job's tasks in the data centres that own some.
 func (s *Server) jobTasks(w http.ResponseWriter, r *http.Request) {
-	id := model.JobID(chi.URLParam(r, "job"))
+	job, ok := s.calls().fleet.VisibleJob(w, r)
+	if !ok {
+		return
+	}
+	id := job.Spec.ID
 	answer := &TasksAnswer{Job: id}
-	for _, dc := range s.ownersOf(id) {
+	for _, dc := range ownersOf(job) {
 		tasks, ok := s.tasksIn(r.Context(), dc, id)
 		if !ok {
 			answer.Silent = append(answer.Silent, dc)
--- a/internal/control/elsewhere.go
+++ b/internal/control/elsewhere.go
@@ -46,8 +46,14 @@
 // countElsewhere asks the other owners of a job. A data centre that doesn't
 // answer counts as running none.
 func (s *Server) countElsewhere(ctx context.Context, id model.JobID) int {
+	node, state := s.fleet.member()
+	var job *fleet.Job
+	node.View(func(replicaStatus) { job, _ = state.Job(id) })
+	if job == nil {
+		return 0
+	}
 	running := 0
-	for _, dc := range s.ownersOf(id) {
+	for _, dc := range ownersOf(job) {
 		if dc == s.cfg.DC {
 			continue
 		}
@@ -62,14 +68,8 @@
 }
 
 // ownersOf lists the data centres that own a job's tasks.
-func (s *Server) ownersOf(id model.JobID) []model.DCID {
-	node, state := s.fleet.member()
-	var job *fleet.Job
-	node.View(func(replicaStatus) { job, _ = state.Job(id) })
-	if job == nil {
-		return nil
-	}
-	owners := slices.Clone(job.Owners)
+func ownersOf(j *fleet.Job) []model.DCID {
+	owners := slices.Clone(j.Owners)
 	slices.Sort(owners)
 	return slices.Compact(owners)
 }
--- a/internal/control/fleetside.go
+++ b/internal/control/fleetside.go
@@ -276,7 +276,7 @@
 
 func (f *fleetSide) handOver(ctx context.Context) {
 	node, _ := f.member()
-	if st := node.Status(); st.Leader != st.Self || voters(st.Members) < 2 {
+	if st := node.Status(); st.Leader != st.Self || countVoters(st.Members) < 2 {
 		return
 	}
 	if err := node.TransferLeadership(ctx); err != nil {
@@ -284,8 +284,6 @@
 	}
 }
 
-func voters(members []replica.Member) int { return countVoters(members) }
-
 func (f *fleetSide) close() {
 	node, _ := f.member()
 	if err := node.Close(); err != nil {
--- a/internal/fleetapi/jobs.go
+++ b/internal/fleetapi/jobs.go
@@ -185,22 +185,31 @@
 
 // showJob shows what the fleet group knows of a job.
 func (s *Server) showJob(w http.ResponseWriter, r *http.Request) {
+	if job, ok := s.VisibleJob(w, r); ok {
+		status := statusOf(job)
+		httpx.WriteJSON(w, http.StatusOK, &status)
+	}
+}
+
+// VisibleJob returns the job that the path names, if the caller may see it. A
+// refusal is answered and reported as false; a team is not told whether a job
+// of another one exists.
+func (s *Server) VisibleJob(w http.ResponseWriter, r *http.Request) (*fleet.Job, bool) {
 	who, refusal := s.authenticateAny(r)
 	if refusal != nil {
 		httpx.WriteRefusal(w, refusal)
-		return
+		return nil, false
 	}
 	id := model.JobID(chi.URLParam(r, "job"))
 	var job *fleet.Job
 	if !s.read(w, r, func(state *fleet.State) { job, _ = state.Job(id) }) {
-		return
+		return nil, false
 	}
 	if job == nil || who.team != "" && job.Spec.Team != who.team {
 		httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonUnknownJob, "job %q is not known", id))
-		return
+		return nil, false
 	}
-	status := statusOf(job)
-	httpx.WriteJSON(w, http.StatusOK, &status)
+	return job, true
 }
 
 func statusOf(j *fleet.Job) api.JobStatus {
