--- a/cmd/kqcontrol/main.go
+++ b/cmd/kqcontrol/main.go
@@ -11,10 +11,11 @@
 
 	"kumquatwing/internal/control"
 	"kumquatwing/internal/program"
+	"kumquatwing/platform"
 )
 
 func main() {
-	os.Exit(program.Run(control.Command(serve), os.Args, os.Stderr))
+	os.Exit(program.Run(platform.Attach(control.Command(serve), platform.RunControl), os.Args, os.Stderr))
 }
 
 func serve(ctx context.Context, cfg *control.Config, log *zap.Logger) error {
--- a/cmd/kqentry/main.go
+++ b/cmd/kqentry/main.go
@@ -10,10 +10,11 @@
 	"kumquatwing/internal/clock"
 	"kumquatwing/internal/entry"
 	"kumquatwing/internal/program"
+	"kumquatwing/platform"
 )
 
 func main() {
-	os.Exit(program.Run(entry.Command(serve), os.Args, os.Stderr))
+	os.Exit(program.Run(platform.Attach(entry.Command(serve), platform.RunEntry), os.Args, os.Stderr))
 }
 
 func serve(ctx context.Context, cfg *entry.Config, log *zap.Logger) error {
--- /dev/null
+++ b/internal/cell/plan/plan.go
@@ -0,0 +1,266 @@
+// Package plan decides where waiting tasks run. It is a pure function from a
+// snapshot of the cell to a list of starts; the tables check the list again
+// when it is applied.
+package plan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"kumquatwing/internal/cell"
+	"kumquatwing/internal/clock"
+)
+
+// Ticket lets a worker run the tasks of one step.
+type Ticket struct {
+	Token string
+	// Until is when it is no longer used.
+	Until clock.Instant
+}
+
+// StepAdvice is what the placement policy has said of one step.
+type StepAdvice struct {
+	// Good maps the workers that may run the step to their newest tickets.
+	Good map[cell.WorkerID]Ticket
+	// Asked holds all workers that the policy was asked about.
+	Asked map[cell.WorkerID]bool
+	// InFlight says that a call is on its way.
+	InFlight bool
+}
+
+// Worker is a worker as the plan sees it.
+type Worker struct {
+	ID   cell.WorkerID
+	Born int64
+	DC   string
+	Rack string
+	Pool string
+	// Labels are the worker's labels.
+	Labels []string
+	// Free is the room that is left; the plan takes from it.
+	Free cell.Resources
+	// Speed is the learnt speed of the worker's tasks, 1 for the usual.
+	Speed float64
+	// Suspect workers get work only where no other worker fits.
+	Suspect bool
+}
+
+func (w *Worker) has(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
+
+// Pending is a step with waiting tasks.
+type Pending struct {
+	Key   cell.StepKey
+	Step  *cell.Step
+	Queue *cell.Queue
+	// Pool names the workers that may run it.
+	Pool      string
+	Workspace string
+	// Waiting lists the tasks to place; NextRun is the number of each one's run.
+	Waiting []int
+	NextRun []int64
+	// OnWorker counts the step's tasks by worker, nil if MaxPerWorker is 0.
+	OnWorker map[cell.WorkerID]int
+	// Due is when the job should have ended to count as in time.
+	Due clock.Instant
+	// Remaining is the estimated work that is left on the longest chain.
+	Remaining time.Duration
+	// Advice is nil where no policy needs to be asked.
+	Advice *StepAdvice
+}
+
+// Room is what a workspace may still start.
+type Room struct {
+	Limited bool
+	Left    cell.Resources
+}
+
+// Input is a snapshot of the cell.
+type Input struct {
+	Now     clock.Instant
+	Workers []Worker
+	Pending []Pending
+	// Rooms holds the room of each workspace.
+	Rooms map[string]*Room
+	// GoodShare is the share of workers that the policy of a queue lets through.
+	GoodShare map[string]float64
+	// Advisers is how many more calls for advice may be started now.
+	Advisers int
+}
+
+// Question asks the placement policy about workers for a step.
+type Question struct {
+	Key     cell.StepKey
+	Queue   string
+	Workers []cell.WorkerID
+}
+
+// Output is what the plan decided.
+type Output struct {
+	Starts []cell.Start
+	// Tokens holds the ticket of each start, "" where none is needed.
+	Tokens    []string
+	Questions []Question
+}
+
+// planner carries one plan's working state.
+type planner struct {
+	in  *Input
+	out Output
+	// pools holds the workers by pool.
+	pools map[string][]*Worker
+}
+
+// Make returns the plan for a snapshot; it changes in.Workers and in.Rooms.
+func Make(in *Input) Output {
+	p := &planner{in: in, pools: map[string][]*Worker{}}
+	for i := range in.Workers {
+		w := &in.Workers[i]
+		p.pools[w.Pool] = append(p.pools[w.Pool], w)
+	}
+	sortPending(in.Pending, in.Now)
+	for i := range in.Pending {
+		p.place(&in.Pending[i])
+	}
+	return p.out
+}
+
+// sortPending orders steps: those that can still be in time go first, by
+// priority and then by the latest start that keeps them in time.
+func sortPending(ps []Pending, now clock.Instant) {
+	slices.SortStableFunc(ps, func(a, b Pending) int {
+		if c := cmp.Compare(rank(&a, now), rank(&b, now)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.latestStart(), b.latestStart())
+	})
+}
+
+// lateRank sorts steps that can't be in time behind all others.
+const lateRank = 1000
+
+func rank(p *Pending, now clock.Instant) int {
+	r := p.Queue.Priority
+	if now > p.latestStart() {
+		r += lateRank
+	}
+	return r
+}
+
+func (p *Pending) latestStart() clock.Instant { return p.Due.Add(-p.Remaining) }
+
+// place starts as many tasks of a step as fit, or asks for advice first.
+func (p *planner) place(s *Pending) {
+	room := p.in.Rooms[s.Workspace]
+	if s.Step.Gang {
+		p.placeGang(s, room)
+		return
+	}
+	placed := 0
+	for i, index := range s.Waiting {
+		if !room.allows(s.Step.Need) {
+			return
+		}
+		w := p.best(s)
+		if w == nil {
+			break
+		}
+		p.start(s, index, s.NextRun[i], w)
+		placed++
+	}
+	if placed < len(s.Waiting) {
+		p.ask(s, len(s.Waiting)-placed)
+	}
+}
+
+// allows reports whether a workspace may start that much more.
+func (r *Room) allows(need cell.Resources) bool { return r == nil || !r.Limited || need.Fits(r.Left) }
+
+func (r *Room) take(need cell.Resources) {
+	if r != nil {
+		r.Left = r.Left.Minus(need)
+	}
+}
+
+// best returns the worker with the highest score that may run a task of s.
+func (p *planner) best(s *Pending) *Worker {
+	var best *Worker
+	bestScore := math.Inf(-1)
+	for _, w := range p.pools[s.Pool] {
+		if !p.eligible(s, w) {
+			continue
+		}
+		if score := score(s, w); score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// eligible applies all filters to a worker.
+func (p *planner) eligible(s *Pending, w *Worker) bool {
+	return fits(s, w) && p.hasTicket(s, w)
+}
+
+// fits reports whether the worker can run one more task of the step.
+func fits(s *Pending, w *Worker) bool {
+	if !s.Step.Filler && !s.Step.Need.Fits(w.Free) {
+		return false
+	}
+	if !w.has(s.Step.Requires) {
+		return false
+	}
+	return s.Step.MaxPerWorker == 0 || s.OnWorker[w.ID] < s.Step.MaxPerWorker
+}
+
+func (p *planner) hasTicket(s *Pending, w *Worker) bool {
+	if s.Advice == nil {
+		return true
+	}
+	t, ok := s.Advice.Good[w.ID]
+	return ok && p.in.Now.Before(t.Until)
+}
+
+// Weights of the scorers.
+const (
+	scoreSuspect  = -100.0
+	scoreDataRack = 50.0
+	scoreSpeed    = 10.0
+	scoreTight    = 1.0
+)
+
+// score prefers sound workers, the rack of the data, fast workers, and then
+// the least room left over.
+func score(s *Pending, w *Worker) float64 {
+	v := scoreSpeed * w.Speed
+	if w.Suspect {
+		v += scoreSuspect
+	}
+	if s.Step.DataRack != "" && w.Rack == s.Step.DataRack {
+		v += scoreDataRack
+	}
+	left := w.Free.Minus(s.Step.Need)
+	v -= scoreTight * float64(left.MilliCPU) / 16000
+	return v
+}
+
+// start takes the room for one task.
+func (p *planner) start(s *Pending, index int, run int64, w *Worker) {
+	if !s.Step.Filler {
+		w.Free = w.Free.Minus(s.Step.Need)
+	}
+	if s.OnWorker != nil {
+		s.OnWorker[w.ID]++
+	}
+	p.in.Rooms[s.Workspace].take(s.Step.Need)
+	p.out.Starts = append(p.out.Starts, cell.Start{
+		Task: cell.TaskKey{Job: s.Key.Job, Occurrence: s.Key.Occurrence, Step: s.Key.Step, Index: index},
+		Run:  run, Worker: w.ID, Born: w.Born,
+	})
+	token := ""
+	if s.Advice != nil {
+		token = s.Advice.Good[w.ID].Token
+	}
+	p.out.Tokens = append(p.out.Tokens, token)
+}
--- /dev/null
+++ b/internal/cellapi/server.go
@@ -0,0 +1,330 @@
+package cellapi
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"kumquatwing/internal/cell"
+	"kumquatwing/internal/clock"
+	"kumquatwing/internal/codec"
+	"kumquatwing/internal/replica"
+	"kumquatwing/internal/scheduler"
+	"kumquatwing/internal/verdict"
+	"kumquatwing/internal/wire"
+)
+
+// JoinFunc takes a control process that wants to be a member of the group.
+type JoinFunc func(m Member)
+
+// Config is what a Server is made of.
+type Config struct {
+	Wire      *wire.Node
+	Group     replica.Group
+	State     *cell.State
+	Scheduler *scheduler.Scheduler
+	Clock     clock.Clock
+	Log       *zap.Logger
+	Join      JoinFunc
+}
+
+// Server answers calls on the leader and relays them to it elsewhere.
+type Server struct {
+	Config
+	reports reports
+}
+
+// Serve registers the handlers of all calls.
+func Serve(cfg Config) *Server {
+	s := &Server{Config: cfg, reports: newReports()}
+	handle(s, topicSubmit, s.submit)
+	handle(s, topicJob, s.job)
+	handle(s, topicCancel, s.cancel)
+	handle(s, topicQueue, s.queue)
+	handle(s, topicConfigure, s.configure)
+	handle(s, topicConfig, s.config)
+	handle(s, topicSetOut, s.setOut)
+	handle(s, topicReport, s.report)
+	handle(s, topicLeave, s.leave)
+	handle(s, topicHello, s.hello)
+	return s
+}
+
+// handle registers a call, and its relayed form.
+func handle[Req, Resp any](s *Server, topic string, h func(context.Context, *Req) (*Resp, error)) {
+	lead := func(ctx context.Context, body []byte) ([]byte, error) {
+		if !s.Group.Status().IsLeader() {
+			return nil, verdict.Refuse(verdict.ReasonNotLeader, "this process does not lead")
+		}
+		req := new(Req)
+		if err := msgpack.Unmarshal(body, req); err != nil {
+			return nil, verdict.Refuse(verdict.ReasonBadRequest, "%s: request can't be decoded: %v", topic, err)
+		}
+		resp, err := h(ctx, req)
+		if err != nil {
+			return nil, err
+		}
+		return codec.Marshal(resp)
+	}
+	s.Wire.Handle(topic+leaderSuffix, lead)
+	s.Wire.Handle(topic, func(ctx context.Context, body []byte) ([]byte, error) {
+		st := s.Group.Status()
+		if st.Leader == st.Self {
+			return lead(ctx, body)
+		}
+		m, ok := st.LeaderMember()
+		if !ok {
+			return nil, verdict.Refuse(verdict.ReasonNoLeader, "the cell has no leader")
+		}
+		return s.Wire.CallRaw(ctx, m.Addr, topic+leaderSuffix, body)
+	})
+}
+
+// confirm reports an error unless this process surely led when it was called.
+func (s *Server) confirm() error {
+	if s.Group.Status().IsLeader() {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonNotLeader, "leadership is not confirmed")
+}
+
+// propose commits a command and decodes its result.
+func (s *Server) propose(ctx context.Context, c *cell.Command) (cell.Result, error) {
+	data, err := c.Encode()
+	if err != nil {
+		return cell.Result{}, verdict.Refuse(verdict.ReasonBadRequest, "command can't be encoded: %v", err)
+	}
+	out, err := s.Group.Propose(ctx, data)
+	if err != nil {
+		return cell.Result{}, err
+	}
+	r, err := cell.DecodeResult(out)
+	if err != nil {
+		return r, verdict.Uncertain(verdict.ReasonInternal, "result can't be decoded: %v", err)
+	}
+	return r, nil
+}
+
+// caller is who calls which queue.
+type caller struct {
+	queue     string
+	workspace string
+}
+
+// authorize finds the queue and the workspace of a call.
+func (s *Server) authorize(p *Place) (caller, error) {
+	var c caller
+	var err error
+	s.State.Read(func() {
+		cfg := &s.State.Config
+		if s.State.Document == nil {
+			err = verdict.Refuse(verdict.ReasonNoLease, "the cell has no configuration yet")
+			return
+		}
+		q := cfg.Match(p.Host, p.Path)
+		if q == nil {
+			err = verdict.Refuse(verdict.ReasonUnknownQueue, "no queue at %s%s", p.Host, p.Path)
+			return
+		}
+		c.queue = q.Name
+		ws := cfg.WorkspaceOfKey(p.Key)
+		if ws == nil && !q.Open {
+			err = verdict.Refuse(verdict.ReasonBadKey, "the key is not known")
+			return
+		}
+		if ws != nil {
+			c.workspace = ws.Name
+		}
+	})
+	if err != nil {
+		if lost := s.confirm(); lost != nil {
+			return c, lost
+		}
+	}
+	return c, err
+}
+
+func (s *Server) submit(ctx context.Context, req *SubmitRequest) (*SubmitReply, error) {
+	c, err := s.authorize(&req.Place)
+	if err != nil {
+		return nil, err
+	}
+	if reason := checkJob(req); reason != "" {
+		return nil, verdict.Refuse(verdict.ReasonBadRequest, "%s", reason)
+	}
+	r, err := s.propose(ctx, &cell.Command{Submit: &cell.Submit{Job: cell.Job{
+		ID: req.ID, Queue: c.queue, Workspace: c.workspace, Spec: req.Spec, Steps: req.Steps,
+		Schedule: req.Schedule, SubmittedUnixMillis: time.Now().UnixMilli(),
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	return &SubmitReply{Known: r.Known}, nil
+}
+
+// checkJob returns why a job can't be taken, or "".
+func checkJob(req *SubmitRequest) string {
+	if req.ID == "" || strings.Contains(string(req.ID), ".") {
+		return "the job's id is missing or has a dot"
+	}
+	if len(req.Steps) == 0 {
+		return "the job has no steps"
+	}
+	for i := range req.Steps {
+		st := &req.Steps[i]
+		if st.Count <= 0 {
+			return "a step has no tasks"
+		}
+		if st.Need.MilliCPU < 0 || st.Need.MemoryMB < 0 || st.Need.Accelerators < 0 {
+			return "a step needs less than nothing"
+		}
+		for _, before := range st.After {
+			if before < 0 || before >= i {
+				return "a step must come after earlier steps"
+			}
+		}
+	}
+	return ""
+}
+
+func (s *Server) job(_ context.Context, req *JobRequest) (*JobReply, error) {
+	c, err := s.authorize(&req.Place)
+	if err != nil {
+		return nil, err
+	}
+	var r *JobReply
+	s.State.Read(func() {
+		if j := s.State.Jobs[req.ID]; j != nil && j.Workspace == c.workspace {
+			r = &JobReply{State: j.State, Reason: j.Reason}
+		}
+	})
+	if err := s.confirm(); err != nil {
+		return nil, err
+	}
+	if r == nil {
+		return nil, unknownJob(req.ID)
+	}
+	return r, nil
+}
+
+func unknownJob(id cell.JobID) error {
+	return verdict.Refuse(verdict.ReasonUnknownJob, "no job %s", id)
+}
+
+func (s *Server) cancel(ctx context.Context, req *JobRequest) (*CancelReply, error) {
+	c, err := s.authorize(&req.Place)
+	if err != nil {
+		return nil, err
+	}
+	known := false
+	s.State.Read(func() {
+		j := s.State.Jobs[req.ID]
+		known = j != nil && j.Workspace == c.workspace
+	})
+	if !known {
+		if err := s.confirm(); err != nil {
+			return nil, err
+		}
+		return nil, unknownJob(req.ID)
+	}
+	cmd := &cell.Command{Cancel: &cell.Cancel{ID: req.ID, UnixMillis: time.Now().UnixMilli()}}
+	if _, err := s.propose(ctx, cmd); err != nil {
+		return nil, err
+	}
+	return &CancelReply{}, nil
+}
+
+func (s *Server) queue(_ context.Context, req *QueueRequest) (*QueueReply, error) {
+	c, err := s.authorize(&req.Place)
+	if err != nil {
+		return nil, err
+	}
+	r := &QueueReply{}
+	s.State.Read(func() {
+		for _, j := range s.State.Active {
+			if j.Queue == c.queue && j.State == cell.JobPending {
+				r.Waiting++
+			}
+		}
+	})
+	return r, s.confirm()
+}
+
+func (s *Server) configure(ctx context.Context, req *ConfigureRequest) (*ConfigureReply, error) {
+	if reason := req.Config.Check(); reason != "" {
+		return nil, verdict.Refuse(verdict.ReasonBadRequest, "%s", reason)
+	}
+	held := int64(0)
+	s.State.Read(func() { held = s.State.Config.Version })
+	_, err := s.propose(ctx, &cell.Command{Configure: &cell.Configure{Config: req.Config, Document: req.Document}})
+	if err != nil {
+		return nil, err
+	}
+	s.Log.Info("configuration recorded", zap.Int64("version", req.Config.Version), zap.Int64("held", held),
+		zap.Int("queues", len(req.Config.Queues)), zap.Int("workspaces", len(req.Config.Workspaces)))
+	return &ConfigureReply{}, nil
+}
+
+func (s *Server) config(context.Context, *ConfigRequest) (*ConfigReply, error) {
+	r := &ConfigReply{}
+	s.State.Read(func() { r.Document = s.State.Document })
+	if err := s.confirm(); err != nil {
+		return nil, err
+	}
+	if r.Document == nil {
+		return nil, verdict.Refuse(verdict.ReasonNoLease, "the cell has no configuration yet")
+	}
+	return r, nil
+}
+
+func (s *Server) setOut(ctx context.Context, req *SetOutRequest) (*SetOutReply, error) {
+	_, err := s.propose(ctx, &cell.Command{SetOut: &cell.SetOut{DC: req.DC, Out: req.Out}})
+	if err != nil {
+		return nil, err
+	}
+	s.Log.Info("data centre changed", zap.String("dc", req.DC), zap.Bool("out", req.Out))
+	return &SetOutReply{}, nil
+}
+
+func (s *Server) hello(ctx context.Context, req *HelloRequest) (*HelloReply, error) {
+	if req.Member != nil && s.Join != nil {
+		s.Join(*req.Member)
+	}
+	if req.Adviser {
+		s.Scheduler.SetAdviser(ctx, req.Addr, &remoteAdviser{s.Wire, req.Addr})
+	}
+	st := s.Group.Status()
+	r := &HelloReply{}
+	for _, m := range st.Members {
+		r.Controls = append(r.Controls, m.Addr)
+		if m.ID == st.Leader {
+			r.Leader = m.Addr
+		}
+	}
+	s.State.Read(func() { r.Configured = s.State.Document != nil })
+	slices.Sort(r.Controls)
+	return r, nil
+}
+
+// remoteAdviser asks the placement policy through another process.
+type remoteAdviser struct {
+	wire *wire.Node
+	addr string
+}
+
+// Advise implements scheduler.Adviser.
+func (a *remoteAdviser) Advise(ctx context.Context, step cell.StepKey, workers []cell.WorkerID) (*scheduler.Advice, error) {
+	var r AdviseReply
+	if err := a.wire.Call(ctx, a.addr, topicAdvise, &AdviseRequest{step, workers}, &r); err != nil {
+		return nil, err
+	}
+	out := &scheduler.Advice{Tickets: make(map[cell.WorkerID]string, len(r.Workers)), Valid: r.Valid}
+	for i, w := range r.Workers {
+		out.Tickets[w] = r.Tokens[i]
+	}
+	return out, nil
+}
--- a/internal/consensus/raft.go
+++ b/internal/consensus/raft.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -139,9 +140,12 @@
 	return r
 }
 
-// Found returns the state of a new group whose only member is m.
-func Found(m Member) (State, error) {
-	data, err := Encode(Members{m})
+// Found returns the state of a new group with the given voters. All of them
+// must start from the same voters.
+func Found(voters ...Member) (State, error) {
+	ms := slices.Clone(Members(voters))
+	slices.SortFunc(ms, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	data, err := Encode(ms)
 	if err != nil {
 		return State{}, err
 	}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -50,20 +50,21 @@
 
 // coreConfig is what a core is made of.
 type coreConfig struct {
-	Self    Member
-	Found   bool
-	Store   storage.Store
-	Machine Machine
-	Options consensus.Options
-	Limits  logLimits
-	Send    func(consensus.Message)
-	Logger  *zap.Logger
+	Self     Member
+	Found    bool
+	Founders []Member
+	Store    storage.Store
+	Machine  Machine
+	Options  consensus.Options
+	Limits   logLimits
+	Send     func(consensus.Message)
+	Logger   *zap.Logger
 }
 
 // newCore starts a member from its store, or as a new one if that is empty.
 func newCore(c coreConfig, now clock.Instant) (*core, error) {
 	self := memberOut(c.Self)
-	if err := begin(c.Store, self, c.Found); err != nil {
+	if err := begin(c.Store, self, c.founders()); err != nil {
 		return nil, err
 	}
 	st := c.Store.State()
@@ -89,18 +90,34 @@
 	return co, co.flush()
 }
 
+// founders returns the voters of a group that this member founds, nil if it
+// waits to be added to one.
+func (c *coreConfig) founders() []consensus.Member {
+	if !c.Found {
+		return nil
+	}
+	if len(c.Founders) == 0 {
+		return []consensus.Member{memberOut(c.Self)}
+	}
+	out := make([]consensus.Member, len(c.Founders))
+	for i, m := range c.Founders {
+		out[i] = memberOut(m)
+	}
+	return out
+}
+
 // begin gives an empty store its first state and checks the identity of others.
-func begin(s storage.Store, self consensus.Member, found bool) error {
+func begin(s storage.Store, self consensus.Member, founders []consensus.Member) error {
 	if id := s.Identity(); id != consensus.None {
 		if id != self.ID {
 			return fmt.Errorf("replica: the store belongs to member %d, not %d", id, self.ID)
 		}
 		return nil
 	}
-	if !found {
+	if len(founders) == 0 {
 		return s.Begin(self.ID, consensus.State{})
 	}
-	st, err := consensus.Found(self)
+	st, err := consensus.Found(founders...)
 	if err != nil {
 		return err
 	}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -56,8 +56,11 @@
 	Clock clock.Clock
 	// Found makes a member with an empty store form a group of one. Others
 	// with an empty store wait until a leader adds them.
-	Found  bool
-	Logger *zap.Logger
+	Found bool
+	// Founders are the voters of the group that Found forms, this member among
+	// them; all must be told the same ones. Without any it forms a group of one.
+	Founders []Member
+	Logger   *zap.Logger
 	// Tick is DefaultTick if 0. All members must use the same.
 	Tick time.Duration
 }
@@ -104,7 +107,7 @@
 		stopped: make(chan struct{}),
 	}
 	co, err := newCore(coreConfig{
-		Self: cfg.Self, Found: cfg.Found, Store: cfg.Store, Machine: cfg.Machine,
+		Self: cfg.Self, Found: cfg.Found, Founders: cfg.Founders, Store: cfg.Store, Machine: cfg.Machine,
 		Options: options(cfg), Limits: defaultLimits, Send: n.send, Logger: cfg.Logger,
 	}, cfg.Clock.Now())
 	if err != nil {
--- /dev/null
+++ b/internal/scheduler/metrics.go
@@ -0,0 +1,27 @@
+package scheduler
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics are the scheduler's counters.
+type Metrics struct {
+	starts  prometheus.Counter
+	ends    prometheus.Counter
+	refused *prometheus.CounterVec
+}
+
+// NewMetrics registers the scheduler's counters.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		starts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "kq_cell_starts_total", Help: "Runs that a worker confirmed.",
+		}),
+		ends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "kq_cell_ends_total", Help: "Ends of runs that were recorded.",
+		}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kq_cell_starts_refused_total", Help: "Starts that a worker refused, by reason.",
+		}, []string{"reason"}),
+	}
+	r.MustRegister(m.starts, m.ends, m.refused)
+	return m
+}
--- /dev/null
+++ b/internal/scheduler/planning.go
@@ -0,0 +1,298 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kumquatwing/internal/cell"
+	"kumquatwing/internal/cell/plan"
+	"kumquatwing/internal/clock"
+)
+
+// plan places waiting tasks. Only one plan is being committed at a time, so
+// that each starts from what the last one left.
+func (s *Scheduler) plan(ctx context.Context) {
+	if s.planning || !s.dirty || !s.leads() {
+		return
+	}
+	s.dirty = false
+	var out plan.Output
+	s.cfg.State.Read(func() {
+		in := s.snapshot()
+		out = plan.Make(in)
+	})
+	for i := range out.Questions {
+		s.ask(ctx, &out.Questions[i])
+	}
+	if len(out.Starts) == 0 {
+		return
+	}
+	s.planning = true
+	c := &cell.Command{Starts: &cell.Starts{Starts: out.Starts}}
+	s.propose(ctx, c, func(r cell.Result, err error) { s.planCommitted(ctx, &out, r, err) })
+}
+
+// planCommitted sends the starts that the tables accepted.
+func (s *Scheduler) planCommitted(ctx context.Context, out *plan.Output, r cell.Result, err error) {
+	s.planning, s.dirty = false, true
+	if err != nil {
+		s.cfg.Log.Warn("plan is not committed", zap.Int("starts", len(out.Starts)), zap.Error(err))
+		return
+	}
+	type order struct {
+		start            *cell.Start
+		spec, checkpoint string
+		token            string
+	}
+	var orders []order
+	s.cfg.State.Read(func() {
+		for _, i := range r.Accepted {
+			st := &out.Starts[i]
+			j, _, t := s.cfg.State.Task(st.Task)
+			if t == nil || j.State.Ended() || t.Run != st.Run {
+				continue
+			}
+			orders = append(orders, order{st, j.Spec, t.Checkpoint, out.Tokens[i]})
+		}
+	})
+	for _, o := range orders {
+		s.startRun(ctx, o.start, o.spec, o.checkpoint, o.token)
+	}
+	s.syncSessions(ctx)
+}
+
+// snapshot builds the planner's input. The state is locked.
+func (s *Scheduler) snapshot() *plan.Input {
+	now := s.now()
+	in := &plan.Input{
+		Now:       now,
+		Rooms:     s.rooms(),
+		GoodShare: s.goodShare,
+		Advisers:  s.idleAdvisers(now),
+	}
+	for id, w := range s.cfg.State.Workers {
+		se := s.sessions[id]
+		if se == nil || !s.takesWork(se, w, now) {
+			continue
+		}
+		in.Workers = append(in.Workers, plan.Worker{
+			ID: id, Born: w.Born, DC: w.DC, Rack: rackOf(w.Labels), Pool: w.Pool, Labels: w.Labels,
+			Free: w.Free(), Speed: 1, Suspect: se.failures.suspect(now),
+		})
+	}
+	slices.SortFunc(in.Workers, func(a, b plan.Worker) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	for _, j := range s.cfg.State.Active {
+		in.Pending = s.appendPending(in.Pending, j, now)
+	}
+	slices.SortFunc(in.Pending, func(a, b plan.Pending) int {
+		if a.Key.Job != b.Key.Job {
+			if a.Key.Job < b.Key.Job {
+				return -1
+			}
+			return 1
+		}
+		return a.Key.Step - b.Key.Step
+	})
+	return in
+}
+
+// takesWork reports whether new tasks may go to a worker.
+func (s *Scheduler) takesWork(se *session, w *cell.WorkerState, now clock.Instant) bool {
+	return se.reached && !se.lapsed && !w.Draining && !s.cfg.State.Out[w.DC] &&
+		now >= se.blockedUntil && now.Sub(se.heard) < unheardAfter
+}
+
+// rackOf returns the label that names a rack: the last one.
+func rackOf(labels []string) string {
+	if len(labels) < 2 {
+		return ""
+	}
+	return labels[len(labels)-1]
+}
+
+func (s *Scheduler) rooms() map[string]*plan.Room {
+	out := map[string]*plan.Room{}
+	c := &s.cfg.State.Config
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		limit := w.Limit
+		if limit == (cell.Resources{}) {
+			continue
+		}
+		out[w.Name] = &plan.Room{Limited: true, Left: leftOf(limit, s.cfg.State.Used[w.Name])}
+	}
+	return out
+}
+
+// unlimited stands for a dimension without a limit.
+const unlimited = int64(1) << 50
+
+func leftOf(limit, used cell.Resources) cell.Resources {
+	return cell.Resources{
+		MilliCPU:     leftIn(limit.MilliCPU, used.MilliCPU),
+		MemoryMB:     leftIn(limit.MemoryMB, used.MemoryMB),
+		Accelerators: leftIn(limit.Accelerators, used.Accelerators),
+	}
+}
+
+func leftIn(limit, used int64) int64 {
+	if limit == 0 {
+		return unlimited
+	}
+	return limit - used
+}
+
+// appendPending adds the steps of a job that have tasks to place.
+func (s *Scheduler) appendPending(ps []plan.Pending, j *cell.Job, now clock.Instant) []plan.Pending {
+	q := s.cfg.State.QueueOf(j)
+	if q == nil {
+		return ps
+	}
+	taken := s.takenAt(j, now)
+	for o := range j.Occurrences {
+		occ := &j.Occurrences[o]
+		for i := range occ.Steps {
+			st := &occ.Steps[i]
+			waiting := len(st.Tasks) - st.Done - st.Placed
+			if waiting <= 0 || !j.Ready(o, i) || (j.Steps[i].Gang && (st.Held > 0 || st.Placed > 0)) {
+				continue
+			}
+			ps = append(ps, s.pending(j, q, o, i, taken))
+		}
+	}
+	return ps
+}
+
+func (s *Scheduler) pending(j *cell.Job, q *cell.Queue, o, i int, taken clock.Instant) plan.Pending {
+	step := &j.Steps[i]
+	p := plan.Pending{
+		Key:  cell.StepKey{Job: j.ID, Occurrence: o, Step: i},
+		Step: step, Queue: q, Pool: q.Pool, Workspace: j.Workspace,
+		Due:       taken.Add(objective(j, q)),
+		Remaining: chain(j, o),
+	}
+	tasks := j.Occurrences[o].Steps[i].Tasks
+	for index := range tasks {
+		if tasks[index].Status == cell.TaskWaiting {
+			p.Waiting = append(p.Waiting, index)
+			p.NextRun = append(p.NextRun, tasks[index].Run+1)
+		}
+	}
+	if step.MaxPerWorker > 0 {
+		p.OnWorker = s.onWorker(p.Key)
+	}
+	if q.Advice != nil {
+		p.Advice = s.adviceFor(p.Key)
+	}
+	return p
+}
+
+// onWorker counts a step's allocations by worker.
+func (s *Scheduler) onWorker(k cell.StepKey) map[cell.WorkerID]int {
+	n := map[cell.WorkerID]int{}
+	for id, w := range s.cfg.State.Workers {
+		for t := range w.Held {
+			if t.StepKey() == k {
+				n[id]++
+			}
+		}
+	}
+	return n
+}
+
+// takenAt is when this leader first saw the job, or its submission if that is
+// known to be earlier.
+func (s *Scheduler) takenAt(j *cell.Job, now clock.Instant) clock.Instant {
+	at, ok := s.taken[j.ID]
+	if !ok {
+		at = now
+		if s.now().Sub(s.since) < time.Second {
+			age := time.Duration(time.Now().UnixMilli()-j.SubmittedUnixMillis) * time.Millisecond
+			at = now.Add(-min(max(0, age), maxInheritedAge))
+		}
+		s.taken[j.ID] = at
+	}
+	return at
+}
+
+// maxInheritedAge bounds the age of a job that an earlier leader took, since
+// the time of day may have jumped.
+const maxInheritedAge = 20 * time.Second
+
+// objective is the time within which a job should end.
+func objective(j *cell.Job, q *cell.Queue) time.Duration {
+	work := float64(chainOf(j, func(int) bool { return true }).Milliseconds())
+	advice := 0.0
+	if q.Advice != nil {
+		advice = (q.Advice.DecideMillis + adviceWorkers*q.Advice.PerWorkerMillis) * float64(len(j.Steps))
+	}
+	return time.Duration(q.Stretch*(work+advice)+float64(q.ObjectiveMillis)) * time.Millisecond
+}
+
+// adviceWorkers is the number of workers for which the objective counts advice.
+const adviceWorkers = 30
+
+// chain is the longest chain of estimated work that an occurrence has left.
+func chain(j *cell.Job, o int) time.Duration {
+	steps := j.Occurrences[o].Steps
+	return chainOf(j, func(i int) bool { return steps[i].Done < len(steps[i].Tasks) })
+}
+
+// chainOf is the longest chain of estimated work over the steps that count.
+func chainOf(j *cell.Job, counts func(step int) bool) time.Duration {
+	ends := make([]int64, len(j.Steps))
+	var longest int64
+	for i := range j.Steps {
+		for _, before := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		if counts(i) {
+			ends[i] += j.Steps[i].EstimateMillis
+		}
+		longest = max(longest, ends[i])
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
+// forgetInterval is the pause between two looks for jobs to forget.
+const forgetInterval = 5 * time.Second
+
+// forgetOld drops jobs that ended long ago and what is remembered of ended ones.
+func (s *Scheduler) forgetOld(ctx context.Context, now clock.Instant) {
+	if now < s.nextForget {
+		return
+	}
+	s.nextForget = now.Add(forgetInterval)
+	var old []cell.JobID
+	before := time.Now().Add(-s.cfg.Bounds.KeepEnded).UnixMilli()
+	s.cfg.State.Read(func() {
+		for id, j := range s.cfg.State.Jobs {
+			if j.State.Ended() && j.EndedUnixMillis < before {
+				old = append(old, id)
+			}
+		}
+		for id := range s.taken {
+			if s.cfg.State.Active[id] == nil {
+				delete(s.taken, id)
+			}
+		}
+		for k := range s.advice {
+			if s.cfg.State.Active[k.Job] == nil {
+				delete(s.advice, k)
+			}
+		}
+	})
+	if len(old) == 0 {
+		return
+	}
+	slices.Sort(old)
+	s.propose(ctx, &cell.Command{Forget: &cell.Forget{Jobs: old}}, func(cell.Result, error) {})
+}
