--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -22,7 +22,12 @@
 }
 
 func (s *State) apply(c *Command) Result {
+	if c.Leadership != 0 && c.Leadership != s.Leadership {
+		return Result{Stale: true}
+	}
 	switch {
+	case c.Lead != nil:
+		s.Leadership = max(s.Leadership, c.Lead.Term)
 	case c.Submit != nil:
 		return s.submit(&c.Submit.Job)
 	case c.Cancel != nil:
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -2,8 +2,12 @@
 
 import "kumquatwing/internal/consensus"
 
-// Command is one entry of the cell's log; exactly one field is set.
+// Command is one entry of the cell's log; exactly one pointer is set.
 type Command struct {
+	// Leadership is the term of the scheduler that decided the command, 0 if
+	// none did. A command of a scheduler that has been replaced is stale.
+	Leadership uint64
+	Lead       *Lead
 	Submit    *Submit
 	Cancel    *Cancel
 	Configure *Configure
@@ -15,6 +19,9 @@
 	Forget    *Forget
 }
 
+// Lead makes the scheduler of a term the only one whose commands count.
+type Lead struct{ Term uint64 }
+
 // Submit stores a job; an ID that is known keeps its job.
 type Submit struct{ Job Job }
 
@@ -102,6 +109,9 @@
 
 // Result is what applying a command returns to its proposer.
 type Result struct {
+	// Stale says that the command changed nothing, since the scheduler that
+	// decided it has been replaced.
+	Stale bool
 	// Known says that a submitted job was there already.
 	Known bool
 	// Unknown says that a cancelled job isn't there.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -56,6 +56,7 @@
 
 // tables is the encoded part of the state.
 type tables struct {
+	Leadership uint64
 	Config   Config
 	Document []byte
 	Former   []Queue
@@ -70,8 +71,10 @@
 type State struct {
 	mu sync.Mutex
 
-	Config   Config
-	Document []byte
+	// Leadership is the term of the newest scheduler.
+	Leadership uint64
+	Config     Config
+	Document   []byte
 	// Former holds queues that newer configurations dropped, for the jobs that
 	// were accepted before.
 	Former map[string]Queue
@@ -97,7 +100,7 @@
 }
 
 func (s *State) reset() {
-	s.Config, s.Document = Config{}, nil
+	s.Leadership, s.Config, s.Document = 0, Config{}, nil
 	s.Former = map[string]Queue{}
 	s.Out = map[string]bool{}
 	s.Workers = map[WorkerID]*WorkerState{}
@@ -117,7 +120,7 @@
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := tables{Config: s.Config, Document: s.Document}
+	t := tables{Leadership: s.Leadership, Config: s.Config, Document: s.Document}
 	for dc := range s.Out {
 		t.Out = append(t.Out, dc)
 	}
@@ -144,7 +147,7 @@
 	}
 	s.mu.Lock()
 	s.reset()
-	s.Config, s.Document = t.Config, t.Document
+	s.Leadership, s.Config, s.Document = t.Leadership, t.Config, t.Document
 	for _, q := range t.Former {
 		s.Former[q.Name] = q
 	}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -233,6 +233,7 @@
 func (n *Node) watch(ctx context.Context) {
 	var term uint64
 	var stop func()
+	var ended <-chan struct{}
 	rest := func() {
 		if stop != nil {
 			stop()
@@ -249,18 +250,29 @@
 		case <-ticker.C:
 		}
 		st := n.member.Status()
-		if stop != nil && (st.Leader != st.Self || st.Term != term) {
+		if stop != nil && (st.Leader != st.Self || st.Term != term || isClosed(ended)) {
 			rest()
 		}
 		if stop == nil && st.IsLeader() {
 			term = st.Term
-			stop = n.lead(ctx, term)
+			stop, ended = n.lead(ctx, term)
 		}
 	}
 }
 
-// lead starts the scheduler and returns what ends it.
-func (n *Node) lead(ctx context.Context, term uint64) func() {
+// isClosed reports whether a channel that carries nothing is closed.
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+// lead starts the scheduler and returns what ends it and what tells that it
+// has ended.
+func (n *Node) lead(ctx context.Context, term uint64) (stop func(), ended <-chan struct{}) {
 	leadCtx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -270,5 +282,5 @@
 	return func() {
 		cancel()
 		<-done
-	}
+	}, done
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -95,6 +95,10 @@
 // member led in term and had applied all earlier entries when it called.
 func (s *Scheduler) Lead(ctx context.Context, term uint64) {
 	s.begin(term)
+	if err := s.takeOver(ctx); err != nil {
+		s.cfg.Log.Warn("scheduler could not take over", zap.Uint64("term", term), zap.Error(err))
+		return
+	}
 	s.cfg.Log.Info("scheduler leads", zap.Uint64("term", term))
 	defer s.cfg.Log.Info("scheduler rests", zap.Uint64("term", term))
 	ticker := time.NewTicker(housekeeping)
@@ -118,6 +122,17 @@
 	}
 }
 
+// takeOver makes the commands of all earlier schedulers stale.
+func (s *Scheduler) takeOver(ctx context.Context) error {
+	c := &cell.Command{Lead: &cell.Lead{Term: s.term}}
+	data, err := c.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = s.commit(ctx, data)
+	return err
+}
+
 // begin forgets what an earlier leadership knew.
 func (s *Scheduler) begin(term uint64) {
 	s.term, s.since = term, s.cfg.Clock.Now()
@@ -169,6 +184,7 @@
 
 // propose commits a command in the background and posts its outcome.
 func (s *Scheduler) propose(ctx context.Context, c *cell.Command, then func(cell.Result, error)) {
+	c.Leadership = s.term
 	data, err := c.Encode()
 	if err != nil {
 		then(cell.Result{}, err)
@@ -180,7 +196,10 @@
 	}()
 }
 
-var errNoResult = errors.New("scheduler: the command could not be applied")
+var (
+	errNoResult = errors.New("scheduler: the command could not be applied")
+	errReplaced = errors.New("scheduler: another member has taken over")
+)
 
 func (s *Scheduler) commit(ctx context.Context, data []byte) (cell.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
@@ -192,7 +211,11 @@
 	if len(out) == 0 {
 		return cell.Result{}, errNoResult
 	}
-	return cell.DecodeResult(out)
+	r, err := cell.DecodeResult(out)
+	if err == nil && r.Stale {
+		err = errReplaced
+	}
+	return r, err
 }
 
 func (s *Scheduler) now() clock.Instant { return s.cfg.Clock.Now() }
