--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -8,15 +8,15 @@
 	// none did. A command of a scheduler that has been replaced is stale.
 	Leadership uint64
 	Lead       *Lead
-	Submit    *Submit
-	Cancel    *Cancel
-	Configure *Configure
-	SetOut    *SetOut
-	Workers   *Workers
-	Starts    *Starts
-	Ends      *Ends
-	Due       *Due
-	Forget    *Forget
+	Submit     *Submit
+	Cancel     *Cancel
+	Configure  *Configure
+	SetOut     *SetOut
+	Workers    *Workers
+	Starts     *Starts
+	Ends       *Ends
+	Due        *Due
+	Forget     *Forget
 }
 
 // Lead makes the scheduler of a term the only one whose commands count.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -57,13 +57,13 @@
 // tables is the encoded part of the state.
 type tables struct {
 	Leadership uint64
-	Config   Config
-	Document []byte
-	Former   []Queue
-	Out      []string
-	Workers  []Worker
-	Held     [][]Allocation
-	Jobs     []*Job
+	Config     Config
+	Document   []byte
+	Former     []Queue
+	Out        []string
+	Workers    []Worker
+	Held       [][]Allocation
+	Jobs       []*Job
 }
 
 // State is the cell's tables. Apply, Snapshot and Restore are called by the
