--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -18,6 +18,9 @@
 	stopRetry = 400 * time.Millisecond
 	// refusedPause keeps new tasks off a worker that refused one.
 	refusedPause = 500 * time.Millisecond
+	// placedTimeout is after when a run whose plan's commit had no answer is
+	// given up; its start is not sent after proposeTimeout.
+	placedTimeout = proposeTimeout + time.Second
 	// unclearPause keeps new tasks off a worker that left an order unanswered.
 	unclearPause = time.Second
 )
@@ -120,7 +123,7 @@
 // stopRun tells a worker to stop a run; it is repeated until the run is gone.
 func (s *Scheduler) stopRun(ctx context.Context, se *session, k cell.TaskKey, r *run) {
 	now := s.now()
-	if r.ending || r.stopInFlight || now < r.nextStop || r.status == runStarting {
+	if r.ending || r.stopInFlight || now < r.nextStop || r.status == runStarting || r.status == runPlaced {
 		if r.stopSince == 0 {
 			r.stopSince = now
 		}
@@ -166,6 +169,9 @@
 	now := s.now()
 	for _, se := range s.sessions {
 		for k, r := range se.runs {
+			if r.status == runPlaced && now.Sub(r.moved) > placedTimeout {
+				r.status = runUnclear
+			}
 			if r.stopSince != 0 {
 				s.stopRun(ctx, se, k, r)
 			}
@@ -183,7 +189,7 @@
 	}
 	se.lapsed = true
 	for k, r := range se.runs {
-		if r.ending || r.status == runStarting {
+		if r.ending || r.status == runStarting || r.status == runPlaced {
 			se.lapsed = false
 			continue
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -72,6 +72,8 @@
 	nextForget clock.Instant
 	// synced is the index of the tables that the sessions match.
 	synced uint64
+	// looked says that the sessions were matched since the leadership began.
+	looked bool
 }
 
 // New returns a scheduler that rests until Lead is called.
@@ -142,6 +144,7 @@
 	s.taken = map[cell.JobID]clock.Instant{}
 	s.ends = endBatch{}
 	s.planning, s.dirty, s.nextForget = false, true, 0
+	s.synced, s.looked = 0, false
 	for _, a := range s.advisers {
 		a.busy = false
 	}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -35,8 +35,10 @@
 type runStatus uint8
 
 const (
+	// runPlaced is in the tables, and its start has not been sent.
+	runPlaced runStatus = iota
 	// runInherited was placed by an earlier leader.
-	runInherited runStatus = iota
+	runInherited
 	// runStarting has its start on the way.
 	runStarting
 	// runStarted was confirmed by the worker.
@@ -98,7 +100,7 @@
 // the allocations.
 func (s *Scheduler) syncSessions(ctx context.Context) {
 	s.cfg.State.Read(func() {
-		if s.synced == s.cfg.State.Applied && len(s.sessions) > 0 {
+		if s.synced == s.cfg.State.Applied && s.looked {
 			return
 		}
 		s.synced = s.cfg.State.Applied
@@ -117,6 +119,7 @@
 			se.target.Addr = w.Addr
 			s.syncRuns(ctx, se, w)
 		}
+		s.looked = true
 	})
 }
 
@@ -141,7 +144,7 @@
 	for k, a := range w.Held {
 		r := se.runs[k]
 		if r == nil || r.number != a.Run {
-			r = &run{number: a.Run, status: runInherited, moved: s.now()}
+			r = &run{number: a.Run, status: s.newRunStatus(), moved: s.now()}
 			se.runs[k] = r
 		}
 		if j := s.cfg.State.Jobs[k.Job]; j == nil || j.State.Ended() {
@@ -155,6 +158,15 @@
 	}
 }
 
+// newRunStatus is the status of a run that is new to the sessions: all that the
+// first look finds were placed by earlier leaders.
+func (s *Scheduler) newRunStatus() runStatus {
+	if s.looked {
+		return runPlaced
+	}
+	return runInherited
+}
+
 // clockNow estimates the worker's clock; it may be ahead by little.
 func (se *session) clockNow(now clock.Instant) int64 {
 	return se.clockMillis + now.Sub(se.clockAt).Milliseconds()
