--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -82,6 +82,11 @@
 	OutcomeLost
 )
 
+// String implements fmt.Stringer.
+func (o Outcome) String() string {
+	return [...]string{"none", "done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}[o]
+}
+
 // End reports the end of one run at one worker.
 type End struct {
 	Task       TaskKey
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -5,6 +5,7 @@
 package cell
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 )
@@ -225,3 +226,11 @@
 	}
 	return TaskKey{JobID(parts[0]), n[0], n[1], n[2]}, true
 }
+
+// Compare orders keys by job, occurrence, step and index.
+func (k TaskKey) Compare(o TaskKey) int {
+	return cmp.Or(
+		cmp.Compare(k.Job, o.Job), cmp.Compare(k.Occurrence, o.Occurrence),
+		cmp.Compare(k.Step, o.Step), cmp.Compare(k.Index, o.Index),
+	)
+}
--- a/internal/cell/plan/ask.go
+++ b/internal/cell/plan/ask.go
@@ -10,90 +10,130 @@
 const (
 	// maxAsked bounds the workers named in one call.
 	maxAsked = 100
-	// askSpare is how many times the expected need is asked for.
-	askSpare = 2.0
-	// askMin is the least number of workers named in a call.
+	// askSpare and askSpareGang are how many times the expected need is asked
+	// for; a gang can choose among more workers to be placed whole.
+	askSpare     = 2.0
+	askSpareGang = 5.0
+	// askMin is the least number of workers named in a call, if there are.
 	askMin = 6
 	// defaultGoodShare is used until a queue's share has been learnt.
 	defaultGoodShare = 0.5
 )
 
-// ask puts a question to the placement policy for the tasks that found no
-// place. It names workers with room that are not known to be unfit.
+// ask puts a question to the placement policy for tasks that found no place.
+// It names workers with room, those with the least first, so that the emptiest
+// ones stay free for large tasks.
 func (p *planner) ask(s *Pending, missing int) {
-	if s.Advice == nil || s.Advice.InFlight || p.in.Advisers <= 0 {
+	if !p.mayAsk(s) {
 		return
 	}
-	able := p.askable(s)
-	workers, seats := p.choose(s, able, missing)
-	if len(workers) == 0 || (s.Step.Gang && seats+p.ticketed(s) < missing) {
+	var able []*Worker
+	for _, w := range p.pools[s.Pool] {
+		if fits(s, w) && p.notUnfit(s, w) && !p.hasTicket(s, w) {
+			able = append(able, w)
+		}
+	}
+	slices.SortStableFunc(able, func(a, b *Worker) int {
+		if a.Suspect != b.Suspect {
+			return boolOrder(a.Suspect, b.Suspect)
+		}
+		if ga, gb := p.isGood(s, a), p.isGood(s, b); ga != gb {
+			return boolOrder(gb, ga)
+		}
+		return cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
+	})
+	p.question(s, p.choose(s, able, float64(missing)*askSpare, capacityFor))
+}
+
+// boolOrder sorts false before true.
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// askGang names the workers that have, or could be given, the most room.
+func (p *planner) askGang(s *Pending, able []*Worker) {
+	if !p.mayAsk(s) {
 		return
 	}
-	p.in.Advisers--
-	s.Advice.InFlight = true
-	p.out.Questions = append(p.out.Questions, Question{s.Key, s.Queue.Name, workers})
+	potential := func(s *Pending, w *Worker) int { return seatsIn(s, w, w.potential(s.Queue.Priority)) }
+	slices.SortStableFunc(able, func(a, b *Worker) int {
+		if a.Suspect != b.Suspect {
+			return boolOrder(a.Suspect, b.Suspect)
+		}
+		return cmp.Compare(potential(s, b), potential(s, a))
+	})
+	p.question(s, p.choose(s, able, float64(len(s.Waiting))*askSpareGang, potential))
 }
 
-// ticketed is how many tasks the workers with a ticket could take now.
-func (p *planner) ticketed(s *Pending) int {
-	n := 0
-	for _, w := range p.pools[s.Pool] {
-		if p.eligible(s, w) {
-			n += capacityFor(s, w)
+// potential is the room that a worker could give to work of a priority.
+func (w *Worker) potential(priority int) cell.Resources {
+	room := comingRoom(w)
+	for i := range w.Victims {
+		if w.Victims[i].Priority > priority {
+			room = room.Plus(w.Victims[i].Need)
 		}
 	}
-	return n
+	return room
 }
 
-// askable returns the workers with room that hold no ticket and are not unfit,
-// those known to be good first, then the ones with most room.
-func (p *planner) askable(s *Pending) []*Worker {
-	var able []*Worker
+// askAgain renews the tickets of the good workers for a gang that is about to
+// be placed.
+func (p *planner) askAgain(s *Pending, seats []*Worker) {
+	if !p.mayAsk(s) {
+		return
+	}
+	var ids []cell.WorkerID
+	for _, w := range seats {
+		if !slices.Contains(ids, w.ID) {
+			ids = append(ids, w.ID)
+		}
+	}
 	for _, w := range p.pools[s.Pool] {
-		_, good := s.Advice.Good[w.ID]
-		if fits(s, w) && (good || !s.Advice.Asked[w.ID]) && !p.hasTicket(s, w) {
-			able = append(able, w)
+		if p.isGood(s, w) && !slices.Contains(ids, w.ID) {
+			ids = append(ids, w.ID)
 		}
 	}
-	slices.SortStableFunc(able, func(a, b *Worker) int {
-		return cmp.Compare(p.askOrder(s, b), p.askOrder(s, a))
-	})
-	return able
+	p.question(s, ids)
 }
 
-func (p *planner) askOrder(s *Pending, w *Worker) float64 {
-	v := float64(capacityFor(s, w))
-	if _, good := s.Advice.Good[w.ID]; good {
-		v += 1000
-	}
-	if w.Suspect {
-		v -= 500
+func (p *planner) mayAsk(s *Pending) bool {
+	return s.Advice != nil && !s.Advice.InFlight && p.in.Advisers > 0
+}
+
+func (p *planner) question(s *Pending, workers []cell.WorkerID) {
+	if len(workers) == 0 {
+		return
 	}
-	return v
+	p.in.Advisers--
+	s.Advice.InFlight = true
+	p.out.Questions = append(p.out.Questions, Question{s.Key, s.Queue.Name, workers})
 }
 
-// choose returns the workers to name and how many tasks they could take if all
-// of them were good.
-func (p *planner) choose(s *Pending, able []*Worker, missing int) ([]cell.WorkerID, int) {
+// choose returns as many of the workers, in their order, as are expected to
+// give want seats.
+func (p *planner) choose(s *Pending, able []*Worker, want float64, seats func(*Pending, *Worker) int) []cell.WorkerID {
 	share := p.in.GoodShare[s.Queue.Name]
 	if share <= 0 {
 		share = defaultGoodShare
 	}
 	var ids []cell.WorkerID
-	seats, expected := 0, 0.0
-	want := askSpare * float64(missing)
+	expected := 0.0
 	for _, w := range able {
 		if len(ids) == maxAsked || (expected >= want && len(ids) >= askMin) {
 			break
 		}
-		n := capacityFor(s, w)
-		seats += n
-		if _, good := s.Advice.Good[w.ID]; good {
-			expected += float64(n)
-		} else {
-			expected += share * float64(n)
+		n := float64(seats(s, w))
+		if !p.isGood(s, w) {
+			n *= share
 		}
+		expected += n
 		ids = append(ids, w.ID)
 	}
-	return ids, seats
+	return ids
 }
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -3,49 +3,90 @@
 import (
 	"cmp"
 	"slices"
+	"time"
+
+	"kumquatwing/internal/cell"
+)
+
+const (
+	// maxSaved bounds the gangs that keep room from others while they wait for
+	// more of it.
+	maxSaved = 2
+	// renewBefore is how long before their end the tickets of a gang that is
+	// about to be placed are renewed.
+	renewBefore = 400 * time.Millisecond
 )
 
-// placeGang starts all tasks of a gang or none.
+// placeGang starts all tasks of a gang or none. One that doesn't fit yet has
+// less urgent runs stopped for it, and keeps the room from less urgent steps.
 func (p *planner) placeGang(s *Pending, room *Room) {
 	if !room.allows(s.Step.Need.Times(int64(len(s.Waiting)))) {
 		return
 	}
+	if seats := p.seat(s, p.able(s, p.hasTicket), freeRoom); seats != nil {
+		for i, index := range s.Waiting {
+			p.start(s, index, s.NextRun[i], seats[i])
+		}
+		return
+	}
+	if s.Advice != nil && len(s.Advice.Asked) == 0 {
+		p.askGang(s, p.able(s, p.notUnfit))
+		return
+	}
+	p.makeRoom(s, p.able(s, p.isGood))
+}
+
+// able returns the workers of the step's pool that pass all filters but room.
+func (p *planner) able(s *Pending, ok func(*Pending, *Worker) bool) []*Worker {
 	var able []*Worker
 	for _, w := range p.pools[s.Pool] {
-		if p.eligible(s, w) {
+		if w.has(s.Step.Requires) && ok(s, w) {
 			able = append(able, w)
 		}
 	}
-	seats := p.seat(s, able)
-	if seats == nil {
-		p.ask(s, len(s.Waiting))
-		return
-	}
-	for i, index := range s.Waiting {
-		p.start(s, index, s.NextRun[i], seats[i])
+	return able
+}
+
+// isGood reports whether the policy lets the worker run the step, whatever the
+// age of its ticket.
+func (p *planner) isGood(s *Pending, w *Worker) bool {
+	if s.Advice == nil {
+		return true
 	}
+	_, ok := s.Advice.Good[w.ID]
+	return ok
 }
 
+// notUnfit reports whether the policy has not turned the worker down.
+func (p *planner) notUnfit(s *Pending, w *Worker) bool {
+	return s.Advice == nil || !s.Advice.Asked[w.ID] || p.isGood(s, w)
+}
+
+// freeRoom is what a worker has now.
+func freeRoom(w *Worker) cell.Resources { return w.Free }
+
+// comingRoom is what it has once all stops are done.
+func comingRoom(w *Worker) cell.Resources { return w.Free.Plus(w.Coming) }
+
 // seat returns a worker for each task of the gang, nil if they don't all fit.
 // Gangs that are slower across racks try each rack alone first.
-func (p *planner) seat(s *Pending, able []*Worker) []*Worker {
+func (p *planner) seat(s *Pending, able []*Worker, room func(*Worker) cell.Resources) []*Worker {
 	slices.SortStableFunc(able, func(a, b *Worker) int { return cmp.Compare(score(s, b), score(s, a)) })
 	if s.Step.SameRack {
 		for _, rack := range racks(able) {
-			if seats := fill(s, inRack(able, rack)); seats != nil {
+			if seats := fill(s, inRack(able, rack), room); seats != nil {
 				return seats
 			}
 		}
 	}
-	return fill(s, able)
+	return fill(s, able, room)
 }
 
 // fill seats the gang on the workers in their order.
-func fill(s *Pending, able []*Worker) []*Worker {
+func fill(s *Pending, able []*Worker, room func(*Worker) cell.Resources) []*Worker {
 	var seats []*Worker
 	for _, w := range able {
-		n := capacityFor(s, w)
-		for ; n > 0 && len(seats) < len(s.Waiting); n-- {
+		for n := seatsIn(s, w, room(w)); n > 0 && len(seats) < len(s.Waiting); n-- {
 			seats = append(seats, w)
 		}
 	}
@@ -55,15 +96,100 @@
 	return seats
 }
 
-// capacityFor is how many tasks of the step the worker could take now.
-func capacityFor(s *Pending, w *Worker) int {
-	if s.Step.Filler {
-		return len(s.Waiting)
+// makeRoom stops less urgent runs for a gang if that is enough, and keeps the
+// room for it.
+func (p *planner) makeRoom(s *Pending, good []*Worker) {
+	seats := p.seat(s, good, comingRoom)
+	if seats == nil {
+		seats = p.preempt(s, good)
 	}
+	if seats == nil {
+		p.saveRoom(s, good)
+		return
+	}
+	p.keep(s, seats)
+	if p.endSoon(s, seats) {
+		p.askAgain(s, seats)
+	}
+}
+
+// fresh returns the workers whose tickets outlast a preemption.
+func (p *planner) fresh(s *Pending, good []*Worker) []*Worker {
+	if s.Advice == nil {
+		return good
+	}
+	var out []*Worker
+	for _, w := range good {
+		if p.in.Now.Add(p.in.StopTime+renewBefore) < s.Advice.Good[w.ID].Until {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// keep takes the room of the seats from less urgent steps.
+func (p *planner) keep(s *Pending, seats []*Worker) {
+	for _, w := range seats {
+		w.Free = w.Free.Minus(s.Step.Need)
+	}
+}
+
+// endSoon reports whether a ticket of the seats ends before it can be used.
+func (p *planner) endSoon(s *Pending, seats []*Worker) bool {
+	if s.Advice == nil {
+		return false
+	}
+	for _, w := range seats {
+		if s.Advice.Good[w.ID].Until < p.in.Now.Add(renewBefore) {
+			return true
+		}
+	}
+	return false
+}
+
+// saveRoom keeps the free room of good workers for a gang that waits for more.
+// If the workers that were asked about can't hold it, others are asked about.
+func (p *planner) saveRoom(s *Pending, good []*Worker) {
+	if p.wholeSeats(s, good) < len(s.Waiting) {
+		p.askGang(s, p.able(s, p.unasked))
+		return
+	}
+	if p.saved == maxSaved {
+		return
+	}
+	p.saved++
+	left := len(s.Waiting)
+	for _, w := range good {
+		n := min(left, seatsIn(s, w, comingRoom(w)))
+		w.Free = w.Free.Minus(s.Step.Need.Times(int64(n)))
+		left -= n
+	}
+}
+
+func (p *planner) unasked(s *Pending, w *Worker) bool {
+	return s.Advice != nil && !s.Advice.Asked[w.ID]
+}
+
+// wholeSeats is how many tasks the workers could hold if they were empty.
+func (p *planner) wholeSeats(s *Pending, ws []*Worker) int {
+	n := 0
+	for _, w := range ws {
+		n += seatsIn(s, w, w.Capacity)
+	}
+	return n
+}
+
+// capacityFor is how many tasks of the step the worker could take now.
+func capacityFor(s *Pending, w *Worker) int { return seatsIn(s, w, w.Free) }
+
+// seatsIn is how many tasks of the step fit into room on a worker.
+func seatsIn(s *Pending, w *Worker, room cell.Resources) int {
 	n := len(s.Waiting)
-	n = bound(n, s.Step.Need.MilliCPU, w.Free.MilliCPU)
-	n = bound(n, s.Step.Need.MemoryMB, w.Free.MemoryMB)
-	n = bound(n, s.Step.Need.Accelerators, w.Free.Accelerators)
+	if !s.Step.Filler {
+		n = bound(n, s.Step.Need.MilliCPU, room.MilliCPU)
+		n = bound(n, s.Step.Need.MemoryMB, room.MemoryMB)
+		n = bound(n, s.Step.Need.Accelerators, room.Accelerators)
+	}
 	if s.Step.MaxPerWorker > 0 {
 		n = min(n, s.Step.MaxPerWorker-s.OnWorker[w.ID])
 	}
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -39,8 +39,14 @@
 	Pool string
 	// Labels are the worker's labels.
 	Labels []string
+	// Capacity is the room of the empty worker.
+	Capacity cell.Resources
 	// Free is the room that is left; the plan takes from it.
 	Free cell.Resources
+	// Coming is the room of runs that are being stopped.
+	Coming cell.Resources
+	// Victims are the runs that may be stopped for more urgent work.
+	Victims []Victim
 	// Speed is the learnt speed of the worker's tasks, 1 for the usual.
 	Speed float64
 	// Suspect workers get work only where no other worker fits.
@@ -49,6 +55,28 @@
 
 func (w *Worker) has(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
 
+// Victim is a run that may be stopped for more urgent work.
+type Victim struct {
+	Task cell.TaskKey
+	Run  int64
+	Need cell.Resources
+	// Priority of its queue; only work of a lower number may stop it.
+	Priority int
+	// Lost is the work that a stop throws away, in core-milliseconds.
+	Lost float64
+	// stopped says that this plan stops it.
+	stopped bool
+}
+
+// Stop ends a run to make room.
+type Stop struct {
+	Worker cell.WorkerID
+	Task   cell.TaskKey
+	Run    int64
+	// For is the step that needs the room.
+	For cell.StepKey
+}
+
 // Pending is a step with waiting tasks.
 type Pending struct {
 	Key   cell.StepKey
@@ -78,9 +106,11 @@
 
 // Input is a snapshot of the cell.
 type Input struct {
-	Now     clock.Instant
-	Workers []Worker
-	Pending []Pending
+	Now clock.Instant
+	// StopTime is how long a stop takes at most.
+	StopTime time.Duration
+	Workers  []Worker
+	Pending  []Pending
 	// Rooms holds the room of each workspace.
 	Rooms map[string]*Room
 	// GoodShare is the share of workers that the policy of a queue lets through.
@@ -102,6 +132,7 @@
 	// Tokens holds the ticket of each start, "" where none is needed.
 	Tokens    []string
 	Questions []Question
+	Stops     []Stop
 }
 
 // planner carries one plan's working state.
@@ -110,6 +141,8 @@
 	out Output
 	// pools holds the workers by pool.
 	pools map[string][]*Worker
+	// saved counts the gangs for which room is kept that is not enough yet.
+	saved int
 }
 
 // Make returns the plan for a snapshot; it changes in.Workers and in.Rooms.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -202,25 +202,10 @@
 	for _, a := range w.Held {
 		out = append(out, a)
 	}
-	slices.SortFunc(out, func(a, b Allocation) int { return compareTasks(a.Task, b.Task) })
+	slices.SortFunc(out, func(a, b Allocation) int { return a.Task.Compare(b.Task) })
 	return out
 }
 
-func compareTasks(a, b TaskKey) int {
-	switch {
-	case a.Job != b.Job:
-		if a.Job < b.Job {
-			return -1
-		}
-		return 1
-	case a.Occurrence != b.Occurrence:
-		return a.Occurrence - b.Occurrence
-	case a.Step != b.Step:
-		return a.Step - b.Step
-	}
-	return a.Index - b.Index
-}
-
 func sortedKeys[K ~string, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
 	for k := range m {
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -26,6 +26,8 @@
 const maxEndCommits = 2
 
 func (s *Scheduler) addEnd(se *session, k cell.TaskKey, r *run, o cell.Outcome, checkpoint string) {
+	s.cfg.Log.Info("run ended", zap.Stringer("task", k), zap.Int64("run", r.number), zap.Stringer("how", o),
+		zap.String("worker", string(se.target.ID)))
 	s.ends.ends = append(s.ends.ends, cell.End{
 		Task: k, Run: r.number, Worker: se.target.ID, Born: se.target.Born, Outcome: o, Checkpoint: checkpoint,
 	})
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -7,6 +7,8 @@
 	starts  prometheus.Counter
 	ends    prometheus.Counter
 	refused *prometheus.CounterVec
+
+	preempted prometheus.Counter
 }
 
 // NewMetrics registers the scheduler's counters.
@@ -22,6 +24,9 @@
 			Name: "kq_cell_starts_refused_total", Help: "Starts that a worker refused, by reason.",
 		}, []string{"reason"}),
 	}
-	r.MustRegister(m.starts, m.ends, m.refused)
+	m.preempted = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kq_cell_preempted_total", Help: "Runs that were stopped for more urgent work.",
+	})
+	r.MustRegister(m.starts, m.ends, m.refused, m.preempted)
 	return m
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -179,6 +179,7 @@
 		s.checkLapse(se, now)
 	}
 	s.forgetOld(ctx, now)
+	s.logStatus(now)
 	s.dirty = true
 }
 
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -27,6 +27,9 @@
 	for i := range out.Questions {
 		s.ask(ctx, &out.Questions[i])
 	}
+	for i := range out.Stops {
+		s.preempt(ctx, &out.Stops[i])
+	}
 	if len(out.Starts) == 0 {
 		return
 	}
@@ -35,6 +38,22 @@
 	s.propose(ctx, c, func(r cell.Result, err error) { s.planCommitted(ctx, &out, r, err) })
 }
 
+// preempt stops a run for more urgent work.
+func (s *Scheduler) preempt(ctx context.Context, st *plan.Stop) {
+	se := s.sessions[st.Worker]
+	if se == nil {
+		return
+	}
+	r := se.runs[st.Task]
+	if r == nil || r.number != st.Run {
+		return
+	}
+	s.cfg.Log.Info("run is preempted", zap.Stringer("task", st.Task), zap.Int64("run", st.Run),
+		zap.String("worker", string(st.Worker)), zap.Stringer("for", st.For))
+	s.cfg.Metrics.preempted.Inc()
+	s.stopRun(ctx, se, st.Task, r)
+}
+
 // planCommitted sends the starts that the tables accepted.
 func (s *Scheduler) planCommitted(ctx context.Context, out *plan.Output, r cell.Result, err error) {
 	s.planning, s.dirty = false, true
@@ -59,6 +78,8 @@
 		}
 	})
 	for _, o := range orders {
+		s.cfg.Log.Info("run placed", zap.Stringer("task", o.start.Task), zap.Int64("run", o.start.Run),
+			zap.String("worker", string(o.start.Worker)), zap.Bool("resumes", o.checkpoint != ""))
 		s.startRun(ctx, o.start, o.spec, o.checkpoint, o.token)
 	}
 	s.syncSessions(ctx)
@@ -69,19 +90,28 @@
 	now := s.now()
 	in := &plan.Input{
 		Now:       now,
+		StopTime:  s.cfg.Bounds.StopTimeout,
 		Rooms:     s.rooms(),
 		GoodShare: s.goodShare,
 		Advisers:  s.idleAdvisers(now),
 	}
+	for _, j := range s.cfg.State.Active {
+		in.Pending = s.appendPending(in.Pending, j, now)
+	}
+	gangs := slices.ContainsFunc(in.Pending, func(p plan.Pending) bool { return p.Step.Gang })
 	for id, w := range s.cfg.State.Workers {
 		se := s.sessions[id]
 		if se == nil || !s.takesWork(se, w, now) {
 			continue
 		}
-		in.Workers = append(in.Workers, plan.Worker{
+		pw := plan.Worker{
 			ID: id, Born: w.Born, DC: w.DC, Rack: rackOf(w.Labels), Pool: w.Pool, Labels: w.Labels,
-			Free: w.Free(), Speed: 1, Suspect: se.failures.suspect(now),
-		})
+			Capacity: w.Capacity, Free: w.Free(), Speed: 1, Suspect: se.failures.suspect(now),
+		}
+		if gangs {
+			s.addVictims(&pw, se, w, now)
+		}
+		in.Workers = append(in.Workers, pw)
 	}
 	slices.SortFunc(in.Workers, func(a, b plan.Worker) int {
 		if a.ID < b.ID {
@@ -89,9 +119,6 @@
 		}
 		return 1
 	})
-	for _, j := range s.cfg.State.Active {
-		in.Pending = s.appendPending(in.Pending, j, now)
-	}
 	slices.SortFunc(in.Pending, func(a, b plan.Pending) int {
 		if a.Key.Job != b.Key.Job {
 			if a.Key.Job < b.Key.Job {
@@ -104,6 +131,41 @@
 	return in
 }
 
+// addVictims notes the runs of a worker that are being stopped, and those that
+// may be. The state is locked.
+func (s *Scheduler) addVictims(pw *plan.Worker, se *session, w *cell.WorkerState, now clock.Instant) {
+	for k, a := range w.Held {
+		r := se.runs[k]
+		j := s.cfg.State.Jobs[k.Job]
+		if r == nil || j == nil || a.Filler {
+			continue
+		}
+		if r.stopSince != 0 {
+			pw.Coming = pw.Coming.Plus(a.Need)
+			continue
+		}
+		step := &j.Steps[k.Step]
+		q := s.cfg.State.QueueOf(j)
+		if r.status != runStarted || step.Gang || step.Service || q == nil {
+			continue
+		}
+		pw.Victims = append(pw.Victims, plan.Victim{
+			Task: k, Run: r.number, Need: a.Need, Priority: q.Priority, Lost: s.lostWork(step, r, now),
+		})
+	}
+	slices.SortFunc(pw.Victims, func(a, b plan.Victim) int { return a.Task.Compare(b.Task) })
+}
+
+// lostWork is what a stop of a run throws away, in core-milliseconds: a task
+// that saves its progress does so when it is stopped, and must be restored.
+func (s *Scheduler) lostWork(step *cell.Step, r *run, now clock.Instant) float64 {
+	lost := s.cfg.Bounds.Restore
+	if !step.Checkpoints {
+		lost = now.Sub(r.confirmed)
+	}
+	return float64(lost.Milliseconds()) * float64(step.Need.MilliCPU) / 1000
+}
+
 // takesWork reports whether new tasks may go to a worker.
 func (s *Scheduler) takesWork(se *session, w *cell.WorkerState, now clock.Instant) bool {
 	return se.reached && !se.lapsed && !w.Draining && !s.cfg.State.Out[w.DC] &&
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -28,6 +28,8 @@
 	MaxLease time.Duration
 	// StopTimeout is the longest that a stop takes at a worker.
 	StopTimeout time.Duration
+	// Restore is how long a task needs to resume from a checkpoint.
+	Restore time.Duration
 	// KeepEnded is how long the state of an ended job is kept.
 	KeepEnded time.Duration
 	// Early is how much before its time an occurrence may start.
@@ -70,6 +72,7 @@
 	// dirty asks for a plan.
 	dirty      bool
 	nextForget clock.Instant
+	nextStatus clock.Instant
 	// synced is the index of the tables that the sessions match.
 	synced uint64
 	// looked says that the sessions were matched since the leadership began.
