End the leases of workers that don't answer

Renewals carry a lease only for 2 s after the last answer. A refused connection shows that the process has ended. Test: TestUnansweredRenewalsEnd, failing before (no end in 100 s).

--- a/internal/cell/plan/ask.go
+++ b/internal/cell/plan/ask.go
@@ -16,6 +16,13 @@
 	askSpareGang = 5.0
 	// askMin is the least number of workers named in a call, if there are.
 	askMin = 6
+	// slowAdvice and mediumAdvice are decision times of the policy, in
+	// milliseconds, from which on a share of the advisers is kept free for
+	// quicker questions.
+	slowAdvice      = 200.0
+	slowKeepsFree   = 0.34
+	mediumAdvice    = 30.0
+	mediumKeepsFree = 0.17
 	// defaultGoodShare is used until a queue's share has been learnt.
 	defaultGoodShare = 0.5
 )
@@ -103,7 +110,19 @@
 }
 
 func (p *planner) mayAsk(s *Pending) bool {
-	return s.Advice != nil && !s.Advice.InFlight && p.in.Advisers > 0
+	return s.Advice != nil && !s.Advice.InFlight && p.in.Advisers > p.keptFree(s)
+}
+
+// keptFree is how many advisers a question about the step must leave free.
+func (p *planner) keptFree(s *Pending) int {
+	share := 0.0
+	switch decide := s.Queue.Advice.DecideMillis; {
+	case decide >= slowAdvice:
+		share = slowKeepsFree
+	case decide >= mediumAdvice:
+		share = mediumKeepsFree
+	}
+	return int(share * float64(p.in.AllAdvisers))
 }
 
 func (p *planner) question(s *Pending, workers []cell.WorkerID) {
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -115,8 +115,10 @@
 	Rooms map[string]*Room
 	// GoodShare is the share of workers that the policy of a queue lets through.
 	GoodShare map[string]float64
-	// Advisers is how many more calls for advice may be started now.
-	Advisers int
+	// Advisers is how many more calls for advice may be started now, of
+	// AllAdvisers in all.
+	Advisers    int
+	AllAdvisers int
 }
 
 // Question asks the placement policy about workers for a step.
--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -16,11 +16,17 @@
 
 const (
 	// tryTimeout bounds one try at one control process.
-	tryTimeout = 900 * time.Millisecond
+	tryTimeout = 600 * time.Millisecond
 	// tryPause is the wait before the next try after a refusal.
-	tryPause = 60 * time.Millisecond
+	tryPause = 40 * time.Millisecond
 	// avoidTime is how long a process that failed is tried last.
 	avoidTime = 1500 * time.Millisecond
+	// electionWait is how long calls wait for a leader: about as long as the
+	// election of another one takes. Later ones are refused at once.
+	electionWait = 1200 * time.Millisecond
+	// lostRetry is when callers that were refused for want of a leader should
+	// come back.
+	lostRetry = 2 * time.Second
 	// helloInterval is the pause between two calls of Hello.
 	helloInterval = 700 * time.Millisecond
 	// helloRetry is the pause after one that failed.
@@ -42,6 +48,9 @@
 	avoid      map[string]clock.Instant
 	configured bool
 	linked     bool
+	// lostSince is when the first of the calls failed that no success has
+	// followed, 0 if the last one succeeded.
+	lostSince clock.Instant
 }
 
 // NewClient returns a client that starts from the addresses of some control
@@ -105,18 +114,24 @@
 // ends. A refusal is NotRun only if no try may have run.
 func (c *Client) call(ctx context.Context, topic string, req, resp any) error {
 	uncertain := false
-	last := verdict.Refuse(verdict.ReasonNoLeader, "no control process is known")
+	last := errNoLeader()
 	for {
+		if !c.Reachable() {
+			return settle(last, uncertain)
+		}
 		for _, addr := range c.order() {
 			err := c.try(ctx, addr, topic, req, resp)
 			if err == nil {
+				c.succeeded()
 				return nil
 			}
 			last = verdict.From(err)
 			uncertain = uncertain || last.Verdict != verdict.NotRun
 			if !repeatable(last) {
+				c.succeeded()
 				return settle(last, uncertain)
 			}
+			c.failed()
 			if ctx.Err() != nil {
 				return settle(last, uncertain)
 			}
@@ -127,6 +142,32 @@
 	}
 }
 
+func errNoLeader() *verdict.Refusal {
+	return verdict.Refuse(verdict.ReasonNoLeader, "the cell's leader is not reached").RetryIn(lostRetry)
+}
+
+// Reachable reports whether calls have a chance: not if the leader has been out
+// of reach for longer than an election takes.
+func (c *Client) Reachable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lostSince == 0 || c.clock.Now().Sub(c.lostSince) < electionWait
+}
+
+func (c *Client) succeeded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lostSince = 0
+}
+
+func (c *Client) failed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lostSince == 0 {
+		c.lostSince = c.clock.Now()
+	}
+}
+
 func (c *Client) try(ctx context.Context, addr, topic string, req, resp any) error {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
@@ -158,6 +199,7 @@
 	}
 	u := *r
 	u.Verdict = verdict.MayHaveRun
+	u.Retry, u.RetryAfterMillis = false, 0
 	return &u
 }
 
@@ -236,6 +278,7 @@
 			c.learn(&r)
 			return nil
 		}
+		c.failed()
 	}
 	c.setLinked(false, err)
 	return err
@@ -250,6 +293,7 @@
 		}
 	}
 	c.configured = c.configured || r.Configured
+	c.lostSince = 0
 	c.mu.Unlock()
 	c.setLinked(true, nil)
 }
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -28,6 +28,8 @@
 const (
 	// group is the name of the cell's replicated group.
 	group = "cell"
+	// tick is the group's tick; it makes an election timeout of 0.5 s.
+	tick = 25 * time.Millisecond
 	// watchInterval is how often leadership is looked at.
 	watchInterval = 25 * time.Millisecond
 	// memberInterval is how often the leader looks at the membership.
@@ -100,7 +102,7 @@
 	n.self = n.identity(store)
 	n.member, err = replica.Open(replica.Config{
 		Group: group, Self: n.self, Machine: n.state, Store: store, Wire: n.wire, Clock: n.clock,
-		Found: cfg.Found, Founders: founders(cfg.Seeds), Logger: cfg.Log,
+		Found: cfg.Found, Founders: founders(cfg.Seeds), Logger: cfg.Log, Tick: tick,
 	})
 	if err != nil {
 		return nil, errors.Join(err, n.wire.Close(), store.Close())
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -45,19 +45,22 @@
 	})
 }
 
-func (s *Scheduler) idleAdvisers(now clock.Instant) int {
-	n := 0
+// countAdvisers returns how many advisers are idle, and how many there are.
+func (s *Scheduler) countAdvisers(now clock.Instant) (idle, all int) {
 	for _, a := range s.advisers {
+		if a.present(now) {
+			all++
+		}
 		if a.idle(now) {
-			n++
+			idle++
 		}
 	}
-	return n
+	return idle, all
 }
 
-func (a *adviserState) idle(now clock.Instant) bool {
-	return !a.busy && now.Sub(a.heard) < adviserSilence
-}
+func (a *adviserState) present(now clock.Instant) bool { return now.Sub(a.heard) < adviserSilence }
+
+func (a *adviserState) idle(now clock.Instant) bool { return !a.busy && a.present(now) }
 
 // nextAdviser returns the idle adviser that rested longest.
 func (s *Scheduler) nextAdviser(now clock.Instant) *adviserState {
@@ -97,6 +100,7 @@
 	a.busy, a.used = true, now
 	limit := adviceSlack + s.adviceTime(q)
 	key, queue, workers := q.Key, q.Queue, q.Workers
+	s.cfg.Metrics.questions.WithLabelValues(queue).Inc()
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -9,6 +9,7 @@
 	refused *prometheus.CounterVec
 
 	preempted prometheus.Counter
+	questions *prometheus.CounterVec
 }
 
 // NewMetrics registers the scheduler's counters.
@@ -27,6 +28,9 @@
 	m.preempted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kq_cell_preempted_total", Help: "Runs that were stopped for more urgent work.",
 	})
-	r.MustRegister(m.starts, m.ends, m.refused, m.preempted)
+	m.questions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kq_cell_questions_total", Help: "Questions to the placement policy, by queue.",
+	}, []string{"queue"})
+	r.MustRegister(m.starts, m.ends, m.refused, m.preempted, m.questions)
 	return m
 }
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -93,8 +93,8 @@
 		StopTime:  s.cfg.Bounds.StopTimeout,
 		Rooms:     s.rooms(),
 		GoodShare: s.goodShare,
-		Advisers:  s.idleAdvisers(now),
 	}
+	in.Advisers, in.AllAdvisers = s.countAdvisers(now)
 	for _, j := range s.cfg.State.Active {
 		in.Pending = s.appendPending(in.Pending, j, now)
 	}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -27,6 +27,10 @@
 	slowestClock = 0.98
 	// lapseMargin is added before a lease counts as lapsed.
 	lapseMargin = 150 * time.Millisecond
+	// grantFor is how long after a worker's last answer its lease is still
+	// renewed: a renewal without an answer may have reached it, and then puts off
+	// the time at which its runs can be given up.
+	grantFor = 2 * time.Second
 	// unheardAfter keeps new tasks off a worker that has not answered for so long.
 	unheardAfter = 2500 * time.Millisecond
 )
@@ -231,11 +235,14 @@
 }
 
 func (s *Scheduler) nextHold(se *session) holdJob {
-	o := HoldOrder{Fence: s.term, LeaseMillis: s.lease(se), Seen: se.seen}
-	if se.reached && se.hasClock {
+	now := s.now()
+	o := HoldOrder{Fence: s.term, Seen: se.seen}
+	if now.Sub(se.heard) < grantFor {
+		o.LeaseMillis = s.lease(se)
+	}
+	if se.reached && o.LeaseMillis != 0 {
 		o.Wait = holdWait
 	}
-	now := s.now()
 	pause := holdRetry
 	if now.Sub(se.heard) > unheardAfter {
 		pause = holdRetrySlow
@@ -287,7 +294,7 @@
 	if !errors.As(err, &refused) {
 		return
 	}
-	if refused.Refusal == RefusedIncarnation {
+	if refused.Refusal.ended() {
 		s.dropIncarnation(ctx, se)
 	}
 }
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -214,3 +214,21 @@
 	r.checkLapse(se, r.now())
 	qt.Check(t, r.endsOf(k), qt.DeepEquals, []cell.Outcome{cell.OutcomeLost})
 }
+
+// Renewals that get no answer must not put off the end of a dead worker's lease.
+func TestUnansweredRenewalsEnd(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	r.answer(HoldReply{ClockMillis: 1000})
+	k := r.place(0, 1)
+	r.startRun(r.ctx, &cell.Start{Task: k, Run: 1, Worker: testWorker, Born: 1}, "", "", "")
+	se := r.sessions[testWorker]
+	r.started(r.ctx, se, k, se.runs[k], nil)
+	for i := 0; i < 100 && len(r.endsOf(k)) == 0; i++ {
+		r.clock.Advance(time.Second)
+		r.nextHold(se)
+		r.checkLapse(se, r.now())
+	}
+	qt.Check(t, r.endsOf(k), qt.DeepEquals, []cell.Outcome{cell.OutcomeLost})
+	qt.Check(t, r.now().Sub(se.heard) < 2*leaseTerm, qt.IsTrue)
+}
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"kumquatwing/internal/cell"
 	"kumquatwing/internal/clock"
 )
 
@@ -41,7 +42,58 @@
 			}
 		}
 	})
+	s.logStuck(now)
+	idle, all := s.countAdvisers(now)
 	s.cfg.Log.Info("cell status", zap.Int64("cores", capacity/1000), zap.Int64("usable", usable/1000),
 		zap.Int64("used", used/1000), zap.Int("jobs", active), zap.Int64("waiting_tasks", waitingTasks),
-		zap.Any("waiting_steps", waiting), zap.Int("advisers_idle", s.idleAdvisers(now)))
+		zap.Any("waiting_steps", waiting), zap.Int("advisers_idle", idle), zap.Int("advisers", all))
+}
+
+const (
+	// stuckAfter is how long a job must have been here for its waiting steps to
+	// be explained, and maxExplained how many are at a time.
+	stuckAfter   = 8 * time.Second
+	maxExplained = 4
+)
+
+// logStuck explains some steps that have waited for long.
+func (s *Scheduler) logStuck(now clock.Instant) {
+	explained := 0
+	s.cfg.State.Read(func() {
+		for id, j := range s.cfg.State.Active {
+			if at, ok := s.taken[id]; !ok || now.Sub(at) < stuckAfter {
+				continue
+			}
+			for o := range j.Occurrences {
+				for i := range j.Occurrences[o].Steps {
+					st := &j.Occurrences[o].Steps[i]
+					if len(st.Tasks)-st.Done-st.Placed == 0 || !j.Ready(o, i) || explained == maxExplained {
+						continue
+					}
+					explained++
+					s.explain(cell.StepKey{Job: id, Occurrence: o, Step: i}, j, st, now)
+				}
+			}
+		}
+	})
+}
+
+// explain writes what is known of a waiting step. The state is locked.
+func (s *Scheduler) explain(k cell.StepKey, j *cell.Job, st *cell.StepState, now clock.Instant) {
+	fields := []zap.Field{
+		zap.Stringer("step", k), zap.String("queue", j.Queue), zap.Duration("age", now.Sub(s.taken[k.Job])),
+		zap.Int("tasks", len(st.Tasks)), zap.Int("done", st.Done), zap.Int("placed", st.Placed), zap.Int("held", st.Held),
+		zap.Bool("gang", j.Steps[k.Step].Gang), zap.Int64("millicpu", j.Steps[k.Step].Need.MilliCPU),
+	}
+	if a := s.advice[k]; a != nil {
+		valid := 0
+		for _, t := range a.Good {
+			if now < t.Until {
+				valid++
+			}
+		}
+		fields = append(fields, zap.Int("asked", len(a.Asked)), zap.Int("good", len(a.Good)), zap.Int("valid", valid),
+			zap.Bool("asking", a.InFlight))
+	}
+	s.cfg.Log.Info("step waits", fields...)
 }
