Let gangs save whole workers, and preempt little unless they are urgent

Change: two gangs at a time keep all room of enough good workers; less urgent runs are stopped if that throws away a tenth of the gang's work, a quarter once it must start within 2.5 s; gangs that can't be in time stop nothing.

--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -12,6 +12,9 @@
 	// maxSaved bounds the gangs that keep room from others while they wait for
 	// more of it.
 	maxSaved = 2
+	// preemptSlack is how close a gang's latest start must be for more work to be
+	// thrown away for it; until then it waits for less urgent runs to end.
+	preemptSlack = 2500 * time.Millisecond
 	// renewBefore is how long before their end the tickets of a gang that is
 	// about to be placed are renewed.
 	renewBefore = 400 * time.Millisecond
@@ -100,8 +103,16 @@
 // room for it.
 func (p *planner) makeRoom(s *Pending, good []*Worker) {
 	seats := p.seat(s, good, comingRoom)
+	slack := s.latestStart().Sub(p.in.Now)
+	if seats == nil && slack < 0 {
+		return
+	}
 	if seats == nil {
-		seats = p.preempt(s, good)
+		share := maxLostShare
+		if slack < preemptSlack {
+			share = maxLostShareUrgent
+		}
+		seats = p.preempt(s, good, share)
 	}
 	if seats == nil {
 		p.saveRoom(s, good)
@@ -159,10 +170,14 @@
 	}
 	p.saved++
 	left := len(s.Waiting)
+	slices.SortStableFunc(good, func(a, b *Worker) int { return cmp.Compare(b.Free.MilliCPU, a.Free.MilliCPU) })
 	for _, w := range good {
-		n := min(left, seatsIn(s, w, comingRoom(w)))
-		w.Free = w.Free.Minus(s.Step.Need.Times(int64(n)))
+		n := seatsIn(s, w, w.potential(s.Queue.Priority))
+		if n == 0 || left <= 0 {
+			continue
+		}
 		left -= n
+		w.Free = cell.Resources{}
 	}
 }
 
--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -8,8 +8,12 @@
 )
 
 // maxLostShare bounds the work that a preemption may throw away, as a share of
-// the work that it makes room for.
-const maxLostShare = 0.25
+// the work that it makes room for; maxLostShareUrgent does so for gangs that
+// must start soon.
+const (
+	maxLostShare       = 0.10
+	maxLostShareUrgent = 0.25
+)
 
 // seatCost is a worker's next seat and what must be stopped for it.
 type seatCost struct {
@@ -30,10 +34,10 @@
 // preempt seats a gang with the least work thrown away. It returns nil and
 // stops nothing if that is not enough or costs too much. The runs are stopped
 // once the tickets outlast the stops.
-func (p *planner) preempt(s *Pending, good []*Worker) []*Worker {
-	c := findRoom(s, p.fresh(s, good))
+func (p *planner) preempt(s *Pending, good []*Worker, share float64) []*Worker {
+	c := findRoom(s, p.fresh(s, good), share)
 	if c == nil {
-		if c = findRoom(s, good); c == nil {
+		if c = findRoom(s, good, share); c == nil {
 			return nil
 		}
 		release(c.victims)
@@ -49,7 +53,7 @@
 }
 
 // findRoom marks the victims that it chooses as stopped.
-func findRoom(s *Pending, good []*Worker) *preemption {
+func findRoom(s *Pending, good []*Worker, share float64) *preemption {
 	c := &preemption{}
 	lost := 0.0
 	rooms := map[*Worker]cell.Resources{}
@@ -72,7 +76,7 @@
 		c.seats = append(c.seats, next.worker)
 		lost += next.lost
 	}
-	if lost > maxLostShare*s.work() {
+	if lost > share*s.work() {
 		release(c.victims)
 		return nil
 	}
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -19,12 +19,17 @@
 	}
 	s.nextStatus = now.Add(statusInterval)
 	var capacity, used, usable, waitingTasks int64
-	waiting := map[string]int{}
+	waiting, held := map[string]int{}, map[string]int64{}
 	active := 0
 	s.cfg.State.Read(func() {
 		for id, w := range s.cfg.State.Workers {
 			capacity += w.Capacity.MilliCPU
 			used += w.Used.MilliCPU
+			for k, a := range w.Held {
+				if j := s.cfg.State.Jobs[k.Job]; j != nil {
+					held[j.Queue] += a.Need.MilliCPU
+				}
+			}
 			if se := s.sessions[id]; se != nil && s.takesWork(se, w, now) {
 				usable += w.Capacity.MilliCPU
 			}
@@ -46,7 +51,7 @@
 	idle, all := s.countAdvisers(now)
 	s.cfg.Log.Info("cell status", zap.Int64("cores", capacity/1000), zap.Int64("usable", usable/1000),
 		zap.Int64("used", used/1000), zap.Int("jobs", active), zap.Int64("waiting_tasks", waitingTasks),
-		zap.Any("waiting_steps", waiting), zap.Int("advisers_idle", idle), zap.Int("advisers", all))
+		zap.Any("waiting_steps", waiting), zap.Any("millicpu", held), zap.Int("advisers_idle", idle), zap.Int("advisers", all))
 }
 
 const (
