--- a/Makefile
+++ b/Makefile
@@ -13,10 +13,10 @@
 	$(GO) build -ldflags '$(LDFLAGS)' -o $(BIN)/ ./cmd/...
 
 fmt:
-	$(GO) tool gofumpt -w cmd internal proof capacity docs
+	$(GO) tool gofumpt -w cmd internal platform proof capacity docs
 
 fmt-check:
-	@out=$$($(GO) tool gofumpt -l cmd internal proof capacity docs); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@out=$$($(GO) tool gofumpt -l cmd internal platform proof capacity docs); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -14,7 +14,7 @@
 	"github.com/goccy/go-yaml"
 )
 
-const operating = "OPERATING.md"
+const operating = "OPERATIONS.md"
 
 // source returns the text of all Go files below the given folders but tests.
 func source(t *testing.T, folders ...string) string {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -10,6 +10,8 @@
 
 	preempted prometheus.Counter
 	questions *prometheus.CounterVec
+	// firstStart is the time from a job's record to its first confirmed start.
+	firstStart prometheus.Histogram
 }
 
 // NewMetrics registers the scheduler's counters.
@@ -31,6 +33,10 @@
 	m.questions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kq_cell_questions_total", Help: "Questions to the placement policy, by queue.",
 	}, []string{"queue"})
-	r.MustRegister(m.starts, m.ends, m.refused, m.preempted, m.questions)
+	m.firstStart = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "kq_cell_first_start_seconds", Help: "Time from a job's record to its first confirmed start.",
+		Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
+	})
+	r.MustRegister(m.starts, m.ends, m.refused, m.preempted, m.questions, m.firstStart)
 	return m
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -62,6 +62,9 @@
 	case err == nil:
 		r.status, r.confirmed = runStarted, now
 		s.cfg.Metrics.starts.Inc()
+		if at, ok := s.taken[k.Job]; ok && r.number == 1 && k.Index == 0 {
+			s.cfg.Metrics.firstStart.Observe(now.Sub(at).Seconds())
+		}
 	case errors.Is(err, errLeaseEnded):
 		r.status = runUnclear
 	case errors.As(err, &refused):
