--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -99,21 +99,15 @@
 	RefusedUnhealthy
 	// RefusedIncarnation: another incarnation answers at the address.
 	RefusedIncarnation
-	// RefusedGone: no process listens at the address, so the one that did has
-	// ended, and all its runs with it.
-	RefusedGone
 	// RefusedInvalid: the worker can't read the order.
 	RefusedInvalid
 )
 
 // String implements fmt.Stringer.
 func (r Refusal) String() string {
-	return [...]string{"none", "fence", "old", "late", "room", "ticket", "unhealthy", "incarnation", "gone", "invalid"}[r]
+	return [...]string{"none", "fence", "old", "late", "room", "ticket", "unhealthy", "incarnation", "invalid"}[r]
 }
 
-// ended reports whether the refusal shows that the incarnation has ended.
-func (r Refusal) ended() bool { return r == RefusedIncarnation || r == RefusedGone }
-
 // RefusedError is a clear refusal: the order was not and will not be carried out.
 type RefusedError struct{ Refusal Refusal }
 
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -84,7 +84,7 @@
 	s.cfg.Log.Info("start refused", zap.Stringer("task", k), zap.Int64("run", r.number),
 		zap.String("worker", string(se.target.ID)), zap.Stringer("why", why))
 	switch why {
-	case RefusedIncarnation, RefusedGone:
+	case RefusedIncarnation:
 		s.dropIncarnation(ctx, se)
 		return
 	case RefusedTicket:
@@ -162,7 +162,7 @@
 		if r.stopAnswered == 0 {
 			r.stopAnswered = now
 		}
-	case errors.As(err, &refused) && refused.Refusal.ended():
+	case errors.As(err, &refused) && refused.Refusal == RefusedIncarnation:
 		s.dropIncarnation(ctx, se)
 	}
 }
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -294,7 +294,7 @@
 	if !errors.As(err, &refused) {
 		return
 	}
-	if refused.Refusal.ended() {
+	if refused.Refusal == RefusedIncarnation {
 		s.dropIncarnation(ctx, se)
 	}
 }
