--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -174,14 +174,14 @@
 // occurrencesTotal is how many occurrences the job has in all.
 func (j *Job) occurrencesTotal() int { return max(1, j.Schedule.Times) }
 
-// IsService reports whether a step of the job runs until it is cancelled.
-func (j *Job) IsService() bool {
-	for i := range j.Steps {
-		if j.Steps[i].Service {
-			return true
-		}
+// NextDue returns when the next occurrence of a scheduled job is due, in Unix
+// milliseconds; ok is false if there is none left.
+func (j *Job) NextDue() (unixMillis int64, ok bool) {
+	n := len(j.Occurrences)
+	if j.Schedule.Times == 0 || n >= j.Schedule.Times {
+		return 0, false
 	}
-	return false
+	return j.Schedule.FirstUnixMillis + int64(n)*j.Schedule.IntervalMillis, true
 }
 
 // TaskKey names a task across the cell.
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -103,11 +103,7 @@
 // room for it.
 func (p *planner) makeRoom(s *Pending, good []*Worker) {
 	seats := p.seat(s, good, comingRoom)
-	slack := s.latestStart().Sub(p.in.Now)
-	if seats == nil && slack < 0 {
-		return
-	}
-	if seats == nil {
+	if slack := s.latestStart().Sub(p.in.Now); seats == nil && slack >= 0 {
 		share := maxLostShare
 		if slack < preemptSlack {
 			share = maxLostShareUrgent
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -60,7 +60,7 @@
 	var refused *RefusedError
 	switch {
 	case err == nil:
-		r.status, r.confirmed = runStarted, now
+		r.status, r.confirmed, r.moved = runStarted, now, now
 		s.cfg.Metrics.starts.Inc()
 		if at, ok := s.taken[k.Job]; ok && r.number == 1 && k.Index == 0 {
 			s.cfg.Metrics.firstStart.Observe(now.Sub(at).Seconds())
@@ -179,8 +179,10 @@
 				s.stopRun(ctx, se, k, r)
 			}
 		}
+		s.stopStalled(ctx, se, now)
 		s.checkLapse(se, now)
 	}
+	s.startDue(ctx, time.Now())
 	s.forgetOld(ctx, now)
 	s.logStatus(now)
 	s.dirty = true
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -106,7 +106,8 @@
 		}
 		pw := plan.Worker{
 			ID: id, Born: w.Born, DC: w.DC, Rack: rackOf(w.Labels), Pool: w.Pool, Labels: w.Labels,
-			Capacity: w.Capacity, Free: w.Free(), Speed: 1, Suspect: se.failures.suspect(now),
+			Capacity: w.Capacity, Free: w.Free(), Speed: se.speed.value(now),
+			Suspect: se.failures.suspect(now) || se.speed.value(now) < slowSpeed,
 		}
 		if gangs {
 			s.addVictims(&pw, se, w, now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -64,11 +64,16 @@
 	advisers map[string]*adviserState
 	// goodShare is the learnt share of workers that a queue's policy lets through.
 	goodShare map[string]float64
+	// usualSpeed is the mean logarithm of the speed of a queue's tasks against
+	// their estimates.
+	usualSpeed map[string]float64
 	// taken is when a job was first seen by this leader.
 	taken map[cell.JobID]clock.Instant
 
 	ends     endBatch
 	planning bool
+	// creating says that occurrences are being created.
+	creating bool
 	// dirty asks for a plan.
 	dirty      bool
 	nextForget clock.Instant
@@ -144,9 +149,10 @@
 	s.sessions = map[cell.WorkerID]*session{}
 	s.advice = map[cell.StepKey]*plan.StepAdvice{}
 	s.goodShare = map[string]float64{}
+	s.usualSpeed = map[string]float64{}
 	s.taken = map[cell.JobID]clock.Instant{}
 	s.ends = endBatch{}
-	s.planning, s.dirty, s.nextForget = false, true, 0
+	s.planning, s.creating, s.dirty, s.nextForget = false, false, true, 0
 	s.synced, s.looked = 0, false
 	for _, a := range s.advisers {
 		a.busy = false
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -96,6 +96,7 @@
 	// blockedUntil keeps new tasks off the worker.
 	blockedUntil clock.Instant
 	failures     failureCount
+	speed        speedRecord
 	// lapsed says that the lease ran out and its runs were given up.
 	lapsed bool
 }
@@ -327,9 +328,7 @@
 		if r.status == runInherited {
 			r.status, r.confirmed = runStarted, now
 		}
-		if rt.Percent != r.percent {
-			r.percent, r.moved = rt.Percent, now
-		}
+		s.noteProgress(se, rt.Task, r, rt.Percent, now)
 		if rt.Checkpoint != "" {
 			r.checkpoint = rt.Checkpoint
 		}
