Settle unanswered starts sooner

Change: orders time out after 0.3 s, the worker is asked at once after it took the stop, and is left out for 0.25 s.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -13,7 +13,7 @@
 
 const (
 	// orderTimeout bounds the answer to a start or a stop.
-	orderTimeout = 500 * time.Millisecond
+	orderTimeout = 300 * time.Millisecond
 	// stopRetry is the pause between two stops of a run that still runs.
 	stopRetry = 400 * time.Millisecond
 	// refusedPause keeps new tasks off a worker that refused one.
@@ -22,7 +22,7 @@
 	// given up; its start is not sent after proposeTimeout.
 	placedTimeout = proposeTimeout + time.Second
 	// unclearPause keeps new tasks off a worker that left an order unanswered.
-	unclearPause = time.Second
+	unclearPause = 250 * time.Millisecond
 )
 
 // startRun sends the start of a run that is committed.
@@ -161,12 +161,23 @@
 	case err == nil:
 		if r.stopAnswered == 0 {
 			r.stopAnswered = now
+			s.look(ctx, se, r)
 		}
 	case errors.As(err, &refused) && refused.Refusal == RefusedIncarnation:
 		s.dropIncarnation(ctx, se)
 	}
 }
 
+// look asks a worker at once what it runs, after it has taken the stop of a run
+// whose start had no answer; the next renewal may be more than a second away.
+func (s *Scheduler) look(ctx context.Context, se *session, r *run) {
+	if r.status != runUnclear || r.ending {
+		return
+	}
+	job := &holdJob{target: se.target, order: HoldOrder{Fence: s.term, Seen: se.seen}, sent: s.now(), extra: true}
+	go s.hold(ctx, se, job)
+}
+
 // houseKeep repeats stops, gives up lapsed leases and creates occurrences.
 func (s *Scheduler) houseKeep(ctx context.Context) {
 	now := s.now()
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -229,6 +229,8 @@
 	target Target
 	order  HoldOrder
 	sent   clock.Instant
+	// extra says that the renewal loop doesn't wait for this one.
+	extra bool
 	// pause is how long to wait after a failure.
 	pause time.Duration
 	reply *HoldReply
@@ -272,7 +274,7 @@
 	}
 	if job.err != nil {
 		s.holdFailed(ctx, se, job.err)
-		se.resume()
+		se.resumeAfter(job)
 		return
 	}
 	first := !se.reached
@@ -283,6 +285,13 @@
 	s.noteFinished(ctx, se, job, running)
 }
 
+// resumeAfter lets the renewal loop go on if it waits for this renewal.
+func (se *session) resumeAfter(job *holdJob) {
+	if !job.extra {
+		se.resume()
+	}
+}
+
 func (se *session) resume() {
 	select {
 	case se.goOn <- struct{}{}:
@@ -363,11 +372,11 @@
 			s.addEnd(se, k, r, cell.OutcomeLost, r.checkpoint)
 		}
 	}
-	if last > se.seen {
+	if last > se.seen && !job.extra {
 		s.ends.seen = append(s.ends.seen, seenUpTo{se, last})
 		return
 	}
-	se.resume()
+	se.resumeAfter(job)
 }
 
 // isGone reports whether a run that a renewal's answer doesn't list can't be
