Send a leader's entries while it writes them; look at good workers only

Change: entries leave before the leader's own sync (Ongaro, 10.2.1; its copy still counts only once synced; the simulation with faults passes). Plans look at the workers that the policy let through, victims are listed for those of waiting gangs, queues are indexed. Renewals after ends wait 50 ms for more.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -107,6 +107,7 @@
 		}
 	}
 	s.Config, s.Document = c.Config, c.Document
+	s.indexQueues()
 }
 
 // inUse reports whether a job that has not ended came by the queue.
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -26,7 +26,7 @@
 	if !room.allows(s.Step.Need.Times(int64(len(s.Waiting)))) {
 		return
 	}
-	if seats := p.seat(s, p.able(s, p.hasTicket), freeRoom); seats != nil {
+	if seats := p.seat(s, withLabel(s, p.ticketed(s)), freeRoom); seats != nil {
 		for i, index := range s.Waiting {
 			p.start(s, index, s.NextRun[i], seats[i])
 		}
@@ -36,7 +36,12 @@
 		p.askGang(s, p.able(s, p.notUnfit))
 		return
 	}
-	p.makeRoom(s, p.able(s, p.isGood))
+	p.makeRoom(s, withLabel(s, slices.Clone(p.good(s))))
+}
+
+// withLabel drops the workers without the label that the step requires.
+func withLabel(s *Pending, ws []*Worker) []*Worker {
+	return slices.DeleteFunc(ws, func(w *Worker) bool { return !w.has(s.Step.Requires) })
 }
 
 // able returns the workers of the step's pool that pass all filters but room.
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -143,16 +143,18 @@
 	out Output
 	// pools holds the workers by pool.
 	pools map[string][]*Worker
+	byID  map[cell.WorkerID]*Worker
 	// saved counts the gangs for which room is kept that is not enough yet.
 	saved int
 }
 
 // Make returns the plan for a snapshot; it changes in.Workers and in.Rooms.
 func Make(in *Input) Output {
-	p := &planner{in: in, pools: map[string][]*Worker{}}
+	p := &planner{in: in, pools: map[string][]*Worker{}, byID: make(map[cell.WorkerID]*Worker, len(in.Workers))}
 	for i := range in.Workers {
 		w := &in.Workers[i]
 		p.pools[w.Pool] = append(p.pools[w.Pool], w)
+		p.byID[w.ID] = w
 	}
 	sortPending(in.Pending, in.Now)
 	for i := range in.Pending {
@@ -193,11 +195,12 @@
 		return
 	}
 	placed := 0
+	ticketed := p.ticketed(s)
 	for i, index := range s.Waiting {
 		if !room.allows(s.Step.Need) {
 			return
 		}
-		w := p.best(s)
+		w := best(s, ticketed)
 		if w == nil {
 			break
 		}
@@ -219,11 +222,11 @@
 }
 
 // best returns the worker with the highest score that may run a task of s.
-func (p *planner) best(s *Pending) *Worker {
+func best(s *Pending, ws []*Worker) *Worker {
 	var best *Worker
 	bestScore := math.Inf(-1)
-	for _, w := range p.pools[s.Pool] {
-		if !p.eligible(s, w) {
+	for _, w := range ws {
+		if !fits(s, w) {
 			continue
 		}
 		if score := score(s, w); score > bestScore {
@@ -233,9 +236,26 @@
 	return best
 }
 
-// eligible applies all filters to a worker.
-func (p *planner) eligible(s *Pending, w *Worker) bool {
-	return fits(s, w) && p.hasTicket(s, w)
+// good returns the workers of the step's pool that the policy lets run it,
+// whatever the age of their tickets: all of them where it need not be asked.
+func (p *planner) good(s *Pending) []*Worker {
+	if s.Advice == nil {
+		return p.pools[s.Pool]
+	}
+	out := make([]*Worker, 0, len(s.Advice.Good))
+	for id := range s.Advice.Good {
+		if w := p.byID[id]; w != nil && w.Pool == s.Pool {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// ticketed returns the good workers whose tickets are valid.
+func (p *planner) ticketed(s *Pending) []*Worker {
+	out := slices.Clone(p.good(s))
+	return slices.DeleteFunc(out, func(w *Worker) bool { return !p.hasTicket(s, w) })
 }
 
 // fits reports whether the worker can run one more task of the step.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -84,6 +84,8 @@
 	Jobs    map[JobID]*Job
 	// Active holds the jobs that have not ended.
 	Active map[JobID]*Job
+	// queues indexes the queues by name, those of former configurations too.
+	queues map[string]*Queue
 	// Used sums what each workspace holds.
 	Used map[string]Resources
 	// Applied is the index of the last command.
@@ -151,6 +153,7 @@
 	for _, q := range t.Former {
 		s.Former[q.Name] = q
 	}
+	s.indexQueues()
 	for _, dc := range t.Out {
 		s.Out[dc] = true
 	}
@@ -218,13 +221,18 @@
 // QueueOf returns the queue of a job, also if the newest configuration dropped
 // it, or nil if it was never known.
 func (s *State) QueueOf(j *Job) *Queue {
-	if q := s.Config.Queue(j.Queue); q != nil {
-		return q
+	return s.queues[j.Queue]
+}
+
+// indexQueues makes QueueOf know the present queues.
+func (s *State) indexQueues() {
+	s.queues = make(map[string]*Queue, len(s.Config.Queues)+len(s.Former))
+	for name, q := range s.Former {
+		s.queues[name] = &q
 	}
-	if q, ok := s.Former[j.Queue]; ok {
-		return &q
+	for i := range s.Config.Queues {
+		s.queues[s.Config.Queues[i].Name] = &s.Config.Queues[i]
 	}
-	return nil
 }
 
 // Task returns a task and its step, or nil if there is none.
--- a/internal/consensus/raft.go
+++ b/internal/consensus/raft.go
@@ -210,6 +210,9 @@
 	return out
 }
 
+// TermSaved reports whether the present term and vote are persisted.
+func (r *Raft) TermSaved() bool { return !r.hardChanged() }
+
 // Persisted says that the last output's state is synced.
 func (r *Raft) Persisted() {
 	r.saved = r.hard()
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -125,10 +125,16 @@
 }
 
 // flush does what the raft asks for until nothing is left: it persists before
-// it sends, and sends before it applies.
+// it sends, and sends before it applies. Only a leader's entries leave while it
+// writes them itself, since its own copy counts once it is synced (Ongaro,
+// 10.2.1).
 func (c *core) flush() error {
 	for c.failed == nil && c.raft.HasOutput() {
+		early := c.raft.TermSaved()
 		out := c.raft.Take()
+		if early {
+			out.Messages = c.sendEntries(out.Messages)
+		}
 		if err := c.persist(&out); err != nil {
 			c.fail(err)
 			break
@@ -147,6 +153,19 @@
 	return c.failed
 }
 
+// sendEntries sends the messages with entries and returns the others.
+func (c *core) sendEntries(ms []consensus.Message) []consensus.Message {
+	rest := ms[:0]
+	for _, m := range ms {
+		if m.Kind == consensus.MsgAppend {
+			c.send(m)
+		} else {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
+
 func (c *core) persist(out *consensus.Output) error {
 	if out.Install != nil {
 		return c.install(out)
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -98,7 +98,7 @@
 	for _, j := range s.cfg.State.Active {
 		in.Pending = s.appendPending(in.Pending, j, now)
 	}
-	gangs := slices.ContainsFunc(in.Pending, func(p plan.Pending) bool { return p.Step.Gang })
+	wanted := gangWorkers(in.Pending)
 	for id, w := range s.cfg.State.Workers {
 		se := s.sessions[id]
 		if se == nil || !s.takesWork(se, w, now) {
@@ -109,7 +109,7 @@
 			Capacity: w.Capacity, Free: w.Free(), Speed: se.speed.value(now),
 			Suspect: se.failures.suspect(now) || se.speed.value(now) < slowSpeed,
 		}
-		if gangs {
+		if wanted.has(id) {
 			s.addVictims(&pw, se, w, now)
 		}
 		in.Workers = append(in.Workers, pw)
@@ -132,6 +132,31 @@
 	return in
 }
 
+// workerSet is a set of workers, or all of them.
+type workerSet struct {
+	all bool
+	ids map[cell.WorkerID]bool
+}
+
+func (s *workerSet) has(id cell.WorkerID) bool { return s.all || s.ids[id] }
+
+// gangWorkers returns the workers on which waiting gangs may stop other runs.
+func gangWorkers(ps []plan.Pending) *workerSet {
+	set := &workerSet{ids: map[cell.WorkerID]bool{}}
+	for i := range ps {
+		switch p := &ps[i]; {
+		case !p.Step.Gang:
+		case p.Advice == nil:
+			set.all = true
+		default:
+			for id := range p.Advice.Good {
+				set.ids[id] = true
+			}
+		}
+	}
+	return set
+}
+
 // addVictims notes the runs of a worker that are being stopped, and those that
 // may be. The state is locked.
 func (s *Scheduler) addVictims(pw *plan.Worker, se *session, w *cell.WorkerState, now clock.Instant) {
@@ -250,7 +275,7 @@
 		}
 	}
 	if step.MaxPerWorker > 0 {
-		p.OnWorker = s.onWorker(p.Key)
+		p.OnWorker = onWorker(tasks)
 	}
 	if q.Advice != nil {
 		p.Advice = s.adviceFor(p.Key)
@@ -258,14 +283,12 @@
 	return p
 }
 
-// onWorker counts a step's allocations by worker.
-func (s *Scheduler) onWorker(k cell.StepKey) map[cell.WorkerID]int {
+// onWorker counts the placed tasks of a step by worker.
+func onWorker(tasks []cell.Task) map[cell.WorkerID]int {
 	n := map[cell.WorkerID]int{}
-	for id, w := range s.cfg.State.Workers {
-		for t := range w.Held {
-			if t.StepKey() == k {
-				n[id]++
-			}
+	for i := range tasks {
+		if tasks[i].Status == cell.TaskPlaced {
+			n[tasks[i].Worker]++
 		}
 	}
 	return n
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -19,6 +19,9 @@
 	holdWait = 1200 * time.Millisecond
 	// holdSlack is how long an answer may take beyond that.
 	holdSlack = 800 * time.Millisecond
+	// holdGather is the pause before the renewal that follows recorded ends, so
+	// that it finds more of them.
+	holdGather = 50 * time.Millisecond
 	// holdRetry is the pause after a renewal that failed, holdRetrySlow the one
 	// once the worker has not been heard for unheardAfter.
 	holdRetry     = 150 * time.Millisecond
@@ -213,14 +216,14 @@
 			return
 		}
 		s.hold(ctx, se, &job)
-		if job.err != nil && !clock.Sleep(ctx, job.pause) {
-			return
-		}
 		select {
 		case <-se.goOn:
 		case <-ctx.Done():
 			return
 		}
+		if !clock.Sleep(ctx, job.nextPause()) {
+			return
+		}
 	}
 }
 
@@ -237,6 +240,17 @@
 	err   error
 }
 
+// nextPause is how long the renewal loop rests after this renewal.
+func (j *holdJob) nextPause() time.Duration {
+	switch {
+	case j.err != nil:
+		return j.pause
+	case len(j.reply.Finished) > 0:
+		return holdGather
+	}
+	return 0
+}
+
 func (s *Scheduler) nextHold(se *session) holdJob {
 	now := s.now()
 	o := HoldOrder{Fence: s.term, Seen: se.seen}
