Rejoin after a disk that took nothing; short leases while workers drain

Cause: a member whose write failed took no part until its process ended; with a second member lost later, the group would have had no quorum for good.

Draining workers hold leases of 1.5 s, so that what they leave behind runs again 1.5 s after they are gone instead of 6 to 8 s.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -103,6 +103,7 @@
 	n.member, err = replica.Open(replica.Config{
 		Group: group, Self: n.self, Machine: n.state, Store: store, Wire: n.wire, Clock: n.clock,
 		Found: cfg.Found, Founders: founders(cfg.Seeds), Logger: cfg.Log, Tick: tick,
+		Reopen: func() (storage.Store, error) { return openStore(cfg.DataDir, cfg.Log) },
 	})
 	if err != nil {
 		return nil, errors.Join(err, n.wire.Close(), store.Close())
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -73,19 +73,7 @@
 			return nil, fmt.Errorf("replica: stored snapshot can't be restored: %w", err)
 		}
 	}
-	co := &core{
-		store:        c.Store,
-		machine:      c.Machine,
-		log:          c.Logger,
-		limits:       c.Limits,
-		send:         c.Send,
-		witness:      c.Self.Witness,
-		applied:      st.Snapshot.Index,
-		snapshotSize: len(st.Snapshot.Data),
-		waiters:      map[uint64][]waiter{},
-		reads:        map[uint64]func(uint64, error){},
-	}
-	st.Snapshot.Data = nil
+	co := newCoreAt(c, &st, st.Snapshot.Index)
 	co.raft = consensus.New(c.Options, st, now)
 	return co, co.flush()
 }
@@ -106,6 +94,43 @@
 	return out
 }
 
+// resume starts again from a store that was opened anew after the former core
+// failed. The machine goes on where it is, unless the store's snapshot is newer.
+func resume(c coreConfig, former *core, now clock.Instant) (*core, error) {
+	st := c.Store.State()
+	if c.Store.Identity() != memberOut(c.Self).ID {
+		return nil, fmt.Errorf("replica: the store no longer belongs to member %d", c.Self.ID)
+	}
+	applied := former.applied
+	if st.Snapshot.Index > applied && !c.Self.Witness {
+		if err := c.Machine.Restore(st.Snapshot.Data); err != nil {
+			return nil, fmt.Errorf("replica: stored snapshot can't be restored: %w", err)
+		}
+		applied = st.Snapshot.Index
+	}
+	co := newCoreAt(c, &st, applied)
+	co.raft = consensus.New(c.Options, st, now)
+	return co, co.flush()
+}
+
+// newCoreAt returns a core whose machine has applied the entries up to an index.
+func newCoreAt(c coreConfig, st *consensus.State, applied uint64) *core {
+	co := &core{
+		store:        c.Store,
+		machine:      c.Machine,
+		log:          c.Logger,
+		limits:       c.Limits,
+		send:         c.Send,
+		witness:      c.Self.Witness,
+		applied:      applied,
+		snapshotSize: len(st.Snapshot.Data),
+		waiters:      map[uint64][]waiter{},
+		reads:        map[uint64]func(uint64, error){},
+	}
+	st.Snapshot.Data = nil
+	return co
+}
+
 // begin gives an empty store its first state and checks the identity of others.
 func begin(s storage.Store, self consensus.Member, founders []consensus.Member) error {
 	if id := s.Identity(); id != consensus.None {
@@ -202,6 +227,9 @@
 func (c *core) apply(es []consensus.Entry) {
 	for i := range es {
 		e := &es[i]
+		if e.Index <= c.applied {
+			continue
+		}
 		var result []byte
 		if e.Kind == consensus.EntryCommand && !c.witness {
 			result = c.machine.Apply(e.Index, e.Data)
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -35,6 +35,8 @@
 	maxCommandBytes = 2 << 20
 	// queueLength bounds the calls that wait for the member's goroutine.
 	queueLength = 1024
+	// reopenPause is the wait before a failed store is opened again.
+	reopenPause = 500 * time.Millisecond
 	// maxBatch bounds the calls and messages handled before one sync.
 	maxBatch = 512
 	// topicPrefix begins the topic of messages, callPrefix that of calls.
@@ -61,6 +63,9 @@
 	// them; all must be told the same ones. Without any it forms a group of one.
 	Founders []Member
 	Logger   *zap.Logger
+	// Reopen opens the store's files anew after a failure; nil ends the member's
+	// part for good.
+	Reopen func() (storage.Store, error)
 	// Tick is DefaultTick if 0. All members must use the same.
 	Tick time.Duration
 }
@@ -80,6 +85,8 @@
 	err     error
 
 	published atomic.Pointer[published]
+	// reopenAt is when the store is opened again after a failure.
+	reopenAt clock.Instant
 }
 
 var _ Group = (*Node)(nil)
@@ -106,10 +113,7 @@
 		done:    make(chan struct{}),
 		stopped: make(chan struct{}),
 	}
-	co, err := newCore(coreConfig{
-		Self: cfg.Self, Found: cfg.Found, Founders: cfg.Founders, Store: cfg.Store, Machine: cfg.Machine,
-		Options: options(cfg), Limits: defaultLimits, Send: n.send, Logger: cfg.Logger,
-	}, cfg.Clock.Now())
+	co, err := newCore(n.coreConfig(cfg.Store), cfg.Clock.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -127,6 +131,37 @@
 	return n, nil
 }
 
+func (n *Node) coreConfig(store storage.Store) coreConfig {
+	cfg := &n.cfg
+	return coreConfig{
+		Self: cfg.Self, Found: cfg.Found, Founders: cfg.Founders, Store: store, Machine: cfg.Machine,
+		Options: options(*cfg), Limits: defaultLimits, Send: n.send, Logger: cfg.Logger,
+	}
+}
+
+// rejoin takes part again after the store failed, as after a restart.
+func (n *Node) rejoin(now clock.Instant) {
+	if n.core.failed == nil || n.cfg.Reopen == nil || now < n.reopenAt {
+		return
+	}
+	n.reopenAt = now.Add(reopenPause)
+	// What a failed store says at its end changes nothing.
+	_ = n.core.store.Close()
+	store, err := n.cfg.Reopen()
+	if err != nil {
+		n.cfg.Logger.Warn("store can't be opened again yet", zap.Error(err))
+		return
+	}
+	co, err := resume(n.coreConfig(store), n.core, now)
+	if err != nil {
+		n.cfg.Logger.Warn("member can't take part again yet", zap.Error(err))
+		_ = store.Close()
+		return
+	}
+	n.core = co
+	n.cfg.Logger.Info("member takes part again", zap.Uint64("applied", co.applied))
+}
+
 func options(cfg Config) consensus.Options {
 	return consensus.Options{
 		Self:           consensus.ID(cfg.Self.ID),
@@ -152,6 +187,7 @@
 			n.core.abandon("member is closed")
 			return
 		case <-ticker.C:
+			n.rejoin(n.cfg.Clock.Now())
 			n.core.raft.Tick(n.cfg.Clock.Now())
 		case call := <-n.calls:
 			call(n.cfg.Clock.Now())
@@ -336,7 +372,7 @@
 		close(n.done)
 		<-n.stopped
 		n.cancel()
-		n.err = n.cfg.Store.Close()
+		n.err = n.core.store.Close()
 	})
 	<-n.stopped
 	return n.err
--- /dev/null
+++ b/internal/replica/rejoin_test.go
@@ -0,0 +1,73 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/clock"
+	"kumquatwing/internal/consensus"
+	"kumquatwing/internal/storage"
+	"kumquatwing/internal/wire"
+)
+
+// fullDisk is a store whose disk takes nothing while full is set.
+type fullDisk struct {
+	*storage.Disk
+	full *atomic.Bool
+}
+
+var errFull = errors.New("no space left")
+
+func (d *fullDisk) Append(h consensus.HardState, es []consensus.Entry) error {
+	if d.full.Load() {
+		return errFull
+	}
+	return d.Disk.Append(h, es)
+}
+
+// A member whose disk takes nothing for a while takes part again once it does,
+// without a restart and without applying anything twice.
+func TestMemberRejoinsAfterItsDiskWasFull(t *testing.T) {
+	var full atomic.Bool
+	dir := t.TempDir()
+	open := func() (storage.Store, error) {
+		if full.Load() {
+			return nil, errFull
+		}
+		d, err := storage.OpenDir(dir)
+		if err != nil {
+			return nil, err
+		}
+		return &fullDisk{d, &full}, nil
+	}
+	store, err := open()
+	qt.Assert(t, err, qt.IsNil)
+	w, err := wire.Listen("127.0.0.1:0", nil)
+	qt.Assert(t, err, qt.IsNil)
+	defer w.Close()
+	n, err := Open(Config{
+		Group: "test", Self: Member{ID: 1, VM: "vm0", Addr: w.Addr()}, Machine: &register{}, Store: store, Wire: w,
+		Clock: clock.Boot{}, Found: true, Tick: testTick, Reopen: open,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	defer n.Close()
+	qt.Assert(t, propose(t, n, "a"), qt.Equals, uint64(1))
+
+	full.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err = n.Propose(ctx, []byte("b"))
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Check(t, n.Status().Failed, qt.Not(qt.Equals), "")
+
+	full.Store(false)
+	for end := time.Now().Add(10 * time.Second); n.Status().Failed != "" || n.Status().Leader == 0; time.Sleep(10 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("the member does not take part again"))
+	}
+	qt.Check(t, propose(t, n, "c"), qt.Equals, uint64(2), qt.Commentf("the refused command is not there, and nothing was applied twice"))
+}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -19,6 +19,10 @@
 	holdWait = 1200 * time.Millisecond
 	// holdSlack is how long an answer may take beyond that.
 	holdSlack = 800 * time.Millisecond
+	// drainLease is the lease of a worker that is about to leave, and drainWait
+	// how long its renewals wait: once it has left, its runs can be given up soon.
+	drainLease = 1500 * time.Millisecond
+	drainWait  = 400 * time.Millisecond
 	// holdGather is the pause before the renewal that follows recorded ends, so
 	// that it finds more of them.
 	holdGather = 50 * time.Millisecond
@@ -80,6 +84,8 @@
 type session struct {
 	target Target
 	cancel context.CancelFunc
+	// draining says that the worker is about to leave.
+	draining bool
 
 	// clockMillis was on the worker's clock at or after clockAt.
 	clockMillis int64
@@ -124,7 +130,7 @@
 			if se == nil {
 				se = s.open(ctx, w)
 			}
-			se.target.Addr = w.Addr
+			se.target.Addr, se.draining = w.Addr, w.Draining
 			s.syncRuns(ctx, se, w)
 		}
 		s.looked = true
@@ -199,6 +205,9 @@
 		return 0
 	}
 	term := min(leaseTerm, s.cfg.Bounds.MaxLease)
+	if se.draining {
+		term = drainLease
+	}
 	end := se.clockNow(s.now()) + term.Milliseconds()
 	se.granted = max(se.granted, end)
 	return end
@@ -259,6 +268,9 @@
 	}
 	if se.reached && o.LeaseMillis != 0 {
 		o.Wait = holdWait
+		if se.draining {
+			o.Wait = drainWait
+		}
 	}
 	pause := holdRetry
 	if now.Sub(se.heard) > unheardAfter {
