--- a/internal/cellapi/reports.go
+++ b/internal/cellapi/reports.go
@@ -42,13 +42,15 @@
 		return &ReportReply{}, nil
 	}
 	cmd, changed := s.changes(&w)
-	if !changed {
-		return &ReportReply{}, s.confirm()
+	if changed {
+		if _, err := s.propose(ctx, &cell.Command{Workers: cmd}); err != nil {
+			return nil, err
+		}
 	}
-	if _, err := s.propose(ctx, &cell.Command{Workers: cmd}); err != nil {
-		return nil, err
+	if w.Draining && req.Remaining > 0 {
+		s.Scheduler.NoteLeaving(ctx, w.ID, req.Remaining)
 	}
-	return &ReportReply{}, nil
+	return &ReportReply{}, s.confirm()
 }
 
 // changes returns what a report changes in the tables. A worker that drains
@@ -107,12 +109,12 @@
 			w = &c
 		}
 	})
-	if w == nil {
-		return &LeaveReply{}, s.confirm()
-	}
-	w.Draining = true
-	if _, err := s.propose(ctx, &cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{*w}}}); err != nil {
-		return nil, err
+	if w != nil {
+		w.Draining = true
+		if _, err := s.propose(ctx, &cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{*w}}}); err != nil {
+			return nil, err
+		}
 	}
-	return &LeaveReply{}, nil
+	s.Scheduler.NoteLeaving(ctx, req.ID, 0)
+	return &LeaveReply{}, s.confirm()
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -191,6 +191,7 @@
 			}
 		}
 		s.stopStalled(ctx, se, now)
+		s.stopLeaving(ctx, se, now)
 		s.checkLapse(se, now)
 	}
 	s.startDue(ctx, time.Now())
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -86,6 +86,8 @@
 	cancel context.CancelFunc
 	// draining says that the worker is about to leave.
 	draining bool
+	// leaves is when a draining worker may end, 0 if that is not known.
+	leaves clock.Instant
 
 	// clockMillis was on the worker's clock at or after clockAt.
 	clockMillis int64
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -235,3 +235,19 @@
 	qt.Check(t, r.endsOf(k), qt.DeepEquals, []cell.Outcome{cell.OutcomeLost})
 	qt.Check(t, r.now().Sub(se.heard) < 2*leaseTerm, qt.IsTrue)
 }
+
+// What runs on a worker that is about to end is stopped in time to be saved.
+func TestRunsAreStoppedBeforeTheirWorkerLeaves(t *testing.T) {
+	saving := oneTask
+	saving.Checkpoints = true
+	r := newRig(t, saving)
+	r.lead()
+	k := r.startedRun()
+	se := r.sessions[testWorker]
+	se.draining, se.leaves = true, r.now().Add(3*time.Second)
+	r.stopLeaving(r.ctx, se, r.now())
+	qt.Check(t, se.runs[k].stopSince == 0, qt.IsTrue)
+	r.clock.Advance(3*time.Second - r.cfg.Bounds.StopTimeout - leaveMargin)
+	r.stopLeaving(r.ctx, se, r.now())
+	qt.Check(t, se.runs[k].stopSince != 0, qt.IsTrue)
+}
