--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -18,7 +18,7 @@
 	dialTimeout = time.Second
 	// backoffMin and backoffMax bound the pause between attempts.
 	backoffMin = 20 * time.Millisecond
-	backoffMax = time.Second
+	backoffMax = 200 * time.Millisecond
 	// writeTimeout bounds one flush; a peer that takes longer is cut off.
 	writeTimeout = 5 * time.Second
 )
