--- /dev/null
+++ b/internal/cellapi/cellapi_test.go
@@ -0,0 +1,138 @@
+package cellapi
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"kumquatwing/internal/cell"
+	"kumquatwing/internal/clock"
+	"kumquatwing/internal/replica"
+	"kumquatwing/internal/scheduler"
+	"kumquatwing/internal/verdict"
+	"kumquatwing/internal/wire"
+)
+
+// newServer returns a server over a group of one, and a client of it.
+func newServer(t *testing.T) (*Server, *Client) {
+	t.Helper()
+	node, err := wire.Listen("127.0.0.1:0", nil)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { node.Close() })
+	state := cell.NewState(nil)
+	group := replica.NewLocal(state, replica.Member{ID: 1, Addr: node.Addr()})
+	s := Serve(Config{
+		Wire: node, Group: group, State: state, Clock: clock.Boot{}, Log: zap.NewNop(),
+		Scheduler: scheduler.New(scheduler.Config{
+			Group: group, State: state, Clock: clock.Boot{}, Log: zap.NewNop(),
+			Metrics: scheduler.NewMetrics(prometheus.NewRegistry()),
+		}),
+	})
+	return s, NewClient(node, []string{node.Addr()}, clock.Boot{}, zap.NewNop())
+}
+
+func reasonOf(err error) verdict.Reason {
+	if err == nil {
+		return ""
+	}
+	return verdict.From(err).Reason
+}
+
+var testConfig = cell.Config{
+	Version: 1, Pools: []cell.Pool{{Name: "p"}},
+	Queues: []cell.Queue{
+		{Name: "q", Host: "h", Prefix: "/q/", TimeoutMillis: 1000, Pool: "p"},
+		{Name: "open", Host: "h", Prefix: "/q/open/", TimeoutMillis: 1000, Pool: "p", Open: true},
+	},
+	Workspaces: []cell.Workspace{{Name: "a", Keys: []string{"ka"}}, {Name: "b", Keys: []string{"kb"}}},
+}
+
+func TestCallsAreAuthorized(t *testing.T) {
+	ctx := context.Background()
+	s, client := newServer(t)
+	_, err := s.submit(ctx, &SubmitRequest{Place: Place{"h", "/q/", "ka"}, ID: "j"})
+	qt.Check(t, reasonOf(err), qt.Equals, verdict.ReasonNoLease, qt.Commentf("without a configuration"))
+	_, err = client.Configure(ctx, &ConfigureRequest{Config: testConfig, Document: []byte("{}")})
+	qt.Assert(t, err, qt.IsNil)
+	steps := []cell.Step{{Count: 1}}
+	for _, c := range []struct {
+		name  string
+		place Place
+		steps []cell.Step
+		want  verdict.Reason
+	}{
+		{"key", Place{"h", "/q/", "ka"}, steps, ""},
+		{"no key", Place{"h", "/q/", ""}, steps, verdict.ReasonBadKey},
+		{"unknown key", Place{"h", "/q/", "x"}, steps, verdict.ReasonBadKey},
+		{"open queue, the longest prefix", Place{"h", "/q/open/", ""}, steps, ""},
+		{"unknown host", Place{"other", "/q/", "ka"}, steps, verdict.ReasonUnknownQueue},
+		{"unknown prefix", Place{"h", "/x/", "ka"}, steps, verdict.ReasonUnknownQueue},
+		{"no steps", Place{"h", "/q/", "ka"}, nil, verdict.ReasonBadRequest},
+		{"a step after itself", Place{"h", "/q/", "ka"}, []cell.Step{{Count: 1, After: []int{0}}}, verdict.ReasonBadRequest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := client.Submit(ctx, &SubmitRequest{Place: c.place, ID: cell.JobID("job" + c.place.Path[1:2]), Steps: c.steps})
+			qt.Check(t, reasonOf(err), qt.Equals, c.want)
+		})
+	}
+	_, err = client.Job(ctx, &JobRequest{Place: Place{"h", "/q/", "kb"}, ID: "jobq"})
+	qt.Check(t, reasonOf(err), qt.Equals, verdict.ReasonUnknownJob, qt.Commentf("another workspace's job"))
+}
+
+func TestReportsThatWereOvertaken(t *testing.T) {
+	s, client := newServer(t)
+	send := func(id cell.WorkerID, born, seq int64, draining bool) {
+		t.Helper()
+		_, err := client.Report(context.Background(), &ReportRequest{
+			Worker: cell.Worker{ID: id, Born: born, Addr: "10.0.0.1:1", Pool: "p", Draining: draining}, Sequence: seq,
+		})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	worker := func(id cell.WorkerID) (w *cell.WorkerState) {
+		s.State.Read(func() { w = s.State.Workers[id] })
+		return w
+	}
+	send("w1", 1, 2, true)
+	send("w1", 1, 1, false)
+	qt.Check(t, worker("w1").Draining, qt.IsTrue, qt.Commentf("a late report"))
+	send("w1", 1, 3, false)
+	qt.Check(t, worker("w1").Draining, qt.IsTrue, qt.Commentf("a worker that drains never takes work again"))
+	send("w1", 5, 1, false)
+	qt.Check(t, worker("w1").Draining, qt.IsFalse, qt.Commentf("the same id in a new incarnation"))
+	send("w2", 9, 1, false)
+	qt.Check(t, worker("w1"), qt.IsNil, qt.Commentf("a later incarnation has its address"))
+	send("w1", 5, 2, false)
+	qt.Check(t, worker("w1"), qt.IsNil, qt.Commentf("a report that was held up on its way"))
+}
+
+func TestRefusalsStayTrue(t *testing.T) {
+	refused := verdict.Refuse(verdict.ReasonNoLeader, "x").RetryIn(time.Second)
+	qt.Check(t, verdict.From(settle(refused, false)).Verdict, qt.Equals, verdict.NotRun)
+	uncertain := verdict.From(settle(refused, true))
+	qt.Check(t, uncertain.Verdict, qt.Equals, verdict.MayHaveRun, qt.Commentf("an earlier try may have run"))
+	qt.Check(t, uncertain.RetryAfterMillis, qt.Equals, int64(0))
+}
+
+// Calls wait for about as long as an election takes; later ones are refused at
+// once, until the leader has been reached again.
+func TestCallsAreRefusedAtOnceWithoutALeader(t *testing.T) {
+	node, err := wire.Listen("127.0.0.1:0", nil)
+	qt.Assert(t, err, qt.IsNil)
+	defer node.Close()
+	manual := &clock.Manual{}
+	manual.Advance(time.Hour)
+	c := NewClient(node, nil, manual, zap.NewNop())
+	c.failed()
+	qt.Check(t, c.Reachable(), qt.IsTrue)
+	manual.Advance(electionWait)
+	qt.Check(t, c.Reachable(), qt.IsFalse)
+	_, err = c.Job(context.Background(), &JobRequest{})
+	qt.Check(t, verdict.From(err).Verdict, qt.Equals, verdict.NotRun)
+	qt.Check(t, verdict.From(err).RetryAfterMillis, qt.Equals, lostRetry.Milliseconds())
+	c.succeeded()
+	qt.Check(t, c.Reachable(), qt.IsTrue)
+}
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -70,7 +70,10 @@
 		Schedule: cell.Schedule{Times: 2, FirstUnixMillis: first.UnixMilli(), IntervalMillis: 1000},
 	}}})
 	r.lead()
-	count := func() int { return len(r.state.Jobs["00000000000000bb"].Occurrences) }
+	count := func() (n int) {
+		r.state.Read(func() { n = len(r.state.Jobs["00000000000000bb"].Occurrences) })
+		return n
+	}
 	for _, c := range []struct {
 		after time.Duration
 		want  int
