--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -1,6 +1,9 @@
 package cell
 
-import "kumquatwing/internal/consensus"
+import (
+	"kumquatwing/internal/consensus"
+	"kumquatwing/internal/model"
+)
 
 // Apply implements replica.Machine. A command that can't be decoded changes
 // nothing on any member.
@@ -190,8 +193,8 @@
 
 // placeable reports whether all starts hold against the present tables.
 func (s *State) placeable(starts []Start) bool {
-	extra := map[WorkerID]Resources{}
-	var total Resources
+	extra := map[WorkerID]model.Resources{}
+	var total model.Resources
 	for i := range starts {
 		st := &starts[i]
 		j, step, t := s.Task(st.Task)
@@ -206,11 +209,11 @@
 		if _, held := w.Held[st.Task]; held {
 			return false
 		}
-		total = total.Plus(spec.Need)
+		total = total.Add(spec.Need)
 		if spec.Filler {
 			continue
 		}
-		extra[st.Worker] = extra[st.Worker].Plus(spec.Need)
+		extra[st.Worker] = extra[st.Worker].Add(spec.Need)
 		if !extra[st.Worker].Fits(w.Free()) {
 			return false
 		}
@@ -220,12 +223,12 @@
 }
 
 // WithinLimit reports whether a workspace may hold that much more.
-func (s *State) WithinLimit(workspace string, more Resources) bool {
+func (s *State) WithinLimit(workspace string, more model.Resources) bool {
 	ws := s.Config.Workspace(workspace)
 	if ws == nil {
 		return true
 	}
-	sum := s.Used[workspace].Plus(more)
+	sum := s.Used[workspace].Add(more)
 	return within(sum.MilliCPU, ws.Limit.MilliCPU) && within(sum.MemoryMB, ws.Limit.MemoryMB) &&
 		within(sum.Accelerators, ws.Limit.Accelerators)
 }
--- a/internal/cell/apply_test.go
+++ b/internal/cell/apply_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/model"
 )
 
 // do applies a command and returns its result.
@@ -32,7 +34,7 @@
 		Workspaces: []Workspace{{Name: "a", Keys: []string{"k"}}},
 	}}})
 	do(t, s, &Command{Workers: &Workers{Seen: []Worker{{
-		ID: testWorker, Born: 1, Addr: "10.0.0.1:1", DC: "dc1", Pool: "p", Capacity: Resources{16000, 32000, 0},
+		ID: testWorker, Born: 1, Addr: "10.0.0.1:1", DC: "dc1", Pool: "p", Capacity: model.Resources{MilliCPU: 16000, MemoryMB: 32000},
 	}}}})
 	do(t, s, &Command{Submit: &Submit{Job{ID: testJob, Queue: "q", Workspace: "a", Steps: steps}}})
 	return s
@@ -51,7 +53,7 @@
 // A leader that was suspended and replaced must not give up runs that its
 // successor has renewed, even if its command reaches the log.
 func TestStaleSchedulerChangesNothing(t *testing.T) {
-	s := withJob(t, Step{Count: 1, Need: Resources{1000, 10, 0}})
+	s := withJob(t, Step{Count: 1, Need: model.Resources{MilliCPU: 1000, MemoryMB: 10}})
 	do(t, s, &Command{Leadership: 2, Starts: &Starts{[]Start{startOf(0, 1)}}})
 	do(t, s, &Command{Lead: &Lead{Term: 3}})
 	r := do(t, s, endOf(0, 1, OutcomeLost))
@@ -62,7 +64,7 @@
 }
 
 func TestPlanIsCheckedAgain(t *testing.T) {
-	s := withJob(t, Step{Count: 3, Need: Resources{9000, 10, 0}})
+	s := withJob(t, Step{Count: 3, Need: model.Resources{MilliCPU: 9000, MemoryMB: 10}})
 	r := do(t, s, &Command{Leadership: 2, Starts: &Starts{[]Start{startOf(0, 1), startOf(1, 1)}}})
 	qt.Check(t, r.Accepted, qt.DeepEquals, []int{0})
 	r = do(t, s, &Command{Leadership: 2, Starts: &Starts{[]Start{startOf(0, 2)}}})
@@ -74,10 +76,10 @@
 }
 
 func TestGangIsPlacedWholeAndEndsTogether(t *testing.T) {
-	s := withJob(t, Step{Count: 2, Need: Resources{9000, 10, 0}, Gang: true})
+	s := withJob(t, Step{Count: 2, Need: model.Resources{MilliCPU: 9000, MemoryMB: 10}, Gang: true})
 	r := do(t, s, &Command{Leadership: 2, Starts: &Starts{[]Start{startOf(0, 1), startOf(1, 1)}}})
 	qt.Check(t, r.Accepted, qt.HasLen, 0)
-	s = withJob(t, Step{Count: 2, Need: Resources{8000, 10, 0}, Gang: true})
+	s = withJob(t, Step{Count: 2, Need: model.Resources{MilliCPU: 8000, MemoryMB: 10}, Gang: true})
 	r = do(t, s, &Command{Leadership: 2, Starts: &Starts{[]Start{startOf(0, 1), startOf(1, 1)}}})
 	qt.Check(t, r.Accepted, qt.HasLen, 2)
 	do(t, s, endOf(0, 1, OutcomeDone))
@@ -86,7 +88,7 @@
 }
 
 func TestAttemptsEndAJob(t *testing.T) {
-	s := withJob(t, Step{Count: 1, Need: Resources{1000, 10, 0}})
+	s := withJob(t, Step{Count: 1, Need: model.Resources{MilliCPU: 1000, MemoryMB: 10}})
 	for run := int64(1); run <= 2; run++ {
 		qt.Assert(t, s.Jobs[testJob].State.Ended(), qt.IsFalse)
 		do(t, s, &Command{Leadership: 2, Starts: &Starts{[]Start{startOf(0, run)}}})
@@ -96,7 +98,7 @@
 }
 
 func TestSnapshotHoldsAll(t *testing.T) {
-	s := withJob(t, Step{Count: 2, Need: Resources{1000, 10, 0}}, Step{Count: 1, After: []int{0}})
+	s := withJob(t, Step{Count: 2, Need: model.Resources{MilliCPU: 1000, MemoryMB: 10}}, Step{Count: 1, After: []int{0}})
 	do(t, s, &Command{Leadership: 2, Starts: &Starts{[]Start{startOf(0, 1)}}})
 	do(t, s, &Command{SetOut: &SetOut{DC: "dc1", Out: true}})
 	data, err := s.Snapshot()
@@ -106,6 +108,6 @@
 	again, err := copied.Snapshot()
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, again, qt.DeepEquals, data)
-	qt.Check(t, copied.Used["a"], qt.Equals, Resources{1000, 10, 0})
+	qt.Check(t, copied.Used["a"], qt.Equals, model.Resources{MilliCPU: 1000, MemoryMB: 10})
 	qt.Check(t, copied.Active, qt.HasLen, 1)
 }
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -1,6 +1,10 @@
 package cell
 
-import "strings"
+import (
+	"strings"
+
+	"kumquatwing/internal/model"
+)
 
 // Advice says how the placement policy of a queue is asked.
 type Advice struct {
@@ -52,7 +56,7 @@
 	// Weight is the workspace's share when the cell is full.
 	Weight float64
 	// Limit bounds what it has running; 0 in a dimension is no bound.
-	Limit Resources
+	Limit model.Resources
 }
 
 // Config is what operators declare.
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"strconv"
 	"strings"
+
+	"kumquatwing/internal/model"
 )
 
 // JobID is the caller's name of a job.
@@ -16,40 +18,11 @@
 // WorkerID names a worker; an ID may return with a new incarnation.
 type WorkerID string
 
-// Resources are what a task takes or a worker has.
-type Resources struct {
-	// MilliCPU counts thousandths of a core.
-	MilliCPU int64
-	MemoryMB int64
-	// Accelerators counts whole devices.
-	Accelerators int64
-}
-
-// Plus returns r + o.
-func (r Resources) Plus(o Resources) Resources {
-	return Resources{r.MilliCPU + o.MilliCPU, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
-}
-
-// Minus returns r - o.
-func (r Resources) Minus(o Resources) Resources {
-	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
-}
-
-// Times returns r taken n times.
-func (r Resources) Times(n int64) Resources {
-	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
-}
-
-// Fits reports whether r is within room in every dimension.
-func (r Resources) Fits(room Resources) bool {
-	return r.MilliCPU <= room.MilliCPU && r.MemoryMB <= room.MemoryMB && r.Accelerators <= room.Accelerators
-}
-
 // Step is a group of equal tasks of a job.
 type Step struct {
 	Count int
 	// Need is what each task takes.
-	Need Resources
+	Need model.Resources
 	// EstimateMillis is the caller's rough duration of a task.
 	EstimateMillis int64
 	// After lists earlier steps whose tasks must all be done first.
--- a/internal/cell/plan/ask.go
+++ b/internal/cell/plan/ask.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"kumquatwing/internal/cell"
+	"kumquatwing/internal/model"
 )
 
 const (
@@ -79,11 +80,11 @@
 }
 
 // potential is the room that a worker could give to work of a priority.
-func (w *Worker) potential(priority int) cell.Resources {
+func (w *Worker) potential(priority int) model.Resources {
 	room := comingRoom(w)
 	for i := range w.Victims {
 		if w.Victims[i].Priority > priority {
-			room = room.Plus(w.Victims[i].Need)
+			room = room.Add(w.Victims[i].Need)
 		}
 	}
 	return room
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"kumquatwing/internal/cell"
+	"kumquatwing/internal/model"
 )
 
 const (
@@ -23,7 +23,7 @@
 // placeGang starts all tasks of a gang or none. One that doesn't fit yet has
 // less urgent runs stopped for it, and keeps the room from less urgent steps.
 func (p *planner) placeGang(s *Pending, room *Room) {
-	if !room.allows(s.Step.Need.Times(int64(len(s.Waiting)))) {
+	if !room.allows(s.Step.Need.Scale(int64(len(s.Waiting)))) {
 		return
 	}
 	if seats := p.seat(s, withLabel(s, p.ticketed(s)), freeRoom); seats != nil {
@@ -71,14 +71,14 @@
 }
 
 // freeRoom is what a worker has now.
-func freeRoom(w *Worker) cell.Resources { return w.Free }
+func freeRoom(w *Worker) model.Resources { return w.Free }
 
 // comingRoom is what it has once all stops are done.
-func comingRoom(w *Worker) cell.Resources { return w.Free.Plus(w.Coming) }
+func comingRoom(w *Worker) model.Resources { return w.Free.Add(w.Coming) }
 
 // seat returns a worker for each task of the gang, nil if they don't all fit.
 // Gangs that are slower across racks try each rack alone first.
-func (p *planner) seat(s *Pending, able []*Worker, room func(*Worker) cell.Resources) []*Worker {
+func (p *planner) seat(s *Pending, able []*Worker, room func(*Worker) model.Resources) []*Worker {
 	slices.SortStableFunc(able, func(a, b *Worker) int { return cmp.Compare(score(s, b), score(s, a)) })
 	if s.Step.SameRack {
 		for _, rack := range racks(able) {
@@ -91,7 +91,7 @@
 }
 
 // fill seats the gang on the workers in their order.
-func fill(s *Pending, able []*Worker, room func(*Worker) cell.Resources) []*Worker {
+func fill(s *Pending, able []*Worker, room func(*Worker) model.Resources) []*Worker {
 	var seats []*Worker
 	for _, w := range able {
 		for n := seatsIn(s, w, room(w)); n > 0 && len(seats) < len(s.Waiting); n-- {
@@ -142,7 +142,7 @@
 // keep takes the room of the seats from less urgent steps.
 func (p *planner) keep(s *Pending, seats []*Worker) {
 	for _, w := range seats {
-		w.Free = w.Free.Minus(s.Step.Need)
+		w.Free = w.Free.Sub(s.Step.Need)
 	}
 }
 
@@ -178,7 +178,7 @@
 			continue
 		}
 		left -= n
-		w.Free = cell.Resources{}
+		w.Free = model.Resources{}
 	}
 }
 
@@ -199,7 +199,7 @@
 func capacityFor(s *Pending, w *Worker) int { return seatsIn(s, w, w.Free) }
 
 // seatsIn is how many tasks of the step fit into room on a worker.
-func seatsIn(s *Pending, w *Worker, room cell.Resources) int {
+func seatsIn(s *Pending, w *Worker, room model.Resources) int {
 	n := len(s.Waiting)
 	if !s.Step.Filler {
 		n = bound(n, s.Step.Need.MilliCPU, room.MilliCPU)
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -11,6 +11,7 @@
 
 	"kumquatwing/internal/cell"
 	"kumquatwing/internal/clock"
+	"kumquatwing/internal/model"
 )
 
 // Ticket lets a worker run the tasks of one step.
@@ -40,11 +41,11 @@
 	// Labels are the worker's labels.
 	Labels []string
 	// Capacity is the room of the empty worker.
-	Capacity cell.Resources
+	Capacity model.Resources
 	// Free is the room that is left; the plan takes from it.
-	Free cell.Resources
+	Free model.Resources
 	// Coming is the room of runs that are being stopped.
-	Coming cell.Resources
+	Coming model.Resources
 	// Victims are the runs that may be stopped for more urgent work.
 	Victims []Victim
 	// Speed is the learnt speed of the worker's tasks, 1 for the usual.
@@ -59,7 +60,7 @@
 type Victim struct {
 	Task cell.TaskKey
 	Run  int64
-	Need cell.Resources
+	Need model.Resources
 	// Priority of its queue; only work of a lower number may stop it.
 	Priority int
 	// Lost is the work that a stop throws away, in core-milliseconds.
@@ -101,7 +102,7 @@
 // Room is what a workspace may still start.
 type Room struct {
 	Limited bool
-	Left    cell.Resources
+	Left    model.Resources
 }
 
 // Input is a snapshot of the cell.
@@ -213,11 +214,11 @@
 }
 
 // allows reports whether a workspace may start that much more.
-func (r *Room) allows(need cell.Resources) bool { return r == nil || !r.Limited || need.Fits(r.Left) }
+func (r *Room) allows(need model.Resources) bool { return r == nil || !r.Limited || need.Fits(r.Left) }
 
-func (r *Room) take(need cell.Resources) {
+func (r *Room) take(need model.Resources) {
 	if r != nil {
-		r.Left = r.Left.Minus(need)
+		r.Left = r.Left.Sub(need)
 	}
 }
 
@@ -295,7 +296,7 @@
 	if s.Step.DataRack != "" && w.Rack == s.Step.DataRack {
 		v += scoreDataRack
 	}
-	left := w.Free.Minus(s.Step.Need)
+	left := w.Free.Sub(s.Step.Need)
 	v -= scoreTight * float64(left.MilliCPU) / 16000
 	return v
 }
@@ -303,7 +304,7 @@
 // start takes the room for one task.
 func (p *planner) start(s *Pending, index int, run int64, w *Worker) {
 	if !s.Step.Filler {
-		w.Free = w.Free.Minus(s.Step.Need)
+		w.Free = w.Free.Sub(s.Step.Need)
 	}
 	if s.OnWorker != nil {
 		s.OnWorker[w.ID]++
--- a/internal/cell/plan/plan_test.go
+++ b/internal/cell/plan/plan_test.go
@@ -9,16 +9,17 @@
 
 	"kumquatwing/internal/cell"
 	"kumquatwing/internal/clock"
+	"kumquatwing/internal/model"
 )
 
 const testNow = clock.Instant(time.Hour)
 
 // worker returns one of 16 cores, of which free are left.
 func worker(id string, free int64) Worker {
-	room := cell.Resources{MilliCPU: 16000, MemoryMB: 32000}
+	room := model.Resources{MilliCPU: 16000, MemoryMB: 32000}
 	return Worker{
 		ID: cell.WorkerID(id), Pool: "p", DC: "dc1", Capacity: room, Speed: 1,
-		Free: cell.Resources{MilliCPU: free * 1000, MemoryMB: 32000},
+		Free: model.Resources{MilliCPU: free * 1000, MemoryMB: 32000},
 	}
 }
 
@@ -27,7 +28,7 @@
 	p := Pending{
 		Key: cell.StepKey{Job: cell.JobID(job)}, Pool: "p", Workspace: "a",
 		Step: &cell.Step{
-			Count: n, Need: cell.Resources{MilliCPU: cores * 1000, MemoryMB: 10}, EstimateMillis: 4000, Gang: gang,
+			Count: n, Need: model.Resources{MilliCPU: cores * 1000, MemoryMB: 10}, EstimateMillis: 4000, Gang: gang,
 		},
 		Queue:     &cell.Queue{Name: fmt.Sprint("q", priority), Priority: priority},
 		Due:       testNow.Add(time.Minute),
@@ -98,7 +99,7 @@
 
 func TestWorkspaceLimit(t *testing.T) {
 	in := input([]Worker{worker("w1", 16)}, pending("j", 4, 2, 0, false))
-	in.Rooms["a"] = &Room{Limited: true, Left: cell.Resources{MilliCPU: 5000, MemoryMB: 1000}}
+	in.Rooms["a"] = &Room{Limited: true, Left: model.Resources{MilliCPU: 5000, MemoryMB: 1000}}
 	qt.Check(t, Make(in).Starts, qt.HasLen, 2)
 }
 
@@ -111,7 +112,7 @@
 // core that becomes free.
 func TestGangKeepsRoomFromLessUrgentWork(t *testing.T) {
 	in := input([]Worker{worker("w1", 7)}, pending("g", 2, 4, 1, true), pending("small", 7, 1, 2, false))
-	in.Workers[0].Victims = []Victim{{Task: cell.TaskKey{Job: "x"}, Run: 1, Need: cell.Resources{MilliCPU: 9000, MemoryMB: 1}, Priority: 2, Lost: 1e9}}
+	in.Workers[0].Victims = []Victim{{Task: cell.TaskKey{Job: "x"}, Run: 1, Need: model.Resources{MilliCPU: 9000, MemoryMB: 1}, Priority: 2, Lost: 1e9}}
 	out := Make(in)
 	qt.Check(t, out.Starts, qt.HasLen, 0)
 	qt.Check(t, out.Stops, qt.HasLen, 0, qt.Commentf("too much work would be thrown away"))
@@ -121,7 +122,7 @@
 	victim := func(cores int64, priority int, lost float64) Victim {
 		return Victim{
 			Task: cell.TaskKey{Job: "x", Index: int(lost)}, Run: 1, Priority: priority, Lost: lost,
-			Need: cell.Resources{MilliCPU: cores * 1000, MemoryMB: 1},
+			Need: model.Resources{MilliCPU: cores * 1000, MemoryMB: 1},
 		}
 	}
 	for _, c := range []struct {
--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"kumquatwing/internal/cell"
+	"kumquatwing/internal/model"
 )
 
 // maxLostShare bounds the work that a preemption may throw away, as a share of
@@ -46,7 +46,7 @@
 	}
 	for i, v := range c.victims {
 		w := c.on[i]
-		w.Coming = w.Coming.Plus(v.Need)
+		w.Coming = w.Coming.Add(v.Need)
 		p.out.Stops = append(p.out.Stops, Stop{Worker: w.ID, Task: v.Task, Run: v.Run, For: s.Key})
 	}
 	return c.seats
@@ -56,7 +56,7 @@
 func findRoom(s *Pending, good []*Worker, share float64) *preemption {
 	c := &preemption{}
 	lost := 0.0
-	rooms := map[*Worker]cell.Resources{}
+	rooms := map[*Worker]model.Resources{}
 	for _, w := range good {
 		rooms[w] = comingRoom(w)
 	}
@@ -69,10 +69,10 @@
 		room := rooms[next.worker]
 		for _, v := range next.victims {
 			v.stopped = true
-			room = room.Plus(v.Need)
+			room = room.Add(v.Need)
 			c.victims, c.on = append(c.victims, v), append(c.on, next.worker)
 		}
-		rooms[next.worker] = room.Minus(s.Step.Need)
+		rooms[next.worker] = room.Sub(s.Step.Need)
 		c.seats = append(c.seats, next.worker)
 		lost += next.lost
 	}
@@ -96,7 +96,7 @@
 
 // cheapest returns the next seat that throws away the least work, nil if there
 // is none.
-func cheapest(s *Pending, good []*Worker, rooms map[*Worker]cell.Resources, seats []*Worker) *seatCost {
+func cheapest(s *Pending, good []*Worker, rooms map[*Worker]model.Resources, seats []*Worker) *seatCost {
 	var best *seatCost
 	for _, w := range good {
 		if s.Step.MaxPerWorker > 0 && s.OnWorker[w.ID]+countOf(seats, w) >= s.Step.MaxPerWorker {
@@ -124,13 +124,13 @@
 }
 
 // nextSeat returns what must be stopped on a worker for one more task.
-func nextSeat(s *Pending, w *Worker, room cell.Resources) *seatCost {
+func nextSeat(s *Pending, w *Worker, room model.Resources) *seatCost {
 	c := &seatCost{worker: w}
 	if s.Step.Need.Fits(room) {
 		return c
 	}
 	for _, v := range byLoss(w, s.Queue.Priority) {
-		room = room.Plus(v.Need)
+		room = room.Add(v.Need)
 		c.victims = append(c.victims, v)
 		c.lost += v.Lost
 		if s.Step.Need.Fits(room) {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -5,13 +5,14 @@
 	"sync"
 
 	"kumquatwing/internal/consensus"
+	"kumquatwing/internal/model"
 )
 
 // Allocation is one run that holds room on a worker.
 type Allocation struct {
 	Task TaskKey
 	Run  int64
-	Need Resources
+	Need model.Resources
 	// Filler allocations don't count against the capacity.
 	Filler    bool
 	Workspace string
@@ -32,7 +33,7 @@
 	DC       string
 	Pool     string
 	Labels   []string
-	Capacity Resources
+	Capacity model.Resources
 	// Draining workers take no new tasks.
 	Draining bool
 }
@@ -48,11 +49,11 @@
 	// Held maps tasks to the runs that hold room.
 	Held map[TaskKey]Allocation
 	// Used sums the allocations that count against the capacity.
-	Used Resources
+	Used model.Resources
 }
 
 // Free is the room that is left.
-func (w *WorkerState) Free() Resources { return w.Capacity.Minus(w.Used) }
+func (w *WorkerState) Free() model.Resources { return w.Capacity.Sub(w.Used) }
 
 // tables is the encoded part of the state.
 type tables struct {
@@ -87,7 +88,7 @@
 	// queues indexes the queues by name, those of former configurations too.
 	queues map[string]*Queue
 	// Used sums what each workspace holds.
-	Used map[string]Resources
+	Used map[string]model.Resources
 	// Applied is the index of the last command.
 	Applied uint64
 	// notify is called after each change, without the lock.
@@ -108,7 +109,7 @@
 	s.Workers = map[WorkerID]*WorkerState{}
 	s.Jobs = map[JobID]*Job{}
 	s.Active = map[JobID]*Job{}
-	s.Used = map[string]Resources{}
+	s.Used = map[string]model.Resources{}
 }
 
 // Read runs fn under the lock; fn must not keep references to what it changes.
@@ -185,18 +186,18 @@
 func (s *State) hold(w *WorkerState, a Allocation) {
 	w.Held[a.Task] = a
 	if !a.Filler {
-		w.Used = w.Used.Plus(a.Need)
+		w.Used = w.Used.Add(a.Need)
 	}
-	s.Used[a.Workspace] = s.Used[a.Workspace].Plus(a.Need)
+	s.Used[a.Workspace] = s.Used[a.Workspace].Add(a.Need)
 }
 
 // release removes an allocation without touching the job's counters.
 func (s *State) release(w *WorkerState, a Allocation) {
 	delete(w.Held, a.Task)
 	if !a.Filler {
-		w.Used = w.Used.Minus(a.Need)
+		w.Used = w.Used.Sub(a.Need)
 	}
-	s.Used[a.Workspace] = s.Used[a.Workspace].Minus(a.Need)
+	s.Used[a.Workspace] = s.Used[a.Workspace].Sub(a.Need)
 }
 
 // allocations returns what the worker holds in the order of the tasks.
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -6,12 +6,10 @@
 	"strings"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"kumquatwing/internal/cell"
 	"kumquatwing/internal/clock"
-	"kumquatwing/internal/codec"
 	"kumquatwing/internal/replica"
 	"kumquatwing/internal/scheduler"
 	"kumquatwing/internal/verdict"
@@ -56,19 +54,12 @@
 
 // handle registers a call, and its relayed form.
 func handle[Req, Resp any](s *Server, topic string, h func(context.Context, *Req) (*Resp, error)) {
+	typed := wire.Typed(topic, h)
 	lead := func(ctx context.Context, body []byte) ([]byte, error) {
 		if !s.Group.Status().IsLeader() {
 			return nil, verdict.Refuse(verdict.ReasonNotLeader, "this process does not lead")
 		}
-		req := new(Req)
-		if err := msgpack.Unmarshal(body, req); err != nil {
-			return nil, verdict.Refuse(verdict.ReasonBadRequest, "%s: request can't be decoded: %v", topic, err)
-		}
-		resp, err := h(ctx, req)
-		if err != nil {
-			return nil, err
-		}
-		return codec.Marshal(resp)
+		return typed(ctx, body)
 	}
 	s.Wire.Handle(topic+leaderSuffix, lead)
 	s.Wire.Handle(topic, func(ctx context.Context, body []byte) ([]byte, error) {
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -10,6 +10,7 @@
 	"kumquatwing/internal/cell"
 	"kumquatwing/internal/cell/plan"
 	"kumquatwing/internal/clock"
+	"kumquatwing/internal/model"
 )
 
 // plan places waiting tasks. Only one plan is being committed at a time, so
@@ -167,7 +168,7 @@
 			continue
 		}
 		if r.stopSince != 0 {
-			pw.Coming = pw.Coming.Plus(a.Need)
+			pw.Coming = pw.Coming.Add(a.Need)
 			continue
 		}
 		step := &j.Steps[k.Step]
@@ -212,7 +213,7 @@
 	for i := range c.Workspaces {
 		w := &c.Workspaces[i]
 		limit := w.Limit
-		if limit == (cell.Resources{}) {
+		if limit == (model.Resources{}) {
 			continue
 		}
 		out[w.Name] = &plan.Room{Limited: true, Left: leftOf(limit, s.cfg.State.Used[w.Name])}
@@ -223,8 +224,8 @@
 // unlimited stands for a dimension without a limit.
 const unlimited = int64(1) << 50
 
-func leftOf(limit, used cell.Resources) cell.Resources {
-	return cell.Resources{
+func leftOf(limit, used model.Resources) model.Resources {
+	return model.Resources{
 		MilliCPU:     leftIn(limit.MilliCPU, used.MilliCPU),
 		MemoryMB:     leftIn(limit.MemoryMB, used.MemoryMB),
 		Accelerators: leftIn(limit.Accelerators, used.Accelerators),
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -11,6 +11,7 @@
 
 	"kumquatwing/internal/cell"
 	"kumquatwing/internal/clock"
+	"kumquatwing/internal/model"
 	"kumquatwing/internal/replica"
 )
 
@@ -70,7 +71,7 @@
 	}}})
 	r.do(&cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{{
 		ID: testWorker, Born: 1, Addr: "10.0.0.1:1", DC: "dc1", Pool: "p",
-		Capacity: cell.Resources{MilliCPU: 16000, MemoryMB: 32000},
+		Capacity: model.Resources{MilliCPU: 16000, MemoryMB: 32000},
 	}}}})
 	r.do(&cell.Command{Submit: &cell.Submit{Job: cell.Job{ID: testJob, Queue: "q", Workspace: "a", Steps: steps}}})
 	return r
@@ -129,7 +130,7 @@
 	return out
 }
 
-var oneTask = cell.Step{Count: 1, Need: cell.Resources{MilliCPU: 1000}, EstimateMillis: 1000}
+var oneTask = cell.Step{Count: 1, Need: model.Resources{MilliCPU: 1000}, EstimateMillis: 1000}
 
 // A run that is committed while its start waits to be sent must not be taken
 // for one that an earlier leader left behind.
@@ -204,11 +205,8 @@
 func TestLeaseLapse(t *testing.T) {
 	r := newRig(t, oneTask)
 	r.lead()
-	r.answer(HoldReply{ClockMillis: 1000})
-	k := r.place(0, 1)
-	r.startRun(r.ctx, &cell.Start{Task: k, Run: 1, Worker: testWorker, Born: 1}, "", "", "")
+	k := r.startedRun()
 	se := r.sessions[testWorker]
-	r.started(r.ctx, se, k, se.runs[k], nil)
 	term := time.Duration(se.granted-1000) * time.Millisecond
 	r.clock.Advance(term)
 	r.checkLapse(se, r.now())
@@ -222,11 +220,8 @@
 func TestUnansweredRenewalsEnd(t *testing.T) {
 	r := newRig(t, oneTask)
 	r.lead()
-	r.answer(HoldReply{ClockMillis: 1000})
-	k := r.place(0, 1)
-	r.startRun(r.ctx, &cell.Start{Task: k, Run: 1, Worker: testWorker, Born: 1}, "", "", "")
+	k := r.startedRun()
 	se := r.sessions[testWorker]
-	r.started(r.ctx, se, k, se.runs[k], nil)
 	for i := 0; i < 100 && len(r.endsOf(k)) == 0; i++ {
 		r.clock.Advance(time.Second)
 		r.nextHold(se)
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -210,7 +210,13 @@
 
 // HandleTyped registers a handler whose request and reply are msgpack structs.
 func HandleTyped[Req, Resp any](n *Node, topic string, h func(ctx context.Context, req *Req) (*Resp, error)) {
-	n.Handle(topic, func(ctx context.Context, body []byte) ([]byte, error) {
+	n.Handle(topic, Typed(topic, h))
+}
+
+// Typed returns a handler that decodes the requests of a topic and encodes the
+// replies.
+func Typed[Req, Resp any](topic string, h func(ctx context.Context, req *Req) (*Resp, error)) Handler {
+	return func(ctx context.Context, body []byte) ([]byte, error) {
 		req := new(Req)
 		if err := msgpack.Unmarshal(body, req); err != nil {
 			return nil, verdict.Refuse(verdict.ReasonBadRequest, "%s: request can't be decoded: %v", topic, err)
@@ -220,7 +226,7 @@
 			return nil, err
 		}
 		return codec.Marshal(resp)
-	})
+	}
 }
 
 // Call sends req to topic at addr and decodes the reply into resp. An error is
