Put jobs beyond a workspace's share behind others; gangs keep nothing in a half free pool

Cause 1: weights were read and not used; in bursts a third of the jobs came from workspaces that sent more than their share and delayed the others'. A job is beyond it if its workspace submitted more than its weight in jobs a second.

Where half of a pool is free a gang asks about more workers instead. Test: TestGangKeepsNothingInAnEmptyPool, failing before.

Also: what nothing read is gone from reports and bounds.

--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -12,6 +12,9 @@
 	// maxSaved bounds the gangs that keep room from others while they wait for
 	// more of it.
 	maxSaved = 2
+	// mostlyFree is the free part of a pool from which on a gang that doesn't fit
+	// asks about more workers instead of keeping room from others.
+	mostlyFree = 0.5
 	// preemptSlack is how close a gang's latest start must be for more work to be
 	// thrown away for it; until then it waits for less urgent runs to end.
 	preemptSlack = 2500 * time.Millisecond
@@ -166,6 +169,10 @@
 		p.askGang(s, p.able(s, p.unasked))
 		return
 	}
+	if p.freeShare(s.Pool) >= mostlyFree {
+		p.askGang(s, p.able(s, p.unasked))
+		return
+	}
 	if p.saved == maxSaved {
 		return
 	}
@@ -182,6 +189,16 @@
 	}
 }
 
+// freeShare is the part of a pool's cores that is free.
+func (p *planner) freeShare(pool string) float64 {
+	var free, all int64
+	for _, w := range p.pools[pool] {
+		free += max(0, w.Free.MilliCPU)
+		all += w.Capacity.MilliCPU
+	}
+	return float64(free) / float64(max(1, all))
+}
+
 func (p *planner) unasked(s *Pending, w *Worker) bool {
 	return s.Advice != nil && !s.Advice.Asked[w.ID]
 }
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -93,6 +93,8 @@
 	OnWorker map[cell.WorkerID]int
 	// Due is when the job should have ended to count as in time.
 	Due clock.Instant
+	// OverShare says that the job's workspace had submitted more than its share.
+	OverShare bool
 	// Remaining is the estimated work that is left on the longest chain.
 	Remaining time.Duration
 	// Advice is nil where no policy needs to be asked.
@@ -164,8 +166,8 @@
 	return p.out
 }
 
-// sortPending orders steps: those that can still be in time go first, by
-// priority and then by the latest start that keeps them in time.
+// sortPending orders steps: those that can still be in time go first, of these
+// those within their workspace's share, then by priority and then by the latest start that keeps them in time.
 func sortPending(ps []Pending, now clock.Instant) {
 	slices.SortStableFunc(ps, func(a, b Pending) int {
 		if c := cmp.Compare(rank(&a, now), rank(&b, now)); c != 0 {
@@ -175,11 +177,18 @@
 	})
 }
 
-// lateRank sorts steps that can't be in time behind all others.
-const lateRank = 1000
+// lateRank sorts steps that can't be in time behind all others, and
+// overShareRank those of jobs beyond their workspace's share behind those within.
+const (
+	lateRank      = 1000
+	overShareRank = 100
+)
 
 func rank(p *Pending, now clock.Instant) int {
 	r := p.Queue.Priority
+	if p.OverShare {
+		r += overShareRank
+	}
 	if now > p.latestStart() {
 		r += lateRank
 	}
--- a/internal/cell/plan/plan_test.go
+++ b/internal/cell/plan/plan_test.go
@@ -90,8 +90,11 @@
 func TestOrder(t *testing.T) {
 	late := pending("late", 1, 2, 0, false)
 	late.Due = testNow.Add(time.Second)
-	in := input([]Worker{worker("w1", 4)}, late, pending("low", 1, 2, 2, false), pending("high", 1, 2, 1, false))
+	over := pending("over", 1, 2, 0, false)
+	over.OverShare = true
+	in := input([]Worker{worker("w1", 4)}, late, over, pending("low", 1, 2, 2, false), pending("high", 1, 2, 1, false))
 	placed := placedOn(Make(in))
+	qt.Check(t, placed["over"], qt.HasLen, 0, qt.Commentf("a job beyond its workspace's share went before others"))
 	qt.Check(t, placed["high"], qt.HasLen, 1)
 	qt.Check(t, placed["low"], qt.HasLen, 1)
 	qt.Check(t, placed["late"], qt.HasLen, 0, qt.Commentf("a job that can't be in time went before others"))
@@ -118,6 +121,19 @@
 	qt.Check(t, out.Stops, qt.HasLen, 0, qt.Commentf("too much work would be thrown away"))
 }
 
+// Where much is free, a gang that doesn't fit on its good workers asks about
+// others and keeps nothing from the next gang.
+func TestGangKeepsNothingInAnEmptyPool(t *testing.T) {
+	first := withAdvice(pending("first", 3, 7, 1, true), "w1", "w2")
+	second := withAdvice(pending("second", 2, 8, 1, true), "w1")
+	second.Due = second.Due.Add(time.Second)
+	ws := []Worker{worker("w1", 16), worker("w2", 2), worker("w3", 16), worker("w4", 16)}
+	out := Make(input(ws, first, second))
+	qt.Check(t, placedOn(out), qt.DeepEquals, map[cell.JobID]map[cell.WorkerID]int{"second": {"w1": 2}})
+	qt.Assert(t, out.Questions, qt.HasLen, 1)
+	qt.Check(t, out.Questions[0].Workers, qt.DeepEquals, []cell.WorkerID{"w3", "w4"})
+}
+
 func TestPreemption(t *testing.T) {
 	victim := func(cores int64, priority int, lost float64) Victim {
 		return Victim{
--- a/internal/cellapi/types.go
+++ b/internal/cellapi/types.go
@@ -100,8 +100,6 @@
 	Worker cell.Worker
 	// Sequence orders the reports of one incarnation.
 	Sequence int64
-	// ClockMillis is the worker's clock when it sent the report.
-	ClockMillis int64
 	// Remaining is the least time that a draining worker has left.
 	Remaining time.Duration
 }
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -111,7 +111,7 @@
 				s.cfg.Log.Info("no advice", zap.Stringer("step", key), zap.Error(err))
 				return
 			}
-			s.advised(st, queue, workers, advice, now)
+			s.advised(st, queue, workers, advice)
 		})
 	}()
 }
@@ -128,7 +128,7 @@
 }
 
 // advised notes an answer of the policy.
-func (s *Scheduler) advised(st *plan.StepAdvice, queue string, workers []cell.WorkerID, a *Advice, _ clock.Instant) {
+func (s *Scheduler) advised(st *plan.StepAdvice, queue string, workers []cell.WorkerID, a *Advice) {
 	until := s.now().Add(a.Valid - ticketMargin)
 	fresh, good := 0, 0
 	for _, w := range workers {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -62,8 +62,8 @@
 	case err == nil:
 		r.status, r.confirmed, r.moved = runStarted, now, now
 		s.cfg.Metrics.starts.Inc()
-		if at, ok := s.taken[k.Job]; ok && r.number == 1 && k.Index == 0 {
-			s.cfg.Metrics.firstStart.Observe(now.Sub(at).Seconds())
+		if in, ok := s.taken[k.Job]; ok && r.number == 1 && k.Index == 0 {
+			s.cfg.Metrics.firstStart.Observe(now.Sub(in.at).Seconds())
 		}
 	case errors.Is(err, errLeaseEnded):
 		r.status = runUnclear
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -245,7 +245,7 @@
 	if q == nil {
 		return ps
 	}
-	taken := s.takenAt(j, now)
+	in := s.intakeOf(j, now)
 	for o := range j.Occurrences {
 		occ := &j.Occurrences[o]
 		for i := range occ.Steps {
@@ -254,18 +254,19 @@
 			if waiting <= 0 || !j.Ready(o, i) || (j.Steps[i].Gang && (st.Held > 0 || st.Placed > 0)) {
 				continue
 			}
-			ps = append(ps, s.pending(j, q, o, i, taken))
+			ps = append(ps, s.pending(j, q, o, i, in))
 		}
 	}
 	return ps
 }
 
-func (s *Scheduler) pending(j *cell.Job, q *cell.Queue, o, i int, taken clock.Instant) plan.Pending {
+func (s *Scheduler) pending(j *cell.Job, q *cell.Queue, o, i int, in intake) plan.Pending {
 	step := &j.Steps[i]
 	p := plan.Pending{
 		Key:  cell.StepKey{Job: j.ID, Occurrence: o, Step: i},
 		Step: step, Queue: q, Pool: q.Pool, Workspace: j.Workspace,
-		Due:       taken.Add(objective(j, q)),
+		Due:       in.at.Add(objective(j, q)),
+		OverShare: in.overShare,
 		Remaining: chain(j, o),
 	}
 	tasks := j.Occurrences[o].Steps[i].Tasks
@@ -295,25 +296,6 @@
 	return n
 }
 
-// takenAt is when this leader first saw the job, or its submission if that is
-// known to be earlier.
-func (s *Scheduler) takenAt(j *cell.Job, now clock.Instant) clock.Instant {
-	at, ok := s.taken[j.ID]
-	if !ok {
-		at = now
-		if s.now().Sub(s.since) < time.Second {
-			age := time.Duration(time.Now().UnixMilli()-j.SubmittedUnixMillis) * time.Millisecond
-			at = now.Add(-min(max(0, age), maxInheritedAge))
-		}
-		s.taken[j.ID] = at
-	}
-	return at
-}
-
-// maxInheritedAge bounds the age of a job that an earlier leader took, since
-// the time of day may have jumped.
-const maxInheritedAge = 20 * time.Second
-
 // objective is the time within which a job should end.
 func objective(j *cell.Job, q *cell.Queue) time.Duration {
 	work := float64(chainOf(j, func(int) bool { return true }).Milliseconds())
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -32,8 +32,6 @@
 	Restore time.Duration
 	// KeepEnded is how long the state of an ended job is kept.
 	KeepEnded time.Duration
-	// Early is how much before its time an occurrence may start.
-	Early time.Duration
 }
 
 // Config is what a Scheduler is made of.
@@ -67,8 +65,10 @@
 	// usualSpeed is the mean logarithm of the speed of a queue's tasks against
 	// their estimates.
 	usualSpeed map[string]float64
-	// taken is when a job was first seen by this leader.
-	taken map[cell.JobID]clock.Instant
+	// taken holds what was noted when this leader first saw a job.
+	taken map[cell.JobID]intake
+	// shares counts the jobs of each workspace.
+	shares map[string]*shareBucket
 
 	ends     endBatch
 	planning bool
@@ -150,7 +150,8 @@
 	s.advice = map[cell.StepKey]*plan.StepAdvice{}
 	s.goodShare = map[string]float64{}
 	s.usualSpeed = map[string]float64{}
-	s.taken = map[cell.JobID]clock.Instant{}
+	s.taken = map[cell.JobID]intake{}
+	s.shares = map[string]*shareBucket{}
 	s.ends = endBatch{}
 	s.planning, s.creating, s.dirty, s.nextForget = false, false, true, 0
 	s.synced, s.looked = 0, false
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -66,7 +66,7 @@
 	explained := 0
 	s.cfg.State.Read(func() {
 		for id, j := range s.cfg.State.Active {
-			if at, ok := s.taken[id]; !ok || now.Sub(at) < stuckAfter {
+			if in, ok := s.taken[id]; !ok || now.Sub(in.at) < stuckAfter {
 				continue
 			}
 			for o := range j.Occurrences {
@@ -86,7 +86,8 @@
 // explain writes what is known of a waiting step. The state is locked.
 func (s *Scheduler) explain(k cell.StepKey, j *cell.Job, st *cell.StepState, now clock.Instant) {
 	fields := []zap.Field{
-		zap.Stringer("step", k), zap.String("queue", j.Queue), zap.Duration("age", now.Sub(s.taken[k.Job])),
+		zap.Stringer("step", k), zap.String("queue", j.Queue), zap.Duration("age", now.Sub(s.taken[k.Job].at)),
+		zap.Bool("over_share", s.taken[k.Job].overShare),
 		zap.Int("tasks", len(st.Tasks)), zap.Int("done", st.Done), zap.Int("placed", st.Placed), zap.Int("held", st.Held),
 		zap.Bool("gang", j.Steps[k.Step].Gang), zap.Int64("millicpu", j.Steps[k.Step].Need.MilliCPU),
 	}
