Take ends from the renewal loop alone; notice a lapse again

Cause, found by reading: an extra look at a worker could record an end in one batch while the next renewal, which listed it again, let the worker forget it with another batch; had the first not been committed, a task that was done could have been started again. And runs of a lapsed lease whose end was not committed stayed placed for good. Tests, failing before: TestEndsAreRecordedBeforeTheyAreAcknowledged, TestLapseIsNoticedAgain.

--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -65,11 +65,13 @@
 	acknowledge(seen)
 }
 
-// reopen lets ends that were not recorded be listed again.
+// reopen lets ends that were not recorded be listed again, and leases that
+// lapsed be noticed again.
 func (s *Scheduler) reopen(ends []cell.End) {
 	for i := range ends {
 		e := &ends[i]
 		if se := s.sessions[e.Worker]; se != nil {
+			se.lapsed = false
 			if r := se.runs[e.Task]; r != nil && r.number == e.Run {
 				r.ending = false
 			}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -374,7 +374,9 @@
 }
 
 // noteFinished records the ends that the worker lists and the runs that are
-// surely gone, and lets the hold loop go on once that is durable.
+// surely gone, and lets the hold loop go on once that is durable. Ends are taken
+// from the loop's own renewals alone: the next one acknowledges all that its
+// predecessor listed, so that each must be recorded by then.
 func (s *Scheduler) noteFinished(ctx context.Context, se *session, job *holdJob, running map[cell.TaskKey]int64) {
 	listed := map[cell.TaskKey]int64{}
 	last := se.seen
@@ -383,7 +385,7 @@
 		last = max(last, f.Number)
 		listed[f.Task] = max(listed[f.Task], f.Run)
 		r := se.runs[f.Task]
-		if r == nil || r.number != f.Run || r.ending {
+		if r == nil || r.number != f.Run || r.ending || job.extra {
 			continue
 		}
 		r.ending = true
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -114,9 +114,12 @@
 }
 
 // answer plays a worker's answer to a renewal that is sent now.
-func (r *rig) answer(reply HoldReply) {
+func (r *rig) answer(reply HoldReply) { r.answerTo(false, reply) }
+
+// answerTo does so for a renewal of the loop, or an extra one.
+func (r *rig) answerTo(extra bool, reply HoldReply) {
 	se := r.sessions[testWorker]
-	job := &holdJob{target: se.target, order: HoldOrder{Fence: r.term}, sent: r.now(), reply: &reply}
+	job := &holdJob{target: se.target, order: HoldOrder{Fence: r.term}, sent: r.now(), reply: &reply, extra: extra}
 	r.onHold(r.ctx, se, job)
 }
 
@@ -246,3 +249,39 @@
 	r.stopLeaving(r.ctx, se, r.now())
 	qt.Check(t, se.runs[k].stopSince != 0, qt.IsTrue)
 }
+
+// An end must be recorded before the worker may forget it, also if an extra look
+// at the worker showed it first.
+func TestEndsAreRecordedBeforeTheyAreAcknowledged(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	k := r.startedRun()
+	se := r.sessions[testWorker]
+	reply := HoldReply{ClockMillis: 2000, Finished: []FinishedTask{{Number: 1, Task: k, Run: 1, Outcome: cell.OutcomeDone}}}
+	r.answerTo(true, reply)
+	qt.Check(t, r.endsOf(k), qt.HasLen, 0)
+	r.answer(reply)
+	qt.Check(t, r.endsOf(k), qt.DeepEquals, []cell.Outcome{cell.OutcomeDone})
+	qt.Check(t, se.seen, qt.Equals, int64(0))
+	r.commitEnds(r.ctx)
+	r.runUntil(func() bool { return se.seen == 1 })
+	recorded := false
+	r.state.Read(func() { recorded = r.state.Jobs[testJob].State == cell.JobSucceeded })
+	qt.Check(t, recorded, qt.IsTrue)
+}
+
+// Runs of a lapsed lease whose end could not be recorded are given up again.
+func TestLapseIsNoticedAgain(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	k := r.startedRun()
+	se := r.sessions[testWorker]
+	r.clock.Advance(time.Minute)
+	r.checkLapse(se, r.now())
+	ends := r.ends.ends
+	qt.Assert(t, r.endsOf(k), qt.HasLen, 1)
+	r.ends = endBatch{inFlight: 1}
+	r.endsCommitted(ends, nil, context.DeadlineExceeded)
+	r.checkLapse(se, r.now())
+	qt.Check(t, r.endsOf(k), qt.HasLen, 1)
+}
