--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -12,15 +12,15 @@
 )
 
 const (
-	// firstTeams is the number of teams that a cluster begins with.
-	firstTeams = 30
-	// designTeams, designWorkers, designTasks, designVMs and designStarts are
+	// firstWorkspaces is the number of workspaces that a cluster begins with.
+	firstWorkspaces = 30
+	// designWorkspaces, designWorkers, designTasks, designVMs and designStarts are
 	// one data centre's part of the design size.
-	designTeams   = 220
-	designWorkers = 73
-	designTasks   = 1000
-	designVMs     = 8
-	designStarts  = 64
+	designWorkspaces = 220
+	designWorkers    = 73
+	designTasks      = 1000
+	designVMs        = 8
+	designStarts     = 64
 	// jobTasks is the size of one job of long tasks.
 	jobTasks = 50
 	// longRun is longer than a series takes.
@@ -91,14 +91,14 @@
 	c.report("data centres of three processes each", points)
 }
 
-// threeByThree is the size of today with some teams.
+// threeByThree is the size of today with some workspaces.
 func threeByThree(t *testing.T, base int) (*cluster, int, string) {
 	c := newCluster(t, base)
 	for d := 1; d <= 3; d++ {
 		c.addVMs(d, 3, true)
 	}
 	c.found()
-	c.kqctl("apply", "-f", c.declare(firstTeams, 3, 1), "--wait")
+	c.kqctl("apply", "-f", c.declare(firstWorkspaces, 3, 1), "--wait")
 	return c, c.quietDC(), c.grantKey(0)
 }
 
@@ -153,32 +153,32 @@
 	c.report("batch tasks running in a data centre of 73 workers, checkpointed each second", points)
 }
 
-// TestTeamsAndChanges varies the teams with a key each, then the changes.
-func TestTeamsAndChanges(t *testing.T) {
+// TestWorkspacesAndChanges varies the workspaces with a key each, then the changes.
+func TestWorkspacesAndChanges(t *testing.T) {
 	c, dc, _ := threeByThree(t, 64)
-	for team := 1; team < firstTeams; team++ {
-		c.grantKey(team)
+	for workspace := 1; workspace < firstWorkspaces; workspace++ {
+		c.grantKey(workspace)
 	}
-	points := []point{c.measure(dc, firstTeams)}
-	have := firstTeams
-	for _, n := range []int{110, designTeams} {
+	points := []point{c.measure(dc, firstWorkspaces)}
+	have := firstWorkspaces
+	for _, n := range []int{110, designWorkspaces} {
 		c.kqctl("apply", "-f", c.declare(n, 3, 1), "--wait")
 		for ; have < n; have++ {
 			c.grantKey(have)
 		}
 		points = append(points, c.measure(dc, float64(n)))
 	}
-	c.report("teams with a key each", points)
+	c.report("workspaces with a key each", points)
 	changes := []point{points[len(points)-1]}
 	changes[0].x = 0
-	files := []string{c.declare(designTeams, 3, 2), c.declare(designTeams, 3, 3)}
+	files := []string{c.declare(designWorkspaces, 3, 2), c.declare(designWorkspaces, 3, 3)}
 	for _, perMinute := range []float64{30, 120} {
 		next := 0
 		stop := every(perMinute/60, func() { next++; c.kqctl("apply", "-f", files[next%2]) })
 		changes = append(changes, c.measure(dc, perMinute))
 		stop()
 	}
-	c.report("changes a minute of a tree of 220 teams", changes)
+	c.report("changes a minute of a tree of 220 workspaces", changes)
 }
 
 // TestJobsAndStarts varies the jobs of one task, then the tasks of one job a
@@ -237,10 +237,10 @@
 	c.addVMs(2, designVMs, true)
 	c.addVMs(3, 1, true)
 	c.found()
-	c.kqctl("apply", "-f", c.declare(designTeams, 3, 1), "--wait")
+	c.kqctl("apply", "-f", c.declare(designWorkspaces, 3, 1), "--wait")
 	key := c.grantKey(0)
-	for team := 1; team < designTeams; team++ {
-		c.grantKey(team)
+	for workspace := 1; workspace < designWorkspaces; workspace++ {
+		c.grantKey(workspace)
 	}
 	const dc = 2
 	c.startWorkers(dc, "w", designWorkers)
--- a/capacity/cluster_test.go
+++ b/capacity/cluster_test.go
@@ -273,20 +273,20 @@
 	}
 }
 
-// declare writes declarations of some teams to a file and returns its path.
+// declare writes declarations of some workspaces to a file and returns its path.
 // Each retries sets another value, so that a second file is a change.
-func (c *cluster) declare(teams, dcs, retries int) string {
+func (c *cluster) declare(workspaces, dcs, retries int) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "settings:\n  task.retries: %d\nregions:\n  capacity:\n    data-centres:\n", retries)
 	for dc := 1; dc <= dcs; dc++ {
 		fmt.Fprintf(&b, "      dc%d: {}\n", dc)
 	}
-	fmt.Fprintf(&b, "queues:\n  open: {open: true}\nteams:\n")
-	for i := range teams {
-		fmt.Fprintf(&b, "  team%03d:\n    share: %d\n    limit: {cpu: 4000, memory: 8000GiB}\n", i, 1+i%4)
+	fmt.Fprintf(&b, "queues:\n  open: {open: true}\nworkspaces:\n")
+	for i := range workspaces {
+		fmt.Fprintf(&b, "  workspace%03d:\n    share: %d\n    limit: {cpu: 4000, memory: 8000GiB}\n", i, 1+i%4)
 		fmt.Fprintf(&b, "    workloads: {main: {settings: {request.deadline: %ds}}}\n", 5+i%20)
 	}
-	path := filepath.Join(c.dir, fmt.Sprintf("fleet-%d-%d.yaml", teams, retries))
+	path := filepath.Join(c.dir, fmt.Sprintf("fleet-%d-%d.yaml", workspaces, retries))
 	if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
 		c.t.Fatal(err)
 	}
@@ -309,13 +309,13 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// grantKey grants a key to a team and returns its text.
-func (c *cluster) grantKey(team int) string {
-	id, secret := fmt.Sprintf("k%d", team), strings.ReplaceAll(uuid.NewString(), "-", "")
+// grantKey grants a key to a workspace and returns its text.
+func (c *cluster) grantKey(workspace int) string {
+	id, secret := fmt.Sprintf("k%d", workspace), strings.ReplaceAll(uuid.NewString(), "-", "")
 	hash := sha256.Sum256([]byte(secret))
 	call := api.KeyCall{
 		Operation: api.Operation{OpID: uuid.NewString(), Actor: "capacity"},
-		Key:       model.KeyID(id), Team: model.TeamID(fmt.Sprintf("team%03d", team)),
+		Key:       model.KeyID(id), Workspace: model.WorkspaceID(fmt.Sprintf("workspace%03d", workspace)),
 		Hash: base64.StdEncoding.EncodeToString(hash[:]),
 	}
 	if !c.post("http://"+c.vms[0].ip+httpPort+api.PathKeys, "", call) {
--- a/cmd/kqfake/caller.go
+++ b/cmd/kqfake/caller.go
@@ -22,7 +22,7 @@
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "entry", Usage: "`IP:PORT` of entry VMs", Sources: cli.EnvVars("KQ_FAKE_ENTRY")},
 			&cli.StringFlag{Name: "queue", Usage: "queue to send to", Sources: cli.EnvVars("KQ_FAKE_QUEUE")},
-			&cli.StringFlag{Name: "key", Usage: "a team's key", Sources: cli.EnvVars("KQ_KEY")},
+			&cli.StringFlag{Name: "key", Usage: "a workspace's key", Sources: cli.EnvVars("KQ_KEY")},
 			&cli.IntFlag{Name: "requests", Value: 1000, Usage: "how many to send"},
 			&cli.IntFlag{Name: "parallel", Value: 16, Usage: "how many at the same time"},
 			&cli.FloatFlag{Name: "rate", Usage: "bound of requests per second; 0 for none"},
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -5,7 +5,7 @@
 
 // Headers of callers' requests and of our answers to them.
 const (
-	// HeaderKey carries a team's key.
+	// HeaderKey carries a workspace's key.
 	HeaderKey = "Kq-Key"
 	// HeaderRequestID carries a request's id; we return it on every answer.
 	HeaderRequestID = "Kq-Request-Id"
@@ -41,7 +41,7 @@
 	PathJobTasks = "/v1/jobs/{job}/tasks"
 	// PathCancelJobs cancels many jobs in one call (POST).
 	PathCancelJobs = "/v1/jobs/cancel"
-	// PathWhy explains a subject: task, job, team or worker.
+	// PathWhy explains a subject: task, job, workspace or worker.
 	PathWhy = "/v1/why/{kind}/{id}"
 	// PathSettings applies (POST) and reads (GET) declarations.
 	PathSettings = "/v1/settings"
--- a/internal/api/entry.go
+++ b/internal/api/entry.go
@@ -89,7 +89,7 @@
 type EntryView struct {
 	Revision    uint64             `msgpack:"r"`
 	Keys        []model.Key        `msgpack:"k"`
-	Teams       []model.Team       `msgpack:"t"`
+	Workspaces  []model.Workspace  `msgpack:"t"`
 	Queues      []model.Queue      `msgpack:"q"`
 	DataCentres []model.DataCentre `msgpack:"d"`
 	Tree        *settings.Tree     `msgpack:"s"`
@@ -115,11 +115,11 @@
 // RecordBegin asks the data centre group to record a request that is not
 // idempotent before it is sent.
 type RecordBegin struct {
-	ID     model.RequestID `msgpack:"i"`
-	Team   model.TeamID    `msgpack:"t"`
-	Queue  model.QueueName `msgpack:"q"`
-	Entry  model.VMID      `msgpack:"e"`
-	Digest uint64          `msgpack:"h"`
+	ID        model.RequestID   `msgpack:"i"`
+	Workspace model.WorkspaceID `msgpack:"t"`
+	Queue     model.QueueName   `msgpack:"q"`
+	Entry     model.VMID        `msgpack:"e"`
+	Digest    uint64            `msgpack:"h"`
 	// LifeMillis is how long the record is kept, from the minting of the id.
 	LifeMillis int64 `msgpack:"l"`
 	// Attempt names the one sending that this call is for. The same attempt may
--- a/internal/api/job.go
+++ b/internal/api/job.go
@@ -30,10 +30,10 @@
 	Limits []LimitWait `json:"limits,omitempty"`
 }
 
-// LimitWait is a part of a team's lowered limit that a data centre still uses.
+// LimitWait is a part of a workspace's lowered limit that a data centre still uses.
 type LimitWait struct {
-	Team model.TeamID `json:"team"`
-	DC   model.DCID   `json:"dc"`
+	Workspace model.WorkspaceID `json:"workspace"`
+	DC        model.DCID        `json:"dc"`
 	// Amount is what the data centre may use now, Target what it keeps.
 	Amount model.Resources `json:"amount"`
 	Target model.Resources `json:"target"`
--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -26,8 +26,8 @@
 // KeyCall grants a key. The secret stays with the operator, who mints it.
 type KeyCall struct {
 	Operation
-	Key  model.KeyID  `json:"key"`
-	Team model.TeamID `json:"team"`
+	Key       model.KeyID       `json:"key"`
+	Workspace model.WorkspaceID `json:"workspace"`
 	// Hash is the SHA-256 of the secret, in base64.
 	Hash string `json:"hash"`
 }
--- a/internal/api/worker.go
+++ b/internal/api/worker.go
@@ -67,11 +67,11 @@
 // TaskOrder tells a worker to start a run. It is repeated until the run is reported.
 type TaskOrder struct {
 	RunID
-	Job       model.JobID     `json:"job" msgpack:"j"`
-	Team      model.TeamID    `json:"team" msgpack:"m"`
-	Size      model.Resources `json:"size" msgpack:"s"`
-	RunMillis int64           `json:"run_ms" msgpack:"r"`
-	Service   bool            `json:"service" msgpack:"v"`
+	Job       model.JobID       `json:"job" msgpack:"j"`
+	Workspace model.WorkspaceID `json:"workspace" msgpack:"m"`
+	Size      model.Resources   `json:"size" msgpack:"s"`
+	RunMillis int64             `json:"run_ms" msgpack:"r"`
+	Service   bool              `json:"service" msgpack:"v"`
 	// FromMillis is the checkpoint to go on from.
 	FromMillis int64  `json:"from_ms,omitempty" msgpack:"f,omitempty"`
 	Payload    string `json:"payload,omitempty" msgpack:"p,omitempty"`
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -146,7 +146,7 @@
 			Name: "server", Usage: "`ADDRESS` of an entry VM; may be given several times, the next is tried when one can't answer",
 			Sources: cli.EnvVars("KQ_SERVER"),
 		},
-		&cli.StringFlag{Name: "key", Usage: "a team's `KEY`", Sources: cli.EnvVars("KQ_KEY")},
+		&cli.StringFlag{Name: "key", Usage: "a workspace's `KEY`", Sources: cli.EnvVars("KQ_KEY")},
 		&cli.StringFlag{Name: "operator-token", Usage: "the operators' `TOKEN`", Sources: cli.EnvVars("KQ_OPERATOR_TOKEN")},
 		&cli.StringFlag{Name: "actor", Usage: "your `NAME` in the history", Sources: cli.EnvVars("KQ_ACTOR", "USER"), Value: "operator"},
 		&cli.StringFlag{Name: "output", Usage: "`FORM` of the output: text or json", Value: "text", Sources: cli.EnvVars("KQ_OUTPUT")},
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -70,8 +70,8 @@
 }
 
 // grant mints a key and returns its text.
-func grant(t *testing.T, server *httptest.Server, team string) string {
-	out := must(t, operator(server, "key", "grant", team)...)
+func grant(t *testing.T, server *httptest.Server, workspace string) string {
+	out := must(t, operator(server, "key", "grant", workspace)...)
 	_, key, ok := strings.Cut(out, "\nkey ")
 	qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%s", out))
 	return strings.TrimSpace(key)
@@ -86,13 +86,13 @@
 	qt.Assert(t, must(t, submit...), qt.Equals, "edition-1\n")
 	qt.Assert(t, must(t, submit...), qt.Equals, "edition-1\n")
 	out = must(t, "--server", server.URL, "--key", key, "job", "status", "edition-1")
-	qt.Assert(t, out, qt.Contains, "edition-1 batch team yearbook, 3 tasks of 1000m/512MB/0, unfinished")
+	qt.Assert(t, out, qt.Contains, "edition-1 batch workspace yearbook, 3 tasks of 1000m/512MB/0, unfinished")
 	other := grant(t, server, "counter")
 	code, _, errs := kqctl("--server", server.URL, "--key", other, "job", "cancel", "edition-1")
 	qt.Assert(t, code, qt.Equals, ExitRefused)
 	qt.Assert(t, errs, qt.Contains, "unknown-job (not-run)")
 	must(t, "--server", server.URL, "--key", key, "job", "cancel", "edition-1")
-	out = must(t, operator(server, "get", "--explain", "--team", "yearbook", "--workload", "chapters", "request.deadline")...)
+	out = must(t, operator(server, "get", "--explain", "--workspace", "yearbook", "--workload", "chapters", "request.deadline")...)
 	qt.Assert(t, out, qt.Equals, "request.deadline=30s by workload yearbook/chapters, revision 1\n")
 	out = must(t, operator(server, "history")...)
 	qt.Assert(t, out, qt.Contains, "key-grant by ada")
@@ -197,7 +197,7 @@
 func TestJobStatusShowsTasks(t *testing.T) {
 	r := chi.NewRouter()
 	r.Get(api.PathJob, func(w http.ResponseWriter, _ *http.Request) {
-		spec := model.JobSpec{ID: "j", Team: "shop", Class: model.ClassBatch, Tasks: 2}
+		spec := model.JobSpec{ID: "j", Workspace: "shop", Class: model.ClassBatch, Tasks: 2}
 		httpx.WriteJSON(w, http.StatusOK, &api.JobStatus{Spec: spec, Outcome: model.OutcomeSucceeded})
 	})
 	r.Get(api.PathJobTasks, func(w http.ResponseWriter, _ *http.Request) {
@@ -207,7 +207,7 @@
 	server := httptest.NewServer(r)
 	t.Cleanup(server.Close)
 	out := must(t, "--server", server.URL, "job", "status", "--wait", "j")
-	qt.Assert(t, out, qt.Equals, "j batch team shop, 2 tasks of 0m/0MB/0, succeeded\n"+
+	qt.Assert(t, out, qt.Equals, "j batch workspace shop, 2 tasks of 0m/0MB/0, succeeded\n"+
 		"  j.0 running on w1\n  tasks in data centre dc2 can't be told\n")
 	out = must(t, "--server", server.URL, "--output", "json", "job", "status", "j")
 	qt.Assert(t, out, qt.Contains, `"worker":"w1"`)
--- a/internal/command/history_test.go
+++ b/internal/command/history_test.go
@@ -26,7 +26,7 @@
 	"kumquatwing/internal/verdict"
 )
 
-// configInput is one operator's call: a change of a team's share at an expected
+// configInput is one operator's call: a change of a workspace's share at an expected
 // revision, or a read.
 type configInput struct {
 	read   bool
@@ -140,7 +140,7 @@
 	return out
 }
 
-// race lets operators change one team's share through handler and returns the
+// race lets operators change one workspace's share through handler and returns the
 // history of what they were told.
 func race(t *testing.T, handler http.Handler, seed uint64) []porcupine.Operation {
 	server := httptest.NewServer(handler)
@@ -175,7 +175,7 @@
 	if err != nil || json.Unmarshal(body, &answer) != nil {
 		return configOutput{unknown: true}
 	}
-	return configOutput{revision: answer.Revision, share: answer.Declarations.Teams[0].Share}
+	return configOutput{revision: answer.Revision, share: answer.Declarations.Workspaces[0].Share}
 }
 
 func applyShare(c *client, in configInput) configOutput {
@@ -198,8 +198,8 @@
 }
 
 func shareOf(share int64) *settings.Declarations {
-	team := model.Team{ID: "shop", Share: share, Limit: model.Resources{MilliCPU: 1000}}
-	return &settings.Declarations{Teams: []model.Team{team}}
+	workspace := model.Workspace{ID: "shop", Share: share, Limit: model.Resources{MilliCPU: 1000}}
+	return &settings.Declarations{Workspaces: []model.Workspace{workspace}}
 }
 
 // prepared serves a state at revision 1 with a share of 1.
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -26,7 +26,7 @@
 		Usage: "submit, cancel and follow jobs",
 		Commands: []*cli.Command{
 			{
-				Name: "submit", Usage: "submit a job for the team of --key", Flags: submitFlags(), Action: t.submitJob,
+				Name: "submit", Usage: "submit a job for the workspace of --key", Flags: submitFlags(), Action: t.submitJob,
 				Description: "The job's id is made here and kept over all resends, so that the job is taken once.",
 			},
 			{Name: "cancel", Usage: "ask for the end of jobs, of all or none", ArgsUsage: "JOB...", Action: t.cancelJobs},
@@ -49,7 +49,7 @@
 	return []cli.Flag{
 		&cli.StringFlag{Name: "id", Usage: "the job's `ID`; give that of a submission that got no answer to send it again"},
 		&cli.StringFlag{Name: "class", Usage: "service, batch, gang or urgent", Value: string(model.ClassBatch)},
-		&cli.StringFlag{Name: "workload", Usage: "the settings level below the team"},
+		&cli.StringFlag{Name: "workload", Usage: "the settings level below the workspace"},
 		&cli.IntFlag{Name: "tasks", Usage: "number of tasks", Value: 1},
 		&cli.StringFlag{Name: "cpu", Usage: "cores of each task, such as 2, 0.5 or 500m", Value: "1"},
 		&cli.StringFlag{Name: "memory", Usage: "memory of each task, such as 512MiB", Value: "512MiB"},
@@ -238,7 +238,7 @@
 	if s.Outcome != "" {
 		outcome = string(s.Outcome)
 	}
-	line := fmt.Sprintf("%s %s team %s, %d tasks of %s, %s", s.Spec.ID, s.Spec.Class, s.Spec.Team,
+	line := fmt.Sprintf("%s %s workspace %s, %d tasks of %s, %s", s.Spec.ID, s.Spec.Class, s.Spec.Workspace,
 		s.Spec.Tasks, s.Spec.Size, outcome)
 	if s.Reason != "" {
 		line += ": " + s.Reason
--- a/internal/command/look.go
+++ b/internal/command/look.go
@@ -18,7 +18,7 @@
 func (t *tool) whyCommand() *cli.Command {
 	return &cli.Command{
 		Name: "why", Usage: "explain a placement, refusal or eviction", ArgsUsage: "KIND ID",
-		Description: "KIND is task, job, team or worker.",
+		Description: "KIND is task, job, workspace or worker.",
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			args, err := arguments(cmd, "KIND", "ID")
 			if err != nil {
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -88,8 +88,8 @@
 			w.Holder, w.DC, w.Confirmed, w.EndsMillis)
 	}
 	for _, l := range last.Limits {
-		text += fmt.Sprintf("; data centre %s still uses %s of the limit of team %s and is to keep %s",
-			l.DC, l.Amount, l.Team, l.Target)
+		text += fmt.Sprintf("; data centre %s still uses %s of the limit of workspace %s and is to keep %s",
+			l.DC, l.Amount, l.Workspace, l.Target)
 	}
 	return text
 }
@@ -97,10 +97,10 @@
 func (t *tool) keyCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "key",
-		Usage: "grant, withdraw and list teams' keys",
+		Usage: "grant, withdraw and list workspaces' keys",
 		Commands: []*cli.Command{
 			{
-				Name: "grant", Usage: "mint a key for a team and show it once", ArgsUsage: "TEAM",
+				Name: "grant", Usage: "mint a key for a workspace and show it once", ArgsUsage: "WORKSPACE",
 				Description: "The secret is made here; only its hash is sent.",
 				Flags: append(operationFlags(), &cli.StringFlag{
 					Name: "again", Usage: "the `KEY` shown by a grant that got no answer; give its --op-id too",
@@ -118,7 +118,7 @@
 
 // grantKey shows the key also when the answer was lost, since it may be valid.
 func (t *tool) grantKey(ctx context.Context, cmd *cli.Command) error {
-	args, err := arguments(cmd, "TEAM")
+	args, err := arguments(cmd, "WORKSPACE")
 	if err != nil {
 		return err
 	}
@@ -131,7 +131,7 @@
 		}
 	}
 	op := t.operation(cmd)
-	body := &api.KeyCall{Operation: op, Key: id, Team: model.TeamID(args[0]), Hash: fleet.HashText(hash)}
+	body := &api.KeyCall{Operation: op, Key: id, Workspace: model.WorkspaceID(args[0]), Hash: fleet.HashText(hash)}
 	err = t.operate(ctx, cmd, call{method: http.MethodPost, path: api.PathKeys, body: body}, op)
 	if code := exitCode(err); code == ExitOK || code == ExitPending || code == ExitMayHaveRun {
 		t.print([]byte(fmt.Sprintf("{\"key_id\":%q,\"key\":%q}\n", id, text)), "key "+text)
@@ -164,7 +164,7 @@
 		if k.Withdrawn {
 			state = "withdrawn"
 		}
-		lines = append(lines, fmt.Sprintf("%s team %s %s since revision %d", k.ID, k.Team, state, k.Revision))
+		lines = append(lines, fmt.Sprintf("%s workspace %s %s since revision %d", k.ID, k.Workspace, state, k.Revision))
 	}
 	t.print(raw, lines...)
 	return nil
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -41,8 +41,8 @@
 			if err != nil {
 				return err
 			}
-			t.print([]byte("{}\n"), fmt.Sprintf("%d data centres, %d teams, %d queues, %d settings: no faults",
-				len(d.DataCentres), len(d.Teams), len(d.Queues), len(d.Settings)))
+			t.print([]byte("{}\n"), fmt.Sprintf("%d data centres, %d workspaces, %d queues, %d settings: no faults",
+				len(d.DataCentres), len(d.Workspaces), len(d.Queues), len(d.Settings)))
 			return nil
 		},
 	}
@@ -125,7 +125,7 @@
 			&cli.BoolFlag{Name: "explain", Usage: "show effective values and the level and revision that decided each"},
 			&cli.BoolFlag{Name: "stale", Usage: "take what the server has, also when it is cut off"},
 			&cli.StringFlag{Name: "region"}, &cli.StringFlag{Name: "dc"},
-			&cli.StringFlag{Name: "team"}, &cli.StringFlag{Name: "workload"},
+			&cli.StringFlag{Name: "workspace"}, &cli.StringFlag{Name: "workload"},
 		},
 		Action: t.get,
 	}
@@ -144,7 +144,7 @@
 		return err
 	}
 	query.Set("name", cmd.Args().First())
-	for _, flag := range []string{"region", "dc", "team", "workload"} {
+	for _, flag := range []string{"region", "dc", "workspace", "workload"} {
 		query.Set(flag, cmd.String(flag))
 	}
 	var answer api.ExplainAnswer
--- a/internal/control/account.go
+++ b/internal/control/account.go
@@ -54,7 +54,7 @@
 func (s *Server) explainSubject(w http.ResponseWriter, r *http.Request) {
 	call := &accountCall{Kind: why.Kind(chi.URLParam(r, "kind")), ID: chi.URLParam(r, "id")}
 	if !call.Kind.Valid() {
-		httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonBadRequest, "kind %q is not task, job, team or worker", call.Kind))
+		httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonBadRequest, "kind %q is not task, job, workspace or worker", call.Kind))
 		return
 	}
 	answer := s.gatherAccount(r.Context(), call)
--- a/internal/control/fleetreq.go
+++ b/internal/control/fleetreq.go
@@ -41,12 +41,12 @@
 	}
 	for _, g := range r.Returns {
 		cmds = append(cmds, &fleet.Command{ReturnGrant: &fleet.ReturnGrant{
-			Team: g.Team, DC: s.cfg.DC, Keep: g.Keep, Version: g.Version, Generation: g.Generation,
+			Workspace: g.Workspace, DC: s.cfg.DC, Keep: g.Keep, Version: g.Version, Generation: g.Generation,
 		}})
 	}
 	for _, g := range r.Grants {
 		cmds = append(cmds, &fleet.Command{RequestGrant: &fleet.RequestGrant{
-			Team: g.Team, DC: s.cfg.DC, Want: g.Want, Holds: g.Holds, Floor: g.Floor,
+			Workspace: g.Workspace, DC: s.cfg.DC, Want: g.Want, Holds: g.Holds, Floor: g.Floor,
 		}})
 	}
 	for _, m := range r.Reassign {
--- a/internal/control/fleetview.go
+++ b/internal/control/fleetview.go
@@ -173,16 +173,16 @@
 	}
 	v.jobsVersion, v.grantsVersion = state.JobsVersionIn(v.dc), state.GrantsVersion()
 	sameJobs := old.jobsVersion == v.jobsVersion && old.applied != 0
-	sameTeams := old.grantsVersion == v.grantsVersion && old.revision == v.revision && old.applied != 0
-	if sameJobs && sameTeams {
+	sameWorkspaces := old.grantsVersion == v.grantsVersion && old.revision == v.revision && old.applied != 0
+	if sameJobs && sameWorkspaces {
 		t.Revision = old.tick.Revision
 	}
-	t.Jobs, t.Teams = old.tick.Jobs, old.tick.Teams
+	t.Jobs, t.Workspaces = old.tick.Jobs, old.tick.Workspaces
 	if !sameJobs {
 		t.Jobs = jobsHere(state, v.dc)
 	}
-	if !sameTeams {
-		t.Teams = teamsHere(state, v.dc)
+	if !sameWorkspaces {
+		t.Workspaces = workspacesHere(state, v.dc)
 	}
 	return t
 }
@@ -195,13 +195,13 @@
 	return jobs
 }
 
-func teamsHere(state *fleet.State, dc model.DCID) []systems.TeamHere {
+func workspacesHere(state *fleet.State, dc model.DCID) []systems.WorkspaceHere {
 	dcs := state.DataCentres()
-	var teams []systems.TeamHere
-	for _, team := range state.Teams() {
-		teams = append(teams, teamHere(state, team, dc, dcs))
+	var workspaces []systems.WorkspaceHere
+	for _, workspace := range state.Workspaces() {
+		workspaces = append(workspaces, workspaceHere(state, workspace, dc, dcs))
 	}
-	return teams
+	return workspaces
 }
 
 func jobHere(j *fleet.Job, dc model.DCID) systems.JobHere {
@@ -223,12 +223,12 @@
 	return h
 }
 
-func teamHere(state *fleet.State, team model.Team, dc model.DCID, dcs []model.DataCentre) systems.TeamHere {
-	g := state.Grant(team.ID, dc)
-	h := systems.TeamHere{Team: team, Granted: g.Amount, Target: g.Target, Over: g.Over, Version: g.Version, Asked: g.Want, AskedFloor: g.Floor, AskedHolds: g.Holds}
+func workspaceHere(state *fleet.State, workspace model.Workspace, dc model.DCID, dcs []model.DataCentre) systems.WorkspaceHere {
+	g := state.Grant(workspace.ID, dc)
+	h := systems.WorkspaceHere{Workspace: workspace, Granted: g.Amount, Target: g.Target, Over: g.Over, Version: g.Version, Asked: g.Want, AskedFloor: g.Floor, AskedHolds: g.Holds}
 	for _, other := range dcs {
 		if other.ID != dc {
-			h.Elsewhere = h.Elsewhere.Add(state.Grant(team.ID, other.ID).Holds)
+			h.Elsewhere = h.Elsewhere.Add(state.Grant(workspace.ID, other.ID).Holds)
 		}
 	}
 	return h
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -130,7 +130,7 @@
 // retry returns how often and how soon a failed task of a job is started again.
 func (v *fleetView) retry(j *work.Job) (int, time.Duration) {
 	scope := v.scope()
-	scope.Team, scope.Workload = j.Spec.Team, j.Spec.Workload
+	scope.Workspace, scope.Workload = j.Spec.Workspace, j.Spec.Workload
 	retries, _ := v.tree.Int(scope, settings.TaskRetries)
 	backoff, _ := v.tree.Duration(scope, settings.TaskBackoff)
 	return int(retries), backoff
--- a/internal/control/placer.go
+++ b/internal/control/placer.go
@@ -174,9 +174,9 @@
 		return nil, verdict.Refuse(verdict.ReasonNotLeader, "%s does not lead the fleet", s.cfg.VM).RetryIn(retryNoLeader)
 	}
 	v := s.fleetView()
-	for i := range v.entry.Teams {
-		if v.entry.Teams[i].ID == c.Spec.Team {
-			if refusal := dispatch.CheckLimit(&c.Spec, &v.entry.Teams[i]); refusal != nil {
+	for i := range v.entry.Workspaces {
+		if v.entry.Workspaces[i].ID == c.Spec.Workspace {
+			if refusal := dispatch.CheckLimit(&c.Spec, &v.entry.Workspaces[i]); refusal != nil {
 				return nil, refusal
 			}
 		}
--- a/internal/entry/backend_test.go
+++ b/internal/entry/backend_test.go
@@ -50,8 +50,8 @@
 			c := newCell(t)
 			c.control.Set(func(v *api.EntryView) {
 				v.Tree = settings.NewTree()
-				v.Tree.Set(settings.LevelTeam, "vets", settings.RequestIdle, settings.Value{Int: 200}, 7)
-				v.Tree.Set(settings.LevelTeam, "vets", settings.RequestAnswer, settings.Value{Int: 600_000}, 7)
+				v.Tree.Set(settings.LevelWorkspace, "vets", settings.RequestIdle, settings.Value{Int: 200}, 7)
+				v.Tree.Set(settings.LevelWorkspace, "vets", settings.RequestAnswer, settings.Value{Int: 600_000}, 7)
 			})
 			e := c.addEntry()
 			size := 500_000
@@ -185,7 +185,7 @@
 	c := newCell(t)
 	c.control.Set(func(v *api.EntryView) {
 		v.Tree = settings.NewTree()
-		v.Tree.Set(settings.LevelTeam, "vets", settings.RequestIdle, settings.Value{Int: 300}, 7)
+		v.Tree.Set(settings.LevelWorkspace, "vets", settings.RequestIdle, settings.Value{Int: 300}, 7)
 	})
 	e := c.addEntry()
 	s := c.addServer("orders", func(cfg *fakeConfig) { cfg.AnswerBytes = 15 << 20 })
--- a/internal/entry/caller_test.go
+++ b/internal/entry/caller_test.go
@@ -45,8 +45,8 @@
 		withdrawn.Withdrawn = true
 		v.Keys = append(v.Keys, withdrawn)
 		v.Tree = settings.NewTree()
-		v.Tree.Set(settings.LevelTeam, "vets", settings.RequestBody, settings.Value{Int: 100_000}, 7)
-		v.Tree.Set(settings.LevelTeam, "vets", settings.RequestIdle, settings.Value{Int: 300}, 7)
+		v.Tree.Set(settings.LevelWorkspace, "vets", settings.RequestBody, settings.Value{Int: 100_000}, 7)
+		v.Tree.Set(settings.LevelWorkspace, "vets", settings.RequestIdle, settings.Value{Int: 300}, 7)
 	})
 	e := c.addEntry()
 	s := c.addServer("orders")
@@ -65,7 +65,7 @@
 		{"wrong key", "GET /q/orders HTTP/1.1\r\nHost: x\r\nKq-Key: kq_k1_guess\r\n\r\n", false, 401, verdict.NotRun, verdict.ReasonBadKey},
 		{"malformed key", "GET /q/orders HTTP/1.1\r\nHost: x\r\nKq-Key: secret\r\n\r\n", false, 401, verdict.NotRun, verdict.ReasonBadKey},
 		{"withdrawn key", "GET /q/orders HTTP/1.1\r\nHost: x\r\nKq-Key: kq_k3_secret\r\n\r\n", false, 401, verdict.NotRun, verdict.ReasonBadKey},
-		{"another team's key", "GET /q/orders HTTP/1.1\r\nHost: x\r\nKq-Key: " + shopKey + "\r\n\r\n", false, 403, verdict.NotRun, verdict.ReasonWrongTeam},
+		{"another workspace's key", "GET /q/orders HTTP/1.1\r\nHost: x\r\nKq-Key: " + shopKey + "\r\n\r\n", false, 403, verdict.NotRun, verdict.ReasonWrongWorkspace},
 		{"unknown queue", "GET /q/nothing HTTP/1.1\r\nHost: x\r\n\r\n", false, 404, verdict.NotRun, verdict.ReasonUnknownQueue},
 		{"unknown path", "GET /x HTTP/1.1\r\nHost: x\r\n\r\n", false, 400, verdict.NotRun, verdict.ReasonBadRequest},
 		{"deadline without number", post("Kq-Deadline-Ms: soon\r\nContent-Length: 0\r\n", ""), false, 400, verdict.NotRun, verdict.ReasonBadRequest},
@@ -99,11 +99,11 @@
 	c := newCell(t)
 	c.control.Set(func(v *api.EntryView) {
 		v.Tree = settings.NewTree()
-		v.Tree.Set(settings.LevelTeam, "vets", settings.RequestBody, settings.Value{Int: 4}, 7)
+		v.Tree.Set(settings.LevelWorkspace, "vets", settings.RequestBody, settings.Value{Int: 4}, 7)
 	})
 	e := c.addEntry()
 	got := c.send(e, request{path: "/q/orders", key: vetsKey, body: "12345"})
-	qt.Assert(t, got.body, qt.Contains, `"decided_by":"request.body=4B by team vets, revision 7"`)
+	qt.Assert(t, got.body, qt.Contains, `"decided_by":"request.body=4B by workspace vets, revision 7"`)
 }
 
 func TestOpenQueueTakesAll(t *testing.T) {
--- a/internal/entry/cell_test.go
+++ b/internal/entry/cell_test.go
@@ -27,18 +27,18 @@
 	shopKey = "kq_k2_secret"
 )
 
-func key(id model.KeyID, team model.TeamID) model.Key {
-	return model.Key{ID: id, Team: team, Hash: sha256.Sum256([]byte("secret"))}
+func key(id model.KeyID, workspace model.WorkspaceID) model.Key {
+	return model.Key{ID: id, Workspace: workspace, Hash: sha256.Sum256([]byte("secret"))}
 }
 
 func testView() api.EntryView {
 	return api.EntryView{
-		Revision: 1,
-		Keys:     []model.Key{key("k1", "vets"), key("k2", "shop")},
-		Teams:    []model.Team{{ID: "shop", Share: 1}, {ID: "vets", Share: 3}},
+		Revision:   1,
+		Keys:       []model.Key{key("k1", "vets"), key("k2", "shop")},
+		Workspaces: []model.Workspace{{ID: "shop", Share: 1}, {ID: "vets", Share: 3}},
 		Queues: []model.Queue{
 			{Name: "lookup", Open: true},
-			{Name: "orders", Team: "vets"},
+			{Name: "orders", Workspace: "vets"},
 		},
 		DataCentres: []model.DataCentre{{ID: "a"}, {ID: "b"}},
 		Tree:        settings.NewTree(),
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -155,7 +155,7 @@
 	qt.Assert(t, s.Counts().Runs[first.id], qt.Equals, 1)
 }
 
-// TestSharesAndShedding loads an open queue from two teams beyond its slots:
+// TestSharesAndShedding loads an open queue from two workspaces beyond its slots:
 // what is shed was not run, and what is answered follows the shares.
 func TestSharesAndShedding(t *testing.T) {
 	t.Parallel()
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -24,17 +24,17 @@
 	VM      model.VMID `json:"vm,omitempty"`
 	Kind    Kind       `json:"kind"`
 
-	DC      model.DCID      `json:"dc,omitempty"`
-	Team    model.TeamID    `json:"team,omitempty"`
-	Job     model.JobID     `json:"job,omitempty"`
-	Task    model.TaskID    `json:"task,omitempty"`
-	Attempt uint32          `json:"attempt,omitempty"`
-	Worker  model.WorkerID  `json:"worker,omitempty"`
-	Server  model.ServerID  `json:"server,omitempty"`
-	Queue   model.QueueName `json:"queue,omitempty"`
-	Request model.RequestID `json:"request,omitempty"`
-	Key     model.KeyID     `json:"key,omitempty"`
-	Epoch   model.Epoch     `json:"epoch,omitempty"`
+	DC        model.DCID        `json:"dc,omitempty"`
+	Workspace model.WorkspaceID `json:"workspace,omitempty"`
+	Job       model.JobID       `json:"job,omitempty"`
+	Task      model.TaskID      `json:"task,omitempty"`
+	Attempt   uint32            `json:"attempt,omitempty"`
+	Worker    model.WorkerID    `json:"worker,omitempty"`
+	Server    model.ServerID    `json:"server,omitempty"`
+	Queue     model.QueueName   `json:"queue,omitempty"`
+	Request   model.RequestID   `json:"request,omitempty"`
+	Key       model.KeyID       `json:"key,omitempty"`
+	Epoch     model.Epoch       `json:"epoch,omitempty"`
 	// Revision is the fleet revision the decision was made under.
 	Revision uint64 `json:"revision,omitempty"`
 	// Cause is a stable reason code.
--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -162,15 +162,15 @@
 
 // answerGrants changes the grants in the view as the fleet would, at once.
 func (c *Cell) answerGrants(r *systems.FleetRequests) {
-	for i := range c.View.Teams {
-		h := &c.View.Teams[i]
+	for i := range c.View.Workspaces {
+		h := &c.View.Workspaces[i]
 		for _, g := range r.Returns {
-			if g.Team == h.ID && g.Version == h.Version {
+			if g.Workspace == h.ID && g.Version == h.Version {
 				c.regrant(h, g.Keep, h.Target.Min(g.Keep))
 			}
 		}
 		for _, g := range r.Grants {
-			if g.Team == h.ID {
+			if g.Workspace == h.ID {
 				amount := h.Granted.Max(g.Want.Min(h.Limit))
 				c.regrant(h, amount, amount)
 				h.Asked, h.AskedFloor, h.AskedHolds = g.Want, g.Floor, g.Holds
@@ -179,7 +179,7 @@
 	}
 }
 
-func (c *Cell) regrant(h *systems.TeamHere, amount, target model.Resources) {
+func (c *Cell) regrant(h *systems.WorkspaceHere, amount, target model.Resources) {
 	c.View.Revision++
 	h.Granted, h.Target = amount, target
 	h.Version++
@@ -212,24 +212,24 @@
 
 // Submit lists a job in the fleet's view.
 func (c *Cell) Submit(s model.JobSpec) {
-	if s.Team == "" {
-		s.Team = "t1"
+	if s.Workspace == "" {
+		s.Workspace = "t1"
 	}
 	if s.Size.IsZero() {
 		s.Size = model.Resources{MilliCPU: 1000, MemoryMB: 512}
 	}
 	c.View.Revision++
 	c.View.Jobs = append(c.View.Jobs, systems.JobHere{Spec: s, Assignment: c.View.Revision})
-	if len(c.View.Teams) == 0 {
+	if len(c.View.Workspaces) == 0 {
 		c.SetLimit(model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40})
 	}
 }
 
-// SetLimit sets the limit of the only team, all of it granted here.
+// SetLimit sets the limit of the only workspace, all of it granted here.
 func (c *Cell) SetLimit(r model.Resources) {
 	c.View.Revision++
-	team := model.Team{ID: "t1", Share: 1, Limit: r}
-	c.View.Teams = []systems.TeamHere{{Team: team, Granted: r, Target: r, Version: c.View.Revision}}
+	workspace := model.Workspace{ID: "t1", Share: 1, Limit: r}
+	c.View.Workspaces = []systems.WorkspaceHere{{Workspace: workspace, Granted: r, Target: r, Version: c.View.Revision}}
 }
 
 // States counts a job's tasks by state.
--- a/internal/fake/cell/chaos.go
+++ b/internal/fake/cell/chaos.go
@@ -260,7 +260,7 @@
 	ch.jobs++
 	classes := []model.Class{model.ClassBatch, model.ClassService, model.ClassGang, model.ClassUrgent}
 	ch.fleet.submit(model.JobSpec{
-		ID: model.JobID(fmt.Sprintf("j%d", ch.jobs)), Team: "t1", Class: classes[ch.src.Intn(len(classes))],
+		ID: model.JobID(fmt.Sprintf("j%d", ch.jobs)), Workspace: "t1", Class: classes[ch.src.Intn(len(classes))],
 		Workload: "wl", Tasks: 1 + ch.src.Intn(4), RunMillis: int64(ch.src.Intn(8000)),
 		Size:       model.Resources{MilliCPU: 500 + 500*int64(ch.src.Intn(3)), MemoryMB: 256},
 		Idempotent: ch.src.Intn(3) > 0, MinRunning: ch.src.Intn(2),
--- a/internal/fake/cell/check.go
+++ b/internal/fake/cell/check.go
@@ -100,6 +100,6 @@
 		}
 	}
 	if !used.Fits(ch.fleet.granted) {
-		ch.fail("team runs %s over its grant %s", used, ch.fleet.granted)
+		ch.fail("workspace runs %s over its grant %s", used, ch.fleet.granted)
 	}
 }
--- a/internal/fake/cell/fleet.go
+++ b/internal/fake/cell/fleet.go
@@ -8,7 +8,7 @@
 )
 
 // fleet is the part of the fleet's state that a data centre depends on, with
-// one team and one other data centre that runs what it is given at once.
+// one workspace and one other data centre that runs what it is given at once.
 type fleet struct {
 	revision   uint64
 	generation uint64
@@ -53,8 +53,8 @@
 		h.Tasks = append(h.Tasks, j.here...)
 		v.Jobs = append(v.Jobs, h)
 	}
-	team := model.Team{ID: "t1", Share: 1, Limit: f.limit}
-	v.Teams = []systems.TeamHere{{Team: team, Granted: f.granted, Target: f.target, Version: f.version}}
+	workspace := model.Workspace{ID: "t1", Share: 1, Limit: f.limit}
+	v.Workspaces = []systems.WorkspaceHere{{Workspace: workspace, Granted: f.granted, Target: f.target, Version: f.version}}
 	return &v
 }
 
--- a/internal/fake/worker/core.go
+++ b/internal/fake/worker/core.go
@@ -357,7 +357,7 @@
 func (c *Core) record(kind eventlog.Kind, r *run) {
 	c.cfg.Events.Record(eventlog.Event{
 		Kind: kind, DC: c.cfg.DC, Worker: c.cfg.ID, Task: r.order.Task, Job: r.order.Job,
-		Team: r.order.Team, Attempt: r.order.Attempt, Epoch: c.epoch,
+		Workspace: r.order.Workspace, Attempt: r.order.Attempt, Epoch: c.epoch,
 		Cause: cmp.Or(r.reason, string(r.outcome)),
 	})
 }
--- a/internal/fake/worker/worker_test.go
+++ b/internal/fake/worker/worker_test.go
@@ -35,8 +35,8 @@
 	c.state.Apply(1, c.leader.Prepare())
 	size := model.Resources{MilliCPU: 100, MemoryMB: 10}
 	c.state.Apply(1, &work.Command{
-		Admit:  []work.Admit{{Spec: model.JobSpec{ID: "j", Team: "t", Tasks: 3, Size: size, RunMillis: 50}}},
-		Grants: []work.SetGrant{{Team: "t", Version: 1, Cap: size.Scale(9)}},
+		Admit:  []work.Admit{{Spec: model.JobSpec{ID: "j", Workspace: "t", Tasks: 3, Size: size, RunMillis: 50}}},
+		Grants: []work.SetGrant{{Workspace: "t", Version: 1, Cap: size.Scale(9)}},
 	})
 	return c
 }
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -50,7 +50,7 @@
 }
 
 // BenchmarkGrants measures a request and a look at all grants at the design
-// size: 220 teams in 22 data centres.
+// size: 220 workspaces in 22 data centres.
 func BenchmarkGrants(b *testing.B) {
 	f := newFixture(b)
 	d := declared(1 << 20)
@@ -58,14 +58,14 @@
 		d.DataCentres = append(d.DataCentres, settings.Place{ID: model.DCID(fmt.Sprintf("x%02d", i)), Region: "r"})
 	}
 	for i := range 218 {
-		d.Teams = append(d.Teams, model.Team{ID: model.TeamID(fmt.Sprintf("t%03d", i)), Share: 1, Limit: d.Teams[0].Limit})
+		d.Workspaces = append(d.Workspaces, model.Workspace{ID: model.WorkspaceID(fmt.Sprintf("t%03d", i)), Share: 1, Limit: d.Workspaces[0].Limit})
 	}
 	f.apply(d)
-	ask := func(team model.TeamID, dc model.DCID, milliCPU int64) {
+	ask := func(workspace model.WorkspaceID, dc model.DCID, milliCPU int64) {
 		want := model.Resources{MilliCPU: milliCPU}
-		f.ok(&Command{RequestGrant: &RequestGrant{Team: team, DC: dc, Want: want}})
+		f.ok(&Command{RequestGrant: &RequestGrant{Workspace: workspace, DC: dc, Want: want}})
 	}
-	for _, t := range f.state.Teams() {
+	for _, t := range f.state.Workspaces() {
 		for _, dc := range f.state.DataCentres() {
 			ask(t.ID, dc.ID, 1<<18)
 		}
@@ -79,7 +79,7 @@
 	})
 	b.Run("look", func(b *testing.B) {
 		for b.Loop() {
-			for _, t := range f.state.Teams() {
+			for _, t := range f.state.Workspaces() {
 				for _, dc := range f.state.DataCentres() {
 					f.state.Grant(t.ID, dc.ID)
 				}
--- a/internal/fleet/command.go
+++ b/internal/fleet/command.go
@@ -58,11 +58,11 @@
 	FromRevision uint64 `msgpack:"f,omitempty"`
 }
 
-// GrantKey adds a key of a team. Only the hash of its secret is sent.
+// GrantKey adds a key of a workspace. Only the hash of its secret is sent.
 type GrantKey struct {
-	Key  model.KeyID  `msgpack:"k"`
-	Team model.TeamID `msgpack:"t"`
-	Hash [32]byte     `msgpack:"h"`
+	Key       model.KeyID       `msgpack:"k"`
+	Workspace model.WorkspaceID `msgpack:"t"`
+	Hash      [32]byte          `msgpack:"h"`
 }
 
 // WithdrawKey ends a key for good.
@@ -81,16 +81,16 @@
 	Spec model.JobSpec `msgpack:"s"`
 	// Owners holds the data centre of each task, by the task's index.
 	Owners []model.DCID `msgpack:"o"`
-	// Key, if set, must be a key of the job's team that is not withdrawn.
+	// Key, if set, must be a key of the job's workspace that is not withdrawn.
 	Key model.KeyID `msgpack:"k,omitempty"`
 }
 
 // CancelJobs asks the owners of jobs to end them.
 type CancelJobs struct {
 	IDs []model.JobID `msgpack:"i"`
-	// Team, if set, is the only one whose jobs are cancelled.
-	Team model.TeamID `msgpack:"t,omitempty"`
-	// Key, if set, must be a key of Team that is not withdrawn.
+	// Workspace, if set, is the only one whose jobs are cancelled.
+	Workspace model.WorkspaceID `msgpack:"t,omitempty"`
+	// Key, if set, must be a key of Workspace that is not withdrawn.
 	Key model.KeyID `msgpack:"k,omitempty"`
 }
 
@@ -128,15 +128,15 @@
 	Generation uint64 `msgpack:"n,omitempty"`
 }
 
-// RequestGrant states a data centre's demand for a part of a team's limit.
+// RequestGrant states a data centre's demand for a part of a workspace's limit.
 type RequestGrant struct {
-	Team model.TeamID `msgpack:"t"`
-	DC   model.DCID   `msgpack:"d"`
-	// Want is what the team could use there: what it holds and what waits.
+	Workspace model.WorkspaceID `msgpack:"t"`
+	DC        model.DCID        `msgpack:"d"`
+	// Want is what the workspace could use there: what it holds and what waits.
 	Want model.Resources `msgpack:"w"`
-	// Holds is what the team's tasks hold there now.
+	// Holds is what the workspace's tasks hold there now.
 	Holds model.Resources `msgpack:"h"`
-	// Floor, if not zero, is the least amount with which the team's oldest waiting
+	// Floor, if not zero, is the least amount with which the workspace's oldest waiting
 	// job could start there, what it has to start beside included: a gang's, or
 	// that of a task larger than the data centre's fair share. It is 0 again once
 	// the job has started or ended.
@@ -147,9 +147,9 @@
 // data centre's group must have committed not to start anything beyond Keep
 // until it has the result of a later RequestGrant.
 type ReturnGrant struct {
-	Team model.TeamID    `msgpack:"t"`
-	DC   model.DCID      `msgpack:"d"`
-	Keep model.Resources `msgpack:"k"`
+	Workspace model.WorkspaceID `msgpack:"t"`
+	DC        model.DCID        `msgpack:"d"`
+	Keep      model.Resources   `msgpack:"k"`
 	// Version is the Grant.Version the return was decided on; a return that was
 	// overtaken by a change of the grant is refused.
 	Version uint64 `msgpack:"v"`
--- a/internal/fleet/configure.go
+++ b/internal/fleet/configure.go
@@ -72,10 +72,10 @@
 
 // checkRemovals refuses to remove what is still in use.
 func (s *State) checkRemovals(next *settings.Declarations) *verdict.Refusal {
-	for _, t := range s.declarations.Teams {
-		kept := slices.ContainsFunc(next.Teams, func(n model.Team) bool { return n.ID == t.ID })
+	for _, t := range s.declarations.Workspaces {
+		kept := slices.ContainsFunc(next.Workspaces, func(n model.Workspace) bool { return n.ID == t.ID })
 		if n := s.jobs.unfinished[t.ID]; !kept && n > 0 {
-			return verdict.Refuse(verdict.ReasonConflict, "teams.%s: can't be removed with %d jobs unfinished", t.ID, n)
+			return verdict.Refuse(verdict.ReasonConflict, "workspaces.%s: can't be removed with %d jobs unfinished", t.ID, n)
 		}
 	}
 	for _, p := range s.declarations.DataCentres {
@@ -98,9 +98,9 @@
 	if n := len(s.JobsOwnedBy(dc)); n > 0 {
 		return fmt.Sprintf("it owns tasks of %d unfinished jobs", n)
 	}
-	for _, team := range s.declarations.Teams {
-		if g := s.grants[grantKey{team.ID, dc}]; g != nil && !g.Amount.IsZero() {
-			return fmt.Sprintf("it holds a grant of team %s", team.ID)
+	for _, workspace := range s.declarations.Workspaces {
+		if g := s.grants[grantKey{workspace.ID, dc}]; g != nil && !g.Amount.IsZero() {
+			return fmt.Sprintf("it holds a grant of workspace %s", workspace.ID)
 		}
 	}
 	return ""
@@ -112,36 +112,36 @@
 	s.tree = next.Tree(s.tree, s.revision)
 	s.declarations = *next
 	s.grantsVersion++
-	s.installTeams(next.Teams)
+	s.installWorkspaces(next.Workspaces)
 	s.installDataCentres(next.DataCentres)
-	for _, t := range next.Teams {
+	for _, t := range next.Workspaces {
 		s.rebalance(t.ID)
 	}
 }
 
-// installTeams also withdraws the keys and drops the grants of removed teams.
-func (s *State) installTeams(teams []model.Team) {
-	old, oldRevisions := s.teams, s.limitRevisions
-	s.teams = make(map[model.TeamID]model.Team, len(teams))
-	s.limitRevisions = make(map[model.TeamID]uint64, len(teams))
-	for _, t := range teams {
-		s.teams[t.ID] = t
+// installWorkspaces also withdraws the keys and drops the grants of removed workspaces.
+func (s *State) installWorkspaces(workspaces []model.Workspace) {
+	old, oldRevisions := s.workspaces, s.limitRevisions
+	s.workspaces = make(map[model.WorkspaceID]model.Workspace, len(workspaces))
+	s.limitRevisions = make(map[model.WorkspaceID]uint64, len(workspaces))
+	for _, t := range workspaces {
+		s.workspaces[t.ID] = t
 		s.limitRevisions[t.ID] = s.revision
 		if before, ok := old[t.ID]; ok && before.Limit == t.Limit {
 			s.limitRevisions[t.ID] = oldRevisions[t.ID]
 		}
 	}
 	for id, k := range s.keys {
-		if _, ok := s.teams[k.Team]; !ok && !k.Withdrawn {
+		if _, ok := s.workspaces[k.Workspace]; !ok && !k.Withdrawn {
 			k.Withdrawn = true
 			k.Revision = s.revision
 			s.keys[id] = k
 		}
 	}
 	for k := range s.grants {
-		if _, ok := s.teams[k.team]; !ok {
+		if _, ok := s.workspaces[k.workspace]; !ok {
 			delete(s.grants, k)
-			delete(s.over, k.team)
+			delete(s.over, k.workspace)
 		}
 	}
 }
@@ -166,8 +166,8 @@
 }
 
 func (s *State) grantKey(h Header, g *GrantKey) *Result {
-	if _, ok := s.teams[g.Team]; !ok {
-		return refuse(verdict.ReasonUnknownTeam, "team %q is not declared", g.Team)
+	if _, ok := s.workspaces[g.Workspace]; !ok {
+		return refuse(verdict.ReasonUnknownWorkspace, "workspace %q is not declared", g.Workspace)
 	}
 	if !validKeyID(g.Key) {
 		return refuse(verdict.ReasonBadRequest, "%q is not a key id", g.Key)
@@ -178,9 +178,9 @@
 	if len(s.keys) >= maxKeys {
 		return refuse(verdict.ReasonOverload, "there are %d keys already, withdrawn ones included", maxKeys)
 	}
-	changes := []string{fmt.Sprintf("key %s granted to team %s", g.Key, g.Team)}
+	changes := []string{fmt.Sprintf("key %s granted to workspace %s", g.Key, g.Workspace)}
 	result := s.accept(h, changeKeyGrant, changes, nil)
-	s.keys[g.Key] = model.Key{ID: g.Key, Team: g.Team, Hash: g.Hash, Revision: s.revision}
+	s.keys[g.Key] = model.Key{ID: g.Key, Workspace: g.Workspace, Hash: g.Hash, Revision: s.revision}
 	return result
 }
 
@@ -194,7 +194,7 @@
 	if k.Withdrawn {
 		return &Result{}
 	}
-	changes := []string{fmt.Sprintf("key %s of team %s withdrawn", k.ID, k.Team)}
+	changes := []string{fmt.Sprintf("key %s of workspace %s withdrawn", k.ID, k.Workspace)}
 	result := s.accept(h, changeKeyWithdraw, changes, nil)
 	k.Withdrawn = true
 	k.Revision = s.revision
@@ -218,7 +218,7 @@
 	dc.Out = c.Out
 	dc.Revision = s.revision
 	s.dcs[dc.ID] = dc
-	for _, t := range s.declarations.Teams {
+	for _, t := range s.declarations.Workspaces {
 		s.rebalance(t.ID)
 	}
 	return result
--- a/internal/fleet/escrow.go
+++ b/internal/fleet/escrow.go
@@ -11,17 +11,17 @@
 const quantumParts = 64
 
 type grantKey struct {
-	team model.TeamID
-	dc   model.DCID
+	workspace model.WorkspaceID
+	dc        model.DCID
 }
 
-// Grant is the part of a team's limit lent to a data centre. Over all data
+// Grant is the part of a workspace's limit lent to a data centre. Over all data
 // centres the amounts never exceed the limit, except after the limit was
 // lowered, until enough is returned; meanwhile no amount grows.
 type Grant struct {
-	Team model.TeamID `msgpack:"t" json:"team"`
-	DC   model.DCID   `msgpack:"d" json:"dc"`
-	// Amount is what the team's tasks may hold there.
+	Workspace model.WorkspaceID `msgpack:"t" json:"workspace"`
+	DC        model.DCID        `msgpack:"d" json:"dc"`
+	// Amount is what the workspace's tasks may hold there.
 	Amount model.Resources `msgpack:"a" json:"amount"`
 	// Target is what the data centre should keep: it starts nothing beyond it
 	// and returns what is above it and free. What runs beyond it runs on, unless
@@ -33,7 +33,7 @@
 	// Want and Holds are from the newest RequestGrant.
 	Want  model.Resources `msgpack:"w" json:"want"`
 	Holds model.Resources `msgpack:"h" json:"holds"`
-	// Floor is from the newest RequestGrant; FloorSeq orders the floors of a team
+	// Floor is from the newest RequestGrant; FloorSeq orders the floors of a workspace
 	// and FloorAge counts what others asked since it was met.
 	Floor    model.Resources `msgpack:"f" json:"floor"`
 	FloorSeq uint64          `msgpack:"q" json:"-"`
@@ -44,7 +44,7 @@
 
 // requestGrant notes the demand and lends what is free.
 func (s *State) requestGrant(c *RequestGrant) *Result {
-	if refusal := s.checkGrantee(c.Team, c.DC); refusal != nil {
+	if refusal := s.checkGrantee(c.Workspace, c.DC); refusal != nil {
 		return &Result{Refusal: refusal}
 	}
 	for _, r := range []model.Resources{c.Want, c.Holds, c.Floor} {
@@ -52,24 +52,24 @@
 			return refuse(verdict.ReasonBadRequest, "grant: %s is out of bounds", r)
 		}
 	}
-	g := s.grantOf(c.Team, c.DC)
+	g := s.grantOf(c.Workspace, c.DC)
 	g.Want = c.Want.Max(c.Holds).Max(c.Floor)
 	g.Holds = c.Holds
 	g.Version++
 	s.claim(g, c.Floor)
-	s.rebalance(c.Team)
+	s.rebalance(c.Workspace)
 	s.addHeadroom(g)
 	return s.grantResult(g)
 }
 
 // returnGrant takes back what is above Keep and lends it on.
 func (s *State) returnGrant(c *ReturnGrant) *Result {
-	if refusal := s.checkGrantee(c.Team, c.DC); refusal != nil {
+	if refusal := s.checkGrantee(c.Workspace, c.DC); refusal != nil {
 		return &Result{Refusal: refusal}
 	}
-	g := s.grants[grantKey{c.Team, c.DC}]
+	g := s.grants[grantKey{c.Workspace, c.DC}]
 	if g == nil || g.Version != c.Version {
-		return refuse(verdict.ReasonConflict, "grant of team %s in data centre %s has changed", c.Team, c.DC)
+		return refuse(verdict.ReasonConflict, "grant of workspace %s in data centre %s has changed", c.Workspace, c.DC)
 	}
 	if refusal := s.checkGeneration(c.DC, c.Generation); refusal != nil {
 		return &Result{Refusal: refusal}
@@ -78,7 +78,7 @@
 		return refuse(verdict.ReasonBadRequest, "grant: amounts can't be negative")
 	}
 	g.lower(c.Keep)
-	s.rebalance(c.Team)
+	s.rebalance(c.Workspace)
 	return s.grantResult(g)
 }
 
@@ -99,9 +99,9 @@
 	return &Result{Grant: &c}
 }
 
-func (s *State) checkGrantee(team model.TeamID, dc model.DCID) *verdict.Refusal {
-	if _, ok := s.teams[team]; !ok {
-		return verdict.Refuse(verdict.ReasonUnknownTeam, "team %q is not declared", team)
+func (s *State) checkGrantee(workspace model.WorkspaceID, dc model.DCID) *verdict.Refusal {
+	if _, ok := s.workspaces[workspace]; !ok {
+		return verdict.Refuse(verdict.ReasonUnknownWorkspace, "workspace %q is not declared", workspace)
 	}
 	if _, ok := s.dcs[dc]; !ok {
 		return verdict.Refuse(verdict.ReasonBadRequest, "data centre %q is not declared", dc)
@@ -109,21 +109,21 @@
 	return nil
 }
 
-func (s *State) grantOf(team model.TeamID, dc model.DCID) *Grant {
-	k := grantKey{team, dc}
+func (s *State) grantOf(workspace model.WorkspaceID, dc model.DCID) *Grant {
+	k := grantKey{workspace, dc}
 	g := s.grants[k]
 	if g == nil {
-		g = &Grant{Team: team, DC: dc}
+		g = &Grant{Workspace: workspace, DC: dc}
 		s.grants[k] = g
 	}
 	return g
 }
 
-// grantsOf lists a team's grants by data centre.
-func (s *State) grantsOf(team model.TeamID) []*Grant {
+// grantsOf lists a workspace's grants by data centre.
+func (s *State) grantsOf(workspace model.WorkspaceID) []*Grant {
 	var list []*Grant
 	for _, dc := range s.DataCentres() {
-		if g := s.grants[grantKey{team, dc.ID}]; g != nil {
+		if g := s.grants[grantKey{workspace, dc.ID}]; g != nil {
 			list = append(list, g)
 		}
 	}
@@ -132,10 +132,10 @@
 
 // rebalance lends what is free to the data centres below their fair share and
 // sets targets so that what others lack is returned.
-func (s *State) rebalance(team model.TeamID) {
+func (s *State) rebalance(workspace model.WorkspaceID) {
 	s.grantsVersion++
-	grants := s.grantsOf(team)
-	limit := s.teams[team].Limit
+	grants := s.grantsOf(workspace)
+	limit := s.workspaces[workspace].Limit
 	first := s.firstClaim(grants)
 	before := make([]model.Resources, len(grants))
 	for i, g := range grants {
@@ -149,16 +149,16 @@
 			g.Version++
 		}
 	}
-	s.noteOver(team, sumOf(grants))
+	s.noteOver(workspace, sumOf(grants))
 }
 
-// noteOver keeps whether a team's grants exceed its limit.
-func (s *State) noteOver(team model.TeamID, sum model.Resources) {
-	if sum.Fits(s.teams[team].Limit) {
-		delete(s.over, team)
+// noteOver keeps whether a workspace's grants exceed its limit.
+func (s *State) noteOver(workspace model.WorkspaceID, sum model.Resources) {
+	if sum.Fits(s.workspaces[workspace].Limit) {
+		delete(s.over, workspace)
 		return
 	}
-	s.over[team] = true
+	s.over[workspace] = true
 }
 
 func sumOf(grants []*Grant) model.Resources {
@@ -197,8 +197,8 @@
 	if s.dcs[g.DC].Out {
 		return
 	}
-	limit := s.teams[g.Team].Limit
-	sum := sumOf(s.grantsOf(g.Team))
+	limit := s.workspaces[g.Workspace].Limit
+	sum := sumOf(s.grantsOf(g.Workspace))
 	for d := range model.Dimensions {
 		want := g.Want.At(d)
 		if want == 0 || g.Amount.At(d) < want {
--- a/internal/fleet/escrow_test.go
+++ b/internal/fleet/escrow_test.go
@@ -42,8 +42,8 @@
 
 func newEscrowModel(t *testing.T) *escrowModel {
 	m := &escrowModel{fixture: started(t)}
-	team, _ := m.state.Team("shop")
-	m.limit = team.Limit
+	workspace, _ := m.state.Workspace("shop")
+	m.limit = workspace.Limit
 	for _, dc := range places {
 		m.holders = append(m.holders, &holder{dc: dc})
 	}
@@ -60,14 +60,14 @@
 }
 
 func (m *escrowModel) request(h *holder) *Command {
-	return &Command{RequestGrant: &RequestGrant{Team: "shop", DC: h.dc, Want: h.want.Max(h.running), Holds: h.running, Floor: h.floor}}
+	return &Command{RequestGrant: &RequestGrant{Workspace: "shop", DC: h.dc, Want: h.want.Max(h.running), Holds: h.running, Floor: h.floor}}
 }
 
 // giveBack lowers the holder's cap before it returns the rest.
 func (m *escrowModel) giveBack(h *holder) *Command {
 	keep := m.state.Grant("shop", h.dc).Target.Max(h.running).Min(h.cap)
 	h.cap = keep
-	return &Command{ReturnGrant: &ReturnGrant{Team: "shop", DC: h.dc, Keep: keep, Version: h.version}}
+	return &Command{ReturnGrant: &ReturnGrant{Workspace: "shop", DC: h.dc, Keep: keep, Version: h.version}}
 }
 
 // deliver runs a command; its answer may get lost.
@@ -112,7 +112,7 @@
 	}
 }
 
-// TestLimitHoldsUnderLateCommands is the promise that no team runs more than
+// TestLimitHoldsUnderLateCommands is the promise that no workspace runs more than
 // its limit, with answers lost and commands late, doubled and out of order.
 func TestLimitHoldsUnderLateCommands(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -146,7 +146,7 @@
 			"limit": func(rt *rapid.T) {
 				d := declared(rapid.Int64Range(1, 30_000).Draw(rt, "limit"))
 				m.apply(d)
-				m.limit = d.Teams[0].Limit
+				m.limit = d.Workspaces[0].Limit
 			},
 			"move": func(rt *rapid.T) {
 				set := &SetDataCentre{DC: some(rt).dc, Out: rapid.Bool().Draw(rt, "out")}
@@ -253,7 +253,7 @@
 	qt.Assert(t, moves <= 2*len(places), qt.IsTrue, qt.Commentf("%d moves", moves))
 }
 
-// TestSharingIsNotOver keeps data centres of one team from evicting for each
+// TestSharingIsNotOver keeps data centres of one workspace from evicting for each
 // other: a fair share lowers the target only.
 func TestSharingIsNotOver(t *testing.T) {
 	m := newEscrowModel(t)
@@ -275,7 +275,7 @@
 	m.round()
 	low := declared(4000)
 	m.apply(low)
-	m.limit = low.Teams[0].Limit
+	m.limit = low.Workspaces[0].Limit
 	qt.Assert(t, m.state.OverLimit("shop"), qt.IsTrue)
 	qt.Assert(t, m.state.LimitsPending(1), qt.HasLen, 0)
 	recalled := m.state.LimitsPending(2)
@@ -297,7 +297,7 @@
 	h.want = model.Resources{MilliCPU: 8000, MemoryMB: 1000}
 	m.deliver(m.request(h), true)
 	keep := model.Resources{MilliCPU: 1000, MemoryMB: 1000}
-	back := &ReturnGrant{Team: "shop", DC: h.dc, Keep: keep, Version: h.version}
+	back := &ReturnGrant{Workspace: "shop", DC: h.dc, Keep: keep, Version: h.version}
 	r := m.ok(&Command{ReturnGrant: back})
 	qt.Assert(t, r.Grant.Amount, qt.Equals, keep)
 	qt.Assert(t, r.Grant.Target, qt.Equals, keep)
@@ -310,7 +310,7 @@
 	h.want = model.Resources{MilliCPU: 8000}
 	m.deliver(m.request(h), true)
 	m.state.groups[h.dc] = &Group{DC: h.dc, Generation: 2}
-	back := &ReturnGrant{Team: "shop", DC: h.dc, Version: h.version, Generation: 1}
+	back := &ReturnGrant{Workspace: "shop", DC: h.dc, Version: h.version, Generation: 1}
 	_, refusal := m.do(&Command{ReturnGrant: back})
 	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonConflict)
 	qt.Assert(t, refusal.Message, qt.Contains, "generation 2")
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -24,16 +24,16 @@
 	os.Exit(m.Run())
 }
 
-// declared returns declarations with two teams and three data centres.
+// declared returns declarations with two workspaces and three data centres.
 func declared(limitCPU int64) settings.Declarations {
 	d := settings.Declarations{
 		DataCentres: []settings.Place{{ID: "dc1", Region: "r"}, {ID: "dc2", Region: "r"}, {ID: "dc3", Region: "r"}},
-		Teams: []model.Team{
+		Workspaces: []model.Workspace{
 			{ID: "shop", Share: 1, Limit: model.Resources{MilliCPU: limitCPU, MemoryMB: 64_000, Accelerators: 4}},
 			{ID: "vets", Share: 2, Limit: model.Resources{MilliCPU: 8000, MemoryMB: 64_000}},
 		},
-		Queues:   []model.Queue{{Name: "girth", Team: "shop"}, {Name: "open", Open: true}},
-		Settings: []settings.Entry{{Level: settings.LevelTeam, Node: "vets", Name: settings.JobsQueued, Value: settings.Value{Int: 2}}},
+		Queues:   []model.Queue{{Name: "girth", Workspace: "shop"}, {Name: "open", Open: true}},
+		Settings: []settings.Entry{{Level: settings.LevelWorkspace, Node: "vets", Name: settings.JobsQueued, Value: settings.Value{Int: 2}}},
 	}
 	d.Sort()
 	return d
@@ -88,14 +88,14 @@
 func TestApplyIsWholeOrNothing(t *testing.T) {
 	f := started(t)
 	bad := declared(32_000)
-	bad.Queues = append(bad.Queues, model.Queue{Name: "x", Team: "nobody"})
+	bad.Queues = append(bad.Queues, model.Queue{Name: "x", Workspace: "nobody"})
 	before, err := f.state.Snapshot()
 	qt.Assert(t, err, qt.IsNil)
 	_, refusal := f.do(&Command{Header: Header{OpID: "x", Actor: "a", ExpectRevision: 1}, Apply: &Apply{Declarations: bad}})
 	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonBadRequest)
-	qt.Assert(t, refusal.Message, qt.Contains, `queues.x.team: team "nobody" is not declared`)
-	team, _ := f.state.Team("shop")
-	qt.Assert(t, team.Limit.MilliCPU, qt.Equals, int64(16_000))
+	qt.Assert(t, refusal.Message, qt.Contains, `queues.x.workspace: workspace "nobody" is not declared`)
+	workspace, _ := f.state.Workspace("shop")
+	qt.Assert(t, workspace.Limit.MilliCPU, qt.Equals, int64(16_000))
 	f.state.operations = newOperations()
 	var restored State
 	qt.Assert(t, restored.Restore(before), qt.IsNil)
@@ -116,7 +116,7 @@
 	_, refusal = race("b", "bob", 30_000)
 	qt.Assert(t, refusal.Verdict, qt.Equals, verdict.NotRun)
 	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonConflict)
-	qt.Assert(t, refusal.Message, qt.Contains, "operation a by ada made revision 2: team shop: limit: 16000m")
+	qt.Assert(t, refusal.Message, qt.Contains, "operation a by ada made revision 2: workspace shop: limit: 16000m")
 
 	f.ok(&Command{Header: f.header(), SetDataCentre: &SetDataCentre{DC: "dc2", Out: true}})
 	again, refusal := race("a", "ada", 20_000)
@@ -135,8 +135,8 @@
 	f.apply(declared(20_000))
 	r := f.ok(&Command{Header: f.header(), Apply: &Apply{FromRevision: 1}})
 	qt.Assert(t, r.Revision, qt.Equals, uint64(3))
-	team, _ := f.state.Team("shop")
-	qt.Assert(t, team.Limit.MilliCPU, qt.Equals, int64(16_000))
+	workspace, _ := f.state.Workspace("shop")
+	qt.Assert(t, workspace.Limit.MilliCPU, qt.Equals, int64(16_000))
 	_, refusal := f.do(&Command{Header: f.header(), Apply: &Apply{FromRevision: 99}})
 	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonBadRequest)
 	same := f.apply(declared(16_000))
@@ -164,11 +164,11 @@
 func TestKeys(t *testing.T) {
 	f := started(t)
 	id, text, hash := NewKey()
-	f.ok(&Command{Header: f.header(), GrantKey: &GrantKey{Key: id, Team: "shop", Hash: hash}})
+	f.ok(&Command{Header: f.header(), GrantKey: &GrantKey{Key: id, Workspace: "shop", Hash: hash}})
 	view := f.state.EntryView()
-	team, refusal := Authenticate(view, text)
+	workspace, refusal := Authenticate(view, text)
 	accepted(t, refusal)
-	qt.Assert(t, team.ID, qt.Equals, model.TeamID("shop"))
+	qt.Assert(t, workspace.ID, qt.Equals, model.WorkspaceID("shop"))
 	_, other, _ := NewKey()
 	for _, wrong := range []string{"", "kq_", "kq__", text + "0", other, "kq_" + string(id) + "_00"} {
 		_, refusal := Authenticate(view, wrong)
@@ -177,7 +177,7 @@
 	f.ok(&Command{Header: f.header(), WithdrawKey: &WithdrawKey{Key: id}})
 	_, refusal = Authenticate(f.state.EntryView(), text)
 	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonBadKey)
-	_, refusal = f.do(&Command{Header: f.header(), GrantKey: &GrantKey{Key: id, Team: "shop", Hash: hash}})
+	_, refusal = f.do(&Command{Header: f.header(), GrantKey: &GrantKey{Key: id, Workspace: "shop", Hash: hash}})
 	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonConflict)
 	_, refusal = f.do(&Command{SubmitJob: &SubmitJob{Spec: batch("j1"), Owners: owners("dc1"), Key: id}})
 	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonBadKey)
@@ -191,7 +191,7 @@
 		edit func(*settings.Declarations)
 		want string
 	}{
-		{"team with jobs", func(d *settings.Declarations) { d.Teams = d.Teams[1:]; d.Queues = nil }, "1 jobs unfinished"},
+		{"workspace with jobs", func(d *settings.Declarations) { d.Workspaces = d.Workspaces[1:]; d.Queues = nil }, "1 jobs unfinished"},
 		{"data centre in", func(d *settings.Declarations) { d.DataCentres = d.DataCentres[:2] }, "taken out first"},
 	}
 	for _, c := range cases {
--- a/internal/fleet/floor.go
+++ b/internal/fleet/floor.go
@@ -7,7 +7,7 @@
 // from theirs for good.
 const floorPatience = 32
 
-// claim notes the floor of a request. Floors of a team are served one at a time
+// claim notes the floor of a request. Floors of a workspace are served one at a time
 // in the order in which they were first stated; a new floor after one that was
 // met goes to the end.
 func (s *State) claim(g *Grant, floor model.Resources) {
@@ -25,7 +25,7 @@
 
 // ageFloors drops the floors that were met long ago.
 func (s *State) ageFloors(asking *Grant) {
-	for _, g := range s.grantsOf(asking.Team) {
+	for _, g := range s.grantsOf(asking.Workspace) {
 		if g == asking || g.FloorSeq == 0 || !g.Floor.Fits(g.Amount) {
 			continue
 		}
@@ -41,7 +41,7 @@
 func (s *State) firstClaim(grants []*Grant) *Grant {
 	var first *Grant
 	for _, g := range grants {
-		if g.FloorSeq == 0 || s.dcs[g.DC].Out || !g.Floor.Fits(s.teams[g.Team].Limit) {
+		if g.FloorSeq == 0 || s.dcs[g.DC].Out || !g.Floor.Fits(s.workspaces[g.Workspace].Limit) {
 			continue
 		}
 		if first == nil || g.FloorSeq < first.FloorSeq {
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -78,7 +78,7 @@
 
 // submitJob accepts a job once. The same spec again gets the first answer.
 func (s *State) submitJob(c *SubmitJob) *Result {
-	if refusal := s.checkKey(c.Key, c.Spec.Team); refusal != nil {
+	if refusal := s.checkKey(c.Key, c.Spec.Workspace); refusal != nil {
 		return &Result{Refusal: refusal}
 	}
 	digest := digestOf(&c.Spec)
@@ -106,7 +106,7 @@
 
 // checkKey makes sure that a key was not withdrawn before the command that it
 // came with. Without a key the caller is an operator.
-func (s *State) checkKey(id model.KeyID, team model.TeamID) *verdict.Refusal {
+func (s *State) checkKey(id model.KeyID, workspace model.WorkspaceID) *verdict.Refusal {
 	if id == "" {
 		return nil
 	}
@@ -114,19 +114,19 @@
 	if !ok || k.Withdrawn {
 		return badKey()
 	}
-	if k.Team != team {
-		return verdict.Refuse(verdict.ReasonWrongTeam, "the key is not one of team %q", team)
+	if k.Workspace != workspace {
+		return verdict.Refuse(verdict.ReasonWrongWorkspace, "the key is not one of workspace %q", workspace)
 	}
 	return nil
 }
 
 // cancelJobs marks jobs in one batch; those that ended already stay as they are.
 func (s *State) cancelJobs(c *CancelJobs) *Result {
-	if refusal := s.checkKey(c.Key, c.Team); refusal != nil {
+	if refusal := s.checkKey(c.Key, c.Workspace); refusal != nil {
 		return &Result{Refusal: refusal}
 	}
 	for _, id := range c.IDs {
-		if refusal := s.checkCancel(id, c.Team); refusal != nil {
+		if refusal := s.checkCancel(id, c.Workspace); refusal != nil {
 			return &Result{Refusal: refusal}
 		}
 	}
@@ -142,12 +142,12 @@
 	return &Result{}
 }
 
-func (s *State) checkCancel(id model.JobID, team model.TeamID) *verdict.Refusal {
+func (s *State) checkCancel(id model.JobID, workspace model.WorkspaceID) *verdict.Refusal {
 	j := s.jobs.byID[id]
 	if j == nil && s.jobs.isSpent(id) {
 		return nil
 	}
-	if j == nil || team != "" && j.Spec.Team != team {
+	if j == nil || workspace != "" && j.Spec.Workspace != workspace {
 		return verdict.Refuse(verdict.ReasonUnknownJob, "job %q is not known", id)
 	}
 	return nil
@@ -297,7 +297,7 @@
 	return next
 }
 
-// queuedLimit returns how many unfinished jobs a team may have.
-func (s *State) queuedLimit(team model.TeamID) (int64, settings.Decision) {
-	return s.tree.Int(settings.Scope{Team: team}, settings.JobsQueued)
+// queuedLimit returns how many unfinished jobs a workspace may have.
+func (s *State) queuedLimit(workspace model.WorkspaceID) (int64, settings.Decision) {
+	return s.tree.Int(settings.Scope{Workspace: workspace}, settings.JobsQueued)
 }
--- a/internal/fleet/jobs_test.go
+++ b/internal/fleet/jobs_test.go
@@ -11,7 +11,7 @@
 
 func batch(id model.JobID) model.JobSpec {
 	return model.JobSpec{
-		ID: id, Team: "shop", Class: model.ClassBatch, Tasks: 1,
+		ID: id, Workspace: "shop", Class: model.ClassBatch, Tasks: 1,
 		Size: model.Resources{MilliCPU: 1000, MemoryMB: 100}, RunMillis: 1000,
 	}
 }
@@ -42,7 +42,7 @@
 		want verdict.Reason
 		text string
 	}{
-		{"team", func(c *SubmitJob) { c.Spec.Team = "nobody" }, verdict.ReasonUnknownTeam, "nobody"},
+		{"workspace", func(c *SubmitJob) { c.Spec.Workspace = "nobody" }, verdict.ReasonUnknownWorkspace, "nobody"},
 		{"id", func(c *SubmitJob) { c.Spec.ID = "a.b" }, verdict.ReasonBadRequest, `"id"`},
 		{"class", func(c *SubmitJob) { c.Spec.Class = "x" }, verdict.ReasonBadRequest, `"class"`},
 		{"tasks", func(c *SubmitJob) { c.Spec.Tasks = 0 }, verdict.ReasonBadRequest, `"tasks"`},
@@ -71,7 +71,7 @@
 	f := started(t)
 	submit := func(id model.JobID) *verdict.Refusal {
 		spec := batch(id)
-		spec.Team = "vets"
+		spec.Workspace = "vets"
 		_, refusal := f.do(&Command{SubmitJob: &SubmitJob{Spec: spec, Owners: owners("dc1")}})
 		return refusal
 	}
@@ -79,7 +79,7 @@
 	accepted(t, submit("b"))
 	refusal := submit("c")
 	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonOverload)
-	qt.Assert(t, refusal.DecidedBy, qt.Contains, "team vets")
+	qt.Assert(t, refusal.DecidedBy, qt.Contains, "workspace vets")
 	f.ok(&Command{FinishJobs: &FinishJobs{[]FinishedJob{{Job: "a", Outcome: model.OutcomeSucceeded}}}})
 	accepted(t, submit("c"))
 }
@@ -181,9 +181,9 @@
 func TestCancelIsMarkedForOwners(t *testing.T) {
 	f := started(t)
 	f.ok(&Command{SubmitJob: &SubmitJob{Spec: batch("j1"), Owners: owners("dc1")}})
-	_, refusal := f.do(&Command{CancelJobs: &CancelJobs{IDs: []model.JobID{"j1"}, Team: "vets"}})
+	_, refusal := f.do(&Command{CancelJobs: &CancelJobs{IDs: []model.JobID{"j1"}, Workspace: "vets"}})
 	qt.Assert(t, refusal.Reason, qt.Equals, verdict.ReasonUnknownJob)
-	f.ok(&Command{CancelJobs: &CancelJobs{IDs: []model.JobID{"j1"}, Team: "shop"}})
+	f.ok(&Command{CancelJobs: &CancelJobs{IDs: []model.JobID{"j1"}, Workspace: "shop"}})
 	qt.Assert(t, f.state.CancelledIn("dc1"), qt.DeepEquals, []model.JobID{"j1"})
 	qt.Assert(t, f.state.CancelledIn("dc2"), qt.HasLen, 0)
 }
--- a/internal/fleet/jobtable.go
+++ b/internal/fleet/jobtable.go
@@ -28,7 +28,7 @@
 	// spent holds hashes of the ids of forgotten jobs, oldest first in spentOrder.
 	spent      map[uint64]struct{}
 	spentOrder []uint64
-	unfinished map[model.TeamID]int
+	unfinished map[model.WorkspaceID]int
 	seq        uint64
 	// version grows with each change of the table.
 	version uint64
@@ -42,7 +42,7 @@
 	return jobTable{
 		byID:       map[model.JobID]*Job{},
 		spent:      map[uint64]struct{}{},
-		unfinished: map[model.TeamID]int{},
+		unfinished: map[model.WorkspaceID]int{},
 		places:     map[model.DCID]*placeJobs{},
 	}
 }
@@ -52,7 +52,7 @@
 	j.Seq = t.seq
 	j.Assignment = t.seq
 	t.active = append(t.active, j)
-	t.unfinished[j.Spec.Team]++
+	t.unfinished[j.Spec.Workspace]++
 	t.store(j)
 }
 
@@ -89,9 +89,9 @@
 	if i, ok := t.find(j.Seq); ok {
 		t.active = slices.Delete(t.active, i, i+1)
 	}
-	t.unfinished[j.Spec.Team]--
-	if t.unfinished[j.Spec.Team] == 0 {
-		delete(t.unfinished, j.Spec.Team)
+	t.unfinished[j.Spec.Workspace]--
+	if t.unfinished[j.Spec.Workspace] == 0 {
+		delete(t.unfinished, j.Spec.Workspace)
 	}
 	t.finished = append(t.finished, j.Spec.ID)
 	if len(t.finished) > finishedKept {
--- a/internal/fleet/key.go
+++ b/internal/fleet/key.go
@@ -66,27 +66,27 @@
 
 const maxKeyIDBytes = 32
 
-// Authenticate returns the team of a key's text. The secret is compared in
+// Authenticate returns the workspace of a key's text. The secret is compared in
 // constant time; a missing, malformed, unknown, wrong or withdrawn key all get
 // the same refusal.
-func Authenticate(view *api.EntryView, text string) (model.Team, *verdict.Refusal) {
-	team, _, refusal := AuthenticateKey(view, text)
-	return team, refusal
+func Authenticate(view *api.EntryView, text string) (model.Workspace, *verdict.Refusal) {
+	workspace, _, refusal := AuthenticateKey(view, text)
+	return workspace, refusal
 }
 
 // AuthenticateKey is Authenticate that also returns the key's id.
-func AuthenticateKey(view *api.EntryView, text string) (model.Team, model.KeyID, *verdict.Refusal) {
+func AuthenticateKey(view *api.EntryView, text string) (model.Workspace, model.KeyID, *verdict.Refusal) {
 	id, hash, ok := ParseKey(text)
 	if !ok {
-		return model.Team{}, "", badKey()
+		return model.Workspace{}, "", badKey()
 	}
 	stored := findKey(view, id)
 	equal := subtle.ConstantTimeCompare(stored.Hash[:], hash[:]) == 1
 	if !equal || stored.Withdrawn {
-		return model.Team{}, "", badKey()
+		return model.Workspace{}, "", badKey()
 	}
-	team, refusal := teamOf(view, stored.Team)
-	return team, id, refusal
+	workspace, refusal := workspaceOf(view, stored.Workspace)
+	return workspace, id, refusal
 }
 
 // findKey returns a withdrawn key for an id that is not known, so that both
@@ -99,12 +99,12 @@
 	return view.Keys[i]
 }
 
-func teamOf(view *api.EntryView, id model.TeamID) (model.Team, *verdict.Refusal) {
-	i, found := slices.BinarySearchFunc(view.Teams, id, func(t model.Team, id model.TeamID) int { return cmp.Compare(t.ID, id) })
+func workspaceOf(view *api.EntryView, id model.WorkspaceID) (model.Workspace, *verdict.Refusal) {
+	i, found := slices.BinarySearchFunc(view.Workspaces, id, func(t model.Workspace, id model.WorkspaceID) int { return cmp.Compare(t.ID, id) })
 	if !found {
-		return model.Team{}, verdict.Refuse(verdict.ReasonUnknownTeam, "team %q is not declared", id)
+		return model.Workspace{}, verdict.Refuse(verdict.ReasonUnknownWorkspace, "workspace %q is not declared", id)
 	}
-	return view.Teams[i], nil
+	return view.Workspaces[i], nil
 }
 
 func badKey() *verdict.Refusal {
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -9,7 +9,7 @@
 	"kumquatwing/internal/verdict"
 )
 
-// submitRetry is the pause before a team with too many jobs tries again.
+// submitRetry is the pause before a workspace with too many jobs tries again.
 const submitRetry = time.Second
 
 // SpreadOwners chooses a data centre for each task of spec, of those that are in
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -25,12 +25,12 @@
 // History lists accepted changes, oldest first.
 func (s *State) History() []Change { return slices.Clone(s.history) }
 
-// Teams lists the teams by id.
-func (s *State) Teams() []model.Team { return s.declarations.Teams }
+// Workspaces lists the workspaces by id.
+func (s *State) Workspaces() []model.Workspace { return s.declarations.Workspaces }
 
-// Team returns one team.
-func (s *State) Team(id model.TeamID) (model.Team, bool) {
-	t, ok := s.teams[id]
+// Workspace returns one workspace.
+func (s *State) Workspace(id model.WorkspaceID) (model.Workspace, bool) {
+	t, ok := s.workspaces[id]
 	return t, ok
 }
 
@@ -70,7 +70,7 @@
 		s.view = &api.EntryView{
 			Revision:    s.revision,
 			Keys:        s.validKeys(),
-			Teams:       s.Teams(),
+			Workspaces:  s.Workspaces(),
 			Queues:      s.declarations.Queues,
 			DataCentres: s.DataCentres(),
 			Tree:        s.tree,
@@ -134,26 +134,26 @@
 // reader can skip an unchanged table.
 func (s *State) GrantsVersion() uint64 { return s.grantsVersion }
 
-// Grant returns what dc may use of a team's limit; nothing if it never asked.
-func (s *State) Grant(team model.TeamID, dc model.DCID) Grant {
-	if g := s.grants[grantKey{team, dc}]; g != nil {
+// Grant returns what dc may use of a workspace's limit; nothing if it never asked.
+func (s *State) Grant(workspace model.WorkspaceID, dc model.DCID) Grant {
+	if g := s.grants[grantKey{workspace, dc}]; g != nil {
 		return s.shown(g)
 	}
-	return Grant{Team: team, DC: dc}
+	return Grant{Workspace: workspace, DC: dc}
 }
 
 // shown returns a copy of g for a reader.
 func (s *State) shown(g *Grant) Grant {
 	c := *g
-	c.Over = s.OverLimit(g.Team)
+	c.Over = s.OverLimit(g.Workspace)
 	return c
 }
 
-// Recalled lists the grants that are to be returned in part, by team and data
+// Recalled lists the grants that are to be returned in part, by workspace and data
 // centre.
 func (s *State) Recalled() []Grant {
 	var list []Grant
-	for _, t := range s.Teams() {
+	for _, t := range s.Workspaces() {
 		for _, g := range s.grantsOf(t.ID) {
 			if g.Target != g.Amount {
 				list = append(list, s.shown(g))
@@ -168,16 +168,16 @@
 func (s *State) LimitsPending(revision uint64) []Grant {
 	var list []Grant
 	for _, g := range s.Recalled() {
-		if g.Over && s.limitRevisions[g.Team] <= revision {
+		if g.Over && s.limitRevisions[g.Workspace] <= revision {
 			list = append(list, g)
 		}
 	}
 	return list
 }
 
-// OverLimit reports whether a team's grants exceed its limit, which was
+// OverLimit reports whether a workspace's grants exceed its limit, which was
 // lowered and is not yet in force.
-func (s *State) OverLimit(team model.TeamID) bool { return s.over[team] }
+func (s *State) OverLimit(workspace model.WorkspaceID) bool { return s.over[workspace] }
 
 // Members lists the newest incarnation of each VM, by VM.
 func (s *State) Members() []Member {
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -31,7 +31,7 @@
 	Seq          uint64                `msgpack:"seq"`
 	JobsVersion  uint64                `msgpack:"jobs_version"`
 	Grants       []*Grant              `msgpack:"grants"`
-	// LimitRevisions are in the order of the declared teams.
+	// LimitRevisions are in the order of the declared workspaces.
 	LimitRevisions []uint64 `msgpack:"limit_revs"`
 	FloorSeq       uint64   `msgpack:"floor_seq"`
 	Members        []Member `msgpack:"members"`
@@ -72,7 +72,7 @@
 
 func (s *State) sortedGrants() []*Grant {
 	return slices.SortedFunc(maps.Values(s.grants), func(a, b *Grant) int {
-		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.DC, b.DC))
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.DC, b.DC))
 	})
 }
 
@@ -90,7 +90,7 @@
 	next.restoreConfiguration(&in)
 	next.restoreJobs(&in)
 	for _, g := range in.Grants {
-		next.grants[grantKey{g.Team, g.DC}] = g
+		next.grants[grantKey{g.Workspace, g.DC}] = g
 	}
 	for _, m := range in.Members {
 		next.members[m.VM] = m
@@ -98,7 +98,7 @@
 	for _, g := range in.Groups {
 		next.groups[g.DC] = g
 	}
-	for _, t := range next.Teams() {
+	for _, t := range next.Workspaces() {
 		next.noteOver(t.ID, sumOf(next.grantsOf(t.ID)))
 	}
 	next.floorSeq = in.FloorSeq
@@ -113,8 +113,8 @@
 	if in.Tree != nil {
 		s.tree = in.Tree
 	}
-	for i, t := range in.Declarations.Teams {
-		s.teams[t.ID] = t
+	for i, t := range in.Declarations.Workspaces {
+		s.workspaces[t.ID] = t
 		if i < len(in.LimitRevisions) {
 			s.limitRevisions[t.ID] = in.LimitRevisions[i]
 		}
@@ -140,7 +140,7 @@
 		j.Owners = s.shared(j.Owners)
 		t.index(nil, j)
 		t.byID[j.Spec.ID] = j
-		t.unfinished[j.Spec.Team]++
+		t.unfinished[j.Spec.Workspace]++
 	}
 	for _, j := range in.Finished {
 		t.byID[j.Spec.ID] = j
--- a/internal/fleet/snapshot_test.go
+++ b/internal/fleet/snapshot_test.go
@@ -17,7 +17,7 @@
 // drawCommand makes a command of any kind, often a valid one.
 func drawCommand(t *rapid.T) *Command {
 	dc := rapid.SampledFrom([]model.DCID{"dc1", "dc2", "dc3", "dc9"}).Draw(t, "dc")
-	team := rapid.SampledFrom([]model.TeamID{"shop", "vets", "none"}).Draw(t, "team")
+	workspace := rapid.SampledFrom([]model.WorkspaceID{"shop", "vets", "none"}).Draw(t, "workspace")
 	id := model.JobID(fmt.Sprint("j", rapid.IntRange(0, 9).Draw(t, "job")))
 	n := rapid.Uint64Range(1, 9).Draw(t, "number")
 	c := &Command{Header: Header{
@@ -32,23 +32,23 @@
 	case 1:
 		c.Apply = &Apply{FromRevision: n}
 	case 2:
-		c.GrantKey = &GrantKey{Key: model.KeyID(fmt.Sprint("k", n)), Team: team, Hash: [32]byte{byte(n)}}
+		c.GrantKey = &GrantKey{Key: model.KeyID(fmt.Sprint("k", n)), Workspace: workspace, Hash: [32]byte{byte(n)}}
 	case 3:
 		c.WithdrawKey = &WithdrawKey{Key: model.KeyID(fmt.Sprint("k", n))}
 	case 4:
 		c.SetDataCentre = &SetDataCentre{DC: dc, Out: n%2 == 0}
 	case 5, 6:
 		spec := batch(id)
-		spec.Team, spec.Size, spec.Tasks = team, size, 2
+		spec.Workspace, spec.Size, spec.Tasks = workspace, size, 2
 		c.SubmitJob = &SubmitJob{Spec: spec, Owners: owners(dc, "dc1")}
 	case 7:
 		c.CancelJobs = &CancelJobs{IDs: []model.JobID{id}}
 	case 8:
 		c.FinishJobs = &FinishJobs{[]FinishedJob{{Job: id, DC: dc, Outcome: model.OutcomeSucceeded}}}
 	case 9:
-		c.RequestGrant = &RequestGrant{Team: team, DC: dc, Want: size.Scale(2), Holds: size, Floor: size.Scale(int64(n % 3))}
+		c.RequestGrant = &RequestGrant{Workspace: workspace, DC: dc, Want: size.Scale(2), Holds: size, Floor: size.Scale(int64(n % 3))}
 	case 10:
-		c.ReturnGrant = &ReturnGrant{Team: team, DC: dc, Keep: size, Version: n % 3, Generation: n}
+		c.ReturnGrant = &ReturnGrant{Workspace: workspace, DC: dc, Keep: size, Version: n % 3, Generation: n}
 	case 11:
 		m := Member{VM: model.VMID(fmt.Sprint("vm", n%3)), DC: dc, Incarnation: replica.MemberID(1 + n%3)}
 		c.RegisterMember = &RegisterMember{m}
@@ -157,7 +157,7 @@
 		t.Fatal(err)
 	}
 	b, err := json.MarshalIndent([]any{
-		s.revision, s.declarations, tree, s.teams, s.dcs, s.keys, s.history, s.operations.order,
+		s.revision, s.declarations, tree, s.workspaces, s.dcs, s.keys, s.history, s.operations.order,
 		len(s.operations.byID), s.jobs.byID, s.jobs.active, s.jobs.finished, s.jobs.spentOrder,
 		len(s.jobs.spent), s.jobs.unfinished, s.jobs.seq, s.jobs.version, s.sortedGrants(),
 		s.members, s.groups, s.limitRevisions, s.over, s.floorSeq,
@@ -211,13 +211,13 @@
 	}
 }
 
-// BenchmarkSnapshot is at the design size: 220 teams and 25,000 jobs, a third
+// BenchmarkSnapshot is at the design size: 220 workspaces and 25,000 jobs, a third
 // of them unfinished.
 func BenchmarkSnapshot(b *testing.B) {
 	s := New()
 	d := declared(1 << 30)
 	for i := range 218 {
-		d.Teams = append(d.Teams, model.Team{ID: model.TeamID(fmt.Sprintf("t%03d", i)), Share: 1, Limit: d.Teams[0].Limit})
+		d.Workspaces = append(d.Workspaces, model.Workspace{ID: model.WorkspaceID(fmt.Sprintf("t%03d", i)), Share: 1, Limit: d.Workspaces[0].Limit})
 	}
 	d.Sort()
 	run := func(c *Command) {
@@ -229,7 +229,7 @@
 	run(&Command{Header: Header{OpID: "a", Actor: "a"}, Apply: &Apply{Declarations: d}})
 	for i := range 25_000 {
 		spec := batch(model.JobID(fmt.Sprint("job-", i)))
-		spec.Team = model.TeamID(fmt.Sprintf("t%03d", i%218))
+		spec.Workspace = model.WorkspaceID(fmt.Sprintf("t%03d", i%218))
 		run(&Command{SubmitJob: &SubmitJob{Spec: spec, Owners: owners(places[i%3])}})
 		if i%3 > 0 {
 			run(&Command{FinishJobs: &FinishJobs{[]FinishedJob{{Job: spec.ID, Outcome: model.OutcomeSucceeded}}}})
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -1,5 +1,5 @@
-// Package fleet is the state of the fleet group: settings, teams, keys, data
-// centres, accepted jobs with their data centres, the parts of each team's
+// Package fleet is the state of the fleet group: settings, workspaces, keys, data
+// centres, accepted jobs with their data centres, the parts of each workspace's
 // limit lent to data centres, and the members of the system. State is a
 // deterministic state machine without clock or I/O.
 package fleet
@@ -21,7 +21,7 @@
 	revision     uint64
 	declarations settings.Declarations
 	tree         *settings.Tree
-	teams        map[model.TeamID]model.Team
+	workspaces   map[model.WorkspaceID]model.Workspace
 	dcs          map[model.DCID]model.DataCentre
 	keys         map[model.KeyID]model.Key
 	history      []Change
@@ -32,10 +32,10 @@
 	floorSeq uint64
 	// grantsVersion grows with each change of a grant.
 	grantsVersion uint64
-	// over holds the teams whose grants exceed their lowered limit.
-	over map[model.TeamID]bool
-	// limitRevisions holds the revision that last changed each team's limit.
-	limitRevisions map[model.TeamID]uint64
+	// over holds the workspaces whose grants exceed their lowered limit.
+	over map[model.WorkspaceID]bool
+	// limitRevisions holds the revision that last changed each workspace's limit.
+	limitRevisions map[model.WorkspaceID]uint64
 	members        map[model.VMID]Member
 	groups         map[model.DCID]*Group
 	view           *api.EntryView
@@ -47,14 +47,14 @@
 func New() *State {
 	return &State{
 		tree:           settings.NewTree(),
-		teams:          map[model.TeamID]model.Team{},
+		workspaces:     map[model.WorkspaceID]model.Workspace{},
 		dcs:            map[model.DCID]model.DataCentre{},
 		keys:           map[model.KeyID]model.Key{},
 		operations:     newOperations(),
 		jobs:           newJobTable(),
 		grants:         map[grantKey]*Grant{},
-		over:           map[model.TeamID]bool{},
-		limitRevisions: map[model.TeamID]uint64{},
+		over:           map[model.WorkspaceID]bool{},
+		limitRevisions: map[model.WorkspaceID]uint64{},
 		members:        map[model.VMID]Member{},
 		groups:         map[model.DCID]*Group{},
 	}
--- a/internal/fleet/submit.go
+++ b/internal/fleet/submit.go
@@ -80,14 +80,14 @@
 
 // checkJob refuses a job that may not or can never run.
 func (s *State) checkJob(c *SubmitJob) *verdict.Refusal {
-	team, ok := s.teams[c.Spec.Team]
+	workspace, ok := s.workspaces[c.Spec.Workspace]
 	if !ok {
-		return verdict.Refuse(verdict.ReasonUnknownTeam, "team %q is not declared", c.Spec.Team)
+		return verdict.Refuse(verdict.ReasonUnknownWorkspace, "workspace %q is not declared", c.Spec.Workspace)
 	}
 	if refusal := CheckSpec(&c.Spec); refusal != nil {
 		return refusal
 	}
-	if refusal := s.checkFits(&c.Spec, team); refusal != nil {
+	if refusal := s.checkFits(&c.Spec, workspace); refusal != nil {
 		return refusal
 	}
 	if refusal := s.checkOwners(c); refusal != nil {
@@ -96,9 +96,9 @@
 	if refusal := s.checkRoom(&c.Spec); refusal != nil {
 		return refusal
 	}
-	bound, decision := s.queuedLimit(team.ID)
-	if int64(s.jobs.unfinished[team.ID]) >= bound {
-		return verdict.Refuse(verdict.ReasonOverload, "team %s has %d unfinished jobs", team.ID, bound).
+	bound, decision := s.queuedLimit(workspace.ID)
+	if int64(s.jobs.unfinished[workspace.ID]) >= bound {
+		return verdict.Refuse(verdict.ReasonOverload, "workspace %s has %d unfinished jobs", workspace.ID, bound).
 			RetryIn(submitRetry).By(decision.String())
 	}
 	return nil
@@ -114,18 +114,18 @@
 		len(t.active), t.tasks, t.payloadBytes).RetryIn(submitRetry)
 }
 
-// checkFits refuses what exceeds the team's limit by itself.
-func (s *State) checkFits(spec *model.JobSpec, team model.Team) *verdict.Refusal {
+// checkFits refuses what exceeds the workspace's limit by itself.
+func (s *State) checkFits(spec *model.JobSpec, workspace model.Workspace) *verdict.Refusal {
 	need, what := spec.Size, "a task"
 	if spec.Class == model.ClassGang {
 		need, what = spec.Size.Scale(int64(spec.Tasks)), "the gang"
 	}
-	dimension := need.Exceeds(team.Limit)
+	dimension := need.Exceeds(workspace.Limit)
 	if dimension == "" {
 		return nil
 	}
-	return verdict.Refuse(verdict.ReasonNeverFits, "%s needs %s, over the limit of team %s in %s: %s",
-		what, need, team.ID, dimension, team.Limit)
+	return verdict.Refuse(verdict.ReasonNeverFits, "%s needs %s, over the limit of workspace %s in %s: %s",
+		what, need, workspace.ID, dimension, workspace.Limit)
 }
 
 func (s *State) checkOwners(c *SubmitJob) *verdict.Refusal {
--- a/internal/fleetapi/jobs.go
+++ b/internal/fleetapi/jobs.go
@@ -17,13 +17,13 @@
 	"kumquatwing/internal/verdict"
 )
 
-// submitter is who sent a job's call: a team by its key, or an operator.
+// submitter is who sent a job's call: a workspace by its key, or an operator.
 type submitter struct {
-	team model.TeamID
-	key  model.KeyID
+	workspace model.WorkspaceID
+	key       model.KeyID
 }
 
-// authenticate returns the team of the call's key. A key that this member
+// authenticate returns the workspace of the call's key. A key that this member
 // doesn't know may have been granted a moment ago, so that it asks the group.
 func (s *Server) authenticate(r *http.Request) (submitter, *verdict.Refusal) {
 	text := r.Header.Get(api.HeaderKey)
@@ -40,8 +40,8 @@
 func (s *Server) checkKey(text string) (submitter, *verdict.Refusal) {
 	var view *api.EntryView
 	s.Group.View(func(replica.Status) { view = s.State.EntryView() })
-	team, key, refusal := fleet.AuthenticateKey(view, text)
-	return submitter{team.ID, key}, refusal
+	workspace, key, refusal := fleet.AuthenticateKey(view, text)
+	return submitter{workspace.ID, key}, refusal
 }
 
 // authenticateAny lets operators in without a key.
@@ -52,7 +52,7 @@
 	return submitter{}, s.CheckOperator(r)
 }
 
-// submitJob accepts a job for the team whose key came with it.
+// submitJob accepts a job for the workspace whose key came with it.
 func (s *Server) submitJob(w http.ResponseWriter, r *http.Request) {
 	who, refusal := s.authenticate(r)
 	if refusal != nil {
@@ -74,11 +74,11 @@
 }
 
 func (s *Server) submit(ctx context.Context, who submitter, spec *model.JobSpec) (*api.JobAnswer, error) {
-	if spec.Team == "" {
-		spec.Team = who.team
+	if spec.Workspace == "" {
+		spec.Workspace = who.workspace
 	}
-	if spec.Team != who.team {
-		return nil, verdict.Refuse(verdict.ReasonWrongTeam, "the key is not one of team %q", spec.Team)
+	if spec.Workspace != who.workspace {
+		return nil, verdict.Refuse(verdict.ReasonWrongWorkspace, "the key is not one of workspace %q", spec.Workspace)
 	}
 	if spec.ID == "" {
 		spec.ID = model.JobID(uuid.NewString())
@@ -114,7 +114,7 @@
 	return owners, refusal
 }
 
-// cancelJob asks a job's owners to end it; a team cancels its own jobs only.
+// cancelJob asks a job's owners to end it; a workspace cancels its own jobs only.
 func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request) {
 	who, refusal := s.authenticateAny(r)
 	if refusal != nil {
@@ -145,7 +145,7 @@
 }
 
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request, who submitter, jobs []model.JobID) {
-	cancel := &fleet.CancelJobs{IDs: jobs, Team: who.team, Key: who.key}
+	cancel := &fleet.CancelJobs{IDs: jobs, Workspace: who.workspace, Key: who.key}
 	if _, err := s.propose(r.Context(), &fleet.Command{CancelJobs: cancel}); err != nil {
 		httpx.WriteRefusal(w, err)
 		return
@@ -166,16 +166,16 @@
 		if r.URL.Query().Get("finished") == "true" {
 			jobs = append(state.FinishedJobs(), jobs...)
 		}
-		answer = listOf(jobs, who.team)
+		answer = listOf(jobs, who.workspace)
 	})
 	if ok {
 		httpx.WriteJSON(w, http.StatusOK, &answer)
 	}
 }
 
-// listOf lists the newest jobs of a team, or of all, in their order.
-func listOf(jobs []*fleet.Job, team model.TeamID) api.JobsAnswer {
-	seen := slices.DeleteFunc(jobs, func(j *fleet.Job) bool { return team != "" && j.Spec.Team != team })
+// listOf lists the newest jobs of a workspace, or of all, in their order.
+func listOf(jobs []*fleet.Job, workspace model.WorkspaceID) api.JobsAnswer {
+	seen := slices.DeleteFunc(jobs, func(j *fleet.Job) bool { return workspace != "" && j.Spec.Workspace != workspace })
 	answer := api.JobsAnswer{Jobs: []api.JobStatus{}, Left: max(0, len(seen)-maxListed)}
 	for _, j := range seen[answer.Left:] {
 		answer.Jobs = append(answer.Jobs, statusOf(j))
@@ -192,7 +192,7 @@
 }
 
 // VisibleJob returns the job that the path names, if the caller may see it. A
-// refusal is answered and reported as false; a team is not told whether a job
+// refusal is answered and reported as false; a workspace is not told whether a job
 // of another one exists.
 func (s *Server) VisibleJob(w http.ResponseWriter, r *http.Request) (*fleet.Job, bool) {
 	who, refusal := s.authenticateAny(r)
@@ -205,7 +205,7 @@
 	if !s.read(w, r, func(state *fleet.State) { job, _ = state.Job(id) }) {
 		return nil, false
 	}
-	if job == nil || who.team != "" && job.Spec.Team != who.team {
+	if job == nil || who.workspace != "" && job.Spec.Workspace != who.workspace {
 		httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonUnknownJob, "job %q is not known", id))
 		return nil, false
 	}
--- a/internal/fleetapi/operate.go
+++ b/internal/fleetapi/operate.go
@@ -81,7 +81,7 @@
 			"field \"hash\" is not the base64 of a SHA-256 hash"))
 		return
 	}
-	grant := &fleet.GrantKey{Key: call.Key, Team: call.Team, Hash: hash}
+	grant := &fleet.GrantKey{Key: call.Key, Workspace: call.Workspace, Hash: hash}
 	s.operate(w, r, &fleet.Command{Header: header(call.Operation), GrantKey: grant})
 }
 
--- a/internal/fleetapi/read.go
+++ b/internal/fleetapi/read.go
@@ -29,10 +29,10 @@
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	scope := settings.Scope{
-		Region:   query.Get("region"),
-		DC:       model.DCID(query.Get("dc")),
-		Team:     model.TeamID(query.Get("team")),
-		Workload: model.Workload(query.Get("workload")),
+		Region:    query.Get("region"),
+		DC:        model.DCID(query.Get("dc")),
+		Workspace: model.WorkspaceID(query.Get("workspace")),
+		Workload:  model.Workload(query.Get("workload")),
 	}
 	names, refusal := namesOf(settings.Name(query.Get("name")))
 	if refusal != nil {
@@ -76,11 +76,11 @@
 		}
 		scope.Region = dc.Region
 	}
-	if _, ok := state.Team(scope.Team); scope.Team != "" && !ok {
-		return answer, verdict.Refuse(verdict.ReasonUnknownTeam, "team %q is not declared", scope.Team)
+	if _, ok := state.Workspace(scope.Workspace); scope.Workspace != "" && !ok {
+		return answer, verdict.Refuse(verdict.ReasonUnknownWorkspace, "workspace %q is not declared", scope.Workspace)
 	}
-	if scope.Workload != "" && scope.Team == "" {
-		return answer, verdict.Refuse(verdict.ReasonBadRequest, "a workload belongs to a team; name the team too")
+	if scope.Workload != "" && scope.Workspace == "" {
+		return answer, verdict.Refuse(verdict.ReasonBadRequest, "a workload belongs to a workspace; name the workspace too")
 	}
 	for _, name := range names {
 		d := state.Tree().Lookup(scope, name)
@@ -148,6 +148,6 @@
 func addLimits(answer *api.InForce, state *fleet.State) {
 	for _, g := range state.LimitsPending(answer.Revision) {
 		answer.InForce = false
-		answer.Limits = append(answer.Limits, api.LimitWait{Team: g.Team, DC: g.DC, Amount: g.Amount, Target: g.Target})
+		answer.Limits = append(answer.Limits, api.LimitWait{Workspace: g.Workspace, DC: g.DC, Amount: g.Amount, Target: g.Target})
 	}
 }
--- a/internal/fleetapi/server_test.go
+++ b/internal/fleetapi/server_test.go
@@ -67,15 +67,15 @@
 func applyBody(op string, expect uint64, milliCPU int) string {
 	return fmt.Sprintf(`{"op_id":%q,"actor":"ada","expect_revision":%d,"declarations":{
 		"data_centres":[{"id":"dc1","region":"r"}],
-		"teams":[{"id":"shop","share":1,"limit":{"milli_cpu":%d,"memory_mb":1000}},{"id":"vets","share":1,"limit":{"milli_cpu":1000}}]}}`,
+		"workspaces":[{"id":"shop","share":1,"limit":{"milli_cpu":%d,"memory_mb":1000}},{"id":"vets","share":1,"limit":{"milli_cpu":1000}}]}}`,
 		op, expect, milliCPU)
 }
 
 // grant adds a key and returns its text.
-func (s *service) grant(team string) string {
+func (s *service) grant(workspace string) string {
 	id, text, hash := fleet.NewKey()
 	s.operate(http.MethodPost, api.PathKeys,
-		fmt.Sprintf(`{"op_id":%q,"actor":"ada","key":%q,"team":%q,"hash":%q}`, id, id, team, fleet.HashText(hash)))
+		fmt.Sprintf(`{"op_id":%q,"actor":"ada","key":%q,"workspace":%q,"hash":%q}`, id, id, workspace, fleet.HashText(hash)))
 	return text
 }
 
@@ -109,18 +109,18 @@
 		{"unknown field", "POST", api.PathSettings, `{"op":"x"}`, "", token, 400, verdict.ReasonBadRequest, `unknown field "op"`},
 		{"stale revision", "POST", api.PathSettings, applyBody("y", 1, 9000), "", token, 409, verdict.ReasonConflict, "by ada made revision 2"},
 		{"used operation id", "POST", api.PathSettings, applyBody("first", revision, 9000), "", token, 409, verdict.ReasonConflict, "another command"},
-		{"faulty tree", "POST", api.PathSettings, applyBody("z", revision, -1), "", token, 400, verdict.ReasonBadRequest, "teams.shop.limit"},
+		{"faulty tree", "POST", api.PathSettings, applyBody("z", revision, -1), "", token, 400, verdict.ReasonBadRequest, "workspaces.shop.limit"},
 		{"unknown data centre", "POST", "/v1/data-centres/dc9/out", op, "", token, 400, verdict.ReasonBadRequest, "dc9"},
 		{"unknown action", "POST", "/v1/data-centres/dc1/off", op, "", token, 400, verdict.ReasonBadRequest, "off"},
-		{"bad hash", "POST", api.PathKeys, `{"op_id":"x","actor":"a","key":"k","team":"shop","hash":"AA=="}`, "", token, 400, verdict.ReasonBadRequest, "hash"},
+		{"bad hash", "POST", api.PathKeys, `{"op_id":"x","actor":"a","key":"k","workspace":"shop","hash":"AA=="}`, "", token, 400, verdict.ReasonBadRequest, "hash"},
 		{"unknown key", "DELETE", "/v1/keys/none", `{"op_id":"k","actor":"ada"}`, "", token, 404, verdict.ReasonUnknownKey, "none"},
 		{"bad revision", "GET", "/v1/settings/in-force/x", "", "", token, 400, verdict.ReasonBadRequest, "revision"},
 		{"unknown setting", "GET", api.PathExplain + "?name=x", "", "", token, 400, verdict.ReasonBadRequest, `"x"`},
-		{"unknown team", "GET", api.PathExplain + "?team=x", "", "", token, 404, verdict.ReasonUnknownTeam, `"x"`},
-		{"workload alone", "GET", api.PathExplain + "?workload=x", "", "", token, 400, verdict.ReasonBadRequest, "team"},
+		{"unknown workspace", "GET", api.PathExplain + "?workspace=x", "", "", token, 404, verdict.ReasonUnknownWorkspace, `"x"`},
+		{"workload alone", "GET", api.PathExplain + "?workload=x", "", "", token, 400, verdict.ReasonBadRequest, "workspace"},
 		{"no key", "POST", api.PathJobs, smallJob, "", token, 401, verdict.ReasonBadKey, "key"},
 		{"wrong key", "POST", api.PathJobs, smallJob, shop + "0", "", 401, verdict.ReasonBadKey, "key"},
-		{"another team's job", "POST", api.PathJobs, `{"team":"shop"}`, vets, "", 403, verdict.ReasonWrongTeam, "shop"},
+		{"another workspace's job", "POST", api.PathJobs, `{"workspace":"shop"}`, vets, "", 403, verdict.ReasonWrongWorkspace, "shop"},
 		{"job of another spec", "POST", api.PathJobs, strings.Replace(smallJob, "10}", "11}", 1), shop, "", 409, verdict.ReasonConflict, "j1"},
 		{"never fits", "POST", api.PathJobs, strings.NewReplacer("j1", "j2", "1000", "5000").Replace(smallJob), shop, "", 422, verdict.ReasonNeverFits, "milli_cpu"},
 		{"too large", "POST", api.PathJobs, large, shop, "", 413, verdict.ReasonTooLarge, "bytes"},
@@ -152,10 +152,10 @@
 func TestListIsBounded(t *testing.T) {
 	var jobs []*fleet.Job
 	for i := range maxListed + 7 {
-		spec := model.JobSpec{ID: model.JobID(fmt.Sprint("j", i)), Team: "shop"}
+		spec := model.JobSpec{ID: model.JobID(fmt.Sprint("j", i)), Workspace: "shop"}
 		jobs = append(jobs, &fleet.Job{Spec: spec, Owners: []model.DCID{"dc1"}})
 	}
-	other := &fleet.Job{Spec: model.JobSpec{ID: "x", Team: "vets"}, Owners: []model.DCID{"dc1"}}
+	other := &fleet.Job{Spec: model.JobSpec{ID: "x", Workspace: "vets"}, Owners: []model.DCID{"dc1"}}
 	list := listOf(append(jobs, other), "shop")
 	qt.Assert(t, list.Left, qt.Equals, 7)
 	qt.Assert(t, list.Jobs, qt.HasLen, maxListed)
@@ -214,14 +214,14 @@
 		qt.Assert(t, err, qt.IsNil)
 		return r
 	}
-	propose(&fleet.Command{RequestGrant: &fleet.RequestGrant{Team: "shop", DC: "dc1", Want: use, Holds: use}})
+	propose(&fleet.Command{RequestGrant: &fleet.RequestGrant{Workspace: "shop", DC: "dc1", Want: use, Holds: use}})
 	s.operate(http.MethodPost, api.PathSettings, applyBody("lower", s.state.Revision(), 1000))
 	path := fmt.Sprintf("/v1/settings/in-force/%d", s.state.Revision())
 	out := s.operate(http.MethodGet, path, "")
 	qt.Assert(t, out, qt.Contains, `"in_force":false`)
-	qt.Assert(t, out, qt.Contains, `"limits":[{"team":"shop","dc":"dc1"`)
+	qt.Assert(t, out, qt.Contains, `"limits":[{"workspace":"shop","dc":"dc1"`)
 	version := s.state.Grant("shop", "dc1").Version
 	keep := model.Resources{MilliCPU: 1000}
-	propose(&fleet.Command{ReturnGrant: &fleet.ReturnGrant{Team: "shop", DC: "dc1", Keep: keep, Version: version}})
+	propose(&fleet.Command{ReturnGrant: &fleet.ReturnGrant{Workspace: "shop", DC: "dc1", Keep: keep, Version: version}})
 	qt.Assert(t, s.operate(http.MethodGet, path, ""), qt.Contains, `"in_force":true`)
 }
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -16,12 +16,12 @@
 	job, _, _ := strings.Cut(task, ".")
 	return eventlog.Event{
 		Kind: kind, At: eventlog.Stamp{WallMillis: ms}, Task: model.TaskID(task), Job: model.JobID(job),
-		Team: "t", Worker: model.WorkerID(worker), DC: "dc1", Attempt: attempt,
+		Workspace: "t", Worker: model.WorkerID(worker), DC: "dc1", Attempt: attempt,
 	}
 }
 
 var (
-	specs = map[model.JobID]model.JobSpec{"j": {ID: "j", Team: "t", Size: model.Resources{MilliCPU: 600, MemoryMB: 100}}}
+	specs = map[model.JobID]model.JobSpec{"j": {ID: "j", Workspace: "t", Size: model.Resources{MilliCPU: 600, MemoryMB: 100}}}
 	size  = model.Resources{MilliCPU: 1000, MemoryMB: 1000}
 )
 
--- a/internal/history/runs.go
+++ b/internal/history/runs.go
@@ -20,7 +20,7 @@
 const (
 	RuleTwoPlaces  Rule = "no task in two places at once"
 	RuleOvercommit Rule = "no VM overcommitted"
-	RuleLimit      Rule = "no team over its upper limit"
+	RuleLimit      Rule = "no workspace over its upper limit"
 	RuleOut        Rule = "no start in a data centre taken out"
 	RuleOnce       Rule = "a request that is not idempotent runs at most once"
 	RuleNotRun     Rule = "a refusal that says not-run is true"
@@ -48,14 +48,14 @@
 
 // Run is one run of a task on a worker, in wall milliseconds of one machine.
 type Run struct {
-	Task    model.TaskID
-	Job     model.JobID
-	Team    model.TeamID
-	Worker  model.WorkerID
-	DC      model.DCID
-	Attempt uint32
-	StartMS int64
-	EndMS   int64
+	Task      model.TaskID
+	Job       model.JobID
+	Workspace model.WorkspaceID
+	Worker    model.WorkerID
+	DC        model.DCID
+	Attempt   uint32
+	StartMS   int64
+	EndMS     int64
 }
 
 type runKey struct {
@@ -74,7 +74,7 @@
 		switch e.Kind {
 		case KindStart:
 			started[k] = len(runs)
-			runs = append(runs, Run{e.Task, e.Job, e.Team, e.Worker, e.DC, e.Attempt, e.At.WallMillis, open})
+			runs = append(runs, Run{e.Task, e.Job, e.Workspace, e.Worker, e.DC, e.Attempt, e.At.WallMillis, open})
 		case KindEnd:
 			if at, ok := started[k]; ok {
 				runs[at].EndMS = e.At.WallMillis
@@ -142,34 +142,34 @@
 	return out
 }
 
-// Limit is a team's upper limit from a moment on.
+// Limit is a workspace's upper limit from a moment on.
 type Limit struct {
-	Team   model.TeamID
-	Limit  model.Resources
-	FromMS int64
+	Workspace model.WorkspaceID
+	Limit     model.Resources
+	FromMS    int64
 }
 
-// OverLimit finds teams that run more than the limit in force. limits are in
+// OverLimit finds workspaces that run more than the limit in force. limits are in
 // order of time.
 func OverLimit(runs []Run, specs map[model.JobID]model.JobSpec, limits []Limit) []Violation {
 	var out []Violation
 	used := map[string]model.Resources{}
-	for _, e := range edges(runs, specs, func(r *Run) string { return string(r.Team) }) {
+	for _, e := range edges(runs, specs, func(r *Run) string { return string(r.Workspace) }) {
 		used[e.group] = used[e.group].Add(e.delta)
-		limit, ok := limitAt(limits, model.TeamID(e.group), e.atMS)
+		limit, ok := limitAt(limits, model.WorkspaceID(e.group), e.atMS)
 		if ok && used[e.group].Exceeds(limit) != "" && !e.delta.Negative() {
 			out = append(out, Violation{RuleLimit, fmt.Sprintf(
-				"team %s runs %s of %s after task %s started at %d ms", e.group, used[e.group], limit, e.run.Task, e.atMS)})
+				"workspace %s runs %s of %s after task %s started at %d ms", e.group, used[e.group], limit, e.run.Task, e.atMS)})
 		}
 	}
 	return out
 }
 
-func limitAt(limits []Limit, team model.TeamID, atMS int64) (model.Resources, bool) {
+func limitAt(limits []Limit, workspace model.WorkspaceID, atMS int64) (model.Resources, bool) {
 	var limit model.Resources
 	found := false
 	for _, l := range limits {
-		if l.Team == team && l.FromMS <= atMS {
+		if l.Workspace == workspace && l.FromMS <= atMS {
 			limit, found = l.Limit, true
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -42,14 +42,14 @@
 
 // record is one request.
 type record struct {
-	ID      model.RequestID   `msgpack:"i"`
-	Team    model.TeamID      `msgpack:"t"`
-	Queue   model.QueueName   `msgpack:"q"`
-	Digest  uint64            `msgpack:"h"`
-	Attempt string            `msgpack:"a"`
-	Expires int64             `msgpack:"x"`
-	State   api.RecordState   `msgpack:"s"`
-	Answer  *api.StoredAnswer `msgpack:"w,omitempty"`
+	ID        model.RequestID   `msgpack:"i"`
+	Workspace model.WorkspaceID `msgpack:"t"`
+	Queue     model.QueueName   `msgpack:"q"`
+	Digest    uint64            `msgpack:"h"`
+	Attempt   string            `msgpack:"a"`
+	Expires   int64             `msgpack:"x"`
+	State     api.RecordState   `msgpack:"s"`
+	Answer    *api.StoredAnswer `msgpack:"w,omitempty"`
 }
 
 // State is the table. It is not safe for concurrent use.
@@ -124,13 +124,13 @@
 		return Result{Refusal: s.full()}
 	}
 	s.add(&record{
-		ID:      b.ID,
-		Team:    b.Team,
-		Queue:   b.Queue,
-		Digest:  b.Digest,
-		Attempt: b.Attempt,
-		Expires: id.MintMillis + b.LifeMillis,
-		State:   api.RecordOpen,
+		ID:        b.ID,
+		Workspace: b.Workspace,
+		Queue:     b.Queue,
+		Digest:    b.Digest,
+		Attempt:   b.Attempt,
+		Expires:   id.MintMillis + b.LifeMillis,
+		State:     api.RecordOpen,
 	})
 	return reply(api.RecordFresh, nil)
 }
@@ -169,7 +169,7 @@
 // repeat answers a Begin whose id has a record. The same attempt asking again
 // after a lost reply is told what it was told first.
 func (s *State) repeat(r *record, b *api.RecordBegin) Result {
-	if r.Team != b.Team || r.Queue != b.Queue || r.Digest != b.Digest {
+	if r.Workspace != b.Workspace || r.Queue != b.Queue || r.Digest != b.Digest {
 		return reply(api.RecordMismatch, nil)
 	}
 	if r.State == api.RecordOpen && b.Attempt != "" && r.Attempt == b.Attempt {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -25,7 +25,7 @@
 const life = 1000
 
 func begin(id model.RequestID, attempt string) *Command {
-	return &Command{Begin: &api.RecordBegin{ID: id, Team: "vets", Queue: "orders", Digest: 7, LifeMillis: life, Attempt: attempt}}
+	return &Command{Begin: &api.RecordBegin{ID: id, Workspace: "vets", Queue: "orders", Digest: 7, LifeMillis: life, Attempt: attempt}}
 }
 
 func finish(id model.RequestID, attempt, body string) *Command {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -4,9 +4,9 @@
 
 // Identifiers. Each is unique within the fleet unless its comment says otherwise.
 type (
-	// TeamID names a team.
-	TeamID string
-	// KeyID is the public part of a team's key.
+	// WorkspaceID names a workspace.
+	WorkspaceID string
+	// KeyID is the public part of a workspace's key.
 	KeyID string
 	// JobID names a job.
 	JobID string
@@ -24,7 +24,7 @@
 	QueueName string
 	// RequestID names one caller's request.
 	RequestID string
-	// Workload names a kind of job or request of one team; it is the lowest
+	// Workload names a kind of job or request of one workspace; it is the lowest
 	// level of the settings tree.
 	Workload string
 )
@@ -72,21 +72,21 @@
 	return false
 }
 
-// Team is a group of submitters with a share of the cell and an upper limit.
-type Team struct {
-	ID TeamID `msgpack:"id" json:"id"`
-	// Share is the team's weight when the cell is full; at least 1.
+// Workspace is a group of submitters with a share of the cell and an upper limit.
+type Workspace struct {
+	ID WorkspaceID `msgpack:"id" json:"id"`
+	// Share is the workspace's weight when the cell is full; at least 1.
 	Share int64 `msgpack:"share" json:"share"`
-	// Limit bounds what the team may run over the whole fleet at any time.
+	// Limit bounds what the workspace may run over the whole fleet at any time.
 	Limit Resources `msgpack:"limit" json:"limit"`
 }
 
-// Key lets its holder act for one team. Only the hash of the secret is kept.
+// Key lets its holder act for one workspace. Only the hash of the secret is kept.
 type Key struct {
-	ID        KeyID    `msgpack:"id" json:"id"`
-	Team      TeamID   `msgpack:"team" json:"team"`
-	Hash      [32]byte `msgpack:"hash" json:"-"`
-	Withdrawn bool     `msgpack:"withdrawn" json:"withdrawn"`
+	ID        KeyID       `msgpack:"id" json:"id"`
+	Workspace WorkspaceID `msgpack:"workspace" json:"workspace"`
+	Hash      [32]byte    `msgpack:"hash" json:"-"`
+	Withdrawn bool        `msgpack:"withdrawn" json:"withdrawn"`
 	// Revision is the fleet revision that last changed the key.
 	Revision uint64 `msgpack:"rev" json:"revision"`
 }
@@ -96,8 +96,8 @@
 	Name QueueName `msgpack:"name" json:"name"`
 	// Open queues take requests without a key.
 	Open bool `msgpack:"open" json:"open"`
-	// Team owns a keyed queue; only its keys open it.
-	Team TeamID `msgpack:"team" json:"team"`
+	// Workspace owns a keyed queue; only its keys open it.
+	Workspace WorkspaceID `msgpack:"workspace" json:"workspace"`
 	// Workload is the settings level of the queue's requests.
 	Workload Workload `msgpack:"workload" json:"workload"`
 }
@@ -112,12 +112,12 @@
 	Revision uint64 `msgpack:"rev" json:"revision"`
 }
 
-// JobSpec is what a team submits.
+// JobSpec is what a workspace submits.
 type JobSpec struct {
-	ID       JobID    `msgpack:"id" json:"id"`
-	Team     TeamID   `msgpack:"team" json:"team"`
-	Workload Workload `msgpack:"workload" json:"workload"`
-	Class    Class    `msgpack:"class" json:"class"`
+	ID        JobID       `msgpack:"id" json:"id"`
+	Workspace WorkspaceID `msgpack:"workspace" json:"workspace"`
+	Workload  Workload    `msgpack:"workload" json:"workload"`
+	Class     Class       `msgpack:"class" json:"class"`
 	// Tasks is the number of tasks; at least 1.
 	Tasks int `msgpack:"tasks" json:"tasks"`
 	// Size is the declared need of each task.
--- a/internal/placement/baseline/baseline.go
+++ b/internal/placement/baseline/baseline.go
@@ -36,18 +36,18 @@
 	s    *placement.Snapshot
 	cost cost
 	free []model.Resources
-	// use is by team.
-	use  map[model.TeamID]*placement.TeamView
+	// use is by workspace.
+	use  map[model.WorkspaceID]*placement.WorkspaceView
 	plan placement.Plan
 }
 
 func decide(s *placement.Snapshot, c cost) *placement.Plan {
-	st := &state{s: s, cost: c, use: make(map[model.TeamID]*placement.TeamView)}
+	st := &state{s: s, cost: c, use: make(map[model.WorkspaceID]*placement.WorkspaceView)}
 	for i := range s.Workers {
 		st.free = append(st.free, s.Workers[i].Free)
 	}
-	for i := range s.Teams {
-		t := s.Teams[i]
+	for i := range s.Workspaces {
+		t := s.Workspaces[i]
 		st.use[t.ID] = &t
 	}
 	jobs := make([]*placement.JobView, len(s.Jobs))
@@ -90,7 +90,7 @@
 
 // placeTask returns the chosen worker, or -1.
 func (st *state) placeTask(j *placement.JobView, p *placement.PendingTask) int {
-	t := st.use[j.Spec.Team]
+	t := st.use[j.Spec.Workspace]
 	if t == nil || p.NotBeforeMillis > st.s.NowMillis || !t.Usage.Add(j.Spec.Size).Fits(t.Grant) {
 		return -1
 	}
@@ -118,10 +118,10 @@
 	return best
 }
 
-// move changes the room of worker w, and the team's use, by n tasks of j.
+// move changes the room of worker w, and the workspace's use, by n tasks of j.
 func (st *state) move(j *placement.JobView, w int, n int64) {
 	size := j.Spec.Size.Scale(n)
 	st.free[w] = st.free[w].Add(size)
-	t := st.use[j.Spec.Team]
+	t := st.use[j.Spec.Workspace]
 	t.Usage = t.Usage.Sub(size)
 }
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -11,8 +11,8 @@
 	"kumquatwing/internal/placement/baseline"
 )
 
-// benchShares are the shares of the bench's teams; the smaller, the more the
-// team sends.
+// benchShares are the shares of the bench's workspaces; the smaller, the more the
+// workspace sends.
 var benchShares = []int64{4, 2, 1, 1}
 
 var schedulers = []scheduler{
--- a/internal/placement/check.go
+++ b/internal/placement/check.go
@@ -25,7 +25,7 @@
 	RuleRoom        = "no-overcommit"
 	RuleReserved    = "reserved-room"
 	RuleGang        = "gang-whole"
-	RuleGrant       = "team-limit"
+	RuleGrant       = "workspace-limit"
 	RuleBound       = "max-placements"
 	RulePreempt     = "preemption"
 	RuleRefuse      = "refusal"
@@ -65,27 +65,27 @@
 
 // checker holds the indexes that the rules need.
 type checker struct {
-	s       *Snapshot
-	p       *Plan
-	workers map[model.WorkerID]*WorkerView
-	jobs    map[model.JobID]*JobView
-	teams   map[model.TeamID]*TeamView
-	placed  map[model.JobID]int
+	s          *Snapshot
+	p          *Plan
+	workers    map[model.WorkerID]*WorkerView
+	jobs       map[model.JobID]*JobView
+	workspaces map[model.WorkspaceID]*WorkspaceView
+	placed     map[model.JobID]int
 }
 
 func newChecker(s *Snapshot, p *Plan) *checker {
 	c := &checker{
 		s: s, p: p,
-		workers: make(map[model.WorkerID]*WorkerView, len(s.Workers)),
-		jobs:    make(map[model.JobID]*JobView, len(s.Jobs)),
-		teams:   make(map[model.TeamID]*TeamView, len(s.Teams)),
-		placed:  make(map[model.JobID]int),
+		workers:    make(map[model.WorkerID]*WorkerView, len(s.Workers)),
+		jobs:       make(map[model.JobID]*JobView, len(s.Jobs)),
+		workspaces: make(map[model.WorkspaceID]*WorkspaceView, len(s.Workspaces)),
+		placed:     make(map[model.JobID]int),
 	}
 	for i := range s.Workers {
 		c.workers[s.Workers[i].ID] = &s.Workers[i]
 	}
-	for i := range s.Teams {
-		c.teams[s.Teams[i].ID] = &s.Teams[i]
+	for i := range s.Workspaces {
+		c.workspaces[s.Workspaces[i].ID] = &s.Workspaces[i]
 	}
 	for i := range s.Jobs {
 		c.jobs[s.Jobs[i].Spec.ID] = &s.Jobs[i]
@@ -189,16 +189,16 @@
 }
 
 func (c *checker) checkGrants() error {
-	used := make(map[model.TeamID]model.Resources)
+	used := make(map[model.WorkspaceID]model.Resources)
 	for i := range c.p.Place {
 		spec := &c.jobs[c.p.Place[i].Job].Spec
-		t := c.teams[spec.Team]
+		t := c.workspaces[spec.Workspace]
 		if t == nil {
-			return broken(RuleGrant, "team %s is unknown", spec.Team)
+			return broken(RuleGrant, "workspace %s is unknown", spec.Workspace)
 		}
 		used[t.ID] = used[t.ID].Add(spec.Size)
 		if !t.Usage.Add(used[t.ID]).Fits(t.Grant) {
-			return broken(RuleGrant, "team %s: %s in use, %s placed, %s granted", t.ID, t.Usage, used[t.ID], t.Grant)
+			return broken(RuleGrant, "workspace %s: %s in use, %s placed, %s granted", t.ID, t.Usage, used[t.ID], t.Grant)
 		}
 	}
 	return nil
--- a/internal/placement/check_preempt.go
+++ b/internal/placement/check_preempt.go
@@ -81,12 +81,12 @@
 }
 
 // checkNeeded checks that the room held on p's worker, or within the limit of
-// the team if p's run is its own, would not be there without p. Urgent tasks are served first, so that only what they hold and
+// the workspace if p's run is its own, would not be there without p. Urgent tasks are served first, so that only what they hold and
 // what was stopped for them counts there.
 func (c *checker) checkNeeded(p *Preemption, holds model.Resources, stopped map[model.TaskID]*Preemption) error {
 	j := c.jobOfTask(p.For)
 	urgent := isUrgent(j)
-	if team := c.teams[j.Spec.Team]; c.teamOf(p.Task) == team.ID && !holds.Fits(c.limitLeft(team, stopped)) {
+	if workspace := c.workspaces[j.Spec.Workspace]; c.workspaceOf(p.Task) == workspace.ID && !holds.Fits(c.limitLeft(workspace, stopped)) {
 		return nil
 	}
 	room := c.workers[p.Worker].Free.Sub(c.placedOn(p.Worker))
@@ -111,27 +111,27 @@
 	return nil
 }
 
-// teamOf is the team of a run.
-func (c *checker) teamOf(task model.TaskID) model.TeamID {
+// workspaceOf is the workspace of a run.
+func (c *checker) workspaceOf(task model.TaskID) model.WorkspaceID {
 	for i := range c.s.Runs {
 		if c.s.Runs[i].Task == task {
-			return c.s.Runs[i].Team
+			return c.s.Runs[i].Workspace
 		}
 	}
 	return ""
 }
 
-// limitLeft is what the team's grant covers after the plan, when its runs that
+// limitLeft is what the workspace's grant covers after the plan, when its runs that
 // stop have ended and its urgent tasks with reserved room have started.
-func (c *checker) limitLeft(t *TeamView, stopped map[model.TaskID]*Preemption) model.Resources {
+func (c *checker) limitLeft(t *WorkspaceView, stopped map[model.TaskID]*Preemption) model.Resources {
 	left := t.Grant.Sub(t.Usage)
 	for i := range c.p.Place {
-		if spec := &c.jobs[c.p.Place[i].Job].Spec; spec.Team == t.ID {
+		if spec := &c.jobs[c.p.Place[i].Job].Spec; spec.Workspace == t.ID {
 			left = left.Sub(spec.Size)
 		}
 	}
 	for i := range c.s.Runs {
-		if r := &c.s.Runs[i]; r.Team == t.ID && (r.Stopping || stopped[r.Task] != nil) {
+		if r := &c.s.Runs[i]; r.Workspace == t.ID && (r.Stopping || stopped[r.Task] != nil) {
 			left = left.Add(r.Holds)
 		}
 	}
@@ -154,42 +154,42 @@
 	return sum
 }
 
-// checkShares checks that no team is taken below its share by preemptions for
-// other teams' shares.
+// checkShares checks that no workspace is taken below its share by preemptions for
+// other workspaces' shares.
 func (c *checker) checkShares(stopped map[model.TaskID]*Preemption) error {
 	total, active := c.fleet(), c.active()
-	for k := range c.s.Teams {
-		t := &c.s.Teams[k]
+	for k := range c.s.Workspaces {
+		t := &c.s.Workspaces[k]
 		id := t.ID
 		use := t.Usage.Add(t.Elsewhere)
 		taken := false
 		for i := range c.p.Place {
-			if spec := &c.jobs[c.p.Place[i].Job].Spec; spec.Team == id {
+			if spec := &c.jobs[c.p.Place[i].Job].Spec; spec.Workspace == id {
 				use = use.Add(spec.Size)
 			}
 		}
 		for i := range c.s.Runs {
 			r := &c.s.Runs[i]
 			p := stopped[r.Task]
-			if r.Team == id && (p != nil || r.Stopping) {
+			if r.Workspace == id && (p != nil || r.Stopping) {
 				use = use.Sub(r.Holds)
 			}
-			taken = taken || r.Team == id && p != nil && !isUrgent(c.jobOfTask(p.For))
+			taken = taken || r.Workspace == id && p != nil && !isUrgent(c.jobOfTask(p.For))
 		}
 		for i := range c.p.Reservations {
 			use = use.Add(c.reservedBy(id, &c.p.Reservations[i]))
 		}
 		if taken && dominantShare(use, total) < entitlement(t, active) {
-			return broken(RulePreempt, "team %s is taken below its share", id)
+			return broken(RulePreempt, "workspace %s is taken below its share", id)
 		}
 	}
 	return nil
 }
 
-// reservedBy is the room that r holds if its job is team's.
-func (c *checker) reservedBy(team model.TeamID, r *Reservation) model.Resources {
+// reservedBy is the room that r holds if its job is workspace's.
+func (c *checker) reservedBy(workspace model.WorkspaceID, r *Reservation) model.Resources {
 	var sum model.Resources
-	if c.jobs[r.Job].Spec.Team != team {
+	if c.jobs[r.Job].Spec.Workspace != workspace {
 		return sum
 	}
 	for _, room := range r.Workers {
@@ -212,16 +212,16 @@
 	return sum
 }
 
-// active sums the shares of the teams that use or still want anything.
+// active sums the shares of the workspaces that use or still want anything.
 func (c *checker) active() int64 {
 	var sum int64
-	for k := range c.s.Teams {
-		t := &c.s.Teams[k]
+	for k := range c.s.Workspaces {
+		t := &c.s.Workspaces[k]
 		id := t.ID
 		wants := !t.Usage.Add(t.Elsewhere).IsZero()
 		for i := range c.s.Jobs {
 			j := &c.s.Jobs[i]
-			wants = wants || j.Spec.Team == id && len(j.Pending) > 0
+			wants = wants || j.Spec.Workspace == id && len(j.Pending) > 0
 		}
 		if wants {
 			sum += max(t.Share, 1)
--- a/internal/placement/check_test.go
+++ b/internal/placement/check_test.go
@@ -66,8 +66,8 @@
 		return true
 	}},
 	{"grant gone", []string{RuleGrant}, func(s *Snapshot, p *Plan) bool {
-		for i := range s.Teams {
-			s.Teams[i].Grant = model.Resources{}
+		for i := range s.Workspaces {
+			s.Workspaces[i].Grant = model.Resources{}
 		}
 		return len(p.Place) > 0
 	}},
@@ -99,8 +99,8 @@
 		if len(p.Preempt) == 0 {
 			return false
 		}
-		for i := range s.Teams {
-			s.Teams[i].Grant = teamOf("", 1).Grant
+		for i := range s.Workspaces {
+			s.Workspaces[i].Grant = workspaceOf("", 1).Grant
 		}
 		for i := range s.Workers {
 			if s.Workers[i].ID == p.Preempt[0].Worker {
@@ -150,7 +150,7 @@
 func copyOf(s *Snapshot) *Snapshot {
 	c := *s
 	c.Workers = slices.Clone(s.Workers)
-	c.Teams = slices.Clone(s.Teams)
+	c.Workspaces = slices.Clone(s.Workspaces)
 	c.Runs = slices.Clone(s.Runs)
 	c.Jobs = slices.Clone(s.Jobs)
 	for i := range c.Jobs {
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -36,11 +36,11 @@
 
 // decider makes one plan.
 type decider struct {
-	s     *Snapshot
-	c     *cell
-	total model.Resources
-	teams []standing
-	jobs  []*jobState
+	s          *Snapshot
+	c          *cell
+	total      model.Resources
+	workspaces []standing
+	jobs       []*jobState
 	// full holds the sizes that fit on no worker; see noFit.
 	full map[model.Resources]int64
 	// tables rate workers per shape; uses counts how often one was asked for.
@@ -57,7 +57,7 @@
 	// evicted is the run of each preemption of the plan.
 	evicted []evictedRun
 	// stoppingRooms is nil until it is needed; see stopping.
-	stoppingRooms map[model.TeamID]model.Resources
+	stoppingRooms map[model.WorkspaceID]model.Resources
 }
 
 func newDecider(s *Snapshot) *decider {
@@ -73,17 +73,17 @@
 	if d.total.IsZero() {
 		d.total = d.c.total
 	}
-	d.teams = standings(s.Teams, d.total)
+	d.workspaces = standings(s.Workspaces, d.total)
 	d.addJobs()
 	d.addReservations()
 	return d
 }
 
-// addJobs takes in the jobs of known teams; the others wait.
+// addJobs takes in the jobs of known workspaces; the others wait.
 func (d *decider) addJobs() {
-	teams := make(map[model.TeamID]int, len(d.teams))
-	for i := range d.teams {
-		teams[d.teams[i].view.ID] = i
+	workspaces := make(map[model.WorkspaceID]int, len(d.workspaces))
+	for i := range d.workspaces {
+		workspaces[d.workspaces[i].view.ID] = i
 	}
 	states := make([]jobState, len(d.s.Jobs))
 	placed := make([]bool, d.pending())
@@ -95,11 +95,11 @@
 		j.left = len(v.Pending)
 		j.placed, placed = placed[:j.left:j.left], placed[j.left:]
 		d.jobs[i] = j
-		t, ok := teams[v.Spec.Team]
+		t, ok := workspaces[v.Spec.Workspace]
 		if !ok {
-			j.fail(ReasonUnknownTeam)
+			j.fail(ReasonUnknownWorkspace)
 		}
-		j.team = t
+		j.workspace = t
 	}
 }
 
@@ -160,7 +160,7 @@
 			jobs = append(jobs, j)
 		}
 	}
-	q := newQueue(d.teams, jobs)
+	q := newQueue(d.workspaces, jobs)
 	for j := q.head(); j != nil; j = q.head() {
 		if d.planFull() {
 			j.fail(ReasonPlanFull)
@@ -210,7 +210,7 @@
 		j.fail(ReasonBackoff)
 		return
 	}
-	if !d.teams[j.team].allows(j.view.Spec.Size) {
+	if !d.workspaces[j.workspace].allows(j.view.Spec.Size) {
 		j.fail(ReasonLimit)
 		return
 	}
@@ -274,7 +274,7 @@
 	size := j.view.Spec.Size
 	d.c.take(w, size)
 	d.c.countService(&j.ask, w)
-	d.teams[j.team].add(size, d.total)
+	d.workspaces[j.workspace].add(size, d.total)
 	j.mark(i)
 	d.plan.Place = append(d.plan.Place, Placement{
 		Task:    j.view.Pending[i].ID,
@@ -295,7 +295,7 @@
 func normalise(s *Snapshot) *Snapshot {
 	n := *s
 	n.Workers = sorted(s.Workers, func(a, b *WorkerView) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	n.Teams = sorted(s.Teams, func(a, b *TeamView) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	n.Workspaces = sorted(s.Workspaces, func(a, b *WorkspaceView) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	n.Jobs = sorted(s.Jobs, compareJobs)
 	n.Reservations = sorted(s.Reservations, func(a, b *Reservation) int { return strings.Compare(string(a.Job), string(b.Job)) })
 	return &n
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -31,7 +31,7 @@
 		shuffled.Workers = rapid.Permutation(s.Workers).Draw(t, "workers order")
 		shuffled.Jobs = rapid.Permutation(s.Jobs).Draw(t, "jobs order")
 		shuffled.Runs = rapid.Permutation(s.Runs).Draw(t, "runs order")
-		shuffled.Teams = rapid.Permutation(s.Teams).Draw(t, "teams order")
+		shuffled.Workspaces = rapid.Permutation(s.Workspaces).Draw(t, "workspaces order")
 		shuffled.Reservations = rapid.Permutation(s.Reservations).Draw(t, "reservations order")
 		if got := text(Decide(&shuffled)); got != want {
 			t.Fatalf("got %s\nwant %s", got, want)
@@ -54,15 +54,15 @@
 	return WorkerView{ID: model.WorkerID(id), Rack: rack, Size: size, Free: size, State: model.WorkerReady}
 }
 
-// teamOf returns a team without a limit.
-func teamOf(id string, share int64) TeamView {
-	return TeamView{ID: model.TeamID(id), Share: share, Grant: model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}}
+// workspaceOf returns a workspace without a limit.
+func workspaceOf(id string, share int64) WorkspaceView {
+	return WorkspaceView{ID: model.WorkspaceID(id), Share: share, Grant: model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}}
 }
 
 // jobOf returns a job with n pending tasks of some processors each.
-func jobOf(id, team string, class model.Class, n int, milliCPU int64) JobView {
+func jobOf(id, workspace string, class model.Class, n int, milliCPU int64) JobView {
 	j := JobView{Spec: model.JobSpec{
-		ID: model.JobID(id), Team: model.TeamID(team), Class: class, Tasks: n,
+		ID: model.JobID(id), Workspace: model.WorkspaceID(workspace), Class: class, Tasks: n,
 		Size: model.Resources{MilliCPU: milliCPU, MemoryMB: 1000},
 	}, RunMillis: 60_000, Policy: Policy{GangReservationMillis: 10_000}}
 	for i := range n {
@@ -119,9 +119,9 @@
 			reasons: map[model.JobID]string{"a": ReasonRoom},
 		},
 		{
-			name:    "team limit",
+			name:    "workspace limit",
 			jobs:    []JobView{jobOf("a", "x", model.ClassBatch, 3, 4000)},
-			change:  func(s *Snapshot) { s.Teams[0].Grant.MilliCPU = 8000 },
+			change:  func(s *Snapshot) { s.Workspaces[0].Grant.MilliCPU = 8000 },
 			placed:  map[model.JobID]int{"a": 2},
 			reasons: map[model.JobID]string{"a": ReasonLimit},
 		},
@@ -142,8 +142,8 @@
 			name: "use elsewhere counts against the share",
 			jobs: []JobView{jobOf("a", "x", model.ClassBatch, 64, 1000), jobOf("b", "y", model.ClassBatch, 64, 1000)},
 			change: func(s *Snapshot) {
-				s.Teams[1].Share = 1
-				s.Teams[1].Elsewhere = model.Resources{MilliCPU: 32_000}
+				s.Workspaces[1].Share = 1
+				s.Workspaces[1].Elsewhere = model.Resources{MilliCPU: 32_000}
 			},
 			placed:  map[model.JobID]int{"a": 48, "b": 16},
 			reasons: map[model.JobID]string{"a": ReasonRoom, "b": ReasonRoom},
@@ -152,10 +152,10 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			s := &Snapshot{
-				NowMillis: genNow,
-				Workers:   []WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1"), workerOf("w3", "r2"), workerOf("w4", "r2")},
-				Teams:     []TeamView{teamOf("x", 1), teamOf("y", 3)},
-				Jobs:      tc.jobs,
+				NowMillis:  genNow,
+				Workers:    []WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1"), workerOf("w3", "r2"), workerOf("w4", "r2")},
+				Workspaces: []WorkspaceView{workspaceOf("x", 1), workspaceOf("y", 3)},
+				Jobs:       tc.jobs,
 			}
 			if tc.change != nil {
 				tc.change(s)
@@ -175,9 +175,9 @@
 
 func TestServiceSpreadsOverRacks(t *testing.T) {
 	s := &Snapshot{
-		Workers: []WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1"), workerOf("w3", "r2"), workerOf("w4", "r3")},
-		Teams:   []TeamView{teamOf("x", 1)},
-		Jobs:    []JobView{jobOf("a", "x", model.ClassService, 6, 1000)},
+		Workers:    []WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1"), workerOf("w3", "r2"), workerOf("w4", "r3")},
+		Workspaces: []WorkspaceView{workspaceOf("x", 1)},
+		Jobs:       []JobView{jobOf("a", "x", model.ClassService, 6, 1000)},
 	}
 	racks := make(map[string]int)
 	for _, p := range Decide(s).Place {
--- a/internal/placement/dispatch/dispatch.go
+++ b/internal/placement/dispatch/dispatch.go
@@ -73,15 +73,15 @@
 }
 
 // CheckLimit refuses a job of which not even one task, or the whole gang, is
-// within the team's upper limit.
-func CheckLimit(spec *model.JobSpec, team *model.Team) *verdict.Refusal {
+// within the workspace's upper limit.
+func CheckLimit(spec *model.JobSpec, workspace *model.Workspace) *verdict.Refusal {
 	need := atOnce(spec)
-	d := need.Exceeds(team.Limit)
+	d := need.Exceeds(workspace.Limit)
 	if d == "" {
 		return nil
 	}
 	return verdict.Refuse(verdict.ReasonNeverFits,
-		"needs %s at once; the limit of team %s is %s, short in %s", need, team.ID, team.Limit, d)
+		"needs %s at once; the limit of workspace %s is %s, short in %s", need, workspace.ID, workspace.Limit, d)
 }
 
 // atOnce is the least that must run at the same time.
--- a/internal/placement/dispatch/dispatch_test.go
+++ b/internal/placement/dispatch/dispatch_test.go
@@ -114,8 +114,8 @@
 }
 
 func TestCheckLimit(t *testing.T) {
-	team := &model.Team{ID: "x", Limit: model.Resources{MilliCPU: 8000, MemoryMB: 8000}}
-	qt.Check(t, CheckLimit(specOf(model.ClassBatch, 9, 8000), team) == nil, qt.IsTrue)
-	qt.Check(t, CheckLimit(specOf(model.ClassBatch, 1, 9000), team), qt.ErrorMatches, ".*short in milli_cpu")
-	qt.Check(t, CheckLimit(specOf(model.ClassGang, 2, 8000), team), qt.ErrorMatches, ".*short in milli_cpu")
+	workspace := &model.Workspace{ID: "x", Limit: model.Resources{MilliCPU: 8000, MemoryMB: 8000}}
+	qt.Check(t, CheckLimit(specOf(model.ClassBatch, 9, 8000), workspace) == nil, qt.IsTrue)
+	qt.Check(t, CheckLimit(specOf(model.ClassBatch, 1, 9000), workspace), qt.ErrorMatches, ".*short in milli_cpu")
+	qt.Check(t, CheckLimit(specOf(model.ClassGang, 2, 8000), workspace), qt.ErrorMatches, ".*short in milli_cpu")
 }
--- a/internal/placement/driver_test.go
+++ b/internal/placement/driver_test.go
@@ -81,15 +81,15 @@
 
 // driver steps a scheduler through a load in virtual time.
 type driver struct {
-	scheduler scheduler
-	now       int64
-	dcs       []*driverDC
-	teams     []placement.TeamView
-	shapes    []model.Resources
-	book      estimate.Book
-	tasks     []*driverTask
-	stats     stats
-	check     bool
+	scheduler  scheduler
+	now        int64
+	dcs        []*driverDC
+	workspaces []placement.WorkspaceView
+	shapes     []model.Resources
+	book       estimate.Book
+	tasks      []*driverTask
+	stats      stats
+	check      bool
 }
 
 func newDriver(s scheduler, dcs, workers int, shares []int64) *driver {
@@ -98,13 +98,13 @@
 		d.dcs = append(d.dcs, newDriverDC(model.DCID(fmt.Sprintf("dc%d", i)), workers/dcs))
 	}
 	for i, share := range shares {
-		d.teams = append(d.teams, placement.TeamView{ID: teamName(i), Share: share, Grant: model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}})
+		d.workspaces = append(d.workspaces, placement.WorkspaceView{ID: workspaceName(i), Share: share, Grant: model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}})
 	}
 	d.shapes = []model.Resources{driverWorker(0), driverWorker(7)}
 	return d
 }
 
-func teamName(i int) model.TeamID { return model.TeamID(fmt.Sprintf("team%d", i)) }
+func workspaceName(i int) model.WorkspaceID { return model.WorkspaceID(fmt.Sprintf("workspace%d", i)) }
 
 // driverWorker is the size of the i-th worker: one in eight has accelerators.
 func driverWorker(i int) model.Resources {
@@ -197,7 +197,9 @@
 	return part
 }
 
-func keyOf(s *model.JobSpec) estimate.Key { return estimate.Key{Team: s.Team, Workload: s.Workload} }
+func keyOf(s *model.JobSpec) estimate.Key {
+	return estimate.Key{Workspace: s.Workspace, Workload: s.Workload}
+}
 
 func (d *driver) views() []dispatch.DCView {
 	var out []dispatch.DCView
--- a/internal/placement/driver_view_test.go
+++ b/internal/placement/driver_view_test.go
@@ -11,7 +11,7 @@
 // snapshot is what the data centre's scheduler sees.
 func (d *driver) snapshot(dc *driverDC) *placement.Snapshot {
 	s := &placement.Snapshot{NowMillis: d.now, Out: dc.out, Workers: slices.Clone(dc.workers), Reservations: dc.reservations, MaxPlacements: driverBound}
-	s.Teams = d.usage(dc)
+	s.Workspaces = d.usage(dc)
 	for _, o := range d.dcs {
 		for i := range o.workers {
 			s.Fleet = s.Fleet.Add(o.workers[i].Size)
@@ -37,7 +37,7 @@
 func (d *driver) runView(dc *driverDC, t *driverTask) placement.RunView {
 	spec := &t.job.spec
 	v := placement.RunView{
-		Task: t.id, Job: spec.ID, Team: spec.Team, Class: spec.Class, Worker: dc.workers[t.worker].ID, Holds: t.size,
+		Task: t.id, Job: spec.ID, Workspace: spec.Workspace, Class: spec.Class, Worker: dc.workers[t.worker].ID, Holds: t.size,
 		StartedMillis: t.started, Preemptible: spec.Class == model.ClassBatch, Stopping: t.stopAt != 0,
 	}
 	if spec.Class == model.ClassBatch {
@@ -57,13 +57,13 @@
 	return d.book.Correct(keyOf(spec), spec.Size, spec.RunMillis, nil).RunMillis
 }
 
-// usage is the teams' standing as the data centre sees it.
-func (d *driver) usage(here *driverDC) []placement.TeamView {
-	out := slices.Clone(d.teams)
+// usage is the workspaces' standing as the data centre sees it.
+func (d *driver) usage(here *driverDC) []placement.WorkspaceView {
+	out := slices.Clone(d.workspaces)
 	for _, dc := range d.dcs {
 		for _, t := range dc.running {
 			for i := range out {
-				if out[i].ID != t.job.spec.Team {
+				if out[i].ID != t.job.spec.Workspace {
 					continue
 				}
 				if dc == here {
--- a/internal/placement/estimate/estimate.go
+++ b/internal/placement/estimate/estimate.go
@@ -38,14 +38,14 @@
 	maxRaisedPart = 2
 )
 
-// Key names a workload of a team.
+// Key names a workload of a workspace.
 type Key struct {
-	Team     model.TeamID   `msgpack:"t"`
-	Workload model.Workload `msgpack:"w"`
+	Workspace model.WorkspaceID `msgpack:"t"`
+	Workload  model.Workload    `msgpack:"w"`
 }
 
 func compareKeys(a, b Key) int {
-	if d := cmp.Compare(a.Team, b.Team); d != 0 {
+	if d := cmp.Compare(a.Workspace, b.Workspace); d != 0 {
 		return d
 	}
 	return cmp.Compare(a.Workload, b.Workload)
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -144,14 +144,14 @@
 
 // details are the sentences for reasons that need no figures.
 var details = map[string]string{
-	ReasonRoom:        "no worker has room",
-	ReasonGang:        "not enough workers have room for all tasks at once",
-	ReasonReserved:    "room is reserved and not free yet",
-	ReasonLimit:       "the team's limit here is used up",
-	ReasonBackoff:     "a pause after a failure has not ended",
-	ReasonOut:         "the data centre is out; nothing starts",
-	ReasonPlanFull:    "the plan has as many placements as it may have",
-	ReasonNoWorkers:   "no worker is known",
-	ReasonUnknownTeam: "the team is not known here",
-	ReasonNextPlan:    "room was released late in this plan",
+	ReasonRoom:             "no worker has room",
+	ReasonGang:             "not enough workers have room for all tasks at once",
+	ReasonReserved:         "room is reserved and not free yet",
+	ReasonLimit:            "the workspace's limit here is used up",
+	ReasonBackoff:          "a pause after a failure has not ended",
+	ReasonOut:              "the data centre is out; nothing starts",
+	ReasonPlanFull:         "the plan has as many placements as it may have",
+	ReasonNoWorkers:        "no worker is known",
+	ReasonUnknownWorkspace: "the workspace is not known here",
+	ReasonNextPlan:         "room was released late in this plan",
 }
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -9,7 +9,7 @@
 		j.fail(ReasonBackoff)
 		return
 	}
-	if !d.teams[j.team].allows(j.view.Spec.Size.Scale(int64(n))) {
+	if !d.workspaces[j.workspace].allows(j.view.Spec.Size.Scale(int64(n))) {
 		j.fail(ReasonLimit)
 		return
 	}
--- a/internal/placement/gang_reserve.go
+++ b/internal/placement/gang_reserve.go
@@ -59,29 +59,29 @@
 }
 
 // reservers lists the jobs that may reserve now, in the order of the queue: the
-// first of each team that holds no reservation yet.
+// first of each workspace that holds no reservation yet.
 func (d *decider) reservers() []*jobState {
 	var out []*jobState
-	taken := d.reservingTeams()
+	taken := d.reservingWorkspaces()
 	for _, j := range d.jobs {
-		if !taken[j.team] && d.mayReserve(j) {
-			taken[j.team] = true
+		if !taken[j.workspace] && d.mayReserve(j) {
+			taken[j.workspace] = true
 			out = append(out, j)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *jobState) int {
-		return int(min(max(d.teams[a.team].key-d.teams[b.team].key, -1), 1))
+		return int(min(max(d.workspaces[a.workspace].key-d.workspaces[b.workspace].key, -1), 1))
 	})
 	return out
 }
 
-// reservingTeams marks the teams that hold a reservation for a gang or a large
+// reservingWorkspaces marks the workspaces that hold a reservation for a gang or a large
 // task.
-func (d *decider) reservingTeams() []bool {
-	taken := make([]bool, len(d.teams))
+func (d *decider) reservingWorkspaces() []bool {
+	taken := make([]bool, len(d.workspaces))
 	for _, j := range d.jobs {
 		if j.reservation != nil && !isUrgent(j.view) {
-			taken[j.team] = true
+			taken[j.workspace] = true
 		}
 	}
 	return taken
--- a/internal/placement/gen_test.go
+++ b/internal/placement/gen_test.go
@@ -44,7 +44,7 @@
 	s.Settling = g.chance(10)
 	s.MaxPlacements = one(g, 0, 0, 0, 1, 5)
 	g.workers(s)
-	g.teams(s)
+	g.workspaces(s)
 	g.runs(s)
 	g.jobs(s)
 	g.reservations(s)
@@ -72,14 +72,14 @@
 	}
 }
 
-func (g gen) teams(s *Snapshot) {
+func (g gen) workspaces(s *Snapshot) {
 	for i := range 1 + g.IntN(4) {
-		t := teamOf(fmt.Sprintf("t%d", i), 1+g.Int64N(5))
+		t := workspaceOf(fmt.Sprintf("t%d", i), 1+g.Int64N(5))
 		if g.chance(4) {
 			t.Grant = model.Resources{MilliCPU: g.Int64N(90_000), MemoryMB: 90_000, Accelerators: 4}
 		}
 		t.Elsewhere = g.size().Scale(g.Int64N(4))
-		s.Teams = append(s.Teams, t)
+		s.Workspaces = append(s.Workspaces, t)
 	}
 }
 
@@ -102,18 +102,18 @@
 			return
 		}
 		w := &s.Workers[g.IntN(len(s.Workers))]
-		team := &s.Teams[g.IntN(len(s.Teams))]
+		workspace := &s.Workspaces[g.IntN(len(s.Workspaces))]
 		size := g.size()
 		if !size.Fits(w.Free) {
 			continue
 		}
 		w.Free = w.Free.Sub(size)
-		team.Usage = team.Usage.Add(size)
+		workspace.Usage = workspace.Usage.Add(size)
 		class := g.class()
 		s.Runs = append(s.Runs, RunView{
 			Task:             model.TaskID(fmt.Sprintf("run%03d.0", i)),
 			Job:              model.JobID(fmt.Sprintf("run%03d", i)),
-			Team:             team.ID,
+			Workspace:        workspace.ID,
 			Class:            class,
 			Worker:           w.ID,
 			Holds:            size,
@@ -132,11 +132,11 @@
 		if g.chance(30) {
 			size.MemoryMB = 1 << 20
 		}
-		team := fmt.Sprintf("t%d", g.IntN(len(s.Teams)))
+		workspace := fmt.Sprintf("t%d", g.IntN(len(s.Workspaces)))
 		if g.chance(30) {
-			team = "nobody"
+			workspace = "nobody"
 		}
-		j := jobOf(fmt.Sprintf("j%02d", i), team, g.class(), 1+g.IntN(6), 0)
+		j := jobOf(fmt.Sprintf("j%02d", i), workspace, g.class(), 1+g.IntN(6), 0)
 		j.Spec.Size = size
 		j.ArrivedMillis = genNow - int64(100-i)*one[int64](g, 10, 200, 1000)
 		j.RunMillis = one[int64](g, 0, 1000, 3000, 600_000)
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -40,15 +40,15 @@
 	return math.Pow(offRange, 2*r.Float64()-1)
 }
 
-// workloads draws ten kinds of job for each team: the teams with small shares
+// workloads draws ten kinds of job for each workspace: the workspaces with small shares
 // send the most.
 func workloads(r *rand.Rand, shares []int64) []workload {
 	var out []workload
-	for team := range shares {
+	for workspace := range shares {
 		for k := range 10 {
 			w := workload{runRatio: off(r), useRatio: off(r)}
 			w.spec = specOf(r, k)
-			w.spec.Team = teamName(team)
+			w.spec.Workspace = workspaceName(workspace)
 			w.spec.Workload = model.Workload(fmt.Sprintf("%s-%d", w.spec.Class, k))
 			out = append(out, w)
 		}
@@ -105,15 +105,15 @@
 	return out
 }
 
-// pick draws a workload: each team sends twice as many as the one before it,
+// pick draws a workload: each workspace sends twice as many as the one before it,
 // but for the second, which sends as many as the first.
-func pick(r *rand.Rand, teams int) int {
-	weights := 1 << (teams - 1)
-	n, team := r.IntN(weights), 0
-	for n >= 1<<team && team < teams-1 {
-		team++
+func pick(r *rand.Rand, workspaces int) int {
+	weights := 1 << (workspaces - 1)
+	n, workspace := r.IntN(weights), 0
+	for n >= 1<<workspace && workspace < workspaces-1 {
+		workspace++
 	}
-	return team*10 + r.IntN(10)
+	return workspace*10 + r.IntN(10)
 }
 
 func drawJob(r *rand.Rand, w *workload, i int, at int64) *loadJob {
@@ -142,12 +142,12 @@
 
 // meanRoom is the mean part of a worker that a job takes as declared, times
 // the milliseconds for which it does.
-func meanRoom(r *rand.Rand, kinds []workload, teams int) float64 {
+func meanRoom(r *rand.Rand, kinds []workload, workspaces int) float64 {
 	const draws = 10_000
 	worker := driverWorker(0)
 	var sum float64
 	for range draws {
-		w := &kinds[pick(r, teams)]
+		w := &kinds[pick(r, workspaces)]
 		s := &w.spec
 		part := max(float64(s.Size.MilliCPU)/float64(worker.MilliCPU), float64(s.Size.MemoryMB)/float64(worker.MemoryMB))
 		sum += part * float64(s.RunMillis) * w.runRatio * max(1, w.useRatio) * float64(s.Tasks)
@@ -160,7 +160,7 @@
 	size := model.Resources{MilliCPU: 1000, MemoryMB: 2048}
 	return &loadJob{
 		spec: model.JobSpec{
-			ID: model.JobID(fmt.Sprintf("s%03d", i)), Team: teamName(i % len(p.shares)), Workload: "service",
+			ID: model.JobID(fmt.Sprintf("s%03d", i)), Workspace: workspaceName(i % len(p.shares)), Workload: "service",
 			Class: model.ClassService, Tasks: 4, Size: size,
 		},
 		run: math.MaxInt32 * 1000, use: size,
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -9,9 +9,9 @@
 )
 
 // runOf returns a preemptible batch run that started and saved at the given times.
-func runOf(id, team, worker string, milliCPU, started, checkpoint, ends int64) RunView {
+func runOf(id, workspace, worker string, milliCPU, started, checkpoint, ends int64) RunView {
 	return RunView{
-		Task: model.TaskID(id + ".0"), Job: model.JobID(id), Team: model.TeamID(team), Class: model.ClassBatch,
+		Task: model.TaskID(id + ".0"), Job: model.JobID(id), Workspace: model.WorkspaceID(workspace), Class: model.ClassBatch,
 		Worker: model.WorkerID(worker), Holds: model.Resources{MilliCPU: milliCPU, MemoryMB: 1000},
 		StartedMillis: started, CheckpointMillis: checkpoint, EndsMillis: ends, Preemptible: true,
 	}
@@ -19,16 +19,16 @@
 
 // occupied returns a snapshot of workers filled by runs.
 func occupied(workers []WorkerView, runs ...RunView) *Snapshot {
-	s := &Snapshot{NowMillis: genNow, Workers: workers, Runs: runs, Teams: []TeamView{teamOf("x", 1), teamOf("y", 1)}}
+	s := &Snapshot{NowMillis: genNow, Workers: workers, Runs: runs, Workspaces: []WorkspaceView{workspaceOf("x", 1), workspaceOf("y", 1)}}
 	for _, r := range runs {
 		for i := range s.Workers {
 			if s.Workers[i].ID == r.Worker {
 				s.Workers[i].Free = s.Workers[i].Free.Sub(r.Holds)
 			}
 		}
-		for i := range s.Teams {
-			if s.Teams[i].ID == r.Team {
-				s.Teams[i].Usage = s.Teams[i].Usage.Add(r.Holds)
+		for i := range s.Workspaces {
+			if s.Workspaces[i].ID == r.Workspace {
+				s.Workspaces[i].Usage = s.Workspaces[i].Usage.Add(r.Holds)
 			}
 		}
 	}
@@ -184,7 +184,7 @@
 	s.Jobs[0].ArrivedMillis = genNow - reclaimPatienceMillis
 	p := Decide(s)
 	qt.Assert(t, Check(s, p), qt.IsNil)
-	// Two of four: the teams have equal shares.
+	// Two of four: the workspaces have equal shares.
 	qt.Assert(t, p.Preempt, qt.HasLen, 2)
 	s.Runs[0].Stopping, s.Runs[1].Stopping = true, true
 	s.Reservations = p.Reservations
@@ -227,17 +227,17 @@
 	s := occupied([]WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1")},
 		runOf("a", "x", "w1", 8000, 0, 0, 0), runOf("b", "x", "w1", 8000, 0, 0, 0), runOf("c", "x", "w2", 16_000, 0, 0, 0))
 	s.Jobs = []JobView{jobOf("u", "y", model.ClassUrgent, 1, 8000), jobOf("v", "y", model.ClassUrgent, 1, 8000)}
-	s.Teams[1].Grant.MilliCPU = 8000
+	s.Workspaces[1].Grant.MilliCPU = 8000
 	p := Decide(s)
 	qt.Assert(t, Check(s, p), qt.IsNil)
 	qt.Check(t, p.Preempt, qt.HasLen, 1)
 }
 
-func TestUrgentStopsOwnTeamsRunsAtTheLimit(t *testing.T) {
+func TestUrgentStopsOwnWorkspacesRunsAtTheLimit(t *testing.T) {
 	s := occupied([]WorkerView{workerOf("w1", "r1"), workerOf("w2", "r1")},
 		runOf("a", "x", "w1", 4000, genNow-10, 0, 0), runOf("b", "y", "w1", 4000, 0, 0, 0), runOf("c", "y", "w1", 4000, genNow-20, 0, 0))
 	s.Jobs = []JobView{jobOf("u", "y", model.ClassUrgent, 1, 2000)}
-	s.Teams[1].Grant.MilliCPU = 9000
+	s.Workspaces[1].Grant.MilliCPU = 9000
 	p := Decide(s)
 	qt.Assert(t, Check(s, p), qt.IsNil)
 	qt.Assert(t, preempted(p), qt.DeepEquals, []model.TaskID{"c.0"})
@@ -260,10 +260,10 @@
 	s.Reservations = p.Reservations
 	p = Decide(s)
 	qt.Assert(t, Check(s, p), qt.IsNil)
-	// Two whole workers: half of the cell, which is the team's share.
+	// Two whole workers: half of the cell, which is the workspace's share.
 	qt.Assert(t, p.Preempt, qt.HasLen, 4)
 	qt.Check(t, p.Reservations[0].StartMillis, qt.Equals, int64(genNow+stopMillis))
-	// A larger gang would take its team over its share.
+	// A larger gang would take its workspace over its share.
 	s.Reservations = nil
 	s.Jobs[0] = jobOf("g", "y", model.ClassGang, 3, 12_000)
 	s.Reservations = Decide(s).Reservations
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -107,10 +107,10 @@
 // evictedRun is a run that the plan preempts.
 type evictedRun struct {
 	run int32
-	// team is the one that it is stopped for; forLimit is set if the run is the
-	// team's own and its room is needed within the limit.
-	team     int
-	forLimit bool
+	// workspace is the one that it is stopped for; forLimit is set if the run is the
+	// workspace's own and its room is needed within the limit.
+	workspace int
+	forLimit  bool
 }
 
 // dropUnneeded takes back the preemptions from the first-th on that later ones
@@ -122,7 +122,7 @@
 		w := int(d.c.byID[d.plan.Preempt[i].Worker])
 		e := d.evicted[i]
 		holds := x.runs[e.run].Holds
-		if !holds.Fits(spare(w)) || e.forLimit && !holds.Fits(d.limitLeft(e.team, true)) {
+		if !holds.Fits(spare(w)) || e.forLimit && !holds.Fits(d.limitLeft(e.workspace, true)) {
 			continue
 		}
 		x.goOn(w, e.run)
@@ -153,7 +153,7 @@
 	for _, stopped := range e.runs {
 		r := &x.runs[stopped.run]
 		x.stop(e.worker, stopped.run)
-		d.evicted = append(d.evicted, evictedRun{stopped.run, j.team, why == evictForLimit})
+		d.evicted = append(d.evicted, evictedRun{stopped.run, j.workspace, why == evictForLimit})
 		d.plan.Preempt = append(d.plan.Preempt, Preemption{
 			Task: r.Task, Worker: r.Worker, For: task,
 			Explain: d.explainEviction(j, r, why),
@@ -166,8 +166,8 @@
 
 const (
 	evictForUrgent evictReason = "stopped for an urgent task"
-	evictForLimit  evictReason = "stopped for an urgent task of its team, whose limit is used up"
-	evictForShare  evictReason = "stopped for the share of the waiting task's team"
+	evictForLimit  evictReason = "stopped for an urgent task of its workspace, whose limit is used up"
+	evictForShare  evictReason = "stopped for the share of the waiting task's workspace"
 )
 
 // coreMillis is one core millisecond in the units of lostWork.
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -11,8 +11,8 @@
 // jobState is one job while a plan is made.
 type jobState struct {
 	view *JobView
-	// team is the index of the job's team in the standings.
-	team int
+	// workspace is the index of the job's workspace in the standings.
+	workspace int
 	// placed has the pending tasks that the plan places.
 	placed []bool
 	left   int
@@ -44,24 +44,24 @@
 	j.left--
 }
 
-// queue gives the teams' jobs in turn: the team with the smallest weighted
-// dominant share first, and within a team the job that arrived first.
+// queue gives the workspaces' jobs in turn: the workspace with the smallest weighted
+// dominant share first, and within a workspace the job that arrived first.
 type queue struct {
 	standings []standing
-	// waiting holds, per team, its jobs in the order of arrival.
-	waiting [][]*jobState
-	teams   []int
+	// waiting holds, per workspace, its jobs in the order of arrival.
+	waiting    [][]*jobState
+	workspaces []int
 }
 
-// newQueue orders jobs, which come by arrival and whose teams index standings.
+// newQueue orders jobs, which come by arrival and whose workspaces index standings.
 func newQueue(standings []standing, jobs []*jobState) *queue {
 	q := &queue{standings: standings, waiting: make([][]*jobState, len(standings))}
 	for _, j := range jobs {
-		q.waiting[j.team] = append(q.waiting[j.team], j)
+		q.waiting[j.workspace] = append(q.waiting[j.workspace], j)
 	}
 	for t := range q.waiting {
 		if len(q.waiting[t]) > 0 {
-			q.teams = append(q.teams, t)
+			q.workspaces = append(q.workspaces, t)
 		}
 	}
 	heap.Init(q)
@@ -78,18 +78,18 @@
 
 // head is the next job, or nil.
 func (q *queue) head() *jobState {
-	if len(q.teams) == 0 {
+	if len(q.workspaces) == 0 {
 		return nil
 	}
-	return q.waiting[q.teams[0]][0]
+	return q.waiting[q.workspaces[0]][0]
 }
 
-// again puts the head's team in its place after a change of its share.
+// again puts the head's workspace in its place after a change of its share.
 func (q *queue) again() { heap.Fix(q, 0) }
 
 // drop takes the head out.
 func (q *queue) drop() {
-	t := q.teams[0]
+	t := q.workspaces[0]
 	q.waiting[t] = q.waiting[t][1:]
 	if len(q.waiting[t]) == 0 {
 		heap.Pop(q)
@@ -99,11 +99,11 @@
 }
 
 // Len implements heap.Interface.
-func (q *queue) Len() int { return len(q.teams) }
+func (q *queue) Len() int { return len(q.workspaces) }
 
 // Less implements heap.Interface.
 func (q *queue) Less(i, j int) bool {
-	a, b := q.teams[i], q.teams[j]
+	a, b := q.workspaces[i], q.workspaces[j]
 	if q.standings[a].key != q.standings[b].key {
 		return q.standings[a].key < q.standings[b].key
 	}
@@ -111,15 +111,15 @@
 }
 
 // Swap implements heap.Interface.
-func (q *queue) Swap(i, j int) { q.teams[i], q.teams[j] = q.teams[j], q.teams[i] }
+func (q *queue) Swap(i, j int) { q.workspaces[i], q.workspaces[j] = q.workspaces[j], q.workspaces[i] }
 
 // Push implements heap.Interface.
-func (q *queue) Push(x any) { q.teams = append(q.teams, x.(int)) }
+func (q *queue) Push(x any) { q.workspaces = append(q.workspaces, x.(int)) }
 
 // Pop implements heap.Interface.
 func (q *queue) Pop() any {
-	last := q.teams[len(q.teams)-1]
-	q.teams = q.teams[:len(q.teams)-1]
+	last := q.workspaces[len(q.workspaces)-1]
+	q.workspaces = q.workspaces[:len(q.workspaces)-1]
 	return last
 }
 
--- a/internal/placement/reasons.go
+++ b/internal/placement/reasons.go
@@ -11,8 +11,8 @@
 	ReasonGang = "no-room-for-gang"
 	// ReasonReserved waits for reserved room to become free.
 	ReasonReserved = "room-reserved"
-	// ReasonLimit waits because the team's grant is used up.
-	ReasonLimit = "team-limit"
+	// ReasonLimit waits because the workspace's grant is used up.
+	ReasonLimit = "workspace-limit"
 	// ReasonBackoff waits for the pause after a failure to end.
 	ReasonBackoff = "back-off"
 	// ReasonOut waits because the data centre is out.
@@ -21,8 +21,8 @@
 	ReasonPlanFull = "plan-full"
 	// ReasonNoWorkers waits because no worker is known.
 	ReasonNoWorkers = "no-workers"
-	// ReasonUnknownTeam waits because the team has no standing here.
-	ReasonUnknownTeam = "unknown-team"
+	// ReasonUnknownWorkspace waits because the workspace has no standing here.
+	ReasonUnknownWorkspace = "unknown-workspace"
 	// ReasonNextPlan waits because room was released late in this plan.
 	ReasonNextPlan = "next-plan"
 )
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -3,12 +3,12 @@
 import "kumquatwing/internal/model"
 
 const (
-	// ShareReturnMillis is the time within which a team that waits gets its
-	// share back from teams that run preemptible batch work over theirs, in a
+	// ShareReturnMillis is the time within which a workspace that waits gets its
+	// share back from workspaces that run preemptible batch work over theirs, in a
 	// cell of today's size (50 workers), when stops take up to stopMillis.
 	ShareReturnMillis = 60_000
 	// reclaimPatienceMillis is how long a job waits before runs are stopped
-	// for its team's share.
+	// for its workspace's share.
 	reclaimPatienceMillis = 10_000
 	// reclaimHoldMillis is how long the room of stopped runs is held.
 	reclaimHoldMillis = 5000
@@ -23,31 +23,31 @@
 	outstandingWorkers = 2
 )
 
-// entitlement is the part of the fleet that a team may count on while the teams
+// entitlement is the part of the fleet that a workspace may count on while the workspaces
 // that use or want anything are those of active, in shareUnit.
-func entitlement(t *TeamView, active int64) int64 {
+func entitlement(t *WorkspaceView, active int64) int64 {
 	return shareUnit / max(active, 1) * max(t.Share, 1)
 }
 
-// activeShares sums the shares of the teams that use or want anything.
+// activeShares sums the shares of the workspaces that use or want anything.
 func (d *decider) activeShares() int64 {
-	wants := make([]bool, len(d.teams))
+	wants := make([]bool, len(d.workspaces))
 	for _, j := range d.jobs {
-		if j.left > 0 && j.reason != ReasonUnknownTeam {
-			wants[j.team] = true
+		if j.left > 0 && j.reason != ReasonUnknownWorkspace {
+			wants[j.workspace] = true
 		}
 	}
 	var sum int64
-	for i := range d.teams {
-		if wants[i] || !d.teams[i].fleet.IsZero() {
-			sum += max(d.teams[i].view.Share, 1)
+	for i := range d.workspaces {
+		if wants[i] || !d.workspaces[i].fleet.IsZero() {
+			sum += max(d.workspaces[i].view.Share, 1)
 		}
 	}
 	return sum
 }
 
-// reclaimShares stops runs of teams over their share for teams under theirs.
-// No team is taken below its share, so that it can't ask for the room back.
+// reclaimShares stops runs of workspaces over their share for workspaces under theirs.
+// No workspace is taken below its share, so that it can't ask for the room back.
 func (d *decider) reclaimShares() {
 	first := len(d.plan.Preempt)
 	var r *reclaim
@@ -72,7 +72,7 @@
 	}
 }
 
-// mayReclaim reports whether runs may be stopped for j's team's share.
+// mayReclaim reports whether runs may be stopped for j's workspace's share.
 func (d *decider) mayReclaim(j *jobState) bool {
 	if isUrgent(j.view) || j.refused || d.s.NowMillis-j.view.ArrivedMillis < reclaimPatienceMillis {
 		return false
@@ -87,24 +87,24 @@
 type reclaim struct {
 	d      *decider
 	budget int
-	// entitled and expected are per team: its share of the fleet, and what it
+	// entitled and expected are per workspace: its share of the fleet, and what it
 	// will hold once the plan's stops and reservations have come about.
 	entitled []int64
 	expected []model.Resources
-	byID     map[model.TeamID]int
+	byID     map[model.WorkspaceID]int
 }
 
 func newReclaim(d *decider) *reclaim {
 	r := &reclaim{
 		d:        d,
 		budget:   reclaimBudget(d),
-		entitled: make([]int64, len(d.teams)),
-		expected: make([]model.Resources, len(d.teams)),
-		byID:     make(map[model.TeamID]int, len(d.teams)),
+		entitled: make([]int64, len(d.workspaces)),
+		expected: make([]model.Resources, len(d.workspaces)),
+		byID:     make(map[model.WorkspaceID]int, len(d.workspaces)),
 	}
 	active := d.activeShares()
-	for i := range d.teams {
-		t := &d.teams[i]
+	for i := range d.workspaces {
+		t := &d.workspaces[i]
 		r.entitled[i] = entitlement(t.view, active)
 		r.expected[i] = t.fleet
 		r.byID[t.view.ID] = i
@@ -126,11 +126,11 @@
 	return max(min(left, max(minReclaims, workers/reclaimWorkers)), 0)
 }
 
-// expectReserved counts reserved room as its team's.
+// expectReserved counts reserved room as its workspace's.
 func (r *reclaim) expectReserved() {
 	for _, j := range r.d.jobs {
 		n := int64(j.reservedTasks())
-		r.expected[j.team] = r.expected[j.team].Add(j.view.Spec.Size.Scale(n))
+		r.expected[j.workspace] = r.expected[j.workspace].Add(j.view.Spec.Size.Scale(n))
 	}
 }
 
@@ -148,12 +148,12 @@
 }
 
 func (r *reclaim) expectStop(run *RunView) {
-	if t, ok := r.byID[run.Team]; ok {
+	if t, ok := r.byID[run.Workspace]; ok {
 		r.expected[t] = r.expected[t].Sub(run.Holds)
 	}
 }
 
-// reclaimFor stops runs for the job's tasks while its team is under its share.
+// reclaimFor stops runs for the job's tasks while its workspace is under its share.
 func (r *reclaim) reclaimFor(j *jobState) {
 	d := r.d
 	size := j.view.Spec.Size
@@ -166,7 +166,7 @@
 			covered--
 			continue
 		}
-		if r.budget == 0 || !r.under(j.team, size) || !size.Fits(d.limitLeft(j.team, false)) {
+		if r.budget == 0 || !r.under(j.workspace, size) || !size.Fits(d.limitLeft(j.workspace, false)) {
 			return
 		}
 		r.budget--
@@ -188,24 +188,24 @@
 	return &a
 }
 
-// under reports whether the team stays within its share with size more.
-func (r *reclaim) under(team int, size model.Resources) bool {
-	return dominantShare(r.expected[team].Add(size), r.d.total) <= r.entitled[team]
+// under reports whether the workspace stays within its share with size more.
+func (r *reclaim) under(workspace int, size model.Resources) bool {
+	return dominantShare(r.expected[workspace].Add(size), r.d.total) <= r.entitled[workspace]
 }
 
-// mayEvict reports whether the run's team keeps its share without it.
+// mayEvict reports whether the run's workspace keeps its share without it.
 func (r *reclaim) mayEvict(run int32) bool {
 	view := &r.d.runs.runs[run]
-	t, ok := r.byID[view.Team]
+	t, ok := r.byID[view.Workspace]
 	return ok && dominantShare(r.expected[t].Sub(view.Holds), r.d.total) >= r.entitled[t]
 }
 
-// staysOver reports whether every team keeps its share without all of e's runs.
+// staysOver reports whether every workspace keeps its share without all of e's runs.
 func (r *reclaim) staysOver(e eviction) bool {
 	after := make(map[int]model.Resources, 1)
 	for _, run := range e.runs {
 		view := &r.d.runs.runs[run.run]
-		t := r.byID[view.Team]
+		t := r.byID[view.Workspace]
 		if _, ok := after[t]; !ok {
 			after[t] = r.expected[t]
 		}
@@ -217,17 +217,17 @@
 	return true
 }
 
-// count moves the room of e from its teams to the job's.
+// count moves the room of e from its workspaces to the job's.
 func (r *reclaim) count(e eviction, j *jobState) {
 	r.takeOff(e)
-	r.expected[j.team] = r.expected[j.team].Add(j.view.Spec.Size)
+	r.expected[j.workspace] = r.expected[j.workspace].Add(j.view.Spec.Size)
 }
 
 // takeOff no longer counts the runs of e.
 func (r *reclaim) takeOff(e eviction) {
 	for _, run := range e.runs {
 		view := &r.d.runs.runs[run.run]
-		t := r.byID[view.Team]
+		t := r.byID[view.Workspace]
 		r.expected[t] = r.expected[t].Sub(view.Holds)
 	}
 }
--- a/internal/placement/reclaim_gang.go
+++ b/internal/placement/reclaim_gang.go
@@ -7,13 +7,13 @@
 )
 
 // reclaimForGang stops runs on the workers where room is reserved for j, if
-// that frees all of it and keeps every team its share; otherwise none. A gang
+// that frees all of it and keeps every workspace its share; otherwise none. A gang
 // that is larger than what a plan may stop for has the plan to itself.
 func (r *reclaim) reclaimForGang(j *jobState) {
 	d := r.d
 	tasks := j.reservedTasks()
 	fresh := r.budget == reclaimBudget(d)
-	if tasks < j.left || tasks > r.budget && !fresh || !r.under(j.team, model.Resources{}) {
+	if tasks < j.left || tasks > r.budget && !fresh || !r.under(j.workspace, model.Resources{}) {
 		return
 	}
 	before := slices.Clone(r.expected)
@@ -36,7 +36,7 @@
 }
 
 // evictionsFor finds what to stop for all rooms of a reservation. What it finds
-// is taken off what the teams are expected to hold.
+// is taken off what the workspaces are expected to hold.
 func (r *reclaim) evictionsFor(reservation *Reservation) ([]eviction, bool) {
 	d := r.d
 	d.c.release(reservation)
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -113,7 +113,7 @@
 	r.UntilMillis = max(r.UntilMillis, until)
 	r.add(d.c.workers[w].ID, n, j.view.Spec.Size)
 	d.c.hold(r)
-	// A team at its limit waits for that, whether there is room or not.
+	// A workspace at its limit waits for that, whether there is room or not.
 	if j.reason != ReasonLimit {
 		j.reason = ReasonReserved
 	}
--- a/internal/placement/sequence_test.go
+++ b/internal/placement/sequence_test.go
@@ -11,10 +11,10 @@
 )
 
 // jobAt returns a job whose tasks take what they declare.
-func jobAt(id string, team int, class model.Class, arrives int64, tasks int, milliCPU, run int64) *loadJob {
+func jobAt(id string, workspace int, class model.Class, arrives int64, tasks int, milliCPU, run int64) *loadJob {
 	size := model.Resources{MilliCPU: milliCPU, MemoryMB: milliCPU}
 	return &loadJob{spec: model.JobSpec{
-		ID: model.JobID(id), Team: teamName(team), Workload: "w", Class: class, Tasks: tasks, Size: size, RunMillis: run,
+		ID: model.JobID(id), Workspace: workspaceName(workspace), Workload: "w", Class: class, Tasks: tasks, Size: size, RunMillis: run,
 	}, arrives: arrives, run: run, use: size}
 }
 
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -5,9 +5,9 @@
 // shareUnit is the whole fleet in the units of dominant shares.
 const shareUnit = 1_000_000_000
 
-// standing is one team's use and entitlement while a plan is made.
+// standing is one workspace's use and entitlement while a plan is made.
 type standing struct {
-	view *TeamView
+	view *WorkspaceView
 	// here counts against the grant, fleet against the share.
 	here  model.Resources
 	fleet model.Resources
@@ -15,11 +15,11 @@
 	key int64
 }
 
-// standings returns the teams in the order of the snapshot.
-func standings(teams []TeamView, total model.Resources) []standing {
-	out := make([]standing, len(teams))
-	for i := range teams {
-		t := &teams[i]
+// standings returns the workspaces in the order of the snapshot.
+func standings(workspaces []WorkspaceView, total model.Resources) []standing {
+	out := make([]standing, len(workspaces))
+	for i := range workspaces {
+		t := &workspaces[i]
 		out[i] = standing{view: t, here: t.Usage, fleet: t.Usage.Add(t.Elsewhere)}
 		out[i].key = weightedShare(out[i].fleet, total, t.Share)
 	}
@@ -33,7 +33,7 @@
 	t.key = weightedShare(t.fleet, total, t.view.Share)
 }
 
-// allows reports whether the team's grant covers size as well.
+// allows reports whether the workspace's grant covers size as well.
 func (t *standing) allows(size model.Resources) bool {
 	return t.here.Add(size).Fits(t.view.Grant)
 }
@@ -50,7 +50,7 @@
 	return most
 }
 
-// weightedShare is the dominant share divided by the team's weight.
+// weightedShare is the dominant share divided by the workspace's weight.
 func weightedShare(used, total model.Resources, weight int64) int64 {
 	return dominantShare(used, total) / max(weight, 1)
 }
--- a/internal/placement/stats_test.go
+++ b/internal/placement/stats_test.go
@@ -23,7 +23,7 @@
 	// used and held sum parts of the cell over the samples.
 	used, held, memory float64
 	samples            int
-	// distance sums the teams' distance from their share while work waits.
+	// distance sums the workspaces' distance from their share while work waits.
 	distance  float64
 	contended int
 	waits     map[model.Class][]int64
@@ -71,22 +71,22 @@
 	s.shares(d)
 }
 
-// shares adds the distance of the teams from their shares: the part of the held
-// dominant shares that weighted max-min fairness would give to another team.
+// shares adds the distance of the workspaces from their shares: the part of the held
+// dominant shares that weighted max-min fairness would give to another workspace.
 func (s *stats) shares(d *driver) {
-	held := make([]float64, len(d.teams))
-	wanted := make([]float64, len(d.teams))
+	held := make([]float64, len(d.workspaces))
+	wanted := make([]float64, len(d.workspaces))
 	waiting := 0
-	for i := range d.teams {
+	for i := range d.workspaces {
 		var use, wait model.Resources
 		for _, dc := range d.dcs {
 			for _, t := range dc.running {
-				if t.job.spec.Team == d.teams[i].ID {
+				if t.job.spec.Workspace == d.workspaces[i].ID {
 					use = use.Add(t.size)
 				}
 			}
 			for _, j := range dc.jobs {
-				if j.job.spec.Team == d.teams[i].ID {
+				if j.job.spec.Workspace == d.workspaces[i].ID {
 					wait = wait.Add(j.size.Scale(int64(len(j.pending))))
 					waiting += len(j.pending)
 				}
@@ -129,7 +129,7 @@
 		var weights float64
 		for i := range fair {
 			if fair[i] < wanted[i] {
-				weights += float64(d.teams[i].Share)
+				weights += float64(d.workspaces[i].Share)
 			}
 		}
 		if weights == 0 || left < 1e-9 {
@@ -138,7 +138,7 @@
 		part := left / weights
 		for i := range fair {
 			if fair[i] < wanted[i] {
-				give := min(part*float64(d.teams[i].Share), wanted[i]-fair[i])
+				give := min(part*float64(d.workspaces[i].Share), wanted[i]-fair[i])
 				fair[i] += give
 				left -= give
 			}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -15,11 +15,11 @@
 	// NowMillis is the group's clock.
 	NowMillis int64
 	// Out is set while the data centre is taken out: nothing may start.
-	Out     bool
-	Workers []WorkerView
-	Jobs    []JobView
-	Runs    []RunView
-	Teams   []TeamView
+	Out        bool
+	Workers    []WorkerView
+	Jobs       []JobView
+	Runs       []RunView
+	Workspaces []WorkspaceView
 	// Reservations made by earlier plans that still stand.
 	Reservations []Reservation
 	// MaxPlacements bounds the placements of one plan; 0 means no bound. A gang
@@ -76,11 +76,11 @@
 
 // RunView is a task that holds room on a worker.
 type RunView struct {
-	Task   model.TaskID
-	Job    model.JobID
-	Team   model.TeamID
-	Class  model.Class
-	Worker model.WorkerID
+	Task      model.TaskID
+	Job       model.JobID
+	Workspace model.WorkspaceID
+	Class     model.Class
+	Worker    model.WorkerID
 	// Holds is the room the task takes from its worker.
 	Holds model.Resources
 	// StartedMillis, CheckpointMillis and EndsMillis (estimated, 0 if unknown)
@@ -93,13 +93,13 @@
 	Stopping bool
 }
 
-// TeamView is one team's standing.
-type TeamView struct {
-	ID    model.TeamID
+// WorkspaceView is one workspace's standing.
+type WorkspaceView struct {
+	ID    model.WorkspaceID
 	Share int64
-	// Grant is the part of the team's upper limit that this data centre holds.
+	// Grant is the part of the workspace's upper limit that this data centre holds.
 	Grant model.Resources
-	// Usage is what the team's tasks hold here, Elsewhere in other data centres.
+	// Usage is what the workspace's tasks hold here, Elsewhere in other data centres.
 	Usage     model.Resources
 	Elsewhere model.Resources
 }
--- a/internal/placement/urgent.go
+++ b/internal/placement/urgent.go
@@ -57,17 +57,17 @@
 	return budget
 }
 
-// preemptForTask makes room for the i-th pending task of j. While the team's
-// limit is used up, only the team's own runs may be stopped, since only that
+// preemptForTask makes room for the i-th pending task of j. While the workspace's
+// limit is used up, only the workspace's own runs may be stopped, since only that
 // makes room within the limit too.
 func (d *decider) preemptForTask(j *jobState, i int) bool {
 	a := d.ask(j, i)
 	a.avoid = append(j.endedWorkers(), a.avoid...)
 	limit, why := noLimit, evictForUrgent
 	may := func(int32) bool { return true }
-	if left := d.limitLeft(j.team, true); !a.size.Fits(left) {
+	if left := d.limitLeft(j.workspace, true); !a.size.Fits(left) {
 		limit, why = left, evictForLimit
-		may = func(run int32) bool { return d.s.Runs[run].Team == j.view.Spec.Team }
+		may = func(run int32) bool { return d.s.Runs[run].Workspace == j.view.Spec.Workspace }
 	}
 	e, ok := d.findEviction(a, may, limit)
 	if ok {
@@ -76,15 +76,15 @@
 	return ok
 }
 
-// limitLeft is what the team's grant will cover once the runs that stop have
+// limitLeft is what the workspace's grant will cover once the runs that stop have
 // ended, besides the tasks with reserved room: all but gangs', which may be a
 // long time off, or only urgent ones.
-func (d *decider) limitLeft(team int, urgent bool) model.Resources {
-	t := &d.teams[team]
-	left := t.view.Grant.Sub(t.here).Add(d.stopping(team))
+func (d *decider) limitLeft(workspace int, urgent bool) model.Resources {
+	t := &d.workspaces[workspace]
+	left := t.view.Grant.Sub(t.here).Add(d.stopping(workspace))
 	for _, e := range d.reservations {
 		v := e.job.view
-		if e.job.team != team || e.job.reservation != e.reservation || isGang(v) || urgent && !isUrgent(v) {
+		if e.job.workspace != workspace || e.job.reservation != e.reservation || isGang(v) || urgent && !isUrgent(v) {
 			continue
 		}
 		left = left.Sub(v.Spec.Size.Scale(int64(e.job.reservedTasks())))
@@ -92,20 +92,20 @@
 	return left
 }
 
-// stopping is what the team's runs that stop hold.
-func (d *decider) stopping(team int) model.Resources {
+// stopping is what the workspace's runs that stop hold.
+func (d *decider) stopping(workspace int) model.Resources {
 	if d.stoppingRooms == nil {
-		d.stoppingRooms = make(map[model.TeamID]model.Resources)
+		d.stoppingRooms = make(map[model.WorkspaceID]model.Resources)
 		for i := range d.s.Runs {
 			if r := &d.s.Runs[i]; r.Stopping {
-				d.stoppingRooms[r.Team] = d.stoppingRooms[r.Team].Add(r.Holds)
+				d.stoppingRooms[r.Workspace] = d.stoppingRooms[r.Workspace].Add(r.Holds)
 			}
 		}
 	}
-	id := d.teams[team].view.ID
+	id := d.workspaces[workspace].view.ID
 	sum := d.stoppingRooms[id]
 	for _, e := range d.evicted {
-		if r := &d.s.Runs[e.run]; r.Team == id {
+		if r := &d.s.Runs[e.run]; r.Workspace == id {
 			sum = sum.Add(r.Holds)
 		}
 	}
--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -30,11 +30,11 @@
 
 // call is one request on its way.
 type call struct {
-	r     *http.Request
-	queue *model.Queue
-	team  model.TeamID
-	share int64
-	key   string
+	r         *http.Request
+	queue     *model.Queue
+	workspace model.WorkspaceID
+	share     int64
+	key       string
 	// target is what follows the queue's name, with the query.
 	target *url.URL
 
@@ -112,11 +112,11 @@
 		c.named = false
 		return c, verdict.From(err)
 	}
-	if c.queue, c.team, refusal = v.admit(queue, c.key); refusal != nil {
+	if c.queue, c.workspace, refusal = v.admit(queue, c.key); refusal != nil {
 		return c, refusal
 	}
-	scope := v.scope(c.queue, c.team)
-	c.share = v.share(c.team)
+	scope := v.scope(c.queue, c.workspace)
+	c.share = v.share(c.workspace)
 	c.limits = lookupLimits(v, scope)
 	if c.deadline, refusal = parseDeadline(v, scope, r); refusal != nil {
 		return c, refusal
--- a/internal/route/fair.go
+++ b/internal/route/fair.go
@@ -9,9 +9,9 @@
 
 // waiter is a request that waits for a slot.
 type waiter struct {
-	team     model.TeamID
-	share    int64
-	deadline time.Time
+	workspace model.WorkspaceID
+	share     int64
+	deadline  time.Time
 	// avoid lists servers that have failed this request.
 	avoid []model.ServerID
 	// slot receives the slot; it holds one element.
@@ -23,33 +23,33 @@
 	index int
 }
 
-// fairQueue hands out waiting requests so that each team's part of the slots
+// fairQueue hands out waiting requests so that each workspace's part of the slots
 // follows its share. It is start-time fair queueing with a cost of one per
 // request. Source: Goyal, Vin and Cheng, "Start-time Fair Queueing", 1996.
 // It is not safe for concurrent use.
 type fairQueue struct {
-	heap  waiterHeap
-	teams map[model.TeamID]*flow
+	heap       waiterHeap
+	workspaces map[model.WorkspaceID]*flow
 	// virtual is the start tag of the request handed out last.
 	virtual float64
 	seq     uint64
 }
 
-// flow is one team's part of a queue.
+// flow is one workspace's part of a queue.
 type flow struct {
 	waiting int
 	share   int64
 	finish  float64
 }
 
-func newFairQueue() *fairQueue { return &fairQueue{teams: map[model.TeamID]*flow{}} }
+func newFairQueue() *fairQueue { return &fairQueue{workspaces: map[model.WorkspaceID]*flow{}} }
 
-// push adds w at its team's place.
+// push adds w at its workspace's place.
 func (q *fairQueue) push(w *waiter) {
-	f := q.teams[w.team]
+	f := q.workspaces[w.workspace]
 	if f == nil {
 		f = &flow{}
-		q.teams[w.team] = f
+		q.workspaces[w.workspace] = f
 	}
 	f.share = max(1, w.share)
 	w.start = max(q.virtual, f.finish)
@@ -87,38 +87,38 @@
 	return true
 }
 
-// left forgets a team without waiting requests once its tags lie in the past.
+// left forgets a workspace without waiting requests once its tags lie in the past.
 func (q *fairQueue) left(w *waiter) {
-	f := q.teams[w.team]
+	f := q.workspaces[w.workspace]
 	f.waiting--
 	if len(q.heap) == 0 {
-		clear(q.teams)
+		clear(q.workspaces)
 		q.virtual = 0
 		return
 	}
 	if f.waiting == 0 && f.finish <= q.virtual {
-		delete(q.teams, w.team)
+		delete(q.workspaces, w.workspace)
 	}
 }
 
 // len returns the number of waiting requests.
 func (q *fairQueue) len() int { return len(q.heap) }
 
-// waiting returns the number of a team's waiting requests.
-func (q *fairQueue) waiting(team model.TeamID) int {
-	if f := q.teams[team]; f != nil {
+// waiting returns the number of a workspace's waiting requests.
+func (q *fairQueue) waiting(workspace model.WorkspaceID) int {
+	if f := q.workspaces[workspace]; f != nil {
 		return f.waiting
 	}
 	return 0
 }
 
-// ahead estimates how many requests are handed out before a new one of team.
-func (q *fairQueue) ahead(team model.TeamID, share int64) int {
+// ahead estimates how many requests are handed out before a new one of workspace.
+func (q *fairQueue) ahead(workspace model.WorkspaceID, share int64) int {
 	share = max(1, share)
-	own := q.waiting(team)
+	own := q.waiting(workspace)
 	n := own
-	for id, f := range q.teams {
-		if id != team {
+	for id, f := range q.workspaces {
+		if id != workspace {
 			n += min(f.waiting, int(int64(own+1)*f.share/share))
 		}
 	}
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -77,13 +77,13 @@
 
 // Want describes a request that needs a slot.
 type Want struct {
-	Queue    model.QueueName
-	Team     model.TeamID
-	Share    int64
-	Deadline time.Time
+	Queue     model.QueueName
+	Workspace model.WorkspaceID
+	Share     int64
+	Deadline  time.Time
 	// Avoid lists servers that failed this request.
 	Avoid []model.ServerID
-	// Room is how many requests of the team may wait in the queue.
+	// Room is how many requests of the workspace may wait in the queue.
 	Room int
 	// Patience bounds the wait if it is above 0.
 	Patience time.Duration
@@ -168,11 +168,11 @@
 		return nil, err
 	}
 	w := &waiter{
-		team:     want.Team,
-		share:    want.Share,
-		deadline: want.Deadline,
-		avoid:    want.Avoid,
-		slot:     make(chan *Slot, 1),
+		workspace: want.Workspace,
+		share:     want.Share,
+		deadline:  want.Deadline,
+		avoid:     want.Avoid,
+		slot:      make(chan *Slot, 1),
 	}
 	q.fair.push(w)
 	longer := p.longest.note(time.Now(), time.Until(want.Deadline))
@@ -194,8 +194,8 @@
 
 // shed refuses a request that would wait in vain.
 func (p *Pool) shed(q *slotQueue, want *Want) error {
-	if q.fair.waiting(want.Team) >= want.Room {
-		return verdict.Refuse(verdict.ReasonOverload, "%d requests of team %q wait in queue %s", want.Room, want.Team, want.Queue).RetryIn(q.hold + time.Millisecond)
+	if q.fair.waiting(want.Workspace) >= want.Room {
+		return verdict.Refuse(verdict.ReasonOverload, "%d requests of workspace %q wait in queue %s", want.Room, want.Workspace, want.Queue).RetryIn(q.hold + time.Millisecond)
 	}
 	held := p.held(want.Queue)
 	if q.emptyFor(held) > emptyLimit && want.Patience > 0 {
@@ -204,7 +204,7 @@
 	if held == 0 || q.hold == 0 || p.anyFree(want.Queue) {
 		return nil
 	}
-	ahead := q.fair.ahead(want.Team, want.Share)
+	ahead := q.fair.ahead(want.Workspace, want.Share)
 	wait := q.hold * time.Duration(ahead+1) / time.Duration(held)
 	if wait <= want.limit(q.hold) {
 		return nil
--- a/internal/route/record.go
+++ b/internal/route/record.go
@@ -58,7 +58,7 @@
 func (rt *Router) makeRecord(ctx context.Context, c *call) (*api.RecordReply, error) {
 	req := &api.RecordBegin{
 		ID:         c.id,
-		Team:       c.team,
+		Workspace:  c.workspace,
 		Queue:      c.queue.Name,
 		Entry:      rt.vm,
 		Digest:     c.digest(),
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -28,7 +28,7 @@
 }
 
 // TestFairQueueFollowsShares checks the bound of the paper (theorem 1) for
-// random shares: while two teams wait, what they got divided by their shares
+// random shares: while two workspaces wait, what they got divided by their shares
 // differs by at most one request of each.
 func TestFairQueueFollowsShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -36,12 +36,12 @@
 		q := newFairQueue()
 		for i, share := range shares {
 			for range 200 {
-				q.push(&waiter{team: teamName(i), share: share})
+				q.push(&waiter{workspace: workspaceName(i), share: share})
 			}
 		}
-		got := map[model.TeamID]int{}
+		got := map[model.WorkspaceID]int{}
 		for range 100 {
-			got[q.pop().team]++
+			got[q.pop().workspace]++
 			for i := range shares {
 				for j := range shares {
 					checkPair(t, got, i, j, float64(shares[i]), float64(shares[j]))
@@ -51,32 +51,32 @@
 	})
 }
 
-func teamName(i int) model.TeamID { return model.TeamID(rune('a' + i)) }
+func workspaceName(i int) model.WorkspaceID { return model.WorkspaceID(rune('a' + i)) }
 
-func checkPair(t *rapid.T, got map[model.TeamID]int, i, j int, a, b float64) {
+func checkPair(t *rapid.T, got map[model.WorkspaceID]int, i, j int, a, b float64) {
 	const rounding = 1e-9
-	off := float64(got[teamName(i)])/a - float64(got[teamName(j)])/b
+	off := float64(got[workspaceName(i)])/a - float64(got[workspaceName(j)])/b
 	if off > 1/a+1/b+rounding {
-		t.Fatalf("shares %v and %v got %d and %d", a, b, got[teamName(i)], got[teamName(j)])
+		t.Fatalf("shares %v and %v got %d and %d", a, b, got[workspaceName(i)], got[workspaceName(j)])
 	}
 }
 
-// TestIdleTeamSavesNothingUp checks that a team that was idle doesn't get all
+// TestIdleWorkspaceSavesNothingUp checks that a workspace that was idle doesn't get all
 // slots when it comes back.
-func TestIdleTeamSavesNothingUp(t *testing.T) {
+func TestIdleWorkspaceSavesNothingUp(t *testing.T) {
 	q := newFairQueue()
 	for range 100 {
-		q.push(&waiter{team: "busy", share: 1})
+		q.push(&waiter{workspace: "busy", share: 1})
 	}
 	for range 50 {
 		q.pop()
 	}
 	for range 20 {
-		q.push(&waiter{team: "back", share: 1})
+		q.push(&waiter{workspace: "back", share: 1})
 	}
 	busy := 0
 	for range 20 {
-		if q.pop().team == "busy" {
+		if q.pop().workspace == "busy" {
 			busy++
 		}
 	}
@@ -85,7 +85,7 @@
 
 func TestRemovedWaitersAreNotHandedOut(t *testing.T) {
 	q := newFairQueue()
-	first, second := &waiter{team: "a"}, &waiter{team: "b"}
+	first, second := &waiter{workspace: "a"}, &waiter{workspace: "b"}
 	q.push(first)
 	q.push(second)
 	qt.Assert(t, q.remove(first), qt.IsTrue)
@@ -144,7 +144,7 @@
 }
 
 func wantIn(d time.Duration) *Want {
-	return &Want{Queue: "orders", Team: "vets", Share: 1, Deadline: time.Now().Add(d), Room: 2}
+	return &Want{Queue: "orders", Workspace: "vets", Share: 1, Deadline: time.Now().Add(d), Room: 2}
 }
 
 func reasonOf(err error) verdict.Reason {
@@ -168,7 +168,7 @@
 		{"slot comes free", func(_ *Pool, s *Slot) { time.AfterFunc(100*time.Millisecond, s.Done) }, 1, 0, 0, "", 100 * time.Millisecond},
 		{"deadline passes", func(*Pool, *Slot) {}, 1, 0, 0, verdict.ReasonDeadline, time.Second},
 		{"patience ends", func(*Pool, *Slot) {}, 1, 0, 50 * time.Millisecond, verdict.ReasonOverload, 50 * time.Millisecond},
-		{"queue of the team is full", func(*Pool, *Slot) {}, 0, 0, 0, verdict.ReasonOverload, 0},
+		{"queue of the workspace is full", func(*Pool, *Slot) {}, 0, 0, 0, verdict.ReasonOverload, 0},
 		{"would be too late", func(p *Pool, _ *Slot) { p.queues["orders"].hold = 600 * time.Millisecond }, 1, 0, 0, verdict.ReasonOverload, 0},
 		{"entry VM stops", func(p *Pool, _ *Slot) { time.AfterFunc(10*time.Millisecond, p.Close) }, 1, 0, 0, verdict.ReasonStopping, 10 * time.Millisecond},
 		{"slot comes free after the lease", func(_ *Pool, s *Slot) { time.AfterFunc(2500*time.Millisecond, s.Done) }, 1, 3 * time.Second, 0, verdict.ReasonNoServer, 4 * time.Second},
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -291,7 +291,7 @@
 // record writes an event, unless there are too many; metrics count them all.
 func (rt *Router) record(c *call, kind eventlog.Kind, cause, detail string) {
 	e := eventlog.Event{
-		Kind: kind, DC: rt.dc, Request: c.id, Team: c.team,
+		Kind: kind, DC: rt.dc, Request: c.id, Workspace: c.workspace,
 		Revision: rt.Revision(), Cause: cause, Detail: detail,
 	}
 	if c.queue != nil {
--- a/internal/route/try.go
+++ b/internal/route/try.go
@@ -135,7 +135,7 @@
 // data centres can be asked, and for their requests.
 func (rt *Router) want(c *call) *Want {
 	w := &Want{
-		Queue: c.queue.Name, Team: c.team, Share: c.share,
+		Queue: c.queue.Name, Workspace: c.workspace, Share: c.share,
 		Deadline: c.deadline, Avoid: c.tried, Room: c.limits.room,
 	}
 	if c.hop || rt.mayOverflow(c) {
--- a/internal/settings/declare.go
+++ b/internal/settings/declare.go
@@ -9,12 +9,12 @@
 )
 
 // Declarations is everything that operators keep in files: data centres,
-// teams, queues and the settings of each node. It is applied as a whole.
+// workspaces, queues and the settings of each node. It is applied as a whole.
 type Declarations struct {
-	DataCentres []Place       `json:"data_centres" msgpack:"d"`
-	Teams       []model.Team  `json:"teams" msgpack:"t"`
-	Queues      []model.Queue `json:"queues" msgpack:"q"`
-	Settings    []Entry       `json:"settings" msgpack:"s"`
+	DataCentres []Place           `json:"data_centres" msgpack:"d"`
+	Workspaces  []model.Workspace `json:"workspaces" msgpack:"t"`
+	Queues      []model.Queue     `json:"queues" msgpack:"q"`
+	Settings    []Entry           `json:"settings" msgpack:"s"`
 }
 
 // Place declares a data centre and its region.
@@ -35,7 +35,7 @@
 // encodings.
 func (d *Declarations) Sort() {
 	slices.SortFunc(d.DataCentres, func(a, b Place) int { return cmp.Compare(a.ID, b.ID) })
-	slices.SortFunc(d.Teams, func(a, b model.Team) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(d.Workspaces, func(a, b model.Workspace) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(d.Queues, func(a, b model.Queue) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(d.Settings, compareEntries)
 }
@@ -86,7 +86,7 @@
 }
 
 // SplitWorkload takes a workload's node name apart.
-func SplitWorkload(nodeName string) (model.TeamID, model.Workload, bool) {
-	team, workload, ok := strings.Cut(nodeName, "/")
-	return model.TeamID(team), model.Workload(workload), ok
+func SplitWorkload(nodeName string) (model.WorkspaceID, model.Workload, bool) {
+	workspace, workload, ok := strings.Cut(nodeName, "/")
+	return model.WorkspaceID(workspace), model.Workload(workload), ok
 }
--- a/internal/settings/declare_test.go
+++ b/internal/settings/declare_test.go
@@ -14,12 +14,12 @@
 func TestExampleFolderIsValid(t *testing.T) {
 	d, err := ReadFolder("../../examples/fleet")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, d.Teams, qt.HasLen, 6)
+	qt.Assert(t, d.Workspaces, qt.HasLen, 6)
 	qt.Assert(t, d.DataCentres, qt.HasLen, 3)
 	tree := d.Tree(nil, 7)
-	got := tree.Lookup(Scope{Region: "indian-ocean", DC: "dc1", Team: "yearbook", Workload: "chapters"}, RequestDeadline)
+	got := tree.Lookup(Scope{Region: "indian-ocean", DC: "dc1", Workspace: "yearbook", Workload: "chapters"}, RequestDeadline)
 	qt.Assert(t, got.String(), qt.Equals, "request.deadline=30s by workload yearbook/chapters, revision 7")
-	got = tree.Lookup(Scope{Team: "regional"}, RequestDeadline)
+	got = tree.Lookup(Scope{Workspace: "regional"}, RequestDeadline)
 	qt.Assert(t, got.String(), qt.Equals, "request.deadline=10s by fleet, revision 7")
 }
 
@@ -34,15 +34,15 @@
     data-centres:
       dc1: {}
       dc1: {}
-teams:
+workspaces:
   Vets: {share: 0, limit: {cpu: 1, memory: 10}}
   shop:
     limit: {cpu: 1.5, memory: 1GiB}
     settings:
       worker.lease: 5s
 queues:
-  girth: {team: nobody}
-  both: {open: true, team: shop}
+  girth: {workspace: nobody}
+  both: {open: true, workspace: shop}
   neither: {}
 `
 
@@ -56,13 +56,13 @@
 		`f.yaml:4: settings.worker.headroom: 120% is out of bounds: 0% to 100%`,
 		`f.yaml:6: settings.settings.lease: given twice in one mapping`,
 		`f.yaml:11: regions.west.data-centres.dc1: given twice in one mapping`,
-		`f.yaml:13: teams.Vets: "Vets" is not a name`,
-		`f.yaml:13: teams.Vets.share: 0 is out of bounds: 1 to 1000000`,
-		`f.yaml:13: teams.Vets.limit.memory: "10" is not a size with a unit`,
-		`f.yaml:17: teams.shop.settings.worker.lease: worker.lease can't be set below level data-centre`,
-		`f.yaml:19: queues.girth.team: team "nobody" is not declared`,
-		`f.yaml:20: queues.both.team: an open queue has no team`,
-		`f.yaml:21: queues.neither: a queue is either open or has a team`,
+		`f.yaml:13: workspaces.Vets: "Vets" is not a name`,
+		`f.yaml:13: workspaces.Vets.share: 0 is out of bounds: 1 to 1000000`,
+		`f.yaml:13: workspaces.Vets.limit.memory: "10" is not a size with a unit`,
+		`f.yaml:17: workspaces.shop.settings.worker.lease: worker.lease can't be set below level data-centre`,
+		`f.yaml:19: queues.girth.workspace: workspace "nobody" is not declared`,
+		`f.yaml:20: queues.both.workspace: an open queue has no workspace`,
+		`f.yaml:21: queues.neither: a queue is either open or has a workspace`,
 	} {
 		qt.Check(t, faults.Error(), qt.Contains, want)
 	}
@@ -71,9 +71,9 @@
 
 func TestMalformedFiles(t *testing.T) {
 	cases := []struct{ name, text, want string }{
-		{"syntax", "teams:\n  a: [1,\n", "f.yaml:"},
+		{"syntax", "workspaces:\n  a: [1,\n", "f.yaml:"},
 		{"list at top", "- a\n", "f.yaml:1: expected a mapping of fields"},
-		{"unknown section", "team:\n  a: {}\n", `f.yaml:2: team: unknown field`},
+		{"unknown section", "workspace:\n  a: {}\n", `f.yaml:2: workspace: unknown field`},
 		{"list as value", "settings:\n  request.tries: [1]\n", "expected one plain value"},
 		{"alias", "settings:\n  request.tries: &a 1\n", "expected one plain value"},
 	}
@@ -140,7 +140,7 @@
 	before := parse(`
 settings: {request.tries: 3}
 regions: {west: {data-centres: {dc1: {}, dc2: {settings: {worker.lease: 9s}}}}}
-teams:
+workspaces:
   shop: {share: 1, limit: {cpu: 1}, workloads: {girth: {settings: {request.deadline: 1s, request.tries: 1}}}}
   vets: {limit: {cpu: 1}}
 queues: {q: {open: true}}
@@ -148,9 +148,9 @@
 	after := parse(`
 settings: {request.tries: 4}
 regions: {west: {settings: {worker.lease: 6s}, data-centres: {dc1: {}, dc2: {settings: {worker.lease: 9s}}, dc3: {}}}}
-teams:
+workspaces:
   shop: {share: 2, limit: {cpu: 2}, settings: {request.deadline: 3s}, workloads: {girth: {settings: {request.deadline: 1s, request.tries: 1}}}}
-queues: {q: {team: shop}}
+queues: {q: {workspace: shop}}
 `)
 	var got []string
 	for _, d := range Diff(before, after) {
@@ -158,14 +158,14 @@
 	}
 	qt.Assert(t, got, qt.DeepEquals, []string{
 		"data-centre dc3: region: none -> west (for data centre dc3)",
-		"team shop: share: 1 -> 2 (for team shop)",
-		"team shop: limit: 1000m/0MB/0 -> 2000m/0MB/0 (for team shop)",
-		"team vets: share: 1 -> none (for team vets)",
-		"team vets: limit: 1000m/0MB/0 -> none (for team vets)",
-		"fleet: queue q: open -> keyed by team shop (for callers of queue q)",
+		"workspace shop: share: 1 -> 2 (for workspace shop)",
+		"workspace shop: limit: 1000m/0MB/0 -> 2000m/0MB/0 (for workspace shop)",
+		"workspace vets: share: 1 -> none (for workspace vets)",
+		"workspace vets: limit: 1000m/0MB/0 -> none (for workspace vets)",
+		"fleet: queue q: open -> keyed by workspace shop (for callers of queue q)",
 		"fleet: request.tries: 3 -> 4 (for the whole fleet except workload shop/girth)",
 		"region west: worker.lease: none -> 6s (for region west except data-centre dc2)",
-		"team shop: request.deadline: none -> 3s (for team shop except workload shop/girth)",
+		"workspace shop: request.deadline: none -> 3s (for workspace shop except workload shop/girth)",
 	})
 	qt.Assert(t, Diff(after, after), qt.HasLen, 0)
 }
@@ -196,5 +196,17 @@
 	d := &Declarations{Settings: []Entry{e}}
 	first := d.Tree(nil, 1)
 	second := d.Tree(first, 2)
-	qt.Assert(t, second.Lookup(Scope{Team: model.TeamID("x")}, RequestTries).Revision, qt.Equals, uint64(1))
+	qt.Assert(t, second.Lookup(Scope{Workspace: model.WorkspaceID("x")}, RequestTries).Revision, qt.Equals, uint64(1))
+}
+
+func TestFormerNamesOfWorkspacesAreRead(t *testing.T) {
+	former := "teams:\n  shop: {limit: {cpu: 1}, settings: {team.jobs-queued: 5}}\nqueues:\n  girth: {team: shop}\n"
+	present := "workspaces:\n  shop: {limit: {cpu: 1}, settings: {workspace.jobs-queued: 5}}\nqueues:\n  girth: {workspace: shop}\n"
+	old, err := ParseFile("f.yaml", []byte(former))
+	qt.Assert(t, err, qt.IsNil)
+	now, err := ParseFile("f.yaml", []byte(present))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, old, qt.DeepEquals, now)
+	_, err = ParseFile("f.yaml", []byte(former+"  both: {open: true, team: shop}\n"))
+	qt.Assert(t, err, qt.ErrorMatches, `(?s).*f.yaml:5: queues.both.workspace: an open queue has no workspace.*`)
 }
--- a/internal/settings/diff.go
+++ b/internal/settings/diff.go
@@ -42,7 +42,7 @@
 func Diff(before, after *Declarations) []Difference {
 	var list []Difference
 	list = append(list, diffPlaces(before, after)...)
-	list = append(list, diffTeams(before, after)...)
+	list = append(list, diffWorkspaces(before, after)...)
 	list = append(list, diffQueues(before, after)...)
 	return append(list, diffEntries(before, after)...)
 }
@@ -102,12 +102,12 @@
 	return append(list, d)
 }
 
-func diffTeams(before, after *Declarations) []Difference {
-	key := func(t *model.Team) string { return string(t.ID) }
-	less := func(a, b *model.Team) bool { return a.ID < b.ID }
+func diffWorkspaces(before, after *Declarations) []Difference {
+	key := func(t *model.Workspace) string { return string(t.ID) }
+	less := func(a, b *model.Workspace) bool { return a.ID < b.ID }
 	var list []Difference
-	for _, p := range pairs(before.Teams, after.Teams, key, less) {
-		d := Difference{Level: LevelTeam, Node: p.key, For: "team " + p.key}
+	for _, p := range pairs(before.Workspaces, after.Workspaces, key, less) {
+		d := Difference{Level: LevelWorkspace, Node: p.key, For: "workspace " + p.key}
 		d.Field, d.Old, d.New = "share", share(p.before), share(p.after)
 		list = appendChanged(list, d)
 		d.Field, d.Old, d.New = "limit", limit(p.before), limit(p.after)
@@ -116,14 +116,14 @@
 	return list
 }
 
-func share(t *model.Team) string {
+func share(t *model.Workspace) string {
 	if t == nil {
 		return ""
 	}
 	return fmt.Sprint(t.Share)
 }
 
-func limit(t *model.Team) string {
+func limit(t *model.Workspace) string {
 	if t == nil {
 		return ""
 	}
@@ -148,7 +148,7 @@
 	if q == nil {
 		return ""
 	}
-	text := "keyed by team " + string(q.Team)
+	text := "keyed by workspace " + string(q.Workspace)
 	if q.Open {
 		text = "open"
 	}
@@ -207,7 +207,7 @@
 	if depth[o.Level] <= depth[e.Level] {
 		return false
 	}
-	if e.Level == LevelTeam {
+	if e.Level == LevelWorkspace {
 		return strings.HasPrefix(o.Node, e.Node+"/")
 	}
 	if e.Level != LevelRegion || o.Level != LevelDataCentre {
--- a/internal/settings/encode.go
+++ b/internal/settings/encode.go
@@ -64,6 +64,6 @@
 	LevelFleet:      1,
 	LevelRegion:     2,
 	LevelDataCentre: 3,
-	LevelTeam:       4,
+	LevelWorkspace:  4,
 	LevelWorkload:   5,
 }
--- a/internal/settings/fault.go
+++ b/internal/settings/fault.go
@@ -10,7 +10,7 @@
 	// File and Line say where it stands; they are empty if it came without a file.
 	File string `json:"file,omitempty"`
 	Line int    `json:"line,omitempty"`
-	// Field is the dotted path, for example "teams.vets.limit.memory".
+	// Field is the dotted path, for example "workspaces.vets.limit.memory".
 	Field   string `json:"field"`
 	Message string `json:"message"`
 }
--- a/internal/settings/garbled_test.go
+++ b/internal/settings/garbled_test.go
@@ -23,7 +23,7 @@
 // either valid or a list of faults that name the file, never a crash.
 func TestGarbledFilesNameTheirFaults(t *testing.T) {
 	var text []byte
-	for _, name := range []string{"fleet", "places", "teams", "queues"} {
+	for _, name := range []string{"fleet", "places", "workspaces", "queues"} {
 		b, err := os.ReadFile("../../examples/fleet/" + name + ".yaml")
 		qt.Assert(t, err, qt.IsNil)
 		text = append(text, b...)
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -23,7 +23,7 @@
 
 Made by ` + "`kqctl settings reference`" + ` from the schema; don't edit it by hand.
 
-A setting can be set at the levels fleet, region, data centre, team and
+A setting can be set at the levels fleet, region, data centre, workspace and
 workload, down to the lowest level that its row names. The lowest level that
 sets it decides. Durations, sizes and percentages are written with their unit:
 ` + "`500ms`, `3s`, `2m`, `64KiB`, `16MiB`, `20%`" + `.
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -53,7 +53,7 @@
 	Preemptible       Name = "task.preemptible"
 	GangReservation   Name = "gang.reservation"
 	MoveRate          Name = "data-centre.move-rate"
-	JobsQueued        Name = "team.jobs-queued"
+	JobsQueued        Name = "workspace.jobs-queued"
 )
 
 var definitions = []Definition{
@@ -79,7 +79,7 @@
 	{Preemptible, TypeBool, 0, 1, Value{Int: 1}, LevelWorkload, "whether urgent work may take the place of these tasks"},
 	{GangReservation, TypeDuration, 100, 3_600_000, Value{Int: 10_000}, LevelWorkload, "how long room is held for a gang before smaller work may use it"},
 	{MoveRate, TypeInt, 1, 10_000, Value{Int: 20}, LevelDataCentre, "tasks moved per second while a data centre is taken out"},
-	{JobsQueued, TypeInt, 1, 1_000_000, Value{Int: 10_000}, LevelTeam, "how many unfinished jobs a team may have at the same time"},
+	{JobsQueued, TypeInt, 1, 1_000_000, Value{Int: 10_000}, LevelWorkspace, "how many unfinished jobs a workspace may have at the same time"},
 }
 
 var byName = indexDefinitions()
--- a/internal/settings/sections.go
+++ b/internal/settings/sections.go
@@ -30,12 +30,12 @@
 			r.settings(f, LevelFleet, "")
 		case "regions":
 			r.each(f, r.region)
-		case "teams":
-			r.each(f, r.team)
+		case "workspaces":
+			r.each(f, r.workspace)
 		case "queues":
 			r.each(f, r.queue)
 		default:
-			r.unknown(f, "settings, regions, teams, queues")
+			r.unknown(f, "settings, regions, workspaces, queues")
 		}
 	}
 }
@@ -76,8 +76,8 @@
 	}
 }
 
-func (r *reader) team(f field) {
-	t := model.Team{ID: model.TeamID(f.key), Share: 1}
+func (r *reader) workspace(f field) {
+	t := model.Workspace{ID: model.WorkspaceID(f.key), Share: 1}
 	for _, c := range r.fields(f.value, f.path+".") {
 		switch c.key {
 		case "share":
@@ -85,21 +85,21 @@
 		case "limit":
 			t.Limit = r.limit(c)
 		case "settings":
-			r.settings(c, LevelTeam, f.key)
+			r.settings(c, LevelWorkspace, f.key)
 		case "workloads":
 			r.each(c, func(w field) { r.workload(w, t.ID) })
 		default:
 			r.unknown(c, "share, limit, settings, workloads")
 		}
 	}
-	r.d.Teams = append(r.d.Teams, t)
+	r.d.Workspaces = append(r.d.Workspaces, t)
 }
 
-func (r *reader) workload(f field, team model.TeamID) {
+func (r *reader) workload(f field, workspace model.WorkspaceID) {
 	for _, c := range r.fields(f.value, f.path+".") {
 		switch c.key {
 		case "settings":
-			r.settings(c, LevelWorkload, WorkloadNode(team, model.Workload(f.key)))
+			r.settings(c, LevelWorkload, WorkloadNode(workspace, model.Workload(f.key)))
 		default:
 			r.unknown(c, "settings")
 		}
@@ -112,14 +112,14 @@
 		switch c.key {
 		case "open":
 			q.Open = r.flag(c)
-		case "team":
+		case "workspace":
 			text, _ := r.scalar(c)
-			q.Team = model.TeamID(text)
+			q.Workspace = model.WorkspaceID(text)
 		case "workload":
 			text, _ := r.scalar(c)
 			q.Workload = model.Workload(text)
 		default:
-			r.unknown(c, "open, team, workload")
+			r.unknown(c, "open, workspace, workload")
 		}
 	}
 	r.d.Queues = append(r.d.Queues, q)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,5 @@
 // Package settings is the tree of operators' settings: fleet > region > data
-// centre > team > workload. A value set at a lower level overrides the ones
+// centre > workspace > workload. A value set at a lower level overrides the ones
 // above it, and every effective value tells the level and the revision that
 // decided it.
 package settings
@@ -20,16 +20,16 @@
 	LevelFleet      Level = "fleet"
 	LevelRegion     Level = "region"
 	LevelDataCentre Level = "data-centre"
-	LevelTeam       Level = "team"
+	LevelWorkspace  Level = "workspace"
 	LevelWorkload   Level = "workload"
 )
 
 // Scope says for whom a setting is looked up. Empty fields skip their level.
 type Scope struct {
-	Region   string
-	DC       model.DCID
-	Team     model.TeamID
-	Workload model.Workload
+	Region    string
+	DC        model.DCID
+	Workspace model.WorkspaceID
+	Workload  model.Workload
 }
 
 // Decision names what decided a value.
@@ -37,12 +37,12 @@
 	Name  Name  `msgpack:"n" json:"name"`
 	Value Value `msgpack:"v" json:"value"`
 	Level Level `msgpack:"l" json:"level"`
-	// Node is the name of the region, data centre, team or workload.
+	// Node is the name of the region, data centre, workspace or workload.
 	Node     string `msgpack:"o" json:"node,omitempty"`
 	Revision uint64 `msgpack:"r" json:"revision"`
 }
 
-// String formats d for refusals, for example "team vets, revision 12".
+// String formats d for refusals, for example "workspace vets, revision 12".
 func (d Decision) String() string {
 	value := d.Value.String()
 	if def, ok := byName[d.Name]; ok {
@@ -106,9 +106,9 @@
 	n.Values[name] = setValue{v, revision}
 }
 
-// WorkloadNode names a workload's node: workloads belong to a team.
-func WorkloadNode(team model.TeamID, w model.Workload) string {
-	return string(team) + "/" + string(w)
+// WorkloadNode names a workload's node: workloads belong to a workspace.
+func WorkloadNode(workspace model.WorkspaceID, w model.Workload) string {
+	return string(workspace) + "/" + string(w)
 }
 
 // Lookup returns the effective value of name for s, from the lowest level that
@@ -129,11 +129,11 @@
 // path lists the nodes of s from the lowest level up.
 func (s Scope) path() []nodeKey {
 	p := make([]nodeKey, 0, 5)
-	if s.Workload != "" && s.Team != "" {
-		p = append(p, nodeKey{LevelWorkload, WorkloadNode(s.Team, s.Workload)})
+	if s.Workload != "" && s.Workspace != "" {
+		p = append(p, nodeKey{LevelWorkload, WorkloadNode(s.Workspace, s.Workload)})
 	}
-	if s.Team != "" {
-		p = append(p, nodeKey{LevelTeam, string(s.Team)})
+	if s.Workspace != "" {
+		p = append(p, nodeKey{LevelWorkspace, string(s.Workspace)})
 	}
 	if s.DC != "" {
 		p = append(p, nodeKey{LevelDataCentre, string(s.DC)})
