--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -9,11 +9,11 @@
 
 // Bounds of declarations.
 const (
-	// MaxShare is the largest share of a team.
+	// MaxShare is the largest share of a workspace.
 	MaxShare = 1_000_000
 	// MaxAmount is the largest amount in a dimension of a limit.
 	MaxAmount = int64(1) << 40
-	// MaxNodes bounds the data centres, teams and queues, each.
+	// MaxNodes bounds the data centres, workspaces and queues, each.
 	MaxNodes = 4096
 	// MaxEntries bounds the values that are set.
 	MaxEntries = 65_536
@@ -26,7 +26,7 @@
 func ValidName(s string) bool { return namePattern.MatchString(s) }
 
 // Field paths of declarations, as in the files.
-func teamField(id model.TeamID) string { return "teams." + string(id) }
+func workspaceField(id model.WorkspaceID) string { return "workspaces." + string(id) }
 
 func placeField(p Place) string {
 	return "regions." + p.Region + ".data-centres." + string(p.ID)
@@ -44,35 +44,35 @@
 		return "regions." + nodeName + "."
 	case LevelDataCentre:
 		return "data-centres." + nodeName + "."
-	case LevelTeam:
-		return "teams." + nodeName + "."
+	case LevelWorkspace:
+		return "workspaces." + nodeName + "."
 	case LevelWorkload:
-		team, workload, _ := SplitWorkload(nodeName)
-		return "teams." + string(team) + ".workloads." + string(workload) + "."
+		workspace, workload, _ := SplitWorkload(nodeName)
+		return "workspaces." + string(workspace) + ".workloads." + string(workload) + "."
 	}
 	return ""
 }
 
 // validator collects the faults of declarations.
 type validator struct {
-	d       *Declarations
-	faults  Faults
-	regions map[string]bool
-	dcs     map[model.DCID]bool
-	teams   map[model.TeamID]bool
+	d          *Declarations
+	faults     Faults
+	regions    map[string]bool
+	dcs        map[model.DCID]bool
+	workspaces map[model.WorkspaceID]bool
 }
 
 // Validate checks names, bounds and references and returns all faults.
 func (d *Declarations) Validate() Faults {
 	v := &validator{
-		d:       d,
-		regions: map[string]bool{},
-		dcs:     map[model.DCID]bool{},
-		teams:   map[model.TeamID]bool{},
+		d:          d,
+		regions:    map[string]bool{},
+		dcs:        map[model.DCID]bool{},
+		workspaces: map[model.WorkspaceID]bool{},
 	}
 	v.sizes()
 	v.places()
-	v.checkTeams()
+	v.checkWorkspaces()
 	v.queues()
 	v.entries()
 	return v.faults
@@ -88,7 +88,7 @@
 		n, bound int
 	}{
 		{"regions", len(v.d.DataCentres), MaxNodes},
-		{"teams", len(v.d.Teams), MaxNodes},
+		{"workspaces", len(v.d.Workspaces), MaxNodes},
 		{"queues", len(v.d.Queues), MaxNodes},
 		{"settings", len(v.d.Settings), MaxEntries},
 	}
@@ -117,14 +117,14 @@
 	}
 }
 
-func (v *validator) checkTeams() {
-	for _, t := range v.d.Teams {
-		field := teamField(t.ID)
+func (v *validator) checkWorkspaces() {
+	for _, t := range v.d.Workspaces {
+		field := workspaceField(t.ID)
 		v.name(field, string(t.ID))
-		if v.teams[t.ID] {
-			v.fault(field, "team %q is declared twice", t.ID)
+		if v.workspaces[t.ID] {
+			v.fault(field, "workspace %q is declared twice", t.ID)
 		}
-		v.teams[t.ID] = true
+		v.workspaces[t.ID] = true
 		if t.Share < 1 || t.Share > MaxShare {
 			v.fault(field+".share", "%d is out of bounds: 1 to %d", t.Share, MaxShare)
 		}
@@ -139,7 +139,7 @@
 		}
 	}
 	if r.IsZero() {
-		v.fault(field, "nothing is allowed; leave out the team instead")
+		v.fault(field, "nothing is allowed; leave out the workspace instead")
 	}
 }
 
@@ -152,14 +152,14 @@
 			v.fault(field, "queue %q is declared twice", q.Name)
 		}
 		seen[q.Name] = true
-		if !q.Open && q.Team == "" {
-			v.fault(field, "a queue is either open or has a team")
+		if !q.Open && q.Workspace == "" {
+			v.fault(field, "a queue is either open or has a workspace")
 		}
-		if q.Open && q.Team != "" {
-			v.fault(field+".team", "an open queue has no team")
+		if q.Open && q.Workspace != "" {
+			v.fault(field+".workspace", "an open queue has no workspace")
 		}
-		if q.Team != "" && !v.teams[q.Team] {
-			v.fault(field+".team", "team %q is not declared", q.Team)
+		if q.Workspace != "" && !v.workspaces[q.Workspace] {
+			v.fault(field+".workspace", "workspace %q is not declared", q.Workspace)
 		}
 		if q.Workload != "" {
 			v.name(field+".workload", string(q.Workload))
@@ -211,11 +211,11 @@
 		return v.regions[e.Node]
 	case LevelDataCentre:
 		return v.dcs[model.DCID(e.Node)]
-	case LevelTeam:
-		return v.teams[model.TeamID(e.Node)]
+	case LevelWorkspace:
+		return v.workspaces[model.WorkspaceID(e.Node)]
 	case LevelWorkload:
-		team, workload, ok := SplitWorkload(e.Node)
-		return ok && v.teams[team] && ValidName(string(workload))
+		workspace, workload, ok := SplitWorkload(e.Node)
+		return ok && v.workspaces[workspace] && ValidName(string(workload))
 	}
 	return false
 }
--- a/internal/settings/yaml.go
+++ b/internal/settings/yaml.go
@@ -176,7 +176,7 @@
 	var list []field
 	seen := map[string]bool{}
 	for _, v := range values {
-		key := v.Key.GetToken().Value
+		key := presentName(path, v.Key.GetToken().Value)
 		f := field{key: key, path: path + key, value: v.Value}
 		if seen[key] {
 			r.fault(v.Key, f.path, "given twice in one mapping")
@@ -191,6 +191,24 @@
 	return list
 }
 
+// queuesPath is the path of the declared queues.
+const queuesPath = "queues."
+
+// presentName returns the name of a field at path; workspaces were called teams
+// in earlier declarations.
+func presentName(path, key string) string {
+	inQueue := strings.HasPrefix(path, queuesPath) && path != queuesPath
+	switch {
+	case path == "" && key == "teams":
+		return "workspaces"
+	case inQueue && key == "team":
+		return "workspace"
+	case key == "team.jobs-queued":
+		return string(JobsQueued)
+	}
+	return key
+}
+
 func mappingValues(n ast.Node) ([]*ast.MappingValueNode, bool) {
 	switch m := n.(type) {
 	case *ast.MappingNode:
--- a/internal/systems/account.go
+++ b/internal/systems/account.go
@@ -34,7 +34,7 @@
 func (t *tick) tellEnd(c *work.Change) {
 	e := &eventlog.Event{
 		Kind: EventEnded, Task: c.Run.Task, Attempt: c.Run.Attempt, Worker: c.Run.Worker,
-		Job: c.Job, Team: c.Team, Cause: c.Reason,
+		Job: c.Job, Workspace: c.Workspace, Cause: c.Reason,
 	}
 	e.Detail = fmt.Sprintf("the run ended as %s", cmp.Or(string(c.RunOutcome), "cut short"))
 	if c.RunReason != "" {
--- a/internal/systems/bench_test.go
+++ b/internal/systems/bench_test.go
@@ -26,17 +26,17 @@
 			Rack: fmt.Sprintf("rack-%03d", i/8), Size: size, Incarnation: "0f8fad5b-d9cb-469f-a165-70867728950e",
 		})
 	}
-	// Each team may run what it does and half as much again.
+	// Each workspace may run what it does and half as much again.
 	each := model.Resources{MilliCPU: 1000, MemoryMB: 1024}
 	grant := each.Scale(int64(max(tasks/220, 2*perJob) * 3 / 2))
 	for i := range 220 {
-		team := model.Team{ID: model.TeamID(fmt.Sprintf("team-%03d", i)), Share: 1, Limit: grant}
-		v.Teams = append(v.Teams, systems.TeamHere{Team: team, Granted: grant, Target: grant, Version: 1})
-		c.Grants = append(c.Grants, work.SetGrant{Team: team.ID, Version: 1, Cap: grant})
+		workspace := model.Workspace{ID: model.WorkspaceID(fmt.Sprintf("workspace-%03d", i)), Share: 1, Limit: grant}
+		v.Workspaces = append(v.Workspaces, systems.WorkspaceHere{Workspace: workspace, Granted: grant, Target: grant, Version: 1})
+		c.Grants = append(c.Grants, work.SetGrant{Workspace: workspace.ID, Version: 1, Cap: grant})
 	}
 	for i := 0; i < tasks; i += perJob {
 		spec := model.JobSpec{
-			ID: model.JobID(fmt.Sprintf("job-%06d", i/perJob)), Team: v.Teams[i/perJob%220].ID, Workload: "wl",
+			ID: model.JobID(fmt.Sprintf("job-%06d", i/perJob)), Workspace: v.Workspaces[i/perJob%220].ID, Workload: "wl",
 			Class: model.ClassBatch, Tasks: perJob, RunMillis: 600_000, Idempotent: true,
 			Size: each,
 		}
@@ -79,8 +79,8 @@
 		in.NowMillis += 5000
 		out := systems.Tick(in)
 		in.State.Apply(in.NowMillis, out.Command)
-		for i := range in.View.Teams {
-			h := &in.View.Teams[i]
+		for i := range in.View.Workspaces {
+			h := &in.View.Workspaces[i]
 			if g := in.State.Grant(h.ID); g.Returning {
 				h.Granted, h.Target, h.Version = g.Cap, g.Cap, g.Version+1
 			}
--- a/internal/systems/grants.go
+++ b/internal/systems/grants.go
@@ -16,10 +16,10 @@
 // returnAfterMillis is how long a grant is idle before the rest is returned.
 const returnAfterMillis = 10_000
 
-// ReasonOverLimit is the cause of stops after a team's limit was lowered.
+// ReasonOverLimit is the cause of stops after a workspace's limit was lowered.
 const ReasonOverLimit = "over-limit"
 
-// balanceGrants keeps each team's cap here in step with the fleet's grant: it
+// balanceGrants keeps each workspace's cap here in step with the fleet's grant: it
 // asks for what waiting work needs and gives back what nothing needs. A cap is
 // lowered in the group's tables before the fleet hears of it, and raised only
 // from a grant that the fleet shows.
@@ -30,16 +30,16 @@
 	}
 	need := t.demand()
 	floors := t.floors()
-	for i := range t.View.Teams {
-		h := &t.View.Teams[i]
+	for i := range t.View.Workspaces {
+		h := &t.View.Workspaces[i]
 		t.balance(h, need[h.ID], floors[h.ID])
 	}
 	t.dropGone()
 }
 
-// demand is what each team's running and waiting tasks take together.
-func (t *tick) demand() map[model.TeamID]model.Resources {
-	need := map[model.TeamID]model.Resources{}
+// demand is what each workspace's running and waiting tasks take together.
+func (t *tick) demand() map[model.WorkspaceID]model.Resources {
+	need := map[model.WorkspaceID]model.Resources{}
 	for _, j := range t.State.Jobs() {
 		waiting := 0
 		if j.Outcome == model.OutcomeNone {
@@ -51,32 +51,32 @@
 			size = size.Add(t.planned(j).Size.Scale(int64(waiting)))
 		}
 		if !size.IsZero() {
-			need[j.Spec.Team] = need[j.Spec.Team].Add(size)
+			need[j.Spec.Workspace] = need[j.Spec.Workspace].Add(size)
 		}
 	}
 	return need
 }
 
-// floors is, per team, what it holds and what its oldest waiting job needs to
+// floors is, per workspace, what it holds and what its oldest waiting job needs to
 // start: a gang whole, others with one task. Without it many data centres could
 // each hold a part of the limit that is too small for anything.
-func (t *tick) floors() map[model.TeamID]model.Resources {
-	floors := map[model.TeamID]model.Resources{}
+func (t *tick) floors() map[model.WorkspaceID]model.Resources {
+	floors := map[model.WorkspaceID]model.Resources{}
 	for _, j := range t.State.Jobs() {
-		team := j.Spec.Team
-		if _, known := floors[team]; known || j.Pending() == 0 || j.Outcome != model.OutcomeNone {
+		workspace := j.Spec.Workspace
+		if _, known := floors[workspace]; known || j.Pending() == 0 || j.Outcome != model.OutcomeNone {
 			continue
 		}
 		tasks := 1
 		if j.Spec.Class == model.ClassGang {
 			tasks = j.Pending()
 		}
-		floors[team] = t.State.Usage(team).Add(t.planned(j).Size.Scale(int64(tasks)))
+		floors[workspace] = t.State.Usage(workspace).Add(t.planned(j).Size.Scale(int64(tasks)))
 	}
 	return floors
 }
 
-func (t *tick) balance(h *TeamHere, need, floor model.Resources) {
+func (t *tick) balance(h *WorkspaceHere, need, floor model.Resources) {
 	g := t.State.Grant(h.ID)
 	usage := t.State.Usage(h.ID)
 	allowed := h.Granted.Min(h.Target)
@@ -102,13 +102,13 @@
 	}
 }
 
-// evict stops runs of a team whose limit was lowered below what it holds, the
+// evict stops runs of a workspace whose limit was lowered below what it holds, the
 // newest first. Runs of jobs that are not idempotent end by themselves.
-func (t *tick) evict(team model.TeamID, usage, allowed model.Resources) {
+func (t *tick) evict(workspace model.WorkspaceID, usage, allowed model.Resources) {
 	jobs := t.State.Jobs()
 	for i := len(jobs) - 1; i >= 0; i-- {
 		j := jobs[i]
-		if j.Spec.Team != team || j.Held() == 0 {
+		if j.Spec.Workspace != workspace || j.Held() == 0 {
 			continue
 		}
 		for _, row := range slices.Backward(j.Tasks()) {
@@ -126,39 +126,39 @@
 				continue
 			}
 			usage = usage.Sub(j.Spec.Size)
-			t.recordTask(EventStopped, row, ReasonOverLimit, fmt.Sprintf("team %s may use %s here", team, allowed), nil)
+			t.recordTask(EventStopped, row, ReasonOverLimit, fmt.Sprintf("workspace %s may use %s here", workspace, allowed), nil)
 		}
 	}
 }
 
-// dropGone takes the caps of teams that the fleet no longer has.
+// dropGone takes the caps of workspaces that the fleet no longer has.
 func (t *tick) dropGone() {
-	known := make(map[model.TeamID]bool, len(t.View.Teams))
-	for i := range t.View.Teams {
-		known[t.View.Teams[i].ID] = true
+	known := make(map[model.WorkspaceID]bool, len(t.View.Workspaces))
+	for i := range t.View.Workspaces {
+		known[t.View.Workspaces[i].ID] = true
 	}
-	for _, id := range t.State.Teams() {
+	for _, id := range t.State.Workspaces() {
 		if !known[id] && t.State.Grant(id).Cap != t.State.Usage(id) {
-			t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: id})
+			t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Workspace: id})
 		}
 	}
 }
 
 // raise sets the cap to what the fleet's grant allows.
-func (t *tick) raise(h *TeamHere, to model.Resources) {
-	t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Version: h.Version, Cap: to})
+func (t *tick) raise(h *WorkspaceHere, to model.Resources) {
+	t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Workspace: h.ID, Version: h.Version, Cap: to})
 	t.record(&eventlog.Event{
-		Kind: EventGrant, Team: h.ID, Cause: "granted",
+		Kind: EventGrant, Workspace: h.ID, Cause: "granted",
 		Detail: fmt.Sprintf("may run %s here, by version %d of the fleet's grant", to, h.Version),
 	}, nil)
 }
 
 // lower takes the cap down to keep in the tables; the fleet hears of it in a
 // later tick, when the tables show it.
-func (t *tick) lower(h *TeamHere, keep model.Resources) {
-	t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Version: h.Version, Cap: keep, Returning: true})
+func (t *tick) lower(h *WorkspaceHere, keep model.Resources) {
+	t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Workspace: h.ID, Version: h.Version, Cap: keep, Returning: true})
 	t.record(&eventlog.Event{
-		Kind: EventGrant, Team: h.ID, Cause: "return",
+		Kind: EventGrant, Workspace: h.ID, Cause: "return",
 		Detail: fmt.Sprintf("keeps %s of the grant %s", keep, h.Granted),
 	}, nil)
 }
@@ -166,20 +166,20 @@
 // giveBack returns what is above the cap. The tables must have lowered the very
 // version of the grant that the return names, so that no delayed command can
 // raise the cap by that version.
-func (t *tick) giveBack(h *TeamHere, g work.Grant) {
+func (t *tick) giveBack(h *WorkspaceHere, g work.Grant) {
 	if g.Version < h.Version {
-		t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Team: h.ID, Version: h.Version, Cap: g.Cap, Returning: true})
+		t.cmd.Grants = append(t.cmd.Grants, work.SetGrant{Workspace: h.ID, Version: h.Version, Cap: g.Cap, Returning: true})
 		return
 	}
 	if t.Memory.mayAsk("return "+string(h.ID), t.NowMillis) {
 		t.out.Fleet.Returns = append(t.out.Fleet.Returns, GrantReturn{
-			Team: h.ID, Version: h.Version, Generation: t.Epoch.Generation(), Keep: g.Cap,
+			Workspace: h.ID, Version: h.Version, Generation: t.Epoch.Generation(), Keep: g.Cap,
 		})
 	}
 }
 
 // ask requests more for waiting work, or returns what has been idle.
-func (t *tick) ask(h *TeamHere, need, floor model.Resources) {
+func (t *tick) ask(h *WorkspaceHere, need, floor model.Resources) {
 	want := need.Min(h.Limit)
 	floor = floor.Min(h.Limit)
 	moved := t.moved(h)
@@ -190,7 +190,7 @@
 		}
 		if t.Memory.mayAsk(fmt.Sprintf("grant %s %s", h.ID, want), t.NowMillis) {
 			t.out.Fleet.Grants = append(t.out.Fleet.Grants, GrantRequest{
-				Team: h.ID, Want: want, Holds: t.State.Usage(h.ID), Floor: floor,
+				Workspace: h.ID, Want: want, Holds: t.State.Usage(h.ID), Floor: floor,
 			})
 		}
 		return
@@ -210,9 +210,9 @@
 	}
 }
 
-// moved reports whether the team's use here differs much from what the fleet
-// was told, on which the team's share in other data centres depends.
-func (t *tick) moved(h *TeamHere) bool {
+// moved reports whether the workspace's use here differs much from what the fleet
+// was told, on which the workspace's share in other data centres depends.
+func (t *tick) moved(h *WorkspaceHere) bool {
 	usage := t.State.Usage(h.ID)
 	gap := usage.Max(h.AskedHolds).Sub(usage.Min(h.AskedHolds))
 	return !gap.Scale(returnAfterPart).Fits(h.Granted)
--- a/internal/systems/limits_test.go
+++ b/internal/systems/limits_test.go
@@ -87,17 +87,17 @@
 	cl.Submit(model.JobSpec{ID: "new", Class: model.ClassBatch, Tasks: 2, RunMillis: 600_000, Idempotent: true})
 	cl.Steps(4, step)
 	limit := model.Resources{MilliCPU: 2000, MemoryMB: 1024}
-	h := &cl.View.Teams[0]
+	h := &cl.View.Workspaces[0]
 	// A smaller target alone, for the sake of another data centre, stops nothing.
 	h.Target = limit
 	cl.Steps(6, step)
 	c.Assert(cl.States("new"), qt.DeepEquals, map[model.TaskState]int{model.TaskRunning: 2})
-	h = &cl.View.Teams[0]
+	h = &cl.View.Workspaces[0]
 	h.Limit, h.Target, h.Over = limit, limit, true
 	cl.Steps(6, step)
 	c.Assert(cl.States("old"), qt.DeepEquals, map[model.TaskState]int{model.TaskRunning: 2})
 	c.Assert(cl.States("new"), qt.DeepEquals, map[model.TaskState]int{model.TaskPending: 2})
-	c.Assert(cl.View.Teams[0].Granted, qt.Equals, limit)
+	c.Assert(cl.View.Workspaces[0].Granted, qt.Equals, limit)
 	c.Assert(cl.State.Grant("t1").Cap, qt.Equals, limit)
 }
 
@@ -106,11 +106,11 @@
 	cl := cell.New()
 	cl.AddWorker(worker.Config{})
 	cl.Submit(job("j", 2))
-	full := cl.View.Teams[0].Granted
+	full := cl.View.Workspaces[0].Granted
 	cl.Steps(4, step)
-	c.Assert(cl.View.Teams[0].Granted, qt.Equals, full)
+	c.Assert(cl.View.Workspaces[0].Granted, qt.Equals, full)
 	cl.Steps(30, step)
-	kept := cl.View.Teams[0].Granted
+	kept := cl.View.Workspaces[0].Granted
 	c.Assert(kept.Fits(model.Resources{MilliCPU: 4000, MemoryMB: 2048}), qt.IsTrue)
 	cl.Submit(job("k", 4))
 	cl.Steps(6, step)
@@ -123,7 +123,7 @@
 	cl.AddWorker(worker.Config{})
 	cl.Submit(job("j", 2))
 	limit := model.Resources{MilliCPU: 2000, MemoryMB: 1024}
-	cl.View.Teams[0].Limit, cl.View.Teams[0].Target = limit, limit
+	cl.View.Workspaces[0].Limit, cl.View.Workspaces[0].Target = limit, limit
 	c.Assert(until(c, cl, "j"), qt.Equals, model.OutcomeSucceeded)
-	c.Assert(cl.View.Teams[0].Granted, qt.Equals, limit)
+	c.Assert(cl.View.Workspaces[0].Granted, qt.Equals, limit)
 }
--- a/internal/systems/memory.go
+++ b/internal/systems/memory.go
@@ -18,8 +18,8 @@
 	throttled map[model.TaskID]int64
 	// finished holds the jobs whose end has been recorded.
 	finished map[model.JobID]bool
-	// idle holds since when a team's grant has been larger than it needs.
-	idle map[model.TeamID]int64
+	// idle holds since when a workspace's grant has been larger than it needs.
+	idle map[model.WorkspaceID]int64
 	// changes counts the changes of tasks that have been recorded.
 	changes     uint64
 	changesSeen bool
@@ -37,7 +37,7 @@
 		asked:     map[string]int64{},
 		throttled: map[model.TaskID]int64{},
 		finished:  map[model.JobID]bool{},
-		idle:      map[model.TeamID]int64{},
+		idle:      map[model.WorkspaceID]int64{},
 	}
 }
 
--- a/internal/systems/place.go
+++ b/internal/systems/place.go
@@ -50,7 +50,7 @@
 	}
 	s.Workers = t.workerViews()
 	s.Runs = t.runViews()
-	s.Teams = t.teamViews()
+	s.Workspaces = t.workspaceViews()
 	return s
 }
 
@@ -181,7 +181,7 @@
 func (t *tick) runView(row *work.Task, p runPolicy) placement.RunView {
 	s := &row.JobRow().Spec
 	v := placement.RunView{
-		Task: row.ID, Job: s.ID, Team: s.Team, Class: s.Class, Worker: row.Worker,
+		Task: row.ID, Job: s.ID, Workspace: s.Workspace, Class: s.Class, Worker: row.Worker,
 		Holds:         row.Hold,
 		StartedMillis: row.StartedMillis,
 		Preemptible:   p.preemptible,
@@ -194,11 +194,11 @@
 	return v
 }
 
-func (t *tick) teamViews() []placement.TeamView {
-	views := make([]placement.TeamView, 0, len(t.View.Teams))
-	for i := range t.View.Teams {
-		h := &t.View.Teams[i]
-		views = append(views, placement.TeamView{
+func (t *tick) workspaceViews() []placement.WorkspaceView {
+	views := make([]placement.WorkspaceView, 0, len(t.View.Workspaces))
+	for i := range t.View.Workspaces {
+		h := &t.View.Workspaces[i]
+		views = append(views, placement.WorkspaceView{
 			ID: h.ID, Share: h.Share, Grant: t.State.Grant(h.ID).Cap,
 			Usage: t.State.Usage(h.ID), Elsewhere: h.Elsewhere,
 		})
@@ -252,7 +252,7 @@
 		detail += "; " + learnt
 	}
 	t.record(&eventlog.Event{
-		Kind: EventPlaced, Task: p.Task, Job: p.Job, Team: row.JobRow().Spec.Team,
+		Kind: EventPlaced, Task: p.Task, Job: p.Job, Workspace: row.JobRow().Spec.Workspace,
 		Attempt: row.Attempt + 1, Worker: p.Worker, Detail: detail,
 	}, &p.Explain)
 }
--- a/internal/systems/size.go
+++ b/internal/systems/size.go
@@ -11,7 +11,7 @@
 
 // planned is the size and run time to plan a job's tasks with: the declaration
 // as corrected by what the workload took, and no less than a waiting task took
-// when it outgrew that, as far as a worker and the team's limit have it.
+// when it outgrew that, as far as a worker and the workspace's limit have it.
 func (t *tick) planned(j *work.Job) estimate.Correction {
 	if p, ok := t.plans[j.Spec.ID]; ok {
 		return p
@@ -21,7 +21,7 @@
 		p.Size = t.largestPart(p.Size, need)
 		p.Detail = fmt.Sprintf("declared %s; planned with %s after a task was stopped at %s", j.Spec.Size, p.Size, need)
 	}
-	if limit, ok := t.limitOf(j.Spec.Team); ok {
+	if limit, ok := t.limitOf(j.Spec.Workspace); ok {
 		p.Size = p.Size.Min(limit).Max(j.Spec.Size)
 	}
 	if t.plans == nil {
@@ -56,8 +56,8 @@
 	return best
 }
 
-func (t *tick) limitOf(team model.TeamID) (model.Resources, bool) {
-	i, ok := slices.BinarySearchFunc(t.View.Teams, team, func(h TeamHere, id model.TeamID) int {
+func (t *tick) limitOf(workspace model.WorkspaceID) (model.Resources, bool) {
+	i, ok := slices.BinarySearchFunc(t.View.Workspaces, workspace, func(h WorkspaceHere, id model.WorkspaceID) int {
 		switch {
 		case h.ID < id:
 			return -1
@@ -69,7 +69,7 @@
 	if !ok {
 		return model.Resources{}, false
 	}
-	return t.View.Teams[i].Limit, true
+	return t.View.Workspaces[i].Limit, true
 }
 
 // workerSizes lists the different sizes of workers, in the order of the tables.
--- a/internal/systems/tick.go
+++ b/internal/systems/tick.go
@@ -102,7 +102,7 @@
 
 // scope is the settings scope of a job here.
 func (t *tick) scope(s *model.JobSpec) settings.Scope {
-	return settings.Scope{Region: t.View.Region, DC: t.View.DC, Team: s.Team, Workload: s.Workload}
+	return settings.Scope{Region: t.View.Region, DC: t.View.DC, Workspace: s.Workspace, Workload: s.Workload}
 }
 
 // dcScope is the settings scope of the data centre.
@@ -138,12 +138,12 @@
 // recordTask records an event about a task's run.
 func (t *tick) recordTask(kind eventlog.Kind, row *work.Task, cause, detail string, x *placement.Explanation) {
 	t.record(&eventlog.Event{
-		Kind: kind, Task: row.ID, Job: row.Job, Team: row.JobRow().Spec.Team,
+		Kind: kind, Task: row.ID, Job: row.Job, Workspace: row.JobRow().Spec.Workspace,
 		Attempt: row.Attempt, Worker: row.Worker, Cause: cause, Detail: detail,
 	}, x)
 }
 
 // recordJob records an event about a job.
 func (t *tick) recordJob(kind eventlog.Kind, s *model.JobSpec, cause, detail string, x *placement.Explanation) {
-	t.record(&eventlog.Event{Kind: kind, Job: s.ID, Team: s.Team, Cause: cause, Detail: detail}, x)
+	t.record(&eventlog.Event{Kind: kind, Job: s.ID, Workspace: s.Workspace, Cause: cause, Detail: detail}, x)
 }
--- a/internal/systems/view.go
+++ b/internal/systems/view.go
@@ -14,9 +14,9 @@
 )
 
 // View is what a tick needs of the fleet's state. Jobs are in order of arrival,
-// teams sorted by id.
+// workspaces sorted by id.
 type View struct {
-	// Revision grows with every change of Jobs or Teams. Systems that only
+	// Revision grows with every change of Jobs or Workspaces. Systems that only
 	// follow the fleet skip a view that they have seen.
 	Revision uint64
 	// Generation is the newest of the data centre's group that the fleet has on
@@ -33,9 +33,9 @@
 	Config uint64
 	// FleetSize is the size of all workers of the fleet, against which shares
 	// are counted; zero means this data centre's.
-	FleetSize model.Resources
-	Jobs      []JobHere
-	Teams     []TeamHere
+	FleetSize  model.Resources
+	Jobs       []JobHere
+	Workspaces []WorkspaceHere
 }
 
 // JobHere is a job with tasks owned by this data centre and no final outcome.
@@ -50,9 +50,9 @@
 	RunningElsewhere int
 }
 
-// TeamHere is a team with its grant for this data centre.
-type TeamHere struct {
-	model.Team
+// WorkspaceHere is a workspace with its grant for this data centre.
+type WorkspaceHere struct {
+	model.Workspace
 	// Granted is what the fleet holds reserved for this data centre, Target
 	// what it wants that to come down to; equal to Granted if all may stay.
 	Granted, Target model.Resources
@@ -63,7 +63,7 @@
 	Asked, AskedFloor, AskedHolds model.Resources
 	// Version grows with every change of Granted.
 	Version uint64
-	// Elsewhere is what the team's tasks hold in other data centres.
+	// Elsewhere is what the workspace's tasks hold in other data centres.
 	Elsewhere model.Resources
 }
 
@@ -136,21 +136,21 @@
 	Reason  string
 }
 
-// GrantRequest asks that a team's grant here be raised to Want.
+// GrantRequest asks that a workspace's grant here be raised to Want.
 type GrantRequest struct {
-	Team model.TeamID
-	Want model.Resources
-	// Holds is what the team's tasks take here now.
+	Workspace model.WorkspaceID
+	Want      model.Resources
+	// Holds is what the workspace's tasks take here now.
 	Holds model.Resources
 	// Floor is the least with which the oldest waiting job could start; zero if
 	// none waits.
 	Floor model.Resources
 }
 
-// GrantReturn lowers a team's grant here to Keep. The data centre's own tables
+// GrantReturn lowers a workspace's grant here to Keep. The data centre's own tables
 // already keep its tasks within Keep.
 type GrantReturn struct {
-	Team model.TeamID
+	Workspace model.WorkspaceID
 	// Version is the one of the grant that the return is based on; the fleet
 	// must ignore a return of an older version, which may be a late repeat.
 	Version uint64
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -111,7 +111,7 @@
 
 // Filter selects events; empty fields select all.
 type Filter struct {
-	Task, Job, Team, Request, VM, Worker, Server, DC, Process string
+	Task, Job, Workspace, Request, VM, Worker, Server, DC, Process string
 	// Kind selects a kind or, with a trailing dot, all kinds of a part.
 	Kind string
 	// SinceMillis and UntilMillis bound the wall time; 0 means no bound.
@@ -123,7 +123,7 @@
 	for _, c := range []struct{ want, got string }{
 		{f.Task, string(e.Task)},
 		{f.Job, string(e.Job)},
-		{f.Team, string(e.Team)},
+		{f.Workspace, string(e.Workspace)},
 		{f.Request, string(e.Request)},
 		{f.VM, string(e.VM)},
 		{f.Worker, string(e.Worker)},
@@ -178,7 +178,7 @@
 		add("attempt", fmt.Sprint(e.Attempt))
 	}
 	add("request", string(e.Request))
-	add("team", string(e.Team))
+	add("workspace", string(e.Workspace))
 	add("worker", string(e.Worker))
 	add("server", string(e.Server))
 	add("queue", string(e.Queue))
--- a/internal/why/format.go
+++ b/internal/why/format.go
@@ -30,7 +30,7 @@
 		fmt.Fprintf(&b, " attempt %d", e.Attempt)
 	}
 	part(&b, "worker", string(e.Worker))
-	part(&b, "team", string(e.Team))
+	part(&b, "workspace", string(e.Workspace))
 	part(&b, "cause", e.Cause)
 	if e.Detail != "" {
 		fmt.Fprintf(&b, ": %s", e.Detail)
--- a/internal/why/why.go
+++ b/internal/why/why.go
@@ -1,4 +1,4 @@
-// Package why builds the account of a task, job, team or worker from the events
+// Package why builds the account of a task, job, workspace or worker from the events
 // that were recorded when the decisions were made. It keeps the newest events
 // in bounded memory; nothing in an account is made up afterwards.
 package why
@@ -20,15 +20,15 @@
 
 // The kinds.
 const (
-	KindTask   Kind = "task"
-	KindJob    Kind = "job"
-	KindTeam   Kind = "team"
-	KindWorker Kind = "worker"
+	KindTask      Kind = "task"
+	KindJob       Kind = "job"
+	KindWorkspace Kind = "workspace"
+	KindWorker    Kind = "worker"
 )
 
 // Valid reports whether k is one of the kinds.
 func (k Kind) Valid() bool {
-	return k == KindTask || k == KindJob || k == KindTeam || k == KindWorker
+	return k == KindTask || k == KindJob || k == KindWorkspace || k == KindWorker
 }
 
 // Bounds of what a Book keeps.
@@ -142,8 +142,8 @@
 		return string(e.Task) == id || e.Task == "" && e.Job != "" && jobOf(id) == e.Job
 	case KindJob:
 		return string(e.Job) == id
-	case KindTeam:
-		return string(e.Team) == id
+	case KindWorkspace:
+		return string(e.Workspace) == id
 	case KindWorker:
 		return string(e.Worker) == id
 	}
--- a/internal/work/apply.go
+++ b/internal/work/apply.go
@@ -168,16 +168,16 @@
 	}
 }
 
-// setGrant changes a team's cap. Lowering is always safe; raising needs a grant
+// setGrant changes a workspace's cap. Lowering is always safe; raising needs a grant
 // that no lowering has been based on.
 func (s *State) setGrant(g SetGrant) {
-	old := s.grants[g.Team]
+	old := s.grants[g.Workspace]
 	raises := !g.Cap.Fits(old.Cap)
 	if raises && g.Version <= old.Version && s.skip&skipVersion == 0 {
 		return
 	}
-	s.grants[g.Team] = Grant{
-		Cap:       g.Cap.Max(s.usage[g.Team]),
+	s.grants[g.Workspace] = Grant{
+		Cap:       g.Cap.Max(s.usage[g.Workspace]),
 		Version:   max(old.Version, g.Version),
 		Returning: g.Returning,
 	}
--- a/internal/work/apply_place.go
+++ b/internal/work/apply_place.go
@@ -104,8 +104,8 @@
 	if !size.Max(p.Hold).Fits(w.Free()) && s.skip&skipRoom == 0 {
 		return ReasonNoRoom
 	}
-	team := t.job.Spec.Team
-	if !s.usage[team].Add(size).Fits(s.grants[team].Cap) && s.skip&skipGrant == 0 {
+	workspace := t.job.Spec.Workspace
+	if !s.usage[workspace].Add(size).Fits(s.grants[workspace].Cap) && s.skip&skipGrant == 0 {
 		return ReasonGrant
 	}
 	return ""
--- a/internal/work/changes.go
+++ b/internal/work/changes.go
@@ -4,9 +4,9 @@
 
 // Change tells what became of a task when its run ended.
 type Change struct {
-	Run  RunID
-	Job  model.JobID
-	Team model.TeamID
+	Run       RunID
+	Job       model.JobID
+	Workspace model.WorkspaceID
 	// RunOutcome is the run's, RunReason what its worker said of it.
 	RunOutcome model.Outcome
 	RunReason  string
@@ -55,7 +55,7 @@
 // noteChange keeps what became of t after its run ended by e.
 func (s *State) noteChange(run RunID, t *Task, e *Ended) {
 	s.changes.add(Change{
-		Run: run, Job: t.Job, Team: t.job.Spec.Team,
+		Run: run, Job: t.Job, Workspace: t.job.Spec.Workspace,
 		RunOutcome: e.Outcome, RunReason: e.Reason,
 		State: t.State, Outcome: t.Outcome, Reason: t.Reason,
 		Failures: t.Failures, NotBeforeMillis: t.NotBeforeMillis,
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -169,13 +169,13 @@
 	Reason     string       `msgpack:"r"`
 }
 
-// SetGrant sets the part of a team's upper limit that this data centre uses.
-// It never goes below what the team holds. A cap is raised only by a newer
+// SetGrant sets the part of a workspace's upper limit that this data centre uses.
+// It never goes below what the workspace holds. A cap is raised only by a newer
 // version of the fleet's grant than the tables have seen.
 type SetGrant struct {
-	Team    model.TeamID    `msgpack:"t"`
-	Version uint64          `msgpack:"v"`
-	Cap     model.Resources `msgpack:"c"`
+	Workspace model.WorkspaceID `msgpack:"t"`
+	Version   uint64            `msgpack:"v"`
+	Cap       model.Resources   `msgpack:"c"`
 	// Returning is set while the rest is given back to the fleet.
 	Returning bool `msgpack:"r,omitempty"`
 }
--- a/internal/work/delayed_test.go
+++ b/internal/work/delayed_test.go
@@ -23,14 +23,14 @@
 		LeaseTerm: &work.SetLeaseTerm{Millis: 9000},
 		Register:  []work.Register{{Worker: "w", DC: "dc1", Size: size, Incarnation: "i1"}},
 		Admit: []work.Admit{{Assignment: 7, Spec: model.JobSpec{
-			ID: "j", Team: "t", Tasks: 1, Size: need, Class: model.ClassBatch, Idempotent: true,
+			ID: "j", Workspace: "t", Tasks: 1, Size: need, Class: model.ClassBatch, Idempotent: true,
 		}}},
-		Grants: []work.SetGrant{{Team: "t", Version: 3, Cap: size}},
+		Grants: []work.SetGrant{{Workspace: "t", Version: 3, Cap: size}},
 		Place:  []work.Place{{Task: "j.0", Worker: "w"}},
 	})
 	s.Apply(2000, &work.Command{
 		Started: []work.Run{{RunID: work.RunID{Task: "j.0", Attempt: 1, Worker: "w"}}},
-		Grants:  []work.SetGrant{{Team: "t", Version: 3, Cap: need, Returning: true}},
+		Grants:  []work.SetGrant{{Workspace: "t", Version: 3, Cap: need, Returning: true}},
 	})
 	return s
 }
@@ -40,7 +40,7 @@
 func TestDelayedCommandsChangeNothing(t *testing.T) {
 	lost := []work.WorkerLost{{Worker: "w", Standing: 1}}
 	older := []work.WorkerLost{{Worker: "w", Standing: 0}}
-	other := model.JobSpec{ID: "gone", Team: "t", Tasks: 1, Size: need, Class: model.ClassBatch}
+	other := model.JobSpec{ID: "gone", Workspace: "t", Tasks: 1, Size: need, Class: model.ClassBatch}
 	tests := []struct {
 		name string
 		cmd  *work.Command
@@ -49,7 +49,7 @@
 		{"a loss under an older epoch", &work.Command{Epoch: model.NewEpoch(1, 1), Lost: lost}, func(s *work.State) { s.Skip(work.SkipEpoch) }},
 		{"a loss of an older standing", &work.Command{Lost: older}, func(s *work.State) { s.Skip(work.SkipStanding) }},
 		{"an admission by an older view", &work.Command{View: 6, Admit: []work.Admit{{Spec: other, Assignment: 6}}}, func(s *work.State) { s.Skip(work.SkipView) }},
-		{"a raise by the version that was lowered", &work.Command{Grants: []work.SetGrant{{Team: "t", Version: 3, Cap: size}}}, func(s *work.State) { s.Skip(work.SkipVersion) }},
+		{"a raise by the version that was lowered", &work.Command{Grants: []work.SetGrant{{Workspace: "t", Version: 3, Cap: size}}}, func(s *work.State) { s.Skip(work.SkipVersion) }},
 		{"a shorter lease term", &work.Command{LeaseTerm: &work.SetLeaseTerm{Millis: 5000}}, nil},
 		{"a stop of an older attempt", &work.Command{Stop: []work.Stop{{Task: "j.0", Attempt: 0}}}, nil},
 		{"a second placement", &work.Command{Place: []work.Place{{Task: "j.0", Worker: "w"}}}, nil},
--- a/internal/work/estimate.go
+++ b/internal/work/estimate.go
@@ -12,7 +12,7 @@
 }
 
 func workloadOf(j *Job) estimate.Key {
-	return estimate.Key{Team: j.Spec.Team, Workload: j.Spec.Workload}
+	return estimate.Key{Workspace: j.Spec.Workspace, Workload: j.Spec.Workload}
 }
 
 // learn takes in what a run used that ended with success.
--- a/internal/work/place_test.go
+++ b/internal/work/place_test.go
@@ -13,13 +13,13 @@
 // of two.
 func waiting() *work.State {
 	s := work.New()
-	spec := model.JobSpec{ID: "j", Team: "t", Tasks: 2, Size: need, Class: model.ClassBatch, Idempotent: true}
+	spec := model.JobSpec{ID: "j", Workspace: "t", Tasks: 2, Size: need, Class: model.ClassBatch, Idempotent: true}
 	gang := spec
 	gang.ID, gang.Class = "g", model.ClassGang
 	s.Apply(1000, &work.Command{
 		Register: []work.Register{{Worker: "a", Size: size, Incarnation: "i"}, {Worker: "b", Size: size, Incarnation: "i"}},
 		Admit:    []work.Admit{{Spec: spec}, {Spec: gang}},
-		Grants:   []work.SetGrant{{Team: "t", Version: 1, Cap: need.Scale(3)}},
+		Grants:   []work.SetGrant{{Workspace: "t", Version: 1, Cap: need.Scale(3)}},
 	})
 	return s
 }
--- a/internal/work/snapshot.go
+++ b/internal/work/snapshot.go
@@ -27,8 +27,8 @@
 }
 
 type grantRow struct {
-	Team  model.TeamID `msgpack:"t"`
-	Grant Grant        `msgpack:"g"`
+	Workspace model.WorkspaceID `msgpack:"t"`
+	Grant     Grant             `msgpack:"g"`
 }
 
 // Snapshot encodes all tables; equal tables give equal bytes.
@@ -40,10 +40,10 @@
 	for _, j := range s.order {
 		im.Tasks = append(im.Tasks, j.tasks...)
 	}
-	for team, g := range s.grants {
-		im.Grants = append(im.Grants, grantRow{team, g})
+	for workspace, g := range s.grants {
+		im.Grants = append(im.Grants, grantRow{workspace, g})
 	}
-	slices.SortFunc(im.Grants, func(a, b grantRow) int { return cmp.Compare(a.Team, b.Team) })
+	slices.SortFunc(im.Grants, func(a, b grantRow) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return msgpack.Marshal(&im)
 }
 
@@ -70,7 +70,7 @@
 		fresh.restoreTask(t)
 	}
 	for _, g := range im.Grants {
-		fresh.grants[g.Team] = g.Grant
+		fresh.grants[g.Workspace] = g.Grant
 	}
 	fresh.estimates = im.Estimates
 	fresh.changes = s.changes
--- a/internal/work/state.go
+++ b/internal/work/state.go
@@ -2,7 +2,7 @@
 // workers. State is a deterministic state machine without clock or I/O: the
 // same commands give the same tables on each member. Every promise that a
 // placement could break is checked again when it is applied: room on the
-// worker, the team's grant, gangs as a whole, the data centre not out and the
+// worker, the workspace's grant, gangs as a whole, the data centre not out and the
 // epoch of the leader that decided.
 package work
 
@@ -126,7 +126,7 @@
 // Free is the room left; negative if reported use outgrew the worker.
 func (w *Worker) Free() model.Resources { return w.Size.Sub(w.held) }
 
-// Grant is the part of a team's limit that this data centre may use.
+// Grant is the part of a workspace's limit that this data centre may use.
 type Grant struct {
 	Version   uint64          `msgpack:"v"`
 	Cap       model.Resources `msgpack:"c"`
@@ -156,8 +156,8 @@
 	tasks     map[model.TaskID]*Task
 	workers   map[model.WorkerID]*Worker
 	sorted    []*Worker // by id
-	usage     map[model.TeamID]model.Resources
-	grants    map[model.TeamID]Grant
+	usage     map[model.WorkspaceID]model.Resources
+	grants    map[model.WorkspaceID]Grant
 	estimates estimate.Book
 
 	changes changes
@@ -171,8 +171,8 @@
 		jobs:    map[model.JobID]*Job{},
 		tasks:   map[model.TaskID]*Task{},
 		workers: map[model.WorkerID]*Worker{},
-		usage:   map[model.TeamID]model.Resources{},
-		grants:  map[model.TeamID]Grant{},
+		usage:   map[model.WorkspaceID]model.Resources{},
+		grants:  map[model.WorkspaceID]Grant{},
 	}
 }
 
@@ -213,25 +213,25 @@
 // Workers lists all workers by id. They must not be changed.
 func (s *State) Workers() []*Worker { return s.sorted }
 
-// Usage is the declared size of the team's tasks that take room here.
-func (s *State) Usage(team model.TeamID) model.Resources { return s.usage[team] }
+// Usage is the declared size of the workspace's tasks that take room here.
+func (s *State) Usage(workspace model.WorkspaceID) model.Resources { return s.usage[workspace] }
 
-// Grant returns what this data centre may use of the team's limit.
-func (s *State) Grant(team model.TeamID) Grant { return s.grants[team] }
+// Grant returns what this data centre may use of the workspace's limit.
+func (s *State) Grant(workspace model.WorkspaceID) Grant { return s.grants[workspace] }
 
-// Teams lists, sorted, the teams with a grant or usage.
-func (s *State) Teams() []model.TeamID {
-	teams := make([]model.TeamID, 0, len(s.grants))
+// Workspaces lists, sorted, the workspaces with a grant or usage.
+func (s *State) Workspaces() []model.WorkspaceID {
+	workspaces := make([]model.WorkspaceID, 0, len(s.grants))
 	for id := range s.grants {
-		teams = append(teams, id)
+		workspaces = append(workspaces, id)
 	}
 	for id := range s.usage {
 		if _, ok := s.grants[id]; !ok {
-			teams = append(teams, id)
+			workspaces = append(workspaces, id)
 		}
 	}
-	slices.Sort(teams)
-	return teams
+	slices.Sort(workspaces)
+	return workspaces
 }
 
 // hold puts t on w: from here on it takes room.
@@ -245,8 +245,8 @@
 	i, _ := slices.BinarySearchFunc(w.tasks, t.ID, compareTask)
 	w.tasks = slices.Insert(w.tasks, i, t)
 	w.held = w.held.Add(hold)
-	team := t.job.Spec.Team
-	s.usage[team] = s.usage[team].Add(t.job.Spec.Size)
+	workspace := t.job.Spec.Workspace
+	s.usage[workspace] = s.usage[workspace].Add(t.job.Spec.Size)
 }
 
 // resize changes the room that a held task takes.
@@ -270,13 +270,13 @@
 	t.Throttled = false
 	t.UsageSeq = 0
 	t.StopCheckpoint = false
-	team := t.job.Spec.Team
-	left := s.usage[team].Sub(t.job.Spec.Size)
+	workspace := t.job.Spec.Workspace
+	left := s.usage[workspace].Sub(t.job.Spec.Size)
 	if left.IsZero() {
-		delete(s.usage, team)
+		delete(s.usage, workspace)
 		return
 	}
-	s.usage[team] = left
+	s.usage[workspace] = left
 }
 
 // toPending makes a task that holds nothing wait for a placement.
--- a/internal/workerapi/leader_test.go
+++ b/internal/workerapi/leader_test.go
@@ -36,8 +36,8 @@
 	b.lead(1)
 	b.report(b.base(1))
 	b.state.Apply(1000, &work.Command{
-		Admit:  []work.Admit{{Spec: model.JobSpec{ID: "j", Team: "t", Tasks: 3, Size: need, Idempotent: true, Class: model.ClassBatch}}},
-		Grants: []work.SetGrant{{Team: "t", Version: 1, Cap: size}},
+		Admit:  []work.Admit{{Spec: model.JobSpec{ID: "j", Workspace: "t", Tasks: 3, Size: need, Idempotent: true, Class: model.ClassBatch}}},
+		Grants: []work.SetGrant{{Workspace: "t", Version: 1, Cap: size}},
 		Place:  []work.Place{{Task: "j.0", Worker: "w"}, {Task: "j.1", Worker: "w"}},
 	})
 	r := b.base(2)
--- a/internal/workerapi/orders.go
+++ b/internal/workerapi/orders.go
@@ -67,7 +67,7 @@
 	return api.TaskOrder{
 		RunID:      api.RunID{Task: t.ID, Attempt: t.Attempt},
 		Job:        spec.ID,
-		Team:       spec.Team,
+		Workspace:  spec.Workspace,
 		Size:       spec.Size,
 		RunMillis:  spec.RunMillis,
 		Service:    spec.Class == model.ClassService,
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -364,13 +364,13 @@
 }
 
 // grantKey returns the text of a new key.
-func (c *cluster) grantKey(team string) string { return c.grant(team, "--wait") }
+func (c *cluster) grantKey(workspace string) string { return c.grant(workspace, "--wait") }
 
 // grantKeyNow doesn't wait until the key is in force.
-func (c *cluster) grantKeyNow(team string) string { return c.grant(team) }
+func (c *cluster) grantKeyNow(workspace string) string { return c.grant(workspace) }
 
-func (c *cluster) grant(team string, flags ...string) string {
-	out := c.must(append([]string{"key", "grant", team}, flags...)...)
+func (c *cluster) grant(workspace string, flags ...string) string {
+	out := c.must(append([]string{"key", "grant", workspace}, flags...)...)
 	at := strings.Index(out, "kq_")
 	if at < 0 {
 		c.t.Fatalf("no key in %q", out)
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -69,12 +69,12 @@
 	}
 }
 
-// startLoad submits unlike jobs of two teams and sends open and keyed requests,
+// startLoad submits unlike jobs of two workspaces and sends open and keyed requests,
 // half of them not idempotent.
 func startLoad(c *cluster) *load {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &load{c: c, ctx: ctx, cancel: cancel, specs: map[model.JobID]model.JobSpec{}}
-	l.lims = []history.Limit{{Team: "narrow", Limit: model.Resources{MilliCPU: 12_000, MemoryMB: 24 << 10}}}
+	l.lims = []history.Limit{{Workspace: "narrow", Limit: model.Resources{MilliCPU: 12_000, MemoryMB: 24 << 10}}}
 	l.wide, l.narrow = c.grantKey("wide"), c.grantKey("narrow")
 	l.wg.Go(func() { l.submitJobs(ctx) })
 	l.call(ctx, "open", "", 1)
@@ -107,7 +107,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		spec := drawJob(draw, i)
 		key := l.wide
-		if spec.Team == "narrow" {
+		if spec.Workspace == "narrow" {
 			key = l.narrow
 		}
 		if l.c.submit(key, &spec, patience) {
@@ -125,7 +125,7 @@
 // fillUp gives a data centre many tasks at once.
 func (l *load) fillUp(dc, tasks int, milliCPU int64, run time.Duration) {
 	spec := model.JobSpec{
-		ID: model.JobID("job-fill"), Team: "wide", Class: model.ClassBatch, Tasks: tasks, Idempotent: true,
+		ID: model.JobID("job-fill"), Workspace: "wide", Class: model.ClassBatch, Tasks: tasks, Idempotent: true,
 		Size:      model.Resources{MilliCPU: milliCPU, MemoryMB: 512},
 		RunMillis: run.Milliseconds(), DataCentres: []model.DCID{model.DCID(dcName(dc))},
 	}
@@ -139,7 +139,7 @@
 
 func drawJob(draw *rand.Rand, i int) model.JobSpec {
 	spec := model.JobSpec{
-		ID: model.JobID(fmt.Sprintf("job-%d", i)), Team: "wide", Class: model.ClassBatch, Tasks: 1 + draw.IntN(3),
+		ID: model.JobID(fmt.Sprintf("job-%d", i)), Workspace: "wide", Class: model.ClassBatch, Tasks: 1 + draw.IntN(3),
 		Size:      model.Resources{MilliCPU: int64(500 * (1 + draw.IntN(6))), MemoryMB: int64(256 * (1 + draw.IntN(4)))},
 		RunMillis: int64(200 + draw.IntN(1500)), Idempotent: draw.IntN(4) > 0,
 	}
@@ -149,7 +149,7 @@
 	case 1:
 		spec.Class, spec.Tasks = model.ClassUrgent, 1
 	case 2:
-		spec.Team = "narrow"
+		spec.Workspace = "narrow"
 	}
 	return spec
 }
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -258,7 +258,7 @@
 	var ids []string
 	for i := range wave {
 		spec := model.JobSpec{
-			ID: model.JobID(fmt.Sprintf("wave-%d", i)), Team: "wide", Class: model.ClassBatch, Tasks: 2, Idempotent: true,
+			ID: model.JobID(fmt.Sprintf("wave-%d", i)), Workspace: "wide", Class: model.ClassBatch, Tasks: 2, Idempotent: true,
 			Size: model.Resources{MilliCPU: 2000, MemoryMB: 256}, RunMillis: 60_000,
 		}
 		if c.submit(l.wide, &spec, patience) {
