--- a/internal/logx/logx.go
+++ b/internal/logx/logx.go
@@ -3,6 +3,8 @@
 package logx
 
 import (
+	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -30,10 +32,6 @@
 }
 
 const (
-	// bufferBytes and flushInterval bound how much of the log waits in memory,
-	// and for how long.
-	bufferBytes   = 64 << 10
-	flushInterval = 200 * time.Millisecond
 	// sampleTick, sampleFirst and sampleAfter bound the volume: of each message,
 	// the first so many a tick are written, and then one in so many.
 	sampleTick  = time.Second
@@ -41,17 +39,35 @@
 	sampleAfter = 20
 )
 
-// NewJSON returns a logger that writes one JSON object a line to out. Lines are
-// buffered; stop writes what is left. Under load it samples each message.
-func NewJSON(level string, out zapcore.WriteSyncer) (log *zap.Logger, stop func() error, err error) {
+// Drops counts the lines of a log that were not written.
+type Drops struct {
+	// Sampled lines were too many of one message.
+	Sampled atomic.Uint64
+	// Overflowed lines found the buffer full, since out takes them too slowly.
+	Overflowed atomic.Uint64
+}
+
+// NewJSON returns a logger that writes one JSON object a line to out. It never
+// blocks: lines wait in a bounded buffer, and those that find it full are
+// dropped. Under load it samples each message. stop writes what is left, as far
+// as out takes it within closeTimeout.
+func NewJSON(level string, out io.Writer) (log *zap.Logger, drops *Drops, stop func() error, err error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, nil, merry.Errorf("%q, not debug, info, warn or error", level)
+		return nil, nil, nil, merry.Errorf("%q, not debug, info, warn or error", level)
 	}
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
 	enc.EncodeDuration = zapcore.MillisDurationEncoder
-	buffer := &zapcore.BufferedWriteSyncer{WS: out, Size: bufferBytes, FlushInterval: flushInterval}
+	drops = &Drops{}
+	buffer := newAsyncWriter(out, &drops.Overflowed)
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), buffer, l)
-	return zap.New(zapcore.NewSamplerWithOptions(core, sampleTick, sampleFirst, sampleAfter)), buffer.Stop, nil
+	sampler := zapcore.NewSamplerWithOptions(core, sampleTick, sampleFirst, sampleAfter, zapcore.SamplerHook(drops.sampled))
+	return zap.New(sampler), drops, buffer.Close, nil
+}
+
+func (d *Drops) sampled(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+	if decision&zapcore.LogDropped != 0 {
+		d.Sampled.Add(1)
+	}
 }
