--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -4,6 +4,7 @@
 package cellnode
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -42,9 +43,11 @@
 
 // Config is what a Node is made of.
 type Config struct {
-	// Addr is where the wire node listens, IP:port.
+	// Addr is where other processes reach the wire node, IP:port.
 	Addr string
-	DC   string
+	// Listen is where the wire node listens: Addr if it is "".
+	Listen string
+	DC     string
 	// Seeds are the wire addresses of some control processes.
 	Seeds []string
 	// Found makes an empty member form the group with all Seeds as voters.
@@ -94,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.wire, err = wire.Listen(cfg.Addr, nil)
+	n.wire, err = wire.Listen(cmp.Or(cfg.Listen, cfg.Addr), nil)
 	if err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
