--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -154,6 +154,8 @@
 	if err != nil {
 		return nil, err
 	}
+	s.Log.Info("job recorded", zap.String("job", string(req.ID)), zap.String("queue", c.queue),
+		zap.String("workspace", c.workspace), zap.Bool("known", r.Known))
 	return &SubmitReply{Known: r.Known}, nil
 }
 
@@ -226,6 +228,7 @@
 	if _, err := s.propose(ctx, cmd); err != nil {
 		return nil, err
 	}
+	s.Log.Info("job cancelled", zap.String("job", string(req.ID)))
 	return &CancelReply{}, nil
 }
 
--- a/internal/logx/async.go
+++ b/internal/logx/async.go
@@ -1,6 +1,7 @@
 package logx
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 	bufferBytes = 256 << 10
 	// flushInterval is how long a line waits at most while out takes lines.
 	flushInterval = 200 * time.Millisecond
+	// pieceBytes bounds one write, so that a pipe takes it whole.
+	pieceBytes = 4 << 10
 	// closeTimeout bounds the wait for the last lines.
 	closeTimeout = 500 * time.Millisecond
 )
@@ -92,6 +95,34 @@
 	if len(full) == 0 {
 		return full
 	}
-	_, w.err = w.out.Write(full)
+	w.err = writePieces(w.out, full)
 	return full
 }
+
+// writePieces writes whole lines, as many at a time as fit into a piece.
+func writePieces(out io.Writer, lines []byte) error {
+	var failed error
+	for len(lines) > 0 {
+		n := pieceEnd(lines)
+		if _, err := out.Write(lines[:n]); err != nil {
+			failed = err
+		}
+		lines = lines[n:]
+	}
+	return failed
+}
+
+// pieceEnd is where the last line ends that fits into a piece, or the first one
+// if none does.
+func pieceEnd(lines []byte) int {
+	if len(lines) <= pieceBytes {
+		return len(lines)
+	}
+	if i := bytes.LastIndexByte(lines[:pieceBytes], '\n'); i >= 0 {
+		return i + 1
+	}
+	if i := bytes.IndexByte(lines, '\n'); i >= 0 {
+		return i + 1
+	}
+	return len(lines)
+}
--- a/internal/logx/async_test.go
+++ b/internal/logx/async_test.go
@@ -82,3 +82,19 @@
 	_, _, _, err := NewJSON("loud", &bytes.Buffer{})
 	qt.Assert(t, err, qt.ErrorMatches, `"loud", not debug, info, warn or error`)
 }
+
+func TestPiecesEndWithLines(t *testing.T) {
+	long := strings.Repeat("y", 2*pieceBytes) + "\n"
+	short := strings.Repeat("x", 1000) + "\n"
+	for _, c := range []struct {
+		name, lines string
+		want        int
+	}{
+		{"all fit", short, len(short)},
+		{"some fit", strings.Repeat(short, 6), 4 * len(short)},
+		{"the first is too long", long + short, len(long)},
+		{"no line ends", strings.Repeat("z", 2*pieceBytes), 2 * pieceBytes},
+	} {
+		qt.Check(t, pieceEnd([]byte(c.lines)), qt.Equals, c.want, qt.Commentf("%s", c.name))
+	}
+}
--- a/internal/logx/logx.go
+++ b/internal/logx/logx.go
@@ -49,7 +49,7 @@
 
 // NewJSON returns a logger that writes one JSON object a line to out. It never
 // blocks: lines wait in a bounded buffer, and those that find it full are
-// dropped. Under load it samples each message. stop writes what is left, as far
+// dropped. Under load it samples each message, but not at level debug. stop writes what is left, as far
 // as out takes it within closeTimeout.
 func NewJSON(level string, out io.Writer) (log *zap.Logger, drops *Drops, stop func() error, err error) {
 	l, err := zapcore.ParseLevel(level)
@@ -62,6 +62,9 @@
 	drops = &Drops{}
 	buffer := newAsyncWriter(out, &drops.Overflowed)
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), buffer, l)
+	if l == zapcore.DebugLevel {
+		return zap.New(core), drops, buffer.Close, nil
+	}
 	sampler := zapcore.NewSamplerWithOptions(core, sampleTick, sampleFirst, sampleAfter, zapcore.SamplerHook(drops.sampled))
 	return zap.New(sampler), drops, buffer.Close, nil
 }
--- a/internal/scheduler/intake.go
+++ b/internal/scheduler/intake.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"kumquatwing/internal/cell"
 	"kumquatwing/internal/clock"
 )
@@ -39,6 +41,36 @@
 	return in
 }
 
+// noteEnded writes a line for each job that has ended since the last look, and
+// forgets the note on it.
+func (s *Scheduler) noteEnded(now clock.Instant) {
+	s.cfg.State.Read(func() {
+		for id, in := range s.taken {
+			if s.cfg.State.Active[id] != nil {
+				continue
+			}
+			delete(s.taken, id)
+			j := s.cfg.State.Jobs[id]
+			if j == nil {
+				continue
+			}
+			s.jobEnded(j, now.Sub(in.at), in.overShare)
+		}
+	})
+}
+
+// jobEnded tells what became of a job. The state is locked.
+func (s *Scheduler) jobEnded(j *cell.Job, took time.Duration, overShare bool) {
+	s.cfg.Metrics.jobs.WithLabelValues(j.Queue, j.State.String()).Observe(took.Seconds())
+	var allowed time.Duration
+	if q := s.cfg.State.QueueOf(j); q != nil {
+		allowed = objective(j, q)
+	}
+	s.cfg.Log.Info("job ended", zap.String("job", string(j.ID)), zap.String("queue", j.Queue),
+		zap.String("workspace", j.Workspace), zap.Stringer("state", j.State), zap.String("reason", j.Reason),
+		zap.Duration("took", took), zap.Duration("objective", allowed), zap.Bool("over_share", overShare))
+}
+
 // shareBucket counts the jobs that a workspace may still submit within its share.
 type shareBucket struct {
 	jobs float64
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -12,6 +12,8 @@
 	questions *prometheus.CounterVec
 	// firstStart is the time from a job's record to its first confirmed start.
 	firstStart prometheus.Histogram
+	// jobs is the time from a job's record to its end.
+	jobs *prometheus.HistogramVec
 }
 
 // NewMetrics registers the scheduler's counters.
@@ -37,6 +39,10 @@
 		Name: "kq_cell_first_start_seconds", Help: "Time from a job's record to its first confirmed start.",
 		Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
 	})
-	r.MustRegister(m.starts, m.ends, m.refused, m.preempted, m.questions, m.firstStart)
+	m.jobs = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "kq_cell_job_seconds", Help: "Time from a job's record to its end, by queue and final state.",
+		Buckets: prometheus.ExponentialBuckets(0.1, 2, 10),
+	}, []string{"queue", "state"})
+	r.MustRegister(m.starts, m.ends, m.refused, m.preempted, m.questions, m.firstStart, m.jobs)
 	return m
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -195,6 +195,7 @@
 		s.checkLapse(se, now)
 	}
 	s.startDue(ctx, time.Now())
+	s.noteEnded(now)
 	s.forgetOld(ctx, now)
 	s.logStatus(now)
 	s.dirty = true
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -348,11 +348,6 @@
 				old = append(old, id)
 			}
 		}
-		for id := range s.taken {
-			if s.cfg.State.Active[id] == nil {
-				delete(s.taken, id)
-			}
-		}
 		for k := range s.advice {
 			if s.cfg.State.Active[k.Job] == nil {
 				delete(s.advice, k)
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -21,6 +21,7 @@
 	var capacity, used, usable, waitingTasks int64
 	waiting, held := map[string]int{}, map[string]int64{}
 	active := 0
+	var spread [freeBands]int
 	s.cfg.State.Read(func() {
 		for id, w := range s.cfg.State.Workers {
 			capacity += w.Capacity.MilliCPU
@@ -32,6 +33,7 @@
 			}
 			if se := s.sessions[id]; se != nil && s.takesWork(se, w, now) {
 				usable += w.Capacity.MilliCPU
+				spread[freeBand(w)]++
 			}
 		}
 		active = len(s.cfg.State.Active)
@@ -51,7 +53,16 @@
 	idle, all := s.countAdvisers(now)
 	s.cfg.Log.Info("cell status", zap.Int64("cores", capacity/1000), zap.Int64("usable", usable/1000),
 		zap.Int64("used", used/1000), zap.Int("jobs", active), zap.Int64("waiting_tasks", waitingTasks),
-		zap.Any("waiting_steps", waiting), zap.Any("millicpu", held), zap.Int("advisers_idle", idle), zap.Int("advisers", all))
+		zap.Ints("workers_by_free_quarter", spread[:]), zap.Any("waiting_steps", waiting), zap.Any("millicpu", held), zap.Int("advisers_idle", idle), zap.Int("advisers", all))
+}
+
+// freeBands is how many equal bands of free cores the workers are counted in.
+const freeBands = 4
+
+// freeBand is the band of a worker's free cores: the last one is nearly empty.
+func freeBand(w *cell.WorkerState) int {
+	share := float64(max(0, w.Free().MilliCPU)) / float64(max(1, w.Capacity.MilliCPU))
+	return min(freeBands-1, int(share*freeBands))
 }
 
 const (
