Gangs know more workers; sessions follow only what changed

Changes: a gang asks about up to 200 workers in calls of 50 side by side, a waiting one learns of more while advisers are idle, and the first eight keep their tickets valid; the tables note the workers that changed and keep them sorted; no workers are gathered when nothing waits; fewer collections of garbage; gangs with time left preempt for 2 % of their work, not 10 %.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -98,6 +98,20 @@
 	j.State, j.Reason, j.EndedUnixMillis = state, reason, unixMillis
 	j.Spec = ""
 	delete(s.Active, j.ID)
+	s.touchRuns(j)
+}
+
+// touchRuns notes the workers that may have runs of a job.
+func (s *State) touchRuns(j *Job) {
+	for o := range j.Occurrences {
+		for i := range j.Occurrences[o].Steps {
+			for _, t := range j.Occurrences[o].Steps[i].Tasks {
+				if t.Worker != "" {
+					s.touched[t.Worker] = true
+				}
+			}
+		}
+	}
 }
 
 func (s *State) configure(c *Configure) {
@@ -139,6 +153,7 @@
 		if w := s.Workers[g.ID]; w != nil && w.Born == g.Born {
 			s.drop(w)
 			delete(s.Workers, g.ID)
+			s.touched[g.ID], s.sorted = true, nil
 		}
 	}
 }
@@ -148,8 +163,9 @@
 	w := s.Workers[seen.ID]
 	if w == nil {
 		w = &WorkerState{Held: map[TaskKey]Allocation{}}
-		s.Workers[seen.ID] = w
+		s.Workers[seen.ID], s.sorted = w, nil
 	}
+	s.touched[seen.ID] = true
 	if seen.Born < w.Born {
 		return
 	}
--- a/internal/cell/plan/ask.go
+++ b/internal/cell/plan/ask.go
@@ -9,8 +9,17 @@
 )
 
 const (
-	// maxAsked bounds the workers named in one call.
-	maxAsked = 100
+	// maxAsked bounds the workers named in one call, and maxAskedGang those that
+	// a gang asks about at a time, in calls about gangPart of them each: the calls
+	// are answered side by side, and each sooner than one about all.
+	maxAsked     = 100
+	maxAskedGang = 200
+	gangPart     = 50
+	// maxRenewed bounds the workers whose tickets are renewed in one call.
+	maxRenewed = 40
+	// idleAdvisers is the share of the advisers that must be idle for questions
+	// that can wait.
+	idleAdvisers = 0.4
 	// askSpare and askSpareGang are how many times the expected need is asked
 	// for; a gang can choose among more workers to be placed whole.
 	askSpare     = 2.0
@@ -50,7 +59,7 @@
 		}
 		return cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
 	})
-	p.question(s, p.choose(s, able, float64(missing)*askSpare, capacityFor))
+	p.question(s, p.choose(s, able, float64(missing)*askSpare, maxAsked, capacityFor))
 }
 
 // boolOrder sorts false before true.
@@ -76,7 +85,12 @@
 		}
 		return cmp.Compare(potential(s, b), potential(s, a))
 	})
-	p.question(s, p.choose(s, able, float64(len(s.Waiting))*askSpareGang, potential))
+	ids := p.choose(s, able, float64(len(s.Waiting))*askSpareGang, maxAskedGang, potential)
+	for part := range slices.Chunk(ids, gangPart) {
+		if p.in.Advisers > p.keptFree(s) {
+			p.question(s, part)
+		}
+	}
 }
 
 // potential is the room that a worker could give to work of a priority.
@@ -102,16 +116,21 @@
 			ids = append(ids, w.ID)
 		}
 	}
-	for _, w := range p.pools[s.Pool] {
-		if p.isGood(s, w) && !slices.Contains(ids, w.ID) {
+	for _, w := range p.good(s) {
+		if len(ids) < maxRenewed && !slices.Contains(ids, w.ID) {
 			ids = append(ids, w.ID)
 		}
 	}
-	p.question(s, ids)
+	p.question(s, ids[:min(len(ids), maxAsked)])
+}
+
+// mayAskMore reports whether advisers are idle for a question that can wait.
+func (p *planner) mayAskMore() bool {
+	return float64(p.in.Advisers) > idleAdvisers*float64(p.in.AllAdvisers)
 }
 
 func (p *planner) mayAsk(s *Pending) bool {
-	return s.Advice != nil && !s.Advice.InFlight && p.in.Advisers > p.keptFree(s)
+	return s.Advice != nil && s.Advice.InFlight == 0 && p.in.Advisers > p.keptFree(s)
 }
 
 // keptFree is how many advisers a question about the step must leave free.
@@ -131,13 +150,13 @@
 		return
 	}
 	p.in.Advisers--
-	s.Advice.InFlight = true
+	s.Advice.InFlight++
 	p.out.Questions = append(p.out.Questions, Question{s.Key, s.Queue.Name, workers})
 }
 
 // choose returns as many of the workers, in their order, as are expected to
-// give want seats.
-func (p *planner) choose(s *Pending, able []*Worker, want float64, seats func(*Pending, *Worker) int) []cell.WorkerID {
+// give want seats, most of them at most.
+func (p *planner) choose(s *Pending, able []*Worker, want float64, most int, seats func(*Pending, *Worker) int) []cell.WorkerID {
 	share := p.in.GoodShare[s.Queue.Name]
 	if share <= 0 {
 		share = defaultGoodShare
@@ -145,7 +164,7 @@
 	var ids []cell.WorkerID
 	expected := 0.0
 	for _, w := range able {
-		if len(ids) == maxAsked || (expected >= want && len(ids) >= askMin) {
+		if len(ids) == most || (expected >= want && len(ids) >= askMin) {
 			break
 		}
 		n := float64(seats(s, w))
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -21,6 +21,8 @@
 	// renewBefore is how long before their end the tickets of a gang that is
 	// about to be placed are renewed.
 	renewBefore = 400 * time.Millisecond
+	// maxPrepared bounds the waiting gangs whose tickets are kept valid.
+	maxPrepared = 8
 )
 
 // placeGang starts all tasks of a gang or none. One that doesn't fit yet has
@@ -123,7 +125,7 @@
 		return
 	}
 	p.keep(s, seats)
-	if p.endSoon(s, seats) {
+	if p.endSoon(s, seats, renewBefore) {
 		p.askAgain(s, seats)
 	}
 }
@@ -149,13 +151,19 @@
 	}
 }
 
-// endSoon reports whether a ticket of the seats ends before it can be used.
-func (p *planner) endSoon(s *Pending, seats []*Worker) bool {
+// adviceTime is how long the policy takes to answer about n workers.
+func (p *Pending) adviceTime(n int) time.Duration {
+	a := p.Queue.Advice
+	return time.Duration((a.DecideMillis + float64(n)*a.PerWorkerMillis) * float64(time.Millisecond))
+}
+
+// endSoon reports whether a ticket of the seats ends within a time.
+func (p *planner) endSoon(s *Pending, seats []*Worker, within time.Duration) bool {
 	if s.Advice == nil {
 		return false
 	}
 	for _, w := range seats {
-		if s.Advice.Good[w.ID].Until < p.in.Now.Add(renewBefore) {
+		if s.Advice.Good[w.ID].Until < p.in.Now.Add(within) {
 			return true
 		}
 	}
@@ -173,6 +181,7 @@
 		p.askGang(s, p.able(s, p.unasked))
 		return
 	}
+	p.prepare(s, good)
 	if p.saved == maxSaved {
 		return
 	}
@@ -189,6 +198,29 @@
 	}
 }
 
+// prepare learns of more good workers for a gang that waits for room, or else
+// keeps the tickets of the first few such gangs valid, so that they start as
+// soon as there is room.
+func (p *planner) prepare(s *Pending, good []*Worker) {
+	if s.Advice == nil || !p.mayAskMore() {
+		return
+	}
+	if unasked := p.able(s, p.unasked); len(unasked) > 0 {
+		p.askGang(s, unasked)
+		return
+	}
+	if p.renewed == maxPrepared {
+		return
+	}
+	p.renewed++
+	best := slices.Clone(good)
+	slices.SortStableFunc(best, func(a, b *Worker) int { return cmp.Compare(b.Free.MilliCPU, a.Free.MilliCPU) })
+	best = best[:min(len(best), maxRenewed)]
+	if p.endSoon(s, best, renewBefore+s.adviceTime(len(best))) {
+		p.askAgain(s, best)
+	}
+}
+
 // freeShare is the part of a pool's cores that is free.
 func (p *planner) freeShare(pool string) float64 {
 	var free, all int64
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -27,8 +27,8 @@
 	Good map[cell.WorkerID]Ticket
 	// Asked holds all workers that the policy was asked about.
 	Asked map[cell.WorkerID]bool
-	// InFlight says that a call is on its way.
-	InFlight bool
+	// InFlight counts the calls that are on their way.
+	InFlight int
 }
 
 // Worker is a worker as the plan sees it.
@@ -149,6 +149,8 @@
 	byID  map[cell.WorkerID]*Worker
 	// saved counts the gangs for which room is kept that is not enough yet.
 	saved int
+	// renewed counts the waiting gangs whose tickets are kept valid.
+	renewed int
 }
 
 // Make returns the plan for a snapshot; it changes in.Workers and in.Rooms.
--- a/internal/cell/plan/plan_test.go
+++ b/internal/cell/plan/plan_test.go
@@ -209,7 +209,7 @@
 	qt.Check(t, Make(input(ws, unfit)).Questions, qt.HasLen, 0, qt.Commentf("workers that were turned down are not asked about again"))
 
 	flying := withAdvice(pending("j", 1, 1, 0, false))
-	flying.Advice.InFlight = true
+	flying.Advice.InFlight = 1
 	qt.Check(t, Make(input(ws, flying)).Questions, qt.HasLen, 0)
 }
 
--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -11,7 +11,7 @@
 // the work that it makes room for; maxLostShareUrgent does so for gangs that
 // must start soon.
 const (
-	maxLostShare       = 0.10
+	maxLostShare       = 0.02
 	maxLostShareUrgent = 0.25
 )
 
@@ -149,7 +149,9 @@
 			out = append(out, v)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *Victim) int { return cmp.Compare(a.lossPerCore(), b.lossPerCore()) })
+	slices.SortStableFunc(out, func(a, b *Victim) int {
+		return cmp.Or(cmp.Compare(a.lossPerCore(), b.lossPerCore()), a.Task.Compare(b.Task))
+	})
 	return out
 }
 
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -91,6 +91,10 @@
 	Used map[string]model.Resources
 	// Applied is the index of the last command.
 	Applied uint64
+	// touched holds the workers whose runs changed since TakeTouched was called.
+	touched map[WorkerID]bool
+	// sorted holds the workers in the order of their IDs, nil after a change.
+	sorted []*WorkerState
 	// notify is called after each change, without the lock.
 	notify func()
 }
@@ -110,6 +114,29 @@
 	s.Jobs = map[JobID]*Job{}
 	s.Active = map[JobID]*Job{}
 	s.Used = map[string]model.Resources{}
+	s.touched, s.sorted = map[WorkerID]bool{}, nil
+}
+
+// TakeTouched returns the workers that commands changed, or of which a job with
+// runs there ended, since it was called last. The caller holds the lock.
+func (s *State) TakeTouched() map[WorkerID]bool {
+	t := s.touched
+	if len(t) > 0 {
+		s.touched = map[WorkerID]bool{}
+	}
+	return t
+}
+
+// SortedWorkers returns the workers in the order of their IDs. The caller holds
+// the lock and must not change the slice.
+func (s *State) SortedWorkers() []*WorkerState {
+	if s.sorted == nil {
+		s.sorted = make([]*WorkerState, 0, len(s.Workers))
+		for _, id := range sortedKeys(s.Workers) {
+			s.sorted = append(s.sorted, s.Workers[id])
+		}
+	}
+	return s.sorted
 }
 
 // Read runs fn under the lock; fn must not keep references to what it changes.
@@ -131,8 +158,7 @@
 	for _, name := range sortedKeys(s.Former) {
 		t.Former = append(t.Former, s.Former[name])
 	}
-	for _, id := range sortedKeys(s.Workers) {
-		w := s.Workers[id]
+	for _, w := range s.SortedWorkers() {
 		t.Workers = append(t.Workers, w.Worker)
 		t.Held = append(t.Held, w.allocations())
 	}
@@ -161,6 +187,7 @@
 	for i, w := range t.Workers {
 		ws := &WorkerState{Worker: w, Held: map[TaskKey]Allocation{}}
 		s.Workers[w.ID] = ws
+		s.touched[w.ID] = true
 		for _, a := range t.Held[i] {
 			s.hold(ws, a)
 		}
@@ -184,6 +211,7 @@
 
 // hold adds an allocation without touching the job's counters.
 func (s *State) hold(w *WorkerState, a Allocation) {
+	s.touched[w.ID] = true
 	w.Held[a.Task] = a
 	if !a.Filler {
 		w.Used = w.Used.Add(a.Need)
@@ -193,6 +221,7 @@
 
 // release removes an allocation without touching the job's counters.
 func (s *State) release(w *WorkerState, a Allocation) {
+	s.touched[w.ID] = true
 	delete(w.Held, a.Task)
 	if !a.Filler {
 		w.Used = w.Used.Sub(a.Need)
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -93,7 +93,7 @@
 	a := s.nextAdviser(now)
 	if a == nil || st == nil {
 		if st != nil {
-			st.InFlight = false
+			st.InFlight--
 		}
 		return
 	}
@@ -106,7 +106,8 @@
 		defer cancel()
 		advice, err := a.adviser.Advise(callCtx, key, workers)
 		s.post(ctx, func() {
-			a.busy, st.InFlight, s.dirty = false, false, true
+			a.busy, s.dirty = false, true
+			st.InFlight--
 			if err != nil {
 				s.cfg.Log.Info("no advice", zap.Stringer("step", key), zap.Error(err))
 				return
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -99,28 +99,10 @@
 	for _, j := range s.cfg.State.Active {
 		in.Pending = s.appendPending(in.Pending, j, now)
 	}
-	wanted := gangWorkers(in.Pending)
-	for id, w := range s.cfg.State.Workers {
-		se := s.sessions[id]
-		if se == nil || !s.takesWork(se, w, now) {
-			continue
-		}
-		pw := plan.Worker{
-			ID: id, Born: w.Born, DC: w.DC, Rack: rackOf(w.Labels), Pool: w.Pool, Labels: w.Labels,
-			Capacity: w.Capacity, Free: w.Free(), Speed: se.speed.value(now),
-			Suspect: se.failures.suspect(now) || se.speed.value(now) < slowSpeed,
-		}
-		if wanted.has(id) {
-			s.addVictims(&pw, se, w, now)
-		}
-		in.Workers = append(in.Workers, pw)
+	if len(in.Pending) == 0 {
+		return in
 	}
-	slices.SortFunc(in.Workers, func(a, b plan.Worker) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	s.addWorkers(in, now)
 	slices.SortFunc(in.Pending, func(a, b plan.Pending) int {
 		if a.Key.Job != b.Key.Job {
 			if a.Key.Job < b.Key.Job {
@@ -133,6 +115,29 @@
 	return in
 }
 
+// addWorkers adds the workers that take new tasks, in the order of their IDs.
+func (s *Scheduler) addWorkers(in *plan.Input, now clock.Instant) {
+	wanted := gangWorkers(in.Pending)
+	workers := s.cfg.State.SortedWorkers()
+	in.Workers = make([]plan.Worker, 0, len(workers))
+	for _, w := range workers {
+		se := s.sessions[w.ID]
+		if se == nil || !s.takesWork(se, w, now) {
+			continue
+		}
+		speed := se.speed.value(now)
+		pw := plan.Worker{
+			ID: w.ID, Born: w.Born, DC: w.DC, Rack: rackOf(w.Labels), Pool: w.Pool, Labels: w.Labels,
+			Capacity: w.Capacity, Free: w.Free(), Speed: speed,
+			Suspect: se.failures.suspect(now) || speed < slowSpeed,
+		}
+		if wanted.has(w.ID) {
+			s.addVictims(&pw, se, w, now)
+		}
+		in.Workers = append(in.Workers, pw)
+	}
+}
+
 // workerSet is a set of workers, or all of them.
 type workerSet struct {
 	all bool
@@ -180,7 +185,6 @@
 			Task: k, Run: r.number, Need: a.Need, Priority: q.Priority, Lost: s.lostWork(step, r, now),
 		})
 	}
-	slices.SortFunc(pw.Victims, func(a, b plan.Victim) int { return a.Task.Compare(b.Task) })
 }
 
 // lostWork is what a stop of a run throws away, in core-milliseconds: a task
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -78,8 +78,6 @@
 	dirty      bool
 	nextForget clock.Instant
 	nextStatus clock.Instant
-	// synced is the index of the tables that the sessions match.
-	synced uint64
 	// looked says that the sessions were matched since the leadership began.
 	looked bool
 }
@@ -154,7 +152,7 @@
 	s.shares = map[string]*shareBucket{}
 	s.ends = endBatch{}
 	s.planning, s.creating, s.dirty, s.nextForget = false, false, true, 0
-	s.synced, s.looked = 0, false
+	s.looked = false
 	for _, a := range s.advisers {
 		a.busy = false
 	}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -116,29 +116,39 @@
 // the allocations.
 func (s *Scheduler) syncSessions(ctx context.Context) {
 	s.cfg.State.Read(func() {
-		if s.synced == s.cfg.State.Applied && s.looked {
+		touched := s.cfg.State.TakeTouched()
+		if s.looked {
+			for id := range touched {
+				s.syncSession(ctx, id)
+			}
 			return
 		}
-		s.synced = s.cfg.State.Applied
-		for id, se := range s.sessions {
-			w := s.cfg.State.Workers[id]
-			if w == nil || w.Born != se.target.Born {
-				se.cancel()
-				delete(s.sessions, id)
-			}
-		}
-		for id, w := range s.cfg.State.Workers {
-			se := s.sessions[id]
-			if se == nil {
-				se = s.open(ctx, w)
-			}
-			se.target.Addr, se.draining = w.Addr, w.Draining
-			s.syncRuns(ctx, se, w)
+		for id := range s.cfg.State.Workers {
+			s.syncSession(ctx, id)
 		}
 		s.looked = true
 	})
 }
 
+// syncSession makes the session with a worker match the tables. The state is
+// locked.
+func (s *Scheduler) syncSession(ctx context.Context, id cell.WorkerID) {
+	w, se := s.cfg.State.Workers[id], s.sessions[id]
+	if se != nil && (w == nil || w.Born != se.target.Born) {
+		se.cancel()
+		delete(s.sessions, id)
+		se = nil
+	}
+	if w == nil {
+		return
+	}
+	if se == nil {
+		se = s.open(ctx, w)
+	}
+	se.target.Addr, se.draining = w.Addr, w.Draining
+	s.syncRuns(ctx, se, w)
+}
+
 // open starts the contact with a worker.
 func (s *Scheduler) open(ctx context.Context, w *cell.WorkerState) *session {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -110,7 +110,7 @@
 			}
 		}
 		fields = append(fields, zap.Int("asked", len(a.Asked)), zap.Int("good", len(a.Good)), zap.Int("valid", valid),
-			zap.Bool("asking", a.InFlight))
+			zap.Int("asking", a.InFlight))
 	}
 	s.cfg.Log.Info("step waits", fields...)
 }
