--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -111,10 +111,8 @@
 	if err != nil {
 		return nil, errors.Join(err, n.wire.Close(), store.Close())
 	}
-	calls := newCarriers(cfg.Workers, n.wire, n.member, n.state, n.clock)
-	calls.serve()
 	n.scheduler = scheduler.New(scheduler.Config{
-		Group: n.member, State: n.state, Changed: n.changed, Workers: calls, Clock: n.clock, Bounds: cfg.Bounds,
+		Group: n.member, State: n.state, Changed: n.changed, Workers: cfg.Workers, Clock: n.clock, Bounds: cfg.Bounds,
 		Log: cfg.Log.Named("sched"), Metrics: scheduler.NewMetrics(cfg.Metrics),
 	})
 	n.client = cellapi.NewClient(n.wire, cfg.Seeds, n.clock, cfg.Log)
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -52,24 +52,24 @@
 
 // RunningTask is a run that a worker has.
 type RunningTask struct {
-	Task       cell.TaskKey `msgpack:"t"`
-	Run        int64        `msgpack:"r"`
-	Checkpoint string       `msgpack:"c,omitempty"`
+	Task       cell.TaskKey
+	Run        int64
+	Checkpoint string
 	// Percent is how much of its work is done.
-	Percent int `msgpack:"p"`
+	Percent int
 	// Load is the tail latency of a service task in milliseconds, and the
 	// thousandths of a core in use of any other.
-	Load float64 `msgpack:"l"`
+	Load float64
 }
 
 // FinishedTask is a run that ended at a worker.
 type FinishedTask struct {
 	// Number counts the ends of the incarnation, from 1.
-	Number     int64        `msgpack:"n"`
-	Task       cell.TaskKey `msgpack:"t"`
-	Run        int64        `msgpack:"r"`
-	Outcome    cell.Outcome `msgpack:"o"`
-	Checkpoint string       `msgpack:"c,omitempty"`
+	Number     int64
+	Task       cell.TaskKey
+	Run        int64
+	Outcome    cell.Outcome
+	Checkpoint string
 }
 
 // HoldReply is what a worker answers to a HoldOrder.
