Leave 4 % of a full pool to the most urgent work; keep room for more gangs

Changes: work with time left makes do with splinters while under 4 % of a pool is usable; one gang more may keep room for each 50 workers; calls beyond a gang's first two, and those of late gangs, need idle advisers.

--- a/internal/cell/plan/ask.go
+++ b/internal/cell/plan/ask.go
@@ -17,9 +17,12 @@
 	gangPart     = 50
 	// maxRenewed bounds the workers whose tickets are renewed in one call.
 	maxRenewed = 40
+	// firstParts is how many of a gang's calls are made however busy the advisers
+	// are.
+	firstParts = 2
 	// idleAdvisers is the share of the advisers that must be idle for questions
 	// that can wait.
-	idleAdvisers = 0.4
+	idleAdvisers = 0.5
 	// askSpare and askSpareGang are how many times the expected need is asked
 	// for; a gang can choose among more workers to be placed whole.
 	askSpare     = 2.0
@@ -86,10 +89,13 @@
 		return cmp.Compare(potential(s, b), potential(s, a))
 	})
 	ids := p.choose(s, able, float64(len(s.Waiting))*askSpareGang, maxAskedGang, potential)
+	asked := 0
 	for part := range slices.Chunk(ids, gangPart) {
-		if p.in.Advisers > p.keptFree(s) {
-			p.question(s, part)
+		if p.in.Advisers <= p.keptFree(s) || (asked >= firstParts && !p.mayAskMore()) {
+			return
 		}
+		p.question(s, part)
+		asked++
 	}
 }
 
@@ -129,7 +135,11 @@
 	return float64(p.in.Advisers) > idleAdvisers*float64(p.in.AllAdvisers)
 }
 
+// mayAsk reports whether a step may ask now; one that is late lets others go first.
 func (p *planner) mayAsk(s *Pending) bool {
+	if p.in.Now > s.latestStart() && s.Step.Gang && !p.mayAskMore() {
+		return false
+	}
 	return s.Advice != nil && s.Advice.InFlight == 0 && p.in.Advisers > p.keptFree(s)
 }
 
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// maxSaved bounds the gangs that keep room from others while they wait for
-	// more of it.
-	maxSaved = 2
+	// minSaved is how many gangs may keep room from others while they wait for
+	// more of it, and workersPerSaved adds one for so many workers of the pool.
+	minSaved        = 2
+	workersPerSaved = 50
 	// mostlyFree is the free part of a pool from which on a gang that doesn't fit
 	// asks about more workers instead of keeping room from others.
 	mostlyFree = 0.5
@@ -182,7 +183,7 @@
 		return
 	}
 	p.prepare(s, good)
-	if p.saved == maxSaved {
+	if p.saved >= max(minSaved, len(p.pools[s.Pool])/workersPerSaved) {
 		return
 	}
 	p.saved++
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -208,6 +208,10 @@
 	}
 	placed := 0
 	ticketed := p.ticketed(s)
+	yields := p.leavesHeadroom(s)
+	if yields {
+		ticketed = slices.DeleteFunc(ticketed, usable)
+	}
 	for i, index := range s.Waiting {
 		if !room.allows(s.Step.Need) {
 			return
@@ -219,11 +223,46 @@
 		p.start(s, index, s.NextRun[i], w)
 		placed++
 	}
-	if placed < len(s.Waiting) {
+	if placed < len(s.Waiting) && !yields {
 		p.ask(s, len(s.Waiting)-placed)
 	}
 }
 
+const (
+	// headroom is the share of a pool's cores, on workers with room for more than
+	// splinterShare of their own, that is left to the most urgent work.
+	headroom      = 0.04
+	splinterShare = 0.15
+	// headroomSlack is how much time a step must have left to leave headroom.
+	headroomSlack = time.Second
+)
+
+// leavesHeadroom reports whether a step that has time left must make do with
+// splinters, so that more urgent work finds room at once when it comes.
+func (p *planner) leavesHeadroom(s *Pending) bool {
+	if s.Queue.Priority == 0 || s.latestStart().Sub(p.in.Now) < headroomSlack {
+		return false
+	}
+	return p.usableShare(s.Pool) < headroom
+}
+
+// usableShare is the part of a pool's cores that is free, splinters left out.
+func (p *planner) usableShare(pool string) float64 {
+	var free, all int64
+	for _, w := range p.pools[pool] {
+		all += w.Capacity.MilliCPU
+		if usable(w) {
+			free += w.Free.MilliCPU
+		}
+	}
+	return float64(free) / float64(max(1, all))
+}
+
+// usable reports whether a worker has more than a splinter of room.
+func usable(w *Worker) bool {
+	return float64(w.Free.MilliCPU) > splinterShare*float64(w.Capacity.MilliCPU)
+}
+
 // allows reports whether a workspace may start that much more.
 func (r *Room) allows(need model.Resources) bool { return r == nil || !r.Limited || need.Fits(r.Left) }
 
--- a/internal/cell/plan/plan_test.go
+++ b/internal/cell/plan/plan_test.go
@@ -222,3 +222,79 @@
 	in := input([]Worker{worker("w1", 16)}, ps...)
 	qt.Check(t, len(Make(in).Questions) <= in.AllAdvisers-int(slowKeepsFree*float64(in.AllAdvisers)), qt.IsTrue)
 }
+
+// On a full pool, work that has time left takes splinters only, so that urgent
+// work finds room at once; work that must start now takes what there is.
+func TestHeadroomIsLeftToUrgentWork(t *testing.T) {
+	pressed := pending("pressed", 1, 2, 2, false)
+	pressed.Due = testNow.Add(pressed.Remaining + headroomSlack/2)
+	urgent, patient := pending("urgent", 1, 2, 0, false), pending("patient", 1, 2, 2, false)
+	for _, c := range []struct {
+		name string
+		step Pending
+		// free is the room of one worker beside ten that are full.
+		free int64
+		want int
+	}{
+		{"urgent work takes the headroom", urgent, 3, 1},
+		{"pressed work takes the headroom", pressed, 3, 1},
+		{"patient work leaves the headroom", patient, 3, 0},
+		{"patient work takes splinters", patient, 2, 1},
+		{"patient work takes what is beyond the headroom", patient, 16, 1},
+	} {
+		ws := []Worker{worker("w0", c.free)}
+		for i := range 10 {
+			ws = append(ws, worker(fmt.Sprint("full", i), 0))
+		}
+		qt.Check(t, Make(input(ws, c.step)).Starts, qt.HasLen, c.want, qt.Commentf("%s", c.name))
+	}
+}
+
+// A gang asks about many workers in calls side by side, which end sooner than
+// one about all.
+func TestGangAsksInParts(t *testing.T) {
+	var ws []Worker
+	for i := range 300 {
+		ws = append(ws, worker(fmt.Sprintf("w%03d", i), 16))
+	}
+	in := input(ws, withAdvice(pending("g", 60, 8, 1, true)))
+	in.Advisers, in.AllAdvisers = 40, 40
+	out := Make(in)
+	named := map[cell.WorkerID]int{}
+	for _, q := range out.Questions {
+		qt.Check(t, len(q.Workers) <= gangPart, qt.IsTrue)
+		for _, w := range q.Workers {
+			named[w]++
+		}
+	}
+	qt.Check(t, len(named), qt.Equals, maxAskedGang)
+	qt.Check(t, in.Pending[0].Advice.InFlight, qt.Equals, len(out.Questions))
+	for w, n := range named {
+		qt.Check(t, n, qt.Equals, 1, qt.Commentf("%s was named more than once", w))
+	}
+
+	busy := input(ws, withAdvice(pending("g", 60, 8, 1, true)))
+	busy.Advisers, busy.AllAdvisers = 18, 40
+	qt.Check(t, len(Make(busy).Questions), qt.Equals, firstParts, qt.Commentf("busy advisers are left to others"))
+}
+
+// A gang that waits for room keeps its tickets valid, so that it starts at once
+// when there is room.
+func TestWaitingGangKeepsItsTickets(t *testing.T) {
+	ws := []Worker{worker("w1", 2), worker("w2", 2)}
+	for i := range ws {
+		ws[i].Capacity.MilliCPU = 16_000
+	}
+	for _, c := range []struct {
+		valid     time.Duration
+		questions int
+	}{{500 * time.Millisecond, 1}, {10 * time.Second, 0}} {
+		g := withAdvice(pending("g", 2, 8, 1, true), "w1", "w2")
+		for w := range g.Advice.Good {
+			g.Advice.Good[w] = Ticket{Token: "t", Until: testNow.Add(c.valid)}
+		}
+		out := Make(input(ws, g))
+		qt.Check(t, out.Starts, qt.HasLen, 0)
+		qt.Check(t, out.Questions, qt.HasLen, c.questions, qt.Commentf("tickets valid for %s", c.valid))
+	}
+}
--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -12,7 +12,7 @@
 // must start soon.
 const (
 	maxLostShare       = 0.02
-	maxLostShareUrgent = 0.25
+	maxLostShareUrgent = 0.40
 )
 
 // seatCost is a worker's next seat and what must be stopped for it.
