Compute a gang's seats once a worker; plan outside the tables' lock

Cause: a plan of 350 workers with 60 waiting gangs took 59 ms, in which the control thread and all readers of the tables waited: for each seat all good workers were looked at again, with their runs sorted anew.

--- /dev/null
+++ b/internal/cell/plan/bench_test.go
@@ -0,0 +1,59 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kumquatwing/internal/cell"
+	"kumquatwing/internal/model"
+)
+
+// fullCell is a snapshot of a busy cell: workers with little room, gangs that
+// wait for some of them, and small steps.
+func fullCell(workers, gangs, small int) *Input {
+	in := input(nil)
+	in.Advisers, in.AllAdvisers = 10, 40
+	for i := range workers {
+		w := worker(fmt.Sprintf("w%04d", i), int64(i%5))
+		for v := range 3 {
+			w.Victims = append(w.Victims, Victim{
+				Task: cell.TaskKey{Job: cell.JobID(fmt.Sprint("v", i)), Index: v}, Run: 1,
+				Need: model.Resources{MilliCPU: 2000, MemoryMB: 1000}, Priority: 2, Lost: float64(500 * (v + 1)),
+			})
+		}
+		in.Workers = append(in.Workers, w)
+	}
+	for g := range gangs {
+		p := withAdvice(pending(fmt.Sprintf("g%03d", g), 16, 5, 1, true))
+		for i := g % 3; i < workers; i += 5 {
+			id := in.Workers[i].ID
+			p.Advice.Good[id] = Ticket{Token: "t", Until: testNow.Add(time.Second)}
+			p.Advice.Asked[id] = true
+		}
+		in.Pending = append(in.Pending, p)
+	}
+	for j := range small {
+		p := withAdvice(pending(fmt.Sprintf("s%03d", j), 3, 2, 0, false))
+		for i := j % 7; i < workers; i += 40 {
+			p.Advice.Good[in.Workers[i].ID] = Ticket{Token: "t", Until: testNow.Add(time.Second)}
+		}
+		in.Pending = append(in.Pending, p)
+	}
+	return in
+}
+
+// BenchmarkMake measures one plan of a full cell, with and without gangs.
+func BenchmarkMake(b *testing.B) {
+	for _, c := range []struct{ workers, gangs, small int }{{48, 5, 10}, {350, 0, 20}, {350, 10, 20}, {350, 60, 20}} {
+		b.Run(fmt.Sprintf("workers=%d/gangs=%d/small=%d", c.workers, c.gangs, c.small), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				b.StopTimer()
+				in := fullCell(c.workers, c.gangs, c.small)
+				b.StartTimer()
+				Make(in)
+			}
+		})
+	}
+}
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -48,6 +48,10 @@
 	Coming model.Resources
 	// Victims are the runs that may be stopped for more urgent work.
 	Victims []Victim
+	// order is the worker's place in the input.
+	order int
+	// byLoss orders the victims; it is made when it is needed.
+	byLoss []*Victim
 	// Speed is the learnt speed of the worker's tasks, 1 for the usual.
 	Speed float64
 	// Suspect workers get work only where no other worker fits.
@@ -99,6 +103,8 @@
 	Remaining time.Duration
 	// Advice is nil where no policy needs to be asked.
 	Advice *StepAdvice
+	// good holds the good workers once they were gathered.
+	good []*Worker
 }
 
 // Room is what a workspace may still start.
@@ -158,6 +164,7 @@
 	p := &planner{in: in, pools: map[string][]*Worker{}, byID: make(map[cell.WorkerID]*Worker, len(in.Workers))}
 	for i := range in.Workers {
 		w := &in.Workers[i]
+		w.order = i
 		p.pools[w.Pool] = append(p.pools[w.Pool], w)
 		p.byID[w.ID] = w
 	}
@@ -293,14 +300,17 @@
 	if s.Advice == nil {
 		return p.pools[s.Pool]
 	}
-	out := make([]*Worker, 0, len(s.Advice.Good))
+	if s.good != nil {
+		return s.good
+	}
+	s.good = make([]*Worker, 0, len(s.Advice.Good))
 	for id := range s.Advice.Good {
 		if w := p.byID[id]; w != nil && w.Pool == s.Pool {
-			out = append(out, w)
+			s.good = append(s.good, w)
 		}
 	}
-	slices.SortFunc(out, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	slices.SortFunc(s.good, func(a, b *Worker) int { return cmp.Compare(a.order, b.order) })
+	return s.good
 }
 
 // ticketed returns the good workers whose tickets are valid.
--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -52,75 +52,94 @@
 	return c.seats
 }
 
+// seatSearch looks for the seats of one gang.
+type seatSearch struct {
+	step *Pending
+	// options holds the next seat of each good worker, nil if it has none, rooms
+	// what is left there, and taken how many seats were chosen on it.
+	options []*seatCost
+	rooms   []model.Resources
+	taken   []int
+}
+
 // findRoom marks the victims that it chooses as stopped.
 func findRoom(s *Pending, good []*Worker, share float64) *preemption {
 	c := &preemption{}
-	lost := 0.0
-	rooms := map[*Worker]model.Resources{}
-	for _, w := range good {
-		rooms[w] = comingRoom(w)
-	}
+	search := newSeatSearch(s, good)
+	lost, allowed := 0.0, share*s.work()
 	for len(c.seats) < len(s.Waiting) {
-		next := cheapest(s, good, rooms, c.seats)
-		if next == nil {
+		i := search.cheapest()
+		if i < 0 || lost+search.options[i].lost > allowed {
 			release(c.victims)
 			return nil
 		}
-		room := rooms[next.worker]
+		next := search.options[i]
+		lost += next.lost
+		c.seats = append(c.seats, next.worker)
 		for _, v := range next.victims {
 			v.stopped = true
-			room = room.Add(v.Need)
 			c.victims, c.on = append(c.victims, v), append(c.on, next.worker)
 		}
-		rooms[next.worker] = room.Sub(s.Step.Need)
-		c.seats = append(c.seats, next.worker)
-		lost += next.lost
-	}
-	if lost > share*s.work() {
-		release(c.victims)
-		return nil
+		search.take(i)
 	}
 	return c
 }
 
-// work is the estimated work of the waiting tasks, in core-milliseconds.
-func (p *Pending) work() float64 {
-	return float64(len(p.Waiting)) * float64(p.Step.Need.MilliCPU) / 1000 * float64(p.Step.EstimateMillis)
+func newSeatSearch(s *Pending, good []*Worker) *seatSearch {
+	f := &seatSearch{
+		step: s, options: make([]*seatCost, len(good)), rooms: make([]model.Resources, len(good)), taken: make([]int, len(good)),
+	}
+	for i, w := range good {
+		f.rooms[i] = comingRoom(w)
+		f.options[i] = f.next(i, w)
+	}
+	return f
 }
 
-func release(vs []*Victim) {
-	for _, v := range vs {
-		v.stopped = false
+// next returns a worker's next seat, nil if it has none.
+func (f *seatSearch) next(i int, w *Worker) *seatCost {
+	s := f.step
+	if s.Step.MaxPerWorker > 0 && s.OnWorker[w.ID]+f.taken[i] >= s.Step.MaxPerWorker {
+		return nil
 	}
+	return nextSeat(s, w, f.rooms[i])
 }
 
-// cheapest returns the next seat that throws away the least work, nil if there
-// is none.
-func cheapest(s *Pending, good []*Worker, rooms map[*Worker]model.Resources, seats []*Worker) *seatCost {
-	var best *seatCost
-	for _, w := range good {
-		if s.Step.MaxPerWorker > 0 && s.OnWorker[w.ID]+countOf(seats, w) >= s.Step.MaxPerWorker {
-			continue
-		}
-		c := nextSeat(s, w, rooms[w])
-		if c != nil && (best == nil || c.lost < best.lost) {
-			best = c
+// cheapest returns the index of the seat that throws away the least work, -1 if
+// there is none.
+func (f *seatSearch) cheapest() int {
+	best := -1
+	for i, c := range f.options {
+		if c != nil && (best < 0 || c.lost < f.options[best].lost) {
+			best = i
 		}
-		if best != nil && best.lost == 0 {
+		if best >= 0 && f.options[best].lost == 0 {
 			break
 		}
 	}
 	return best
 }
 
-func countOf(seats []*Worker, w *Worker) int {
-	n := 0
-	for _, x := range seats {
-		if x == w {
-			n++
-		}
+// take chooses a worker's next seat.
+func (f *seatSearch) take(i int) {
+	c := f.options[i]
+	for _, v := range c.victims {
+		f.rooms[i] = f.rooms[i].Add(v.Need)
+	}
+	f.rooms[i] = f.rooms[i].Sub(f.step.Step.Need)
+	f.taken[i]++
+	f.options[i] = f.next(i, c.worker)
+}
+
+// work is the estimated work of the waiting tasks, in core-milliseconds.
+func (p *Pending) work() float64 {
+	return float64(len(p.Waiting)) * float64(p.Step.Need.MilliCPU) / 1000 * float64(p.Step.EstimateMillis)
+}
+
+func release(vs []*Victim) {
+	for _, v := range vs {
+		v.stopped = false
 	}
-	return n
 }
 
 // nextSeat returns what must be stopped on a worker for one more task.
@@ -129,7 +148,10 @@
 	if s.Step.Need.Fits(room) {
 		return c
 	}
-	for _, v := range byLoss(w, s.Queue.Priority) {
+	for _, v := range w.victimsByLoss() {
+		if v.stopped || v.Priority <= s.Queue.Priority {
+			continue
+		}
 		room = room.Add(v.Need)
 		c.victims = append(c.victims, v)
 		c.lost += v.Lost
@@ -140,19 +162,20 @@
 	return nil
 }
 
-// byLoss returns the runs of a worker that work of a priority may stop, those
-// first that lose the least a core.
-func byLoss(w *Worker, priority int) []*Victim {
-	var out []*Victim
+// victimsByLoss returns the runs of a worker that may be stopped, those first
+// that lose the least a core.
+func (w *Worker) victimsByLoss() []*Victim {
+	if len(w.byLoss) == len(w.Victims) {
+		return w.byLoss
+	}
+	w.byLoss = make([]*Victim, len(w.Victims))
 	for i := range w.Victims {
-		if v := &w.Victims[i]; !v.stopped && v.Priority > priority {
-			out = append(out, v)
-		}
+		w.byLoss[i] = &w.Victims[i]
 	}
-	slices.SortStableFunc(out, func(a, b *Victim) int {
+	slices.SortFunc(w.byLoss, func(a, b *Victim) int {
 		return cmp.Or(cmp.Compare(a.lossPerCore(), b.lossPerCore()), a.Task.Compare(b.Task))
 	})
-	return out
+	return w.byLoss
 }
 
 func (v *Victim) lossPerCore() float64 { return v.Lost / float64(max(1, v.Need.MilliCPU)) }
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -20,11 +20,9 @@
 		return
 	}
 	s.dirty = false
-	var out plan.Output
-	s.cfg.State.Read(func() {
-		in := s.snapshot()
-		out = plan.Make(in)
-	})
+	var in *plan.Input
+	s.cfg.State.Read(func() { in = s.snapshot() })
+	out := plan.Make(in)
 	for i := range out.Questions {
 		s.ask(ctx, &out.Questions[i])
 	}
@@ -86,7 +84,8 @@
 	s.syncSessions(ctx)
 }
 
-// snapshot builds the planner's input. The state is locked.
+// snapshot builds the planner's input, which shares with the tables only what
+// never changes there: steps, queues and labels. The state is locked.
 func (s *Scheduler) snapshot() *plan.Input {
 	now := s.now()
 	in := &plan.Input{
