Send learners the log's entries in batches

Cause: of the leader's messages about half are the log's; three of its seven peers on the grown sites are learners, which no commit waits for. Only the cell does so; other groups send at once.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -31,6 +31,9 @@
 	group = "cell"
 	// tick is the group's tick; it makes an election timeout of 0.5 s.
 	tick = 25 * time.Millisecond
+	// learnerPause is the least number of ticks between two batches of entries to
+	// a learner: they only wait for a vote, and the leader's time is short.
+	learnerPause = 3
 	// watchInterval is how often leadership is looked at.
 	watchInterval = 25 * time.Millisecond
 	// memberInterval is how often the leader looks at the membership.
@@ -105,7 +108,7 @@
 	n.self = n.identity(store)
 	n.member, err = replica.Open(replica.Config{
 		Group: group, Self: n.self, Machine: n.state, Store: store, Wire: n.wire, Clock: n.clock,
-		Found: cfg.Found, Founders: founders(cfg.Seeds), Logger: cfg.Log, Tick: tick,
+		Found: cfg.Found, Founders: founders(cfg.Seeds), Logger: cfg.Log, Tick: tick, LearnerPause: learnerPause,
 		Reopen: func() (storage.Store, error) { return openStore(cfg.DataDir, cfg.Log) },
 	})
 	if err != nil {
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -36,6 +36,8 @@
 	round uint64
 	// repliedTick is when it last replied.
 	repliedTick int
+	// fedTick is when entries were last sent to a learner.
+	fedTick int
 	// offset is the next byte of the snapshot; chunkTick when it was sent.
 	offset    uint64
 	chunkTick int
@@ -162,6 +164,9 @@
 	r.lead.beats.begin(r.now, r.ticks)
 	slow := r.ticks%r.opts.LearnerTicks < r.opts.HeartbeatTicks
 	for _, p := range r.lead.peers {
+		if p.member.Learner && r.opts.LearnerPause > 0 {
+			r.sendEntries(p)
+		}
 		if p.member.Learner && !slow && p.state == streaming && p.match == r.log.last() {
 			continue
 		}
@@ -190,11 +195,16 @@
 }
 
 // sendEntries sends what the member is missing, as far as flow control lets it.
-// A late member gets heartbeats alone until it replies.
+// A late member gets heartbeats alone until it replies. Learners that keep up
+// may get entries less often, since no commit waits for them.
 func (r *Raft) sendEntries(p *progress) {
 	if p.state == snapshotting || p.waiting || r.late(p) {
 		return
 	}
+	if p.member.Learner && p.state == streaming && r.ticks-p.fedTick < r.opts.LearnerPause {
+		return
+	}
+	p.fedTick = r.ticks
 	if p.next <= r.log.base {
 		r.startSnapshot(p)
 		return
--- a/internal/consensus/raft.go
+++ b/internal/consensus/raft.go
@@ -42,6 +42,9 @@
 	// HeartbeatTicks and LearnerTicks are the heartbeat intervals.
 	HeartbeatTicks int
 	LearnerTicks   int
+	// LearnerPause is the least number of ticks between two batches of entries to
+	// a learner that keeps up; 0 sends them at once.
+	LearnerPause int
 	// DriftMargin is taken off the leader lease for clocks that run unevenly.
 	DriftMargin time.Duration
 	// MaxAppendBytes and ChunkBytes bound one message.
--- a/internal/consensus/raft_test.go
+++ b/internal/consensus/raft_test.go
@@ -297,3 +297,44 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, r.Members().Quorum(), qt.Equals, 3)
 }
+
+// A learner that keeps up gets entries in batches, and a voter at once.
+func TestLearnersGetEntriesInBatches(t *testing.T) {
+	r := lead(t)
+	r.opts.LearnerPause = r.opts.HeartbeatTicks
+	_, err := r.AddLearner(Member{ID: 4, VM: "d"})
+	qt.Assert(t, err, qt.IsNil)
+	reply := func(from ID) {
+		r.Step(r.now, Message{Kind: MsgAppendReply, From: from, To: 1, Term: r.term, Index: r.Last(), Round: 1})
+		drain(r)
+	}
+	drain(r)
+	reply(2)
+	reply(4)
+	sent := map[ID]int{}
+	count := func() {
+		for r.HasOutput() {
+			out := r.Take()
+			r.Persisted()
+			for _, m := range out.Messages {
+				if len(m.Entries) > 0 {
+					sent[m.To] += len(m.Entries)
+				}
+			}
+		}
+	}
+	const commands = 5
+	r.lead.peer(4).fedTick = r.ticks
+	for range commands {
+		_, err := r.Propose([]byte("c"))
+		qt.Assert(t, err, qt.IsNil)
+		count()
+	}
+	qt.Assert(t, sent[2], qt.Equals, commands)
+	qt.Assert(t, sent[4], qt.Equals, 0, qt.Commentf("a learner got entries at once"))
+	for range r.opts.HeartbeatTicks {
+		r.Tick(r.now)
+	}
+	count()
+	qt.Assert(t, sent[4], qt.Equals, commands)
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -68,6 +68,9 @@
 	Reopen func() (storage.Store, error)
 	// Tick is DefaultTick if 0. All members must use the same.
 	Tick time.Duration
+	// LearnerPause is the least number of ticks between two batches of entries to
+	// a learner that keeps up.
+	LearnerPause int
 }
 
 // Node is one member of a group, whose goroutine owns the consensus, the store
@@ -170,6 +173,7 @@
 		ElectionTicks:  electionTicks,
 		HeartbeatTicks: heartbeatTicks,
 		LearnerTicks:   learnerTicks,
+		LearnerPause:   cfg.LearnerPause,
 		DriftMargin:    electionTicks * cfg.Tick / driftShare,
 		MaxAppendBytes: maxAppendBytes,
 		ChunkBytes:     chunkBytes,
