Take reports that say nothing new without the leader

Cause: 350 workers report every 1.5 s, and each report cost the leader two messages though nothing in it was new.

--- a/internal/cellapi/cellapi_test.go
+++ b/internal/cellapi/cellapi_test.go
@@ -136,3 +136,31 @@
 	c.succeeded()
 	qt.Check(t, c.Reachable(), qt.IsTrue)
 }
+
+// Only a report that says nothing new may be taken without the leader.
+func TestKnownReports(t *testing.T) {
+	s, client := newServer(t)
+	w := cell.Worker{ID: "w", Born: 5, Addr: "a", DC: "d", Pool: "p", Labels: []string{"x"}}
+	qt.Check(t, s.Known(&w), qt.IsFalse, qt.Commentf("a worker that isn't in the tables"))
+	_, err := client.Report(context.Background(), &ReportRequest{Worker: w, Sequence: 1})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.Known(&w), qt.IsTrue)
+	for name, change := range map[string]func(w *cell.Worker){
+		"draining":    func(w *cell.Worker) { w.Draining = true },
+		"incarnation": func(w *cell.Worker) { w.Born++ },
+		"address":     func(w *cell.Worker) { w.Addr = "b" },
+		"data centre": func(w *cell.Worker) { w.DC = "e" },
+		"labels":      func(w *cell.Worker) { w.Labels = nil },
+	} {
+		changed := w
+		change(&changed)
+		qt.Check(t, s.Known(&changed), qt.IsFalse, qt.Commentf("another %s", name))
+	}
+	w.Draining = true
+	_, err = client.Report(context.Background(), &ReportRequest{Worker: w, Sequence: 2})
+	qt.Assert(t, err, qt.IsNil)
+	ready := w
+	ready.Draining = false
+	qt.Check(t, s.Known(&ready), qt.IsFalse, qt.Commentf("an overtaken report"))
+	qt.Check(t, s.Known(&w), qt.IsFalse, qt.Commentf("what drains is always told to the leader"))
+}
--- a/internal/cellapi/reports.go
+++ b/internal/cellapi/reports.go
@@ -94,6 +94,21 @@
 	return false
 }
 
+// Known reports whether a worker's report says nothing that this process's
+// tables don't hold. Such a report changes nothing wherever it is taken: if the
+// tables lag, the worker's next one shows what is missing.
+func (s *Server) Known(w *cell.Worker) bool {
+	if w.Draining || s.Group.Status().Leader == 0 {
+		return false
+	}
+	known := false
+	s.State.Read(func() {
+		old := s.State.Workers[w.ID]
+		known = old != nil && old.Born == w.Born && same(&old.Worker, w)
+	})
+	return known
+}
+
 func same(a, b *cell.Worker) bool {
 	return a.Addr == b.Addr && a.DC == b.DC && a.Pool == b.Pool && slices.Equal(a.Labels, b.Labels) &&
 		a.Capacity == b.Capacity && a.Draining == b.Draining
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -76,6 +76,7 @@
 	state     *cell.State
 	scheduler *scheduler.Scheduler
 	client    *cellapi.Client
+	server    *cellapi.Server
 	self      replica.Member
 	// changed wakes the scheduler after each change of the tables.
 	changed chan struct{}
@@ -119,7 +120,7 @@
 		Log: cfg.Log.Named("sched"), Metrics: scheduler.NewMetrics(cfg.Metrics),
 	})
 	n.client = cellapi.NewClient(n.wire, cfg.Seeds, n.clock, cfg.Log)
-	cellapi.Serve(cellapi.Config{
+	n.server = cellapi.Serve(cellapi.Config{
 		Wire: n.wire, Group: n.member, State: n.state, Scheduler: n.scheduler, Clock: n.clock,
 		Log: cfg.Log.Named("api"), Join: n.join,
 	})
@@ -200,6 +201,15 @@
 // Client returns the client that this process's own interfaces use.
 func (n *Node) Client() *cellapi.Client { return n.client }
 
+// Report takes a worker's report: here if it says nothing new, so that the
+// leader has time for others, else at the leader.
+func (n *Node) Report(ctx context.Context, req *cellapi.ReportRequest) (*cellapi.ReportReply, error) {
+	if n.server.Known(&req.Worker) {
+		return &cellapi.ReportReply{}, nil
+	}
+	return n.client.Report(ctx, req)
+}
+
 // Run works until ctx ends, then hands leadership over and stops.
 func (n *Node) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
