Renew all tickets of a wide gang

Cause: the renewal named the gang's workers and all other good ones in one call, which the policy takes for 100 workers at most. TestWideGangRenewsAllItsTickets fails with one call (100 of 130).

--- a/internal/cell/plan/ask.go
+++ b/internal/cell/plan/ask.go
@@ -15,7 +15,8 @@
 	maxAsked     = 100
 	maxAskedGang = 200
 	gangPart     = 50
-	// maxRenewed bounds the workers whose tickets are renewed in one call.
+	// maxRenewed bounds the workers whose tickets are renewed beside those that a
+	// gang needs.
 	maxRenewed = 40
 	// firstParts is how many of a gang's calls are made however busy the advisers
 	// are.
@@ -127,7 +128,9 @@
 			ids = append(ids, w.ID)
 		}
 	}
-	p.question(s, ids[:min(len(ids), maxAsked)])
+	for part := range slices.Chunk(ids, gangPart) {
+		p.question(s, part)
+	}
 }
 
 // mayAskMore reports whether advisers are idle for a question that can wait.
--- a/internal/cell/plan/plan_test.go
+++ b/internal/cell/plan/plan_test.go
@@ -298,3 +298,25 @@
 		qt.Check(t, out.Questions, qt.HasLen, c.questions, qt.Commentf("tickets valid for %s", c.valid))
 	}
 }
+
+// A gang that needs many workers has all their tickets renewed, in calls that
+// the policy takes.
+func TestWideGangRenewsAllItsTickets(t *testing.T) {
+	const wide = 130
+	var ws []Worker
+	var good []cell.WorkerID
+	for i := range wide {
+		ws = append(ws, worker(fmt.Sprintf("w%03d", i), 16))
+		good = append(good, ws[i].ID)
+	}
+	g := withAdvice(pending("g", wide, 16, 1, true), good...)
+	for w := range g.Advice.Good {
+		g.Advice.Good[w] = Ticket{Token: "t"}
+	}
+	named := 0
+	for _, q := range Make(input(ws, g)).Questions {
+		qt.Check(t, len(q.Workers) <= maxAsked, qt.IsTrue)
+		named += len(q.Workers)
+	}
+	qt.Check(t, named, qt.Equals, wide)
+}
