--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X kumquatwing/internal/version.Version=$(VERSION)
 
-.PHONY: all build fmt fmt-check lint vet unit test demo bench proof capacity clean mutants
+.PHONY: all build fmt fmt-check lint vet unit test demo bench proof capacity clean mutants soak
 
 all: build
 
@@ -55,3 +55,11 @@
 # Builds with one protection taken out, which the proofs must notice.
 mutants: build
 	scripts/mutants.sh
+
+# The fault soak of the real programs, with seeds of its own: SEEDS of them from
+# FROM on, SECONDS of faults each.
+SEEDS ?= 50
+FROM ?= 1000
+SECONDS ?= 6
+soak:
+	SOAK_SEEDS=$(SEEDS) SOAK_FROM=$(FROM) SOAK_SECONDS=$(SECONDS) $(GO) test ./platform -run TestSoak -count=1 -v -timeout 60m
