--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -126,9 +126,9 @@
 
 // loadResult is what callers got of one class.
 type loadResult struct {
-	asked, inTime, late         int
-	largest, largestServed      int
-	worth, earned, wastedCoreMs float64
+	asked, inTime, late    int
+	largest, largestServed int
+	worth, earned          float64
 }
 
 func (r *loadResult) served() float64 { return float64(r.inTime+r.late) / float64(max(1, r.asked)) }
