Budget a control process's descriptors, and tell orders that were not sent

A compaction that finds no descriptor is postponed and the member goes on. ErrNotSent tells a start that certainly did not reach the worker, which is placed again at once; a start without a reply is sent up to three times (idempotent by run number) before the run is stopped. Renewals beyond the limit of long polls are short and paced. Stalls are judged by the worker's own account.

--- /dev/null
+++ b/internal/fdlimit/budget.go
@@ -0,0 +1,51 @@
+// Package fdlimit keeps a process below its limit on open file descriptors. It
+// divides the limit among the purposes of the process, so that many workers can't
+// take the descriptors that its storage needs, and limits the connections of
+// clients and listeners.
+package fdlimit
+
+// Budget is the number of descriptors that each purpose of a control process may
+// use.
+type Budget struct {
+	// Storage is for the files of the store, listeners and the runtime.
+	Storage int
+	// Peers is for the connections to and from other processes of the system.
+	Peers int
+	// Inbound is for the connections of workers and operators.
+	Inbound int
+	// LongPolls is for the connections that wait for a worker's delayed reply.
+	LongPolls int
+	// Orders is for the connections that all other calls to workers share.
+	Orders int
+}
+
+const (
+	// defaultLimit applies if the limit is not known.
+	defaultLimit = 1024
+	// storageShare is one in this many descriptors, and minStorage the least
+	// number.
+	storageShare = 32
+	minStorage   = 24
+
+	// Shares of the descriptors that storage leaves, in percent. The rest is for
+	// peers.
+	inboundPercent   = 30
+	longPollsPercent = 35
+	ordersPercent    = 15
+)
+
+// Split divides the limit. A limit of 0 stands for one that is not known.
+func Split(limit int) Budget {
+	if limit <= 0 {
+		limit = defaultLimit
+	}
+	b := Budget{Storage: max(minStorage, limit/storageShare)}
+	rest := max(0, limit-b.Storage)
+	b.Inbound = atLeastOne(rest * inboundPercent / 100)
+	b.LongPolls = atLeastOne(rest * longPollsPercent / 100)
+	b.Orders = atLeastOne(rest * ordersPercent / 100)
+	b.Peers = atLeastOne(rest - b.Inbound - b.LongPolls - b.Orders)
+	return b
+}
+
+func atLeastOne(n int) int { return max(1, n) }
--- a/internal/replica/compact.go
+++ b/internal/replica/compact.go
@@ -1,13 +1,19 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 
 	"go.uber.org/zap"
 
 	"kumquatwing/internal/consensus"
+	"kumquatwing/internal/storage"
 )
 
+// postponedGrowthBytes is how much the log grows before a postponed compaction is
+// tried again.
+const postponedGrowthBytes = 128 << 10
+
 // logLimits limit the size of a member's log in memory.
 type logLimits struct {
 	// compactBytes is the log size at which the log is compacted. If the last
@@ -66,16 +72,26 @@
 // compact compacts the log once it reaches compactThreshold. Before that, a
 // member with a disk writes a snapshot; a member without one needs none, since
 // it never restarts from its store.
+//
+// A compaction that the store postpones is tried again once the log has grown by
+// postponedGrowthBytes. Until then the log keeps growing, up to maxLogBytes.
 func (c *core) compact() {
-	if c.failed != nil || c.raft.LogBytes() < c.compactThreshold() {
+	if c.failed != nil || c.raft.LogBytes() < max(c.compactThreshold(), c.postponedUntilBytes) {
 		return
 	}
 	if c.store.Durable() {
-		if err := c.writeSnapshot(); err != nil {
+		err := c.writeSnapshot()
+		if postponed := new(storage.PostponedError); errors.As(err, &postponed) {
+			c.postponedUntilBytes = c.raft.LogBytes() + postponedGrowthBytes
+			c.log.Warn("could not open a file for the snapshot, log is compacted later", zap.Error(err))
+			return
+		}
+		if err != nil {
 			c.fail(err)
 			return
 		}
 	}
+	c.postponedUntilBytes = 0
 	c.raft.Compact(c.limits.keepBytes)
 }
 
@@ -93,8 +109,11 @@
 		}
 		s.Data = data
 	}
-	c.snapshotSize = len(s.Data)
-	return c.store.Compact(consensus.State{
+	err := c.store.Compact(consensus.State{
 		HardState: c.raft.HardState(), Snapshot: s, Entries: c.raft.EntriesAfter(s.Index),
 	})
+	if err == nil {
+		c.snapshotSize = len(s.Data)
+	}
+	return err
 }
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -42,6 +42,9 @@
 	// snapshotSize is the size in bytes of the last snapshot that was written or
 	// installed.
 	snapshotSize int
+	// postponedUntilBytes is the log size before which a postponed compaction is
+	// not tried again, 0 if none is postponed.
+	postponedUntilBytes int
 	// proposalWaiters are the waiters by the index of their entry.
 	proposalWaiters map[uint64][]proposalWaiter
 	// pendingReads are the callbacks of read requests by request ID.
--- a/internal/replica/rejoin_test.go
+++ b/internal/replica/rejoin_test.go
@@ -72,3 +72,52 @@
 	}
 	qt.Check(t, propose(t, n, "c"), qt.Equals, uint64(2), qt.Commentf("a command was lost or applied twice, or the failed one was applied"))
 }
+
+// exhaustedStore postpones compactions while exhausted is set, as a store does in a
+// process without free descriptors.
+type exhaustedStore struct {
+	*storage.Disk
+	exhausted *atomic.Bool
+	postponed *atomic.Int64
+}
+
+func (d *exhaustedStore) Compact(st consensus.State) error {
+	if d.exhausted.Load() {
+		d.postponed.Add(1)
+		return &storage.PostponedError{Err: errFull}
+	}
+	return d.Disk.Compact(st)
+}
+
+// TestMemberOutlivesPostponedCompactions checks that a member whose store can't open
+// a snapshot file goes on committing commands, and compacts its log once it can.
+func TestMemberOutlivesPostponedCompactions(t *testing.T) {
+	var exhausted atomic.Bool
+	var postponed atomic.Int64
+	disk, err := storage.OpenDir(t.TempDir())
+	qt.Assert(t, err, qt.IsNil)
+	w, err := wire.Listen("127.0.0.1:0", nil)
+	qt.Assert(t, err, qt.IsNil)
+	defer w.Close()
+	n, err := Open(Config{
+		Group: "test", Self: Member{ID: 1, VM: "vm0", Addr: w.Addr()}, StateMachine: &register{},
+		Store: &exhaustedStore{disk, &exhausted, &postponed}, Wire: w, Clock: clock.Boot{}, Bootstrap: true, Tick: testTick,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	defer n.Close()
+	exhausted.Store(true)
+	big := string(make([]byte, 64<<10))
+	for i := range 40 {
+		qt.Assert(t, propose(t, n, big), qt.Equals, uint64(i+1))
+	}
+	qt.Check(t, n.Status().Failure, qt.Equals, "")
+	qt.Check(t, postponed.Load() > 1, qt.IsTrue)
+	qt.Check(t, postponed.Load() < 20, qt.IsTrue, qt.Commentf("tried again with each command: %d times", postponed.Load()))
+	exhausted.Store(false)
+	for i := range 4 {
+		qt.Assert(t, propose(t, n, big), qt.Equals, uint64(i+41))
+	}
+	size := 0
+	n.View(func(Status) { size = n.core.raft.LogBytes() })
+	qt.Check(t, size < defaultLimits.compactBytes, qt.IsTrue, qt.Commentf("the log still has %d bytes", size))
+}
--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"kumquatwing/internal/cell"
@@ -129,8 +130,14 @@
 // Error implements error.
 func (e *RefusedError) Error() string { return "worker refused the order: " + e.Refusal.String() }
 
-// WorkerClient sends orders to workers. After an error other than *RefusedError,
-// the order may or may not have been carried out, or may still be.
+// ErrNotSent reports that no part of an order was sent to the worker, which
+// therefore never carries it out. An order that waited too long for a connection
+// gets this error.
+var ErrNotSent = errors.New("scheduler: the order was not sent")
+
+// WorkerClient sends orders to workers. After an error other than *RefusedError
+// and ErrNotSent, the order may or may not have been carried out, or may still be.
+// Errors may be wrapped.
 type WorkerClient interface {
 	Start(ctx context.Context, w WorkerTarget, o StartOrder) error
 	Stop(ctx context.Context, w WorkerTarget, o StopOrder) error
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -14,6 +14,9 @@
 const (
 	// orderTimeout bounds the wait for a worker's reply to a start or a stop.
 	orderTimeout = 300 * time.Millisecond
+	// startAttempts is how often a start is sent that gets no reply. Starts are
+	// idempotent by the number of the run.
+	startAttempts = 3
 	// stopRetryInterval is the pause before a stop is sent again for a run that
 	// is still running.
 	stopRetryInterval = 400 * time.Millisecond
@@ -49,8 +52,34 @@
 	}()
 }
 
-// sendStart sends a start and waits for the reply, if this member still leads.
+// sendStart sends a start, up to startAttempts times if no reply comes, while this
+// member still leads. The result is ErrNotSent only if no attempt was sent, and a
+// refusal only if no earlier attempt may still be carried out.
 func (s *Scheduler) sendStart(ctx context.Context, t WorkerTarget, o StartOrder) error {
+	var unanswered error
+	for range startAttempts {
+		err := s.attemptStart(ctx, t, o)
+		var refused *RefusedError
+		switch {
+		case err == nil:
+			return nil
+		case unanswered != nil && (errors.As(err, &refused) || errors.Is(err, errNotLeading)):
+			return unanswered
+		case errors.As(err, &refused) || errors.Is(err, errNotLeading):
+			return err
+		case !errors.Is(err, ErrNotSent):
+			unanswered = err
+		}
+	}
+	if unanswered == nil {
+		return ErrNotSent
+	}
+	return unanswered
+}
+
+// attemptStart sends a start once and waits for the reply, if this member still
+// leads.
+func (s *Scheduler) attemptStart(ctx context.Context, t WorkerTarget, o StartOrder) error {
 	if !s.leads() {
 		return errNotLeading
 	}
@@ -72,6 +101,8 @@
 		}
 	case errors.Is(err, errNotLeading):
 		r.status = runUnconfirmed
+	case errors.Is(err, ErrNotSent):
+		s.onStartNotSent(ctx, se, k, r)
 	case errors.As(err, &refused):
 		s.onStartRefused(ctx, se, k, r, refused.Refusal)
 	default:
@@ -104,6 +135,22 @@
 	default:
 		se.blockedUntil = s.now().Add(refusalBackoff)
 	}
+	s.recordNotStarted(ctx, se, k, r)
+}
+
+// onStartNotSent handles a start that was never sent. The task is placed again at
+// once, without a failed attempt.
+func (s *Scheduler) onStartNotSent(ctx context.Context, se *session, k cell.TaskKey, r *run) {
+	s.cfg.Metrics.refused.WithLabelValues("not-sent").Inc()
+	s.cfg.Log.Info("start could not be sent, placing the task again", zap.Stringer("task", k), zap.Int64("run", r.number),
+		zap.String("worker", string(se.target.ID)))
+	se.blockedUntil = s.now().Add(refusalBackoff)
+	s.recordNotStarted(ctx, se, k, r)
+}
+
+// recordNotStarted records a run that certainly did not start and never will, and
+// stops the other runs of its gang.
+func (s *Scheduler) recordNotStarted(ctx context.Context, se *session, k cell.TaskKey, r *run) {
 	if s.sessions[se.target.ID] == se && se.runs[k] == r && !r.ending {
 		r.ending = true
 		s.addEnd(se, k, r, cell.OutcomeLost, "")
--- /dev/null
+++ b/internal/scheduler/orders_test.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/cell"
+)
+
+var errNoReply = errors.New("no reply")
+
+// scriptedWorkers answers the starts of all workers with the errors of a script,
+// in their order. It accepts stops and answers no renewal.
+type scriptedWorkers struct {
+	unresponsiveWorkers
+	mu     sync.Mutex
+	script []error
+	starts int
+	stops  int
+}
+
+func (w *scriptedWorkers) Start(context.Context, WorkerTarget, StartOrder) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	err := w.script[w.starts]
+	w.starts++
+	return err
+}
+
+func (w *scriptedWorkers) Stop(context.Context, WorkerTarget, StopOrder) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops++
+	return nil
+}
+
+// TestStartAttempts checks what follows from the replies to the attempts of one
+// start: a run that certainly did not start is placed again at once, without a stop.
+// One that may have started is stopped first, also if a later attempt is refused.
+func TestStartAttempts(t *testing.T) {
+	refused := &RefusedError{RefusedTicket}
+	for _, c := range []struct {
+		name      string
+		script    []error
+		status    runStatus
+		stopped   bool
+		outcomes  []cell.Outcome
+		blockedAt bool
+	}{
+		{"confirmed", []error{nil}, runStarted, false, nil, false},
+		{"confirmed at the second attempt", []error{errNoReply, nil}, runStarted, false, nil, false},
+		{"confirmed after a failed dial", []error{ErrNotSent, nil}, runStarted, false, nil, false},
+		{"never answered", []error{errNoReply, errNoReply, errNoReply}, runUnconfirmed, true, nil, true},
+		{"never sent", []error{ErrNotSent, ErrNotSent, ErrNotSent}, runStarting, false, []cell.Outcome{cell.OutcomeLost}, true},
+		{"sent once, then not", []error{errNoReply, ErrNotSent, ErrNotSent}, runUnconfirmed, true, nil, true},
+		{"refused", []error{refused}, runStarting, false, []cell.Outcome{cell.OutcomeLost}, false},
+		{"refused after an attempt without a reply", []error{errNoReply, refused}, runUnconfirmed, true, nil, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, oneTask)
+			workers := &scriptedWorkers{script: c.script}
+			r.cfg.Workers = workers
+			r.lead()
+			r.deliverReply(RenewReply{ClockMillis: 1000})
+			k := r.place(0, 1)
+			r.startRun(r.ctx, &cell.Start{Task: k, Run: 1, Worker: testWorker, Born: 1}, "", "", "")
+			se := r.sessions[testWorker]
+			run := se.runs[k]
+			r.runUntil(func() bool {
+				workers.mu.Lock()
+				defer workers.mu.Unlock()
+				return workers.starts == len(c.script) && (run.status != runStarting || run.ending)
+			})
+			qt.Check(t, run.status, qt.Equals, c.status)
+			qt.Check(t, run.stopRequestedAt != 0, qt.Equals, c.stopped)
+			qt.Check(t, r.endsOf(k), qt.DeepEquals, c.outcomes)
+			qt.Check(t, r.now() < se.blockedUntil, qt.Equals, c.blockedAt)
+		})
+	}
+}
+
+// TestStartIsNotRepeatedAfterLeadershipEnds checks that a leader that lost its
+// leadership between two attempts, as one that was paused may, sends nothing more.
+func TestStartIsNotRepeatedAfterLeadershipEnds(t *testing.T) {
+	r := newRig(t, oneTask)
+	workers := &scriptedWorkers{script: []error{errNoReply, nil}}
+	r.lead()
+	r.cfg.Workers = &deposingWorkers{workers, func() { r.term++ }}
+	err := r.sendStart(r.ctx, WorkerTarget{ID: testWorker}, StartOrder{})
+	qt.Check(t, err, qt.ErrorIs, errNoReply)
+	qt.Check(t, workers.starts, qt.Equals, 1)
+}
+
+// deposingWorkers ends the leadership while it handles a start.
+type deposingWorkers struct {
+	*scriptedWorkers
+	depose func()
+}
+
+func (w *deposingWorkers) Start(ctx context.Context, t WorkerTarget, o StartOrder) error {
+	err := w.scriptedWorkers.Start(ctx, t, o)
+	w.depose()
+	return err
+}
+
+// TestLongPollsAreLimited checks that renewals beyond the limit don't wait at their
+// workers, are paced instead, and wait again once there is room.
+func TestLongPollsAreLimited(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.cfg.Bounds.MaxLongPolls = 1
+	r.apply(&cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{{ID: "w2", Born: 1, Addr: "10.0.0.2:1", DC: "dc1", Pool: "p"}}}})
+	r.lead()
+	first, second := r.sessions[testWorker], r.sessions["w2"]
+	for _, se := range []*session{first, second} {
+		se.fenceAccepted = true
+		se.recordClock(1000, r.now())
+	}
+	long := r.nextRenewal(first)
+	short := r.nextRenewal(second)
+	short.reply = &RenewReply{}
+	qt.Check(t, long.order.Wait, qt.Equals, renewalWait)
+	qt.Check(t, short.order.Wait, qt.Equals, time.Duration(0))
+	qt.Check(t, short.nextPause(), qt.Equals, shortPollInterval)
+
+	long.err = errNoReply
+	r.onRenewalReply(r.ctx, first, &long)
+	rn := r.nextRenewal(second)
+	qt.Check(t, rn.order.Wait, qt.Equals, renewalWait)
+
+	r.closeSession(second)
+	qt.Check(t, r.longPolls, qt.Equals, 0)
+}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -101,17 +101,15 @@
 	se.speed.add(max(-maxLogSpeed, min(maxLogSpeed, sample-queueMean)), now)
 }
 
-// stopStalled stops the runs of a worker that make no progress, provided that the
-// worker itself still answers renewals.
+// stopStalled stops the runs of a worker that make no progress by the worker's own
+// account: the newest reply still lists them without progress. While the worker
+// does not reply, nothing is known of its runs, and none is stopped.
 func (s *Scheduler) stopStalled(ctx context.Context, se *session, now clock.Instant) {
-	if now.Sub(se.lastReply) > renewalWait+renewalReplyMargin {
-		return
-	}
 	for k, r := range se.runs {
 		if r.status != runStarted || r.stopRequestedAt != 0 || r.ending || r.percent >= nearlyDonePercent {
 			continue
 		}
-		if now.Sub(r.lastProgress) < stallTimeout || now.Sub(r.confirmedAt) < stallTimeout || s.isService(k) {
+		if se.lastReply.Sub(r.lastProgress) < stallTimeout || se.lastReply.Sub(r.confirmedAt) < stallTimeout || s.isService(k) {
 			continue
 		}
 		s.cfg.Log.Info("run makes no progress, stopping it", zap.Stringer("task", k), zap.Int64("run", r.number),
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -49,6 +49,24 @@
 	}
 }
 
+// TestSilentWorkersKeepTheirRuns checks that a run is not stopped for want of progress
+// while its worker does not reply: the leader then knows nothing of the progress.
+func TestSilentWorkersKeepTheirRuns(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	k := r.startedRun()
+	se := r.sessions[testWorker]
+	for i := range 2 {
+		r.clock.Advance(time.Second)
+		r.deliverReply(RenewReply{ClockMillis: int64(2000 + 1000*i), Running: []RunningTask{{Task: k, Run: 1, Percent: 10}}})
+	}
+	for range 20 {
+		r.clock.Advance(100 * time.Millisecond)
+		r.stopStalled(r.ctx, se, r.now())
+	}
+	qt.Check(t, se.runs[k].stopRequestedAt, qt.Equals, clock.Instant(0))
+}
+
 func TestSlowWorkersAreSuspect(t *testing.T) {
 	now := clock.Instant(time.Hour)
 	var slow, usual speedEstimate
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -30,6 +30,9 @@
 	StopTimeout time.Duration
 	// RestoreTime is how long a task takes to resume from a checkpoint.
 	RestoreTime time.Duration
+	// MaxLongPolls bounds the lease renewals that wait at their workers at a time,
+	// each of which occupies a connection; 0 means no limit.
+	MaxLongPolls int
 	// EndedJobRetention is how long the state of an ended job is kept.
 	EndedJobRetention time.Duration
 }
@@ -73,6 +76,9 @@
 	// shareBuckets limits the rate of each workspace's jobs, by workspace.
 	shareBuckets map[string]*tokenBucket
 
+	// longPolls counts the sessions whose renewal waits at the worker.
+	longPolls int
+
 	ends endBatch
 	// planning is set while a plan is being committed.
 	planning bool
@@ -158,7 +164,7 @@
 	s.queueSpeed = map[string]float64{}
 	s.admissions = map[cell.JobID]admission{}
 	s.shareBuckets = map[string]*tokenBucket{}
-	s.ends = endBatch{}
+	s.ends, s.longPolls = endBatch{}, 0
 	s.planning, s.creatingOccurrences, s.dirty, s.nextCleanup = false, false, true, 0
 	s.synced = false
 	for _, a := range s.advisers {
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -25,6 +25,9 @@
 	// of a worker that has shut down can soon be declared lost.
 	drainLease       = 1500 * time.Millisecond
 	drainRenewalWait = 400 * time.Millisecond
+	// shortPollInterval is the interval of a worker's renewals that don't wait,
+	// while Bounds.MaxLongPolls others do.
+	shortPollInterval = 500 * time.Millisecond
 	// endGatherDelay is the pause after a renewal that listed finished runs, so
 	// that the next one lists several at once.
 	endGatherDelay = 50 * time.Millisecond
@@ -120,6 +123,8 @@
 	// resumed lets the renewal loop continue after a reply is handled and the
 	// ends that it listed are recorded.
 	resumed chan struct{}
+	// longPolling says that a renewal of the loop waits at the worker.
+	longPolling bool
 
 	runs map[cell.TaskKey]*run
 	// blockedUntil is the time before which no new tasks are placed on the
@@ -156,8 +161,7 @@
 func (s *Scheduler) syncSession(ctx context.Context, id cell.WorkerID) {
 	w, se := s.cfg.State.Workers[id], s.sessions[id]
 	if se != nil && (w == nil || w.Born != se.target.Incarnation) {
-		se.cancel()
-		delete(s.sessions, id)
+		s.closeSession(se)
 		se = nil
 	}
 	if w == nil {
@@ -170,6 +174,13 @@
 	s.syncRuns(ctx, se, w)
 }
 
+// closeSession ends the session's renewal loop and forgets the session.
+func (s *Scheduler) closeSession(se *session) {
+	se.cancel()
+	s.endLongPoll(se)
+	delete(s.sessions, se.target.ID)
+}
+
 // openSession opens the session with a worker and starts its renewal loop.
 func (s *Scheduler) openSession(ctx context.Context, w *cell.WorkerState) *session {
 	ctx, cancel := context.WithCancel(ctx)
@@ -282,21 +293,23 @@
 	// outOfBand marks a renewal that was sent besides the renewal loop, which
 	// doesn't wait for it.
 	outOfBand bool
-	// pause is how long the renewal loop waits if this renewal fails.
-	pause time.Duration
-	reply *RenewReply
-	err   error
+	// retryPause is how long the renewal loop waits if this renewal fails, and
+	// pause how long it waits otherwise.
+	retryPause time.Duration
+	pause      time.Duration
+	reply      *RenewReply
+	err        error
 }
 
 // nextPause returns how long the renewal loop waits after this renewal.
 func (rn *renewal) nextPause() time.Duration {
 	switch {
 	case rn.err != nil:
-		return rn.pause
+		return rn.retryPause
 	case len(rn.reply.Finished) > 0:
 		return endGatherDelay
 	}
-	return 0
+	return rn.pause
 }
 
 // nextRenewal prepares the next renewal of the loop.
@@ -306,17 +319,41 @@
 	if now.Sub(se.lastReply) < renewalCutoff {
 		o.LeaseMillis = s.extendLease(se)
 	}
+	rn := renewal{target: se.target, sent: now, retryPause: renewalRetry}
 	if se.fenceAccepted && o.LeaseMillis != 0 {
-		o.Wait = renewalWait
+		if s.beginLongPoll(se) {
+			o.Wait = renewalWait
+		} else {
+			rn.pause = shortPollInterval
+		}
 		if se.draining {
-			o.Wait = drainRenewalWait
+			o.Wait = min(o.Wait, drainRenewalWait)
 		}
 	}
-	pause := renewalRetry
 	if now.Sub(se.lastReply) > unreachableAfter {
-		pause = unreachableRetry
+		rn.retryPause = unreachableRetry
+	}
+	rn.order = o
+	return rn
+}
+
+// beginLongPoll reports whether the session's next renewal may wait at the worker,
+// and counts it if so.
+func (s *Scheduler) beginLongPoll(se *session) bool {
+	if s.cfg.Bounds.MaxLongPolls > 0 && s.longPolls >= s.cfg.Bounds.MaxLongPolls {
+		return false
+	}
+	s.longPolls++
+	se.longPolling = true
+	return true
+}
+
+// endLongPoll frees the place of a renewal that waited at the worker.
+func (s *Scheduler) endLongPoll(se *session) {
+	if se.longPolling {
+		s.longPolls--
+		se.longPolling = false
 	}
-	return renewal{target: se.target, order: o, sent: now, pause: pause}
 }
 
 // errNotLeading is the error of an order that was not sent because this member
@@ -339,6 +376,9 @@
 // onRenewalReply handles the outcome of a renewal.
 func (s *Scheduler) onRenewalReply(ctx context.Context, se *session, rn *renewal) {
 	now := s.now()
+	if !rn.outOfBand {
+		s.endLongPoll(se)
+	}
 	if rn.err == nil && rn.reply.Incarnation != 0 && rn.reply.Incarnation != se.target.Incarnation {
 		rn.err = &RefusedError{RefusedIncarnation}
 	}
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"syscall"
 
 	"kumquatwing/internal/consensus"
 )
@@ -310,7 +311,11 @@
 	if d.failed != nil {
 		return d.failed
 	}
-	return d.recordFailure(d.compact(st))
+	err := d.compact(st)
+	if postponed := new(PostponedError); errors.As(err, &postponed) {
+		return err
+	}
+	return d.recordFailure(err)
 }
 
 // compact writes the next generation with the state st and switches to it. The
@@ -346,7 +351,7 @@
 	if len(data) == 0 {
 		return nil
 	}
-	f, err := d.fs.Create(snapshotName(generation))
+	f, err := d.create(snapshotName(generation))
 	if err != nil {
 		return err
 	}
@@ -364,7 +369,7 @@
 	}
 	s.Snapshot.Data = nil
 	name := logName(generation)
-	f, err := d.fs.Create(name + tempSuffix)
+	f, err := d.create(name + tempSuffix)
 	if err != nil {
 		return nil, err
 	}
@@ -374,6 +379,17 @@
 	return f, d.fs.Rename(name+tempSuffix, name)
 }
 
+// create creates a file of the next generation. It returns a PostponedError if the
+// process has no descriptor left: the files of the present generation are not
+// touched before those of the next one are written.
+func (d *Disk) create(name string) (File, error) {
+	f, err := d.fs.Create(name)
+	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		return nil, &PostponedError{err}
+	}
+	return f, err
+}
+
 // Durable implements Store.
 func (d *Disk) Durable() bool { return true }
 
--- a/internal/storage/disk_test.go
+++ b/internal/storage/disk_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"syscall"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -220,3 +222,42 @@
 	_, err = storage.OpenDir(dir)
 	qt.Assert(t, err, qt.ErrorMatches, ".*in use by another process.*")
 }
+
+// exhaustedFS can't create files while exhausted is set, as in a process without
+// free descriptors.
+type exhaustedFS struct {
+	*faultfs.FS
+	exhausted bool
+}
+
+func (f *exhaustedFS) Create(name string) (storage.File, error) {
+	if f.exhausted {
+		return nil, &os.PathError{Op: "open", Path: name, Err: syscall.EMFILE}
+	}
+	return f.FS.Create(name)
+}
+
+// TestCompactWithoutDescriptorsIsPostponed checks that a compaction that can't open a
+// file leaves the store usable and its state complete.
+func TestCompactWithoutDescriptorsIsPostponed(t *testing.T) {
+	fs := &exhaustedFS{FS: faultfs.New()}
+	d, err := storage.Open(fs)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, d.Init(1, consensus.State{}), qt.IsNil)
+	qt.Assert(t, d.Append(consensus.HardState{Term: 1}, entries(1, 1, 1)), qt.IsNil)
+
+	snapshot := consensus.State{
+		HardState: consensus.HardState{Term: 1, Commit: 1}, Snapshot: consensus.Snapshot{Index: 1, Term: 1, Data: []byte("s")},
+	}
+	fs.exhausted = true
+	var postponed *storage.PostponedError
+	qt.Assert(t, d.Compact(snapshot), qt.ErrorAs, &postponed)
+	qt.Assert(t, d.Append(consensus.HardState{Term: 1, Commit: 1}, entries(2, 2, 1)), qt.IsNil)
+	_, st := reopen(t, fs.FS)
+	qt.Check(t, len(st.Entries), qt.Equals, 2)
+
+	fs.exhausted = false
+	qt.Assert(t, d.Compact(snapshot), qt.IsNil)
+	_, st = reopen(t, fs.FS)
+	qt.Check(t, string(st.Snapshot.Data), qt.Equals, "s")
+}
--- a/internal/storage/fs.go
+++ b/internal/storage/fs.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -39,6 +40,8 @@
 type dirFS struct {
 	path string
 	lock *os.File
+	// dir is the open folder, so that SyncDir needs no further descriptor.
+	dir *os.File
 }
 
 // lockName is the name of the file that is locked, so that no two processes use
@@ -60,7 +63,12 @@
 		lock.Close()
 		return nil, fmt.Errorf("storage: %s is in use by another process: %w", path, err)
 	}
-	return &dirFS{path, lock}, nil
+	dir, err := os.Open(path)
+	if err != nil {
+		lock.Close()
+		return nil, err
+	}
+	return &dirFS{path, lock, dir}, nil
 }
 
 // name returns the path of the file called name.
@@ -94,13 +102,6 @@
 	return names, nil
 }
 
-func (d *dirFS) SyncDir() error {
-	f, err := os.Open(d.path)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	return f.Sync()
-}
+func (d *dirFS) SyncDir() error { return d.dir.Sync() }
 
-func (d *dirFS) Close() error { return d.lock.Close() }
+func (d *dirFS) Close() error { return errors.Join(d.dir.Close(), d.lock.Close()) }
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -25,7 +25,8 @@
 	// Append sets the hard state and appends es to the log, after removing the
 	// entries from the index of es[0] on.
 	Append(h consensus.HardState, es []consensus.Entry) error
-	// Compact replaces the whole state except the identity.
+	// Compact replaces the whole state except the identity. After a
+	// *PostponedError the state is unchanged and the store still usable.
 	Compact(st consensus.State) error
 	// Durable reports whether the state survives the end of the process.
 	Durable() bool
@@ -36,6 +37,18 @@
 	Close() error
 }
 
+// PostponedError reports that Compact could not open a file, since the process or
+// the system has too many open. It changed nothing and can be tried again later.
+type PostponedError struct{ Err error }
+
+// Error implements error.
+func (e *PostponedError) Error() string {
+	return "storage: compaction postponed: " + e.Err.Error()
+}
+
+// Unwrap returns the error of the operating system.
+func (e *PostponedError) Unwrap() error { return e.Err }
+
 // ErrEmpty is returned by writes to a store without identity, ErrNotEmpty by Init
 // on a store that has one.
 var (
