Ignore a late sync of a stopping entry VM; keep the last answer of kqctl's wait

The newest answer is kept now. A holder that has said that it stops gets none now; TestDelayedSyncOfStoppingEntryGetsNoSlots fails on the code before.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -148,6 +149,26 @@
 	}
 }
 
+// TestPendingNamesWaitingHoldersAfterTimeout checks that the message of a wait names
+// what the last answer waited for, also if the last status call got no answer.
+func TestPendingNamesWaitingHoldersAfterTimeout(t *testing.T) {
+	server, _ := startServer(t, 1)
+	mustRun(t, operatorArgs(server, "apply", "-f", examples)...)
+	var calls atomic.Int64
+	stalling := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.URL.Path, "in-force") && calls.Add(1) > 1 {
+			<-r.Context().Done()
+			return
+		}
+		server.Config.Handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(stalling.Close)
+	code, _, errs := runKqctl(operatorArgs(stalling, "dc", "out", "--wait", "--wait-timeout", "600ms", "dc1")...)
+	qt.Check(t, code, qt.Equals, ExitPending)
+	qt.Check(t, calls.Load() > 1, qt.IsTrue)
+	qt.Check(t, errs, qt.Contains, "waits for vm-3 in dc3")
+}
+
 // TestRetryAtNextServer lists a closed port first, then a server that executes calls
 // but drops the responses, then a working one.
 func TestRetryAtNextServer(t *testing.T) {
--- a/internal/command/operations.go
+++ b/internal/command/operations.go
@@ -65,8 +65,9 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	path := strings.Replace(api.PathInForce, "{revision}", fmt.Sprint(revision), 1)
-	var status api.InForce
+	var newest *api.InForce
 	for {
+		var status api.InForce
 		raw, err := a.send(ctx, apiCall{method: http.MethodGet, path: path}, &status)
 		if err == nil && status.InForce {
 			a.print(raw, fmt.Sprintf("revision %d is in force everywhere", revision))
@@ -75,18 +76,25 @@
 		if err != nil && !retryable(verdict.FromError(err)) {
 			return err
 		}
+		if err == nil {
+			newest = &status
+		}
 		if !clock.Sleep(ctx, pollInterval) {
-			return &pendingError{pendingMessage(revision, &status, err)}
+			return &pendingError{pendingMessage(revision, newest, err)}
 		}
 	}
 }
 
-// pendingMessage describes what keeps revision from being in force. err is the
-// error of the last status call, if it failed.
+// pendingMessage describes what keeps revision from being in force: what the
+// newest answer says, nil if there was none, and err, the error of the last status
+// call, if it failed.
 func pendingMessage(revision uint64, status *api.InForce, err error) string {
 	text := fmt.Sprintf("revision %d is accepted but not yet in force", revision)
 	if err != nil {
-		return fmt.Sprintf("%s: %v", text, err)
+		text = fmt.Sprintf("%s: %v", text, err)
+	}
+	if status == nil {
+		return text
 	}
 	for _, w := range status.Waiting {
 		text += fmt.Sprintf("; waits for %s in %s (confirmed revision %d, its lease expires in %d ms)",
--- a/internal/entry/testdc_test.go
+++ b/internal/entry/testdc_test.go
@@ -130,8 +130,8 @@
 	return te
 }
 
-// addServer starts a backend server and waits until slots of every server are
-// granted.
+// addServer starts a backend server and waits until the entry VMs hold slots of every
+// server.
 func (dc *testDC) addServer(queue model.QueueName, change ...func(*backend.Config)) *backend.Server {
 	dc.t.Helper()
 	s := dc.startServer(queue, change...)
@@ -139,13 +139,18 @@
 	return s
 }
 
-// awaitSlots waits until slots of every server are granted.
+// awaitSlots waits until slots of every server are granted, and then for a sync of
+// every entry VM, which tells the entry VM of its grants.
 func (dc *testDC) awaitSlots() {
 	dc.t.Helper()
 	for _, s := range dc.servers {
 		id := s.Announcement().Server
 		dc.eventually("slots are granted", func() bool { return dc.control.Granted(id) > 0 })
 	}
+	granted := clock.Boot{}.Now()
+	for _, e := range dc.entries {
+		dc.eventually("entry VM has synced", func() bool { return clock.Instant(e.lastSync.Load()) > granted })
+	}
 }
 
 // startServer starts a backend server that announces itself to every entry VM that
--- a/internal/slots/leader.go
+++ b/internal/slots/leader.go
@@ -107,13 +107,15 @@
 
 // Sync processes a sync of an entry VM. It returns the commands to propose, in
 // order, and the function that fills in the reply. Nothing is reported to the
-// entry VM before it is committed.
+// entry VM before it is committed. A sync that arrives after the same process has
+// said that it is stopping was delayed, and gets no slots.
 func (l *Leader) Sync(now clock.Instant, req *api.EntrySync) ([]*Command, Reply) {
 	h := Holder{req.Entry, req.Incarnation}
 	cmds := l.termCommands(now)
 	cmds = l.appendAnnouncements(now, req.Announcements, cmds)
 	cmds = l.appendReturn(h, req, cmds)
-	if l.leases.Expired(h, now) || req.Stopping {
+	stopping := req.Stopping || l.isStopping(h)
+	if l.leases.Expired(h, now) || stopping {
 		l.markReleasing(h)
 	}
 	lapsed := l.hasReleasing(h)
@@ -122,10 +124,16 @@
 	}
 	l.recordSync(now, h, req)
 	cmds = l.reclaim(now, cmds)
-	if !req.Stopping {
+	if !stopping {
 		cmds = l.appendGrants(now, h, lapsed, cmds)
 	}
-	return l.setTerm(cmds), func(now clock.Instant, out *api.EntryState) { l.reply(now, h, req.Stopping, out) }
+	return l.setTerm(cmds), func(now clock.Instant, out *api.EntryState) { l.reply(now, h, stopping, out) }
+}
+
+// isStopping reports whether the holder has said that it is stopping.
+func (l *Leader) isStopping(h Holder) bool {
+	e := l.holders[h]
+	return e != nil && e.stopping
 }
 
 // Tick returns the commands that become due with the passage of time: slots of
@@ -229,7 +237,7 @@
 		l.holders[h] = e
 		l.shortenOlderLeases(h)
 	}
-	e.stopping = req.Stopping
+	e.stopping = e.stopping || req.Stopping
 	e.maxRequestTime = time.Duration(max(0, req.LongestMillis)) * time.Millisecond
 	e.demand = map[model.QueueName]int{}
 	for _, d := range req.Demand {
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -103,6 +103,22 @@
 	qt.Assert(t, recall, qt.Equals, 0)
 }
 
+// TestDelayedSyncOfStoppingEntryGetsNoSlots checks that a sync that arrives after the
+// last one of a stopping entry VM, as a cancelled call may, does not get the slots
+// back that the VM has returned. A restarted VM gets slots.
+func TestDelayedSyncOfStoppingEntryGetsNoSlots(t *testing.T) {
+	g := newGroup()
+	g.sync(&api.EntrySync{Entry: "e1", Incarnation: "x", Announcements: []api.Announcement{announce("s1", "1", 8)}})
+	g.sync(&api.EntrySync{Entry: "e1", Incarnation: "x", Demand: demand(8)})
+	qt.Assert(t, g.state.Granted("s1"), qt.Equals, 8)
+	g.sync(&api.EntrySync{Entry: "e1", Incarnation: "x", Stopping: true})
+	n, _, _ := total(g.sync(&api.EntrySync{Entry: "e1", Incarnation: "x", Demand: demand(8)}))
+	qt.Check(t, n, qt.Equals, 0)
+	qt.Check(t, g.state.Granted("s1"), qt.Equals, 0)
+	n, _, _ = total(g.sync(&api.EntrySync{Entry: "e1", Incarnation: "y", Demand: demand(8)}))
+	qt.Check(t, n, qt.Equals, 8)
+}
+
 // TestUnusableServersAreNotGranted checks that slots of a server that is about
 // to shut down, has stopped announcing itself or has restarted are recalled
 // from their holder and that its earlier slots are granted to nobody else.
