Bound the disruption of long-running steps: wait with a stop that would exceed max-unavailable

The only stop of ours that can end a long-running task at work is that of a start without a reply.

Change: a stop of a job that goes on is asked for; it is sent only while fewer other tasks of the step are unavailable than the step allows, by the newest replies of their workers. A run that is listed before its stop was sent is kept.

Tests: TestStopsKeepServiceTasksAvailable (both sides of the bound), TestUnansweredServiceStartIsKept.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -110,7 +110,7 @@
 			zap.String("worker", string(se.target.ID)), zap.Error(err))
 		r.status = runUnconfirmed
 		se.blockedUntil = now.Add(unconfirmedBackoff)
-		s.stopRun(ctx, se, k, r)
+		s.requestStop(ctx, se, k, r)
 	}
 }
 
@@ -172,7 +172,7 @@
 	for _, se := range s.sessions {
 		for other, r := range se.runs {
 			if other.StepKey() == k.StepKey() && r.number == number && other != k {
-				s.stopRun(ctx, se, other, r)
+				s.requestStop(ctx, se, other, r)
 			}
 		}
 	}
@@ -191,7 +191,7 @@
 	if r.stopRequestedAt == 0 {
 		r.stopRequestedAt = now
 	}
-	r.stopInFlight = true
+	r.stopInFlight, r.stopSent = true, true
 	target, o := se.target, StopOrder{k, r.number, s.term}
 	go func() {
 		err := s.sendStop(ctx, target, o)
@@ -249,7 +249,7 @@
 				r.status = runUnconfirmed
 			}
 			if r.stopRequestedAt != 0 {
-				s.stopRun(ctx, se, k, r)
+				s.requestStop(ctx, se, k, r)
 			}
 		}
 		s.stopStalled(ctx, se, now)
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -84,6 +84,8 @@
 	// stopAcceptedAt is when the worker first accepted a stop, 0 before that.
 	stopAcceptedAt clock.Instant
 	stopInFlight   bool
+	// stopSent is set once a stop was sent.
+	stopSent bool
 	nextStopAt     clock.Instant
 	checkpoint     string
 	percent        int
@@ -449,8 +451,8 @@
 		if r == nil || r.number != rt.Run {
 			continue
 		}
-		if r.status == runInherited {
-			r.status, r.confirmedAt = runStarted, now
+		if r.status == runInherited || (r.status == runUnconfirmed && !r.stopSent) {
+			r.status, r.confirmedAt, r.stopRequestedAt = runStarted, now, 0
 		}
 		s.recordProgress(se, rt.Task, r, rt.Percent, now)
 		if rt.Checkpoint != "" {
