--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -95,6 +95,9 @@
 // first tried on each rack alone. candidates is sorted in place, best score
 // first.
 func (p *planner) assignSlots(s *Pending, candidates []*Worker, capacity func(*Worker) model.Resources) []*Worker {
+	if !hasSlots(s, candidates, capacity) {
+		return nil
+	}
 	slices.SortStableFunc(candidates, func(a, b *Worker) int { return cmp.Compare(score(s, b), score(s, a)) })
 	if s.Step.SameRack {
 		for _, rack := range racks(candidates) {
@@ -106,6 +109,18 @@
 	return fillSlots(s, candidates, capacity)
 }
 
+// hasSlots reports whether the gang's waiting tasks all fit into the given capacity
+// of the candidates.
+func hasSlots(s *Pending, candidates []*Worker, capacity func(*Worker) model.Resources) bool {
+	missing := len(s.Waiting)
+	for _, w := range candidates {
+		if missing -= slotsIn(s, w, capacity(w)); missing <= 0 {
+			return true
+		}
+	}
+	return missing <= 0
+}
+
 // fillSlots assigns the gang's waiting tasks to the candidates in their order, and
 // returns the worker of each task, or nil if they don't all fit.
 func fillSlots(s *Pending, candidates []*Worker, capacity func(*Worker) model.Resources) []*Worker {
--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -66,15 +66,21 @@
 	options []*slotOption
 	free    []model.Resources
 	taken   []int
+	// maxLostWork limits the work that a slot may lose.
+	maxLostWork float64
 }
 
 // findPreemption assigns the gang's tasks one by one to the slots that lose the
 // least work. It returns nil if they don't all fit or more than maxLostShare of the
 // gang's work would be lost. It marks the victims of the result as selected.
 func findPreemption(s *Pending, eligible []*Worker, maxLostShare float64) *preemption {
+	available := func(w *Worker) model.Resources { return w.availableTo(s.Queue.Priority) }
+	if !hasSlots(s, eligible, available) {
+		return nil
+	}
 	c := &preemption{}
-	search := newSlotSearch(s, eligible)
 	lost, maxLostWork := 0.0, maxLostShare*s.waitingWork()
+	search := newSlotSearch(s, eligible, maxLostWork)
 	for len(c.slots) < len(s.Waiting) {
 		i := search.cheapest()
 		if i < 0 || lost+search.options[i].lost > maxLostWork {
@@ -93,9 +99,9 @@
 	return c
 }
 
-func newSlotSearch(s *Pending, eligible []*Worker) *slotSearch {
+func newSlotSearch(s *Pending, eligible []*Worker, maxLostWork float64) *slotSearch {
 	search := &slotSearch{
-		pending: s, options: make([]*slotOption, len(eligible)), free: make([]model.Resources, len(eligible)), taken: make([]int, len(eligible)),
+		pending: s, maxLostWork: maxLostWork, options: make([]*slotOption, len(eligible)), free: make([]model.Resources, len(eligible)), taken: make([]int, len(eligible)),
 	}
 	for i, w := range eligible {
 		search.free[i] = futureFreeCapacity(w)
@@ -110,7 +116,7 @@
 	if s.Step.MaxPerWorker > 0 && s.OnWorker[w.ID]+f.taken[i] >= s.Step.MaxPerWorker {
 		return nil
 	}
-	return nextSlot(s, w, f.free[i])
+	return nextSlot(s, w, f.free[i], f.maxLostWork)
 }
 
 // cheapest returns the index of the worker whose next slot loses the least work, -1
@@ -152,13 +158,13 @@
 }
 
 // nextSlot returns the next task slot on a worker with the given free capacity. It
-// preempts less urgent runs in the order of victimsByLoss until the task fits, and
-// returns nil if it still doesn't.
-func nextSlot(s *Pending, w *Worker, capacity model.Resources) *slotOption {
-	option := &slotOption{worker: w}
+// preempts less urgent runs in the order of victimsByLoss until the task fits. It
+// returns nil if the task still doesn't fit or more than maxLostWork would be lost.
+func nextSlot(s *Pending, w *Worker, capacity model.Resources, maxLostWork float64) *slotOption {
 	if s.Step.Need.Fits(capacity) {
-		return option
+		return &slotOption{worker: w}
 	}
+	option := slotOption{worker: w}
 	for _, v := range w.victimsByLoss() {
 		if v.selected || v.Priority <= s.Queue.Priority {
 			continue
@@ -166,8 +172,11 @@
 		capacity = capacity.Add(v.Need)
 		option.victims = append(option.victims, v)
 		option.lost += v.LostWork
+		if option.lost > maxLostWork {
+			return nil
+		}
 		if s.Step.Need.Fits(capacity) {
-			return option
+			return &option
 		}
 	}
 	return nil
