--- a/internal/fdlimit/budget.go
+++ b/internal/fdlimit/budget.go
@@ -29,9 +29,9 @@
 
 	// Shares of the descriptors that storage leaves, in percent. The rest is for
 	// peers.
-	inboundPercent   = 30
-	longPollsPercent = 35
-	ordersPercent    = 15
+	inboundPercent   = 27
+	longPollsPercent = 30
+	ordersPercent    = 33
 )
 
 // Split divides the limit. A limit of 0 stands for one that is not known.
