Search preemptions without an allocation a worker

Cause: a plan with many waiting gangs allocated the victims of each eligible worker of each gang. Change: the search keeps only the cost of a worker's next slot; the victims are named once the slot is taken.

--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -15,12 +15,13 @@
 	maxLostWorkShareUrgent = 0.40
 )
 
-// slotOption is the next task slot on a worker, the runs to preempt for it, and
-// the work that is lost with them in core-milliseconds.
+// slotOption is the next task slot on a worker.
 type slotOption struct {
-	worker  *Worker
-	victims []*Victim
-	lost    float64
+	// possible reports that there is such a slot.
+	possible bool
+	// lost is the work that is lost with the runs to preempt for it, in
+	// core-milliseconds.
+	lost float64
 }
 
 // preemption assigns a gang to free capacity and to that of less urgent runs. slots
@@ -60,12 +61,12 @@
 // have one element for each eligible worker.
 type slotSearch struct {
 	pending *Pending
-	// options holds the next slot of each worker, nil if it has none. free holds
-	// the worker's future free capacity beyond the slots taken so far, and taken
-	// the number of these.
-	options []*slotOption
-	free    []model.Resources
-	taken   []int
+	workers []*Worker
+	options []slotOption
+	// free holds the worker's future free capacity beyond the slots taken so far, and
+	// taken the number of these.
+	free  []model.Resources
+	taken []int
 	// maxLostWork limits the work that a slot may lose.
 	maxLostWork float64
 }
@@ -87,44 +88,78 @@
 			deselect(c.victims)
 			return nil
 		}
-		next := search.options[i]
-		lost += next.lost
-		c.slots = append(c.slots, next.worker)
-		for _, v := range next.victims {
-			v.selected = true
-			c.victims, c.victimWorkers = append(c.victims, v), append(c.victimWorkers, next.worker)
-		}
-		search.take(i)
+		lost += search.options[i].lost
+		search.take(i, c)
 	}
 	return c
 }
 
 func newSlotSearch(s *Pending, eligible []*Worker, maxLostWork float64) *slotSearch {
 	search := &slotSearch{
-		pending: s, maxLostWork: maxLostWork, options: make([]*slotOption, len(eligible)), free: make([]model.Resources, len(eligible)), taken: make([]int, len(eligible)),
+		pending: s, workers: eligible, maxLostWork: maxLostWork, options: make([]slotOption, len(eligible)),
+		free: make([]model.Resources, len(eligible)), taken: make([]int, len(eligible)),
 	}
 	for i, w := range eligible {
 		search.free[i] = futureFreeCapacity(w)
-		search.options[i] = search.nextOption(i, w)
+		search.options[i] = search.nextOption(i)
 	}
 	return search
 }
 
-// nextOption returns the next slot of the worker with index i, nil if it has none.
-func (f *slotSearch) nextOption(i int, w *Worker) *slotOption {
-	s := f.pending
+// nextOption returns the next slot of the worker with index i. It loses the work of
+// the runs that nextVictims returns.
+func (f *slotSearch) nextOption(i int) slotOption {
+	s, w := f.pending, f.workers[i]
 	if s.Step.MaxPerWorker > 0 && s.OnWorker[w.ID]+f.taken[i] >= s.Step.MaxPerWorker {
-		return nil
+		return slotOption{}
+	}
+	capacity, lost := f.free[i], 0.0
+	if s.Step.Need.Fits(capacity) {
+		return slotOption{possible: true}
 	}
-	return nextSlot(s, w, f.free[i], f.maxLostWork)
+	for _, v := range w.victimsByLoss() {
+		if !v.mayYieldTo(s) {
+			continue
+		}
+		capacity = capacity.Add(v.Need)
+		if lost += v.LostWork; lost > f.maxLostWork {
+			break
+		}
+		if s.Step.Need.Fits(capacity) {
+			return slotOption{possible: true, lost: lost}
+		}
+	}
+	return slotOption{}
 }
 
+// nextVictims returns the runs to preempt for the next slot of the worker with index
+// i: less urgent ones in the order of victimsByLoss until the task fits.
+func (f *slotSearch) nextVictims(i int) []*Victim {
+	s := f.pending
+	var victims []*Victim
+	capacity := f.free[i]
+	for _, v := range f.workers[i].victimsByLoss() {
+		if s.Step.Need.Fits(capacity) {
+			break
+		}
+		if v.mayYieldTo(s) {
+			capacity = capacity.Add(v.Need)
+			victims = append(victims, v)
+		}
+	}
+	return victims
+}
+
+// mayYieldTo reports whether the run may be preempted for the step.
+func (v *Victim) mayYieldTo(s *Pending) bool { return !v.selected && v.Priority > s.Queue.Priority }
+
 // cheapest returns the index of the worker whose next slot loses the least work, -1
 // if no worker has one.
 func (f *slotSearch) cheapest() int {
 	best := -1
-	for i, option := range f.options {
-		if option != nil && (best < 0 || option.lost < f.options[best].lost) {
+	for i := range f.options {
+		option := &f.options[i]
+		if option.possible && (best < 0 || option.lost < f.options[best].lost) {
 			best = i
 		}
 		if best >= 0 && f.options[best].lost == 0 {
@@ -134,15 +169,18 @@
 	return best
 }
 
-// take assigns a task to the next slot of the worker with index i.
-func (f *slotSearch) take(i int) {
-	option := f.options[i]
-	for _, v := range option.victims {
+// take adds the next slot of the worker with index i to c, and selects its victims.
+func (f *slotSearch) take(i int, c *preemption) {
+	w := f.workers[i]
+	c.slots = append(c.slots, w)
+	for _, v := range f.nextVictims(i) {
+		v.selected = true
 		f.free[i] = f.free[i].Add(v.Need)
+		c.victims, c.victimWorkers = append(c.victims, v), append(c.victimWorkers, w)
 	}
 	f.free[i] = f.free[i].Sub(f.pending.Step.Need)
 	f.taken[i]++
-	f.options[i] = f.nextOption(i, option.worker)
+	f.options[i] = f.nextOption(i)
 }
 
 // waitingWork returns the estimated work of the waiting tasks, in core-milliseconds.
@@ -157,31 +195,6 @@
 	}
 }
 
-// nextSlot returns the next task slot on a worker with the given free capacity. It
-// preempts less urgent runs in the order of victimsByLoss until the task fits. It
-// returns nil if the task still doesn't fit or more than maxLostWork would be lost.
-func nextSlot(s *Pending, w *Worker, capacity model.Resources, maxLostWork float64) *slotOption {
-	if s.Step.Need.Fits(capacity) {
-		return &slotOption{worker: w}
-	}
-	option := slotOption{worker: w}
-	for _, v := range w.victimsByLoss() {
-		if v.selected || v.Priority <= s.Queue.Priority {
-			continue
-		}
-		capacity = capacity.Add(v.Need)
-		option.victims = append(option.victims, v)
-		option.lost += v.LostWork
-		if option.lost > maxLostWork {
-			return nil
-		}
-		if s.Step.Need.Fits(capacity) {
-			return &option
-		}
-	}
-	return nil
-}
-
 // victimsByLoss returns the worker's victims, those with the least lost work per
 // core first.
 func (w *Worker) victimsByLoss() []*Victim {
