Lease workers for 8 s, and look at silent ones more often

Cause: a lease of 6 s, last renewed up to 1.2 s before, ends during a partition of 5.5 s, so that a worker that was only cut off lost its running work. Change: leases of 8 s (or max-hold-ms where that is less), and a silent worker is asked every 0.4 s besides the call's time-out, so that its lease is renewed soon after the partition. The price: the runs of a worker that crashed and doesn't come back are declared lost 2 s later. TestBriefPartitionKeepsRuns fails with the former lease.

--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -13,8 +13,9 @@
 
 const (
 	// leaseTerm is the duration of a lease: how long a worker may keep running
-	// its tasks without a renewal. Bounds.MaxLease may shorten it.
-	leaseTerm = 6 * time.Second
+	// its tasks without a renewal. Bounds.MaxLease may shorten it. A partition of
+	// 5.5 s that begins late in a renewalWait must not end the worker's runs.
+	leaseTerm = 8 * time.Second
 	// renewalWait is how long a worker may delay its reply to a renewal until a
 	// run ends.
 	renewalWait = 1200 * time.Millisecond
@@ -34,7 +35,7 @@
 	// renewalRetry is the pause after a failed renewal, and unreachableRetry the
 	// pause once the worker has not answered for unreachableAfter.
 	renewalRetry     = 150 * time.Millisecond
-	unreachableRetry = time.Second
+	unreachableRetry = 400 * time.Millisecond
 	// minClockRate is the lowest assumed rate of a worker's clock relative to
 	// ours.
 	minClockRate = 0.98
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -227,6 +227,23 @@
 
 // Renewals that are not answered must not keep extending the lease of a dead
 // worker, or its runs would never be declared lost.
+// TestBriefPartitionKeepsRuns checks that neither the worker nor the leader ends the
+// runs of a worker that is cut off for 6 s: its lease covers that time from the last
+// renewal that it got, which may have been sent a renewalWait before the cut.
+func TestBriefPartitionKeepsRuns(t *testing.T) {
+	const partition = 6 * time.Second
+	r := newRig(t, oneTask)
+	r.lead()
+	r.startedRun()
+	se := r.sessions[testWorker]
+	rn := r.nextRenewal(se)
+	sentAt := se.estimateClock(r.now())
+	r.clock.Advance(renewalWait + partition)
+	qt.Check(t, rn.order.LeaseMillis > sentAt+(renewalWait+partition).Milliseconds(), qt.IsTrue)
+	r.declareExpiredRunsLost(se, r.now())
+	qt.Check(t, r.ends.ends, qt.HasLen, 0)
+}
+
 func TestUnansweredRenewalsDoNotExtendLease(t *testing.T) {
 	r := newRig(t, oneTask)
 	r.lead()
