Tell callers to stay away longer, the longer the leader is out of reach

With a fixed delay of 2 s, or 1 s where the last attempt's refusal stated none, a caller spends its retries within the outage. Change: the delay is the age of the outage, from 2 to 5 s.

--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -27,9 +27,6 @@
 	// for a leader, about the time that an election takes. After that, calls
 	// are refused at once.
 	leaderWait = 1200 * time.Millisecond
-	// noLeaderRetryAfter is the retry delay given to callers that are refused
-	// because no leader can be reached.
-	noLeaderRetryAfter = 2 * time.Second
 	// helloInterval is the pause after a successful hello.
 	helloInterval = 700 * time.Millisecond
 	// helloRetry is the pause after a failed hello.
@@ -131,6 +128,9 @@
 	last := errNoLeader()
 	for {
 		if !c.Reachable() {
+			if last.Verdict == verdict.NotRun {
+				last = last.WithRetryAfter(retryAfter(c.outage()))
+			}
 			return finalRefusal(last, mayHaveRun)
 		}
 		for _, addr := range c.attemptOrder() {
@@ -157,7 +157,7 @@
 }
 
 func errNoLeader() *verdict.Refusal {
-	return verdict.Refuse(verdict.ReasonNoLeader, "the cell's leader is not reached").WithRetryAfter(noLeaderRetryAfter)
+	return verdict.Refuse(verdict.ReasonNoLeader, "the cell's leader is not reached").WithRetryAfter(minRetryAfter)
 }
 
 // Reachable reports whether calls can be expected to succeed. They cannot once
@@ -168,6 +168,16 @@
 	return c.failingSince == 0 || c.clock.Now().Sub(c.failingSince) < leaderWait
 }
 
+// outage returns for how long attempts have been failing.
+func (c *Client) outage() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failingSince == 0 {
+		return 0
+	}
+	return c.clock.Now().Sub(c.failingSince)
+}
+
 // recordSuccess records that the leader has answered.
 func (c *Client) recordSuccess() {
 	c.mu.Lock()
