--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -8,6 +8,8 @@
 	ends    prometheus.Counter
 	refused *prometheus.CounterVec
 
+	// planSeconds is the time to compute a plan, with its snapshot.
+	planSeconds    prometheus.Histogram
 	preempted      prometheus.Counter
 	adviceRequests *prometheus.CounterVec
 	// firstStart is the time from a job's submission to its first confirmed
@@ -30,6 +32,10 @@
 			Name: "kq_cell_starts_refused_total", Help: "Starts that a worker refused, by reason.",
 		}, []string{"reason"}),
 	}
+	m.planSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "kq_cell_plan_seconds", Help: "Time to compute a plan.",
+		Buckets: prometheus.ExponentialBuckets(0.0002, 2, 12),
+	})
 	m.preempted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kq_cell_preempted_total", Help: "Runs that were stopped for more urgent work.",
 	})
@@ -44,6 +50,6 @@
 		Name: "kq_cell_job_seconds", Help: "Time from a job's record to its end, by queue and final state.",
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 10),
 	}, []string{"queue", "state"})
-	r.MustRegister(m.starts, m.ends, m.refused, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
+	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
 	return m
 }
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -13,6 +13,15 @@
 	"kumquatwing/internal/model"
 )
 
+const (
+	// minPlanPause is the least pause between two plans.
+	minPlanPause = 2 * time.Millisecond
+	// planPauseFactor is the least pause between two plans as a multiple of the time
+	// that the last one took, so that planning leaves most of the processor to the
+	// calls to workers.
+	planPauseFactor = 2
+)
+
 // plan computes a plan for the waiting tasks and commits its starts. Only one
 // plan is committed at a time, so that each plan sees the result of the previous
 // one.
@@ -20,10 +29,18 @@
 	if s.planning || !s.dirty || !s.leads() {
 		return
 	}
+	begin := s.now()
+	if wait := s.nextPlanAt.Sub(begin); wait > 0 {
+		s.planTimer.Reset(wait)
+		return
+	}
 	s.dirty = false
 	var in *plan.Input
 	s.cfg.State.Read(func() { in = s.snapshot() })
 	out := plan.Compute(in)
+	took := s.now().Sub(begin)
+	s.recordPlan(took)
+	s.nextPlanAt = begin.Add(took + max(minPlanPause, planPauseFactor*took))
 	for i := range out.AdviceRequests {
 		s.requestAdvice(ctx, &out.AdviceRequests[i])
 	}
@@ -38,6 +55,21 @@
 	s.propose(ctx, c, func(r cell.Result, err error) { s.onPlanCommitted(ctx, &out, r, err) })
 }
 
+// planStats counts the plans since the last status line.
+type planStats struct {
+	count   int
+	total   time.Duration
+	longest time.Duration
+}
+
+// recordPlan records the time that a plan took.
+func (s *Scheduler) recordPlan(took time.Duration) {
+	s.cfg.Metrics.planSeconds.Observe(took.Seconds())
+	s.plans.count++
+	s.plans.total += took
+	s.plans.longest = max(s.plans.longest, took)
+}
+
 // preempt stops a run to free capacity for more urgent work.
 func (s *Scheduler) preempt(ctx context.Context, st *plan.Stop) {
 	se := s.sessions[st.Worker]
--- /dev/null
+++ b/internal/scheduler/planning_test.go
@@ -0,0 +1,30 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPlansLeaveTimeForCalls checks that events in close succession share a plan, and
+// that the plan which they ask for is computed once the pause is over.
+func TestPlansLeaveTimeForCalls(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	for range 10 {
+		r.dirty = true
+		r.Scheduler.plan(r.ctx)
+	}
+	qt.Check(t, r.plans.count, qt.Equals, 1)
+	qt.Check(t, r.dirty, qt.IsTrue)
+	select {
+	case <-r.planTimer.C:
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing wakes the control loop for the plan that was put off")
+	}
+	r.clock.Advance(minPlanPause)
+	r.Scheduler.plan(r.ctx)
+	qt.Check(t, r.plans.count, qt.Equals, 2)
+	qt.Check(t, r.dirty, qt.IsFalse)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -82,6 +82,11 @@
 	ends endBatch
 	// planning is set while a plan is being committed.
 	planning bool
+	// nextPlanAt is when the next plan may be computed, and planTimer fires then if a
+	// plan is wanted earlier.
+	nextPlanAt clock.Instant
+	planTimer  *time.Timer
+	plans      planStats
 	// creatingOccurrences is set while a command that creates occurrences is
 	// being committed.
 	creatingOccurrences bool
@@ -97,9 +102,10 @@
 // New returns a scheduler that is idle until Lead is called.
 func New(cfg Config) *Scheduler {
 	return &Scheduler{
-		cfg:      cfg,
-		events:   make(chan func(), eventQueueSize),
-		advisers: map[string]*adviserState{},
+		cfg:       cfg,
+		events:    make(chan func(), eventQueueSize),
+		advisers:  map[string]*adviserState{},
+		planTimer: time.NewTimer(time.Hour),
 	}
 }
 
@@ -132,6 +138,7 @@
 			s.dirty = true
 		case event := <-s.events:
 			event()
+		case <-s.planTimer.C:
 		case <-ticker.C:
 			s.housekeep(ctx)
 		}
@@ -165,7 +172,7 @@
 	s.admissions = map[cell.JobID]admission{}
 	s.shareBuckets = map[string]*tokenBucket{}
 	s.ends, s.longPolls = endBatch{}, 0
-	s.planning, s.creatingOccurrences, s.dirty, s.nextCleanup = false, false, true, 0
+	s.planning, s.creatingOccurrences, s.dirty, s.nextCleanup, s.nextPlanAt = false, false, true, 0, 0
 	s.synced = false
 	for _, a := range s.advisers {
 		a.busy = false
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -86,10 +86,10 @@
 	stopAcceptedAt clock.Instant
 	stopInFlight   bool
 	// stopSent is set once a stop was sent.
-	stopSent bool
-	nextStopAt     clock.Instant
-	checkpoint     string
-	percent        int
+	stopSent   bool
+	nextStopAt clock.Instant
+	checkpoint string
+	percent    int
 	// lastProgress is when percent last changed, or the run was created or
 	// confirmed.
 	lastProgress clock.Instant
