Find the workers of an advice request without sorting the whole pool

Each urgent step without advice sorted 1,100 workers with map look-ups in the comparison. Change: the pool is sorted by free CPU once a plan, and a request takes the first workers that serve; eligible workers are kept sorted by step; gangs beyond twice those that may reserve search no preemption. The pause between plans is as long as the last plan.

--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"kumquatwing/internal/cell"
@@ -57,50 +58,88 @@
 	if !p.mayRequestAdvice(s) {
 		return
 	}
-	var candidates []*Worker
-	for _, w := range p.pools[s.Pool] {
-		if fits(s, w) && p.mayBeEligible(s, w) && !p.hasValidTicket(s, w) {
-			candidates = append(candidates, w)
-		}
+	p.addAdviceRequest(s, p.chooseWorkers(s, p.adviceOrder(s), float64(missing)*requestOversampling, maxRequestWorkers, freeSlots))
+}
+
+// adviceOrder yields the workers that an advice request for the step may name, in the
+// order of requestAdvice. The CPU that was free at the start of the plan counts. The
+// consumer usually needs only the first few, which are found without a look at the
+// rest.
+func (p *planner) adviceOrder(s *Pending) iter.Seq[*Worker] {
+	usable := func(w *Worker, suspect bool) bool {
+		return w.Suspect == suspect && fits(s, w) && !p.hasValidTicket(s, w)
 	}
-	slices.SortStableFunc(candidates, func(a, b *Worker) int {
-		if a.Suspect != b.Suspect {
-			return compareBool(a.Suspect, b.Suspect)
-		}
-		if eligibleA, eligibleB := p.isEligible(s, a), p.isEligible(s, b); eligibleA != eligibleB {
-			return compareBool(eligibleB, eligibleA)
+	return func(yield func(*Worker) bool) {
+		for _, suspect := range []bool{false, true} {
+			eligible := slices.Clone(p.eligible(s))
+			slices.SortStableFunc(eligible, func(a, b *Worker) int { return cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU) })
+			for _, w := range eligible {
+				if usable(w, suspect) && !yield(w) {
+					return
+				}
+			}
+			for _, w := range p.leastFreeFirst(s.Pool) {
+				if usable(w, suspect) && p.notEvaluated(s, w) && !yield(w) {
+					return
+				}
+			}
 		}
-		return cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU)
-	})
-	p.addAdviceRequest(s, p.chooseWorkers(s, candidates, float64(missing)*requestOversampling, maxRequestWorkers, freeSlots))
+	}
+}
+
+// leastFreeFirst returns the pool's workers in the order of the CPU that was free when
+// it was first called in this plan. The caller must not modify the slice.
+func (p *planner) leastFreeFirst(pool string) []*Worker {
+	if sorted, ok := p.poolsByFree[pool]; ok {
+		return sorted
+	}
+	sorted := slices.Clone(p.pools[pool])
+	slices.SortStableFunc(sorted, func(a, b *Worker) int { return cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU) })
+	p.poolsByFree[pool] = sorted
+	return sorted
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
+// gangCandidate is a worker that an advice request for a gang may name, with the
+// number of the gang's task slots on it.
+type gangCandidate struct {
+	worker *Worker
+	slots  int
+}
+
+// compareGangCandidates orders suspect workers last, then those with the most slots
+// first, then by input order.
+func compareGangCandidates(a, b gangCandidate) int {
+	if a.worker.Suspect != b.worker.Suspect {
+		if a.worker.Suspect {
+			return 1
+		}
 		return -1
 	}
-	return 1
+	return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(a.worker.inputIndex, b.worker.inputIndex))
 }
 
-// requestGangAdvice requests advice for a gang. It lists the candidates with the
-// most task slots first and suspect ones last. Capacity that is being released or
-// can be preempted counts. candidates is sorted in place.
-func (p *planner) requestGangAdvice(s *Pending, candidates []*Worker) {
+// requestGangAdvice requests advice for a gang about the workers that accept returns
+// true for. It lists those with the most task slots first and suspect ones last.
+// Capacity that is being released or can be preempted counts.
+func (p *planner) requestGangAdvice(s *Pending, accept func(*Pending, *Worker) bool) {
 	if !p.mayRequestAdvice(s) {
 		return
 	}
-	slots := func(s *Pending, w *Worker) int { return slotsIn(s, w, w.availableTo(s.Queue.Priority)) }
-	slices.SortStableFunc(candidates, func(a, b *Worker) int {
-		if a.Suspect != b.Suspect {
-			return compareBool(a.Suspect, b.Suspect)
+	var candidates []gangCandidate
+	for _, w := range p.pools[s.Pool] {
+		if w.hasLabel(s.Step.Requires) && accept(s, w) {
+			candidates = append(candidates, gangCandidate{w, availableSlots(s, w)})
+		}
+	}
+	slices.SortFunc(candidates, compareGangCandidates)
+	order := func(yield func(*Worker) bool) {
+		for i := range candidates {
+			if !yield(candidates[i].worker) {
+				return
+			}
 		}
-		return cmp.Compare(slots(s, b), slots(s, a))
-	})
-	ids := p.chooseWorkers(s, candidates, float64(len(s.Waiting))*gangRequestOversampling, maxGangRequestWorkers, slots)
+	}
+	ids := p.chooseWorkers(s, order, float64(len(s.Waiting))*gangRequestOversampling, maxGangRequestWorkers, availableSlots)
 	requested := 0
 	for batch := range slices.Chunk(ids, gangBatchSize) {
 		if p.in.IdleAdvisers <= p.reservedAdvisers(s) || (requested >= minGangBatches && !p.advisersIdle()) {
@@ -111,6 +150,10 @@
 	}
 }
 
+// availableSlots returns the number of the step's task slots on the worker, with those
+// that preemption would free.
+func availableSlots(s *Pending, w *Worker) int { return slotsIn(s, w, w.availableTo(s.Queue.Priority)) }
+
 // availableTo returns the worker's future free capacity plus the capacity of the
 // tasks that work of the given priority may preempt.
 func (w *Worker) availableTo(priority int) model.Resources {
@@ -190,14 +233,14 @@
 // provide wantSlots task slots on eligible workers: at least minRequestWorkers if
 // there are so many, and at most maxWorkers. The slots of workers that have not been
 // evaluated are weighted by the queue's eligible share.
-func (p *planner) chooseWorkers(s *Pending, candidates []*Worker, wantSlots float64, maxWorkers int, slots func(*Pending, *Worker) int) []cell.WorkerID {
+func (p *planner) chooseWorkers(s *Pending, candidates iter.Seq[*Worker], wantSlots float64, maxWorkers int, slots func(*Pending, *Worker) int) []cell.WorkerID {
 	eligibleShare := p.in.EligibleShare[s.Queue.Name]
 	if eligibleShare <= 0 {
 		eligibleShare = defaultEligibleShare
 	}
 	var ids []cell.WorkerID
 	expectedSlots := 0.0
-	for _, w := range candidates {
+	for w := range candidates {
 		if len(ids) == maxWorkers || (expectedSlots >= wantSlots && len(ids) >= minRequestWorkers) {
 			break
 		}
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -14,6 +14,10 @@
 	// is n/workersPerReservingGang, but at least minReservingGangs.
 	minReservingGangs       = 2
 	workersPerReservingGang = 50
+	// searchedGangsFactor limits the waiting gangs for which a plan searches runs to
+	// preempt, as a multiple of those that may reserve capacity. The search takes
+	// long, and the less urgent gangs would find little left.
+	searchedGangsFactor = 2
 	// mostlyFreeShare is the free share of a pool's CPU capacity from which on a
 	// gang that doesn't fit requests advice about more workers instead of reserving
 	// capacity.
@@ -43,30 +47,29 @@
 		return
 	}
 	if s.Advice != nil && len(s.Advice.Evaluated) == 0 {
-		p.requestGangAdvice(s, p.candidates(s, p.mayBeEligible))
+		p.requestGangAdvice(s, p.mayBeEligible)
+		return
+	}
+	p.waitingGangs++
+	if p.waitingGangs > p.maxReservingGangs(s)*searchedGangsFactor {
+		p.requestGangAdvice(s, p.notEvaluated)
 		return
 	}
 	p.preemptOrReserve(s, withLabel(s, slices.Clone(p.eligible(s))))
 }
 
+// maxReservingGangs returns how many gangs may reserve free capacity in the step's
+// pool while they wait for more.
+func (p *planner) maxReservingGangs(s *Pending) int {
+	return max(minReservingGangs, len(p.pools[s.Pool])/workersPerReservingGang)
+}
+
 // withLabel deletes the workers without the label that the step requires from ws,
 // in place.
 func withLabel(s *Pending, ws []*Worker) []*Worker {
 	return slices.DeleteFunc(ws, func(w *Worker) bool { return !w.hasLabel(s.Step.Requires) })
 }
 
-// candidates returns the workers of the step's pool that have the required label
-// and that accept returns true for, whatever their free capacity.
-func (p *planner) candidates(s *Pending, accept func(*Pending, *Worker) bool) []*Worker {
-	var candidates []*Worker
-	for _, w := range p.pools[s.Pool] {
-		if w.hasLabel(s.Step.Requires) && accept(s, w) {
-			candidates = append(candidates, w)
-		}
-	}
-	return candidates
-}
-
 // isEligible reports whether the placement policy lets the worker run the step,
 // even if its ticket has expired.
 func (p *planner) isEligible(s *Pending, w *Worker) bool {
@@ -210,16 +213,12 @@
 // or if the pool is mostly free, it reserves nothing and requests advice about
 // workers that have not been evaluated.
 func (p *planner) reservePartial(s *Pending, eligible []*Worker) {
-	if p.emptySlots(s, eligible) < len(s.Waiting) {
-		p.requestGangAdvice(s, p.candidates(s, p.notEvaluated))
-		return
-	}
-	if p.freeShare(s.Pool) >= mostlyFreeShare {
-		p.requestGangAdvice(s, p.candidates(s, p.notEvaluated))
+	if p.emptySlots(s, eligible) < len(s.Waiting) || p.freeShare(s.Pool) >= mostlyFreeShare {
+		p.requestGangAdvice(s, p.notEvaluated)
 		return
 	}
 	p.prepareTickets(s, eligible)
-	if p.reservingGangs >= max(minReservingGangs, len(p.pools[s.Pool])/workersPerReservingGang) {
+	if p.reservingGangs >= p.maxReservingGangs(s) {
 		return
 	}
 	p.reservingGangs++
@@ -243,8 +242,8 @@
 	if s.Advice == nil || !p.advisersIdle() {
 		return
 	}
-	if candidates := p.candidates(s, p.notEvaluated); len(candidates) > 0 {
-		p.requestGangAdvice(s, candidates)
+	if slices.ContainsFunc(p.pools[s.Pool], func(w *Worker) bool { return w.hasLabel(s.Step.Requires) && p.notEvaluated(s, w) }) {
+		p.requestGangAdvice(s, p.notEvaluated)
 		return
 	}
 	if p.renewingGangs == maxRenewingGangs {
--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -255,7 +255,7 @@
 			j.advice.Evaluated[w] = true
 			if isEligible(j, w) {
 				valid := time.Duration(j.class.queue.Advice.ValidMillis) * time.Millisecond
-				j.advice.Eligible[w] = Ticket{Token: "t", ExpiresAt: l.now.Add(valid - ticketMargin)}
+				j.advice.SetEligible(w, Ticket{Token: "t", ExpiresAt: l.now.Add(valid - ticketMargin)})
 			}
 		}
 		return true
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -31,6 +32,33 @@
 	Evaluated map[cell.WorkerID]bool
 	// InFlight is the number of advice requests that have not been answered.
 	InFlight int
+	// sortedEligible caches the keys of Eligible in ascending order; nil if it is
+	// outdated.
+	sortedEligible []cell.WorkerID
+}
+
+// SetEligible records that the placement policy lets the worker run the step, with the
+// given ticket.
+func (a *StepAdvice) SetEligible(id cell.WorkerID, t Ticket) {
+	if _, ok := a.Eligible[id]; !ok {
+		a.sortedEligible = nil
+	}
+	a.Eligible[id] = t
+}
+
+// SetIneligible records that the placement policy doesn't let the worker run the step.
+func (a *StepAdvice) SetIneligible(id cell.WorkerID) {
+	delete(a.Eligible, id)
+	a.sortedEligible = nil
+}
+
+// eligibleIDs returns the eligible workers in ascending order. The caller must not
+// modify the slice.
+func (a *StepAdvice) eligibleIDs() []cell.WorkerID {
+	if a.sortedEligible == nil {
+		a.sortedEligible = slices.Sorted(maps.Keys(a.Eligible))
+	}
+	return a.sortedEligible
 }
 
 // Worker is a worker in the snapshot.
@@ -109,7 +137,7 @@
 	Remaining time.Duration
 	// Advice is nil if the queue has no placement policy.
 	Advice *StepAdvice
-	// eligible caches the result of planner.eligible.
+	// eligible caches the result of planner.eligible, nil before the first call.
 	eligible []*Worker
 }
 
@@ -161,6 +189,10 @@
 	// pools maps pool names to workers in input order.
 	pools map[string][]*Worker
 	byID  map[cell.WorkerID]*Worker
+	// poolsByFree caches the results of leastFreeFirst.
+	poolsByFree map[string][]*Worker
+	// waitingGangs counts the gangs that did not fit into the free capacity.
+	waitingGangs int
 	// reservingGangs counts the gangs that reserve free capacity which does not
 	// suffice for them yet.
 	reservingGangs int
@@ -172,7 +204,7 @@
 // subtracts what the plan uses from the workers' free capacity, the quotas and
 // in.IdleAdvisers, and updates OnWorker and Advice.InFlight of the pending steps.
 func Compute(in *Input) Output {
-	p := &planner{in: in, pools: map[string][]*Worker{}, byID: make(map[cell.WorkerID]*Worker, len(in.Workers))}
+	p := &planner{in: in, pools: map[string][]*Worker{}, poolsByFree: map[string][]*Worker{}, byID: make(map[cell.WorkerID]*Worker, len(in.Workers))}
 	for i := range in.Workers {
 		w := &in.Workers[i]
 		w.inputIndex = i
@@ -322,7 +354,7 @@
 }
 
 // eligible returns the workers of the step's pool that are eligible for the step, in
-// input order and including those with expired tickets. Without a placement policy
+// the order of their IDs and including those with expired tickets. Without a placement policy
 // it returns the whole pool. The caller must not modify the slice.
 func (p *planner) eligible(s *Pending) []*Worker {
 	if s.Advice == nil {
@@ -332,12 +364,11 @@
 		return s.eligible
 	}
 	s.eligible = make([]*Worker, 0, len(s.Advice.Eligible))
-	for id := range s.Advice.Eligible {
+	for _, id := range s.Advice.eligibleIDs() {
 		if w := p.byID[id]; w != nil && w.Pool == s.Pool {
 			s.eligible = append(s.eligible, w)
 		}
 	}
-	slices.SortFunc(s.eligible, func(a, b *Worker) int { return cmp.Compare(a.inputIndex, b.inputIndex) })
 	return s.eligible
 }
 
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -154,9 +154,9 @@
 		}
 		st.Evaluated[w] = true
 		if ok {
-			st.Eligible[w] = plan.Ticket{Token: token, ExpiresAt: until}
+			st.SetEligible(w, plan.Ticket{Token: token, ExpiresAt: until})
 		} else {
-			delete(st.Eligible, w)
+			st.SetIneligible(w)
 		}
 	}
 	if evaluated > 0 {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -127,7 +127,7 @@
 		return
 	case RefusedTicket:
 		if a := s.advice[k.StepKey()]; a != nil {
-			a.Eligible[se.target.ID] = expireTicket(a.Eligible[se.target.ID])
+			a.SetEligible(se.target.ID, expireTicket(a.Eligible[se.target.ID]))
 		}
 	case RefusedFence:
 		r.status = runUnconfirmed
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -19,7 +19,7 @@
 	// planPauseFactor is the least pause between two plans as a multiple of the time
 	// that the last one took, so that planning leaves most of the processor to the
 	// calls to workers.
-	planPauseFactor = 2
+	planPauseFactor = 1
 )
 
 // plan computes a plan for the waiting tasks and commits its starts. Only one
