Ask about workers with room when a small urgent gang does not fit

Change: a gang whose policy decides in under 30 ms asks at once about workers that have room now, and its requests need only an idle adviser.

--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -33,11 +33,14 @@
 	// ratio is higher for a gang, since all of its tasks must fit at once.
 	requestOversampling     = 2.0
 	gangRequestOversampling = 5.0
+	// quickGangOversampling is the ratio for a gang whose policy is quick, since a
+	// further request soon follows.
+	quickGangOversampling = 3.0
 	// minRequestWorkers is the minimum number of workers in a request, provided
 	// that there are so many candidates.
 	minRequestWorkers = 6
 	// slowDecideMillis and mediumDecideMillis are thresholds of a policy's
-	// decision time, in milliseconds. A request to a policy at or above a
+	// decision time, in milliseconds. Policies below both are quick. A request to a policy at or above a
 	// threshold must leave the matching share of all advisers idle for faster
 	// policies.
 	slowDecideMillis    = 200.0
@@ -61,6 +64,39 @@
 	p.addAdviceRequest(s, p.chooseWorkers(s, p.adviceOrder(s), float64(missing)*requestOversampling, maxRequestWorkers, freeSlots))
 }
 
+// requestFreeWorkers requests advice for a gang about workers that have free task slots
+// now, and reports whether such a request is sent or in flight. It does so only for
+// quick policies: their answer is there before the capacity is taken, so that the gang
+// need not wait for the workers that it was told about earlier.
+func (p *planner) requestFreeWorkers(s *Pending) bool {
+	if s.Advice == nil || !s.hasQuickPolicy() {
+		return false
+	}
+	if s.Advice.InFlight > 0 {
+		return true
+	}
+	if !p.mayRequestAdvice(s) {
+		return false
+	}
+	ids := p.chooseWorkers(s, p.adviceOrder(s), float64(len(s.Waiting))*quickGangOversampling, maxRequestWorkers, freeSlots)
+	slots := 0
+	for _, id := range ids {
+		slots += freeSlots(s, p.byID[id])
+	}
+	for _, w := range p.withValidTickets(s) {
+		slots += freeSlots(s, w)
+	}
+	if len(ids) == 0 || slots < len(s.Waiting) {
+		return false
+	}
+	p.addAdviceRequest(s, ids)
+	return true
+}
+
+// hasQuickPolicy reports whether the placement policy answers requests for the step
+// quickly.
+func (s *Pending) hasQuickPolicy() bool { return s.Queue.Advice.DecideMillis < mediumDecideMillis }
+
 // adviceOrder yields the workers that an advice request for the step may name, in the
 // order of requestAdvice. The CPU that was free at the start of the plan counts. The
 // consumer usually needs only the first few, which are found without a look at the
@@ -142,7 +178,7 @@
 	ids := p.chooseWorkers(s, order, float64(len(s.Waiting))*gangRequestOversampling, maxGangRequestWorkers, availableSlots)
 	requested := 0
 	for batch := range slices.Chunk(ids, gangBatchSize) {
-		if p.in.IdleAdvisers <= p.reservedAdvisers(s) || (requested >= minGangBatches && !p.advisersIdle()) {
+		if p.in.IdleAdvisers <= p.reservedAdvisers(s) || (requested >= minGangBatches && !p.advisersIdle(s)) {
 			return
 		}
 		p.addAdviceRequest(s, batch)
@@ -188,9 +224,13 @@
 	}
 }
 
-// advisersIdle reports whether enough advisers are idle for a low-priority
-// request.
-func (p *planner) advisersIdle() bool {
+// advisersIdle reports whether enough advisers are idle for a low-priority request for
+// the step. One to a quick policy occupies its adviser for so short a time that any
+// idle one will do.
+func (p *planner) advisersIdle(s *Pending) bool {
+	if s.hasQuickPolicy() {
+		return p.in.IdleAdvisers > 0
+	}
 	return float64(p.in.IdleAdvisers) > minIdleAdviserShare*float64(p.in.AllAdvisers)
 }
 
@@ -199,10 +239,10 @@
 // A gang that can no longer end in time is served only while enough advisers
 // are idle.
 func (p *planner) mayRequestAdvice(s *Pending) bool {
-	if p.in.Now > s.latestStart() && s.Step.Gang && !p.advisersIdle() {
+	if s.Advice == nil || (p.in.Now > s.latestStart() && s.Step.Gang && !p.advisersIdle(s)) {
 		return false
 	}
-	return s.Advice != nil && s.Advice.InFlight == 0 && p.in.IdleAdvisers > p.reservedAdvisers(s)
+	return s.Advice.InFlight == 0 && p.in.IdleAdvisers > p.reservedAdvisers(s)
 }
 
 // reservedAdvisers returns the number of advisers that a request for the step
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -46,6 +46,9 @@
 		}
 		return
 	}
+	if p.requestFreeWorkers(s) {
+		return
+	}
 	if s.Advice != nil && len(s.Advice.Evaluated) == 0 {
 		p.requestGangAdvice(s, p.mayBeEligible)
 		return
@@ -239,7 +242,7 @@
 // the tickets of the first maxRenewingGangs such gangs valid, so that they start as
 // soon as there is enough capacity.
 func (p *planner) prepareTickets(s *Pending, eligible []*Worker) {
-	if s.Advice == nil || !p.advisersIdle() {
+	if s.Advice == nil || !p.advisersIdle(s) {
 		return
 	}
 	if slices.ContainsFunc(p.pools[s.Pool], func(w *Worker) bool { return w.hasLabel(s.Step.Requires) && p.notEvaluated(s, w) }) {
--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -470,3 +470,34 @@
 		})
 	}
 }
+
+// urgentGangLoad returns scaledLoad with three in ten of the extracts as small gangs,
+// as many as the yearbook workspace submits.
+func urgentGangLoad() []loadClass {
+	classes := scaledLoad()
+	gangs := classes[2]
+	gangs.name, gangs.gang, gangs.meanTasks = "extract-gang", true, 3
+	gangs.jobsPerSecond *= 0.3
+	classes[2].jobsPerSecond *= 0.7
+	return append(classes, gangs)
+}
+
+// Small urgent gangs have a quick placement policy. While longer work fills most of the
+// workers and slow policies occupy most of the advisers, as on the heaviest days, they
+// must be served like urgent jobs that are no gangs.
+func TestUrgentGangsAreServedUnderLoad(t *testing.T) {
+	for _, burst := range []float64{1.8, 3} {
+		sc := scenario{fmt.Sprintf("192 workers, burst %.1f", burst), 192, 26, urgentGangLoad(), burst, 20 * time.Millisecond}
+		t.Run(sc.name, func(t *testing.T) {
+			results := simulate(sc, 7, Compute)
+			single, gangs := results["extract"], results["extract-gang"]
+			for _, c := range sc.classes {
+				r := results[c.name]
+				t.Logf("%-12s submitted %4d: in time %4d, late %3d", c.name, r.submitted, r.inTime, r.late)
+			}
+			inTime := func(r *classResult) float64 { return float64(r.inTime) / float64(r.submitted) }
+			qt.Check(t, inTime(gangs) >= 0.99*inTime(single), qt.IsTrue, qt.Commentf("in time: gangs %.3f, others %.3f", inTime(gangs), inTime(single)))
+			qt.Check(t, gangs.servedShare() >= 0.99*single.servedShare(), qt.IsTrue, qt.Commentf("served: %.3f of the gangs", gangs.servedShare()))
+		})
+	}
+}
