--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -51,8 +51,12 @@
 		return
 	}
 	s.planning = true
+	proposedAt := s.now()
 	c := &cell.Command{Starts: &cell.Starts{Starts: out.Starts}}
-	s.propose(ctx, c, func(r cell.Result, err error) { s.onPlanCommitted(ctx, &out, r, err) })
+	s.propose(ctx, c, func(r cell.Result, err error) {
+		s.loop.committing += s.now().Sub(proposedAt)
+		s.onPlanCommitted(ctx, &out, r, err)
+	})
 }
 
 // planStats counts the plans since the last status line.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -87,6 +87,7 @@
 	nextPlanAt clock.Instant
 	planTimer  *time.Timer
 	plans      planStats
+	loop       loopStats
 	// creatingOccurrences is set while a command that creates occurrences is
 	// being committed.
 	creatingOccurrences bool
@@ -142,14 +143,25 @@
 		case <-ticker.C:
 			s.housekeep(ctx)
 		}
+		wokenAt := s.now()
 		s.drainEvents()
 		if ctx.Err() != nil {
 			return
 		}
 		s.step(ctx)
+		s.loop.busy += s.now().Sub(wokenAt)
 	}
 }
 
+// loopStats measures the control loop since the last status line.
+type loopStats struct {
+	// events counts the events, and busy is the time spent on them and on plans.
+	events int
+	busy   time.Duration
+	// committing is the time in which a plan was being committed.
+	committing time.Duration
+}
+
 // takeOver commits this scheduler's term, after which the cell rejects the
 // commands of all earlier schedulers as stale.
 func (s *Scheduler) takeOver(ctx context.Context) error {
@@ -196,6 +208,7 @@
 	for {
 		select {
 		case event := <-s.events:
+			s.loop.events++
 			event()
 		default:
 			return
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"runtime"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,8 +56,9 @@
 	s.cfg.Log.Info("cell status", zap.Int64("cores", capacity/1000), zap.Int64("usable", usable/1000),
 		zap.Int64("used", used/1000), zap.Int("jobs", active), zap.Int64("waiting_tasks", waitingTasks),
 		zap.Ints("workers_by_free_quarter", workersByBand[:]), zap.Any("waiting_steps", waiting), zap.Any("millicpu", held), zap.Int("advisers_idle", idle), zap.Int("advisers", all),
-		zap.Int("plans", s.plans.count), zap.Duration("planning", s.plans.total), zap.Duration("longest_plan", s.plans.longest), zap.Int("long_polls", s.longPolls))
-	s.plans = planStats{}
+		zap.Int("plans", s.plans.count), zap.Duration("planning", s.plans.total), zap.Duration("longest_plan", s.plans.longest), zap.Int("long_polls", s.longPolls),
+		zap.Int("events", s.loop.events), zap.Duration("busy", s.loop.busy), zap.Duration("committing", s.loop.committing), zap.Int("goroutines", runtime.NumGoroutine()))
+	s.plans, s.loop = planStats{}, loopStats{}
 }
 
 // freeCPUBands is the number of equal bands of free CPU share into which the
