--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -22,11 +22,10 @@
 	planPauseFactor = 1
 )
 
-// plan computes a plan for the waiting tasks and commits its starts. Only one
-// plan is committed at a time, so that each plan sees the result of the previous
-// one.
+// plan computes a plan for the waiting tasks and commits its starts. Up to
+// maxPlansInFlight plans are committed at a time.
 func (s *Scheduler) plan(ctx context.Context) {
-	if s.planning || !s.dirty || !s.leads() {
+	if s.pipeline.plans >= maxPlansInFlight || !s.dirty || !s.leads() {
 		return
 	}
 	begin := s.now()
@@ -50,7 +49,7 @@
 	if len(out.Starts) == 0 {
 		return
 	}
-	s.planning = true
+	s.cfg.State.Read(func() { s.pipeline.add(s.cfg.State, out.Starts) })
 	proposedAt := s.now()
 	c := &cell.Command{Starts: &cell.Starts{Starts: out.Starts}}
 	s.propose(ctx, c, func(r cell.Result, err error) {
@@ -93,7 +92,8 @@
 // onPlanCommitted sends the starts that the cell accepted when it applied the
 // plan.
 func (s *Scheduler) onPlanCommitted(ctx context.Context, out *plan.Output, r cell.Result, err error) {
-	s.planning, s.dirty = false, true
+	s.pipeline.remove(out.Starts)
+	s.dirty = true
 	if err != nil {
 		s.cfg.Log.Warn("could not commit plan, planning again", zap.Int("starts", len(out.Starts)), zap.Error(err))
 		return
@@ -126,11 +126,11 @@
 // state only values that are never modified in place: steps, queues and labels.
 // The state is locked.
 func (s *Scheduler) snapshot() *plan.Input {
-	now := s.now()
+	now, proposed := s.now(), s.pipeline.use(s.cfg.State)
 	in := &plan.Input{
 		Now:           now,
 		StopTime:      s.cfg.Bounds.StopTimeout,
-		Quotas:        s.workspaceLimits(),
+		Quotas:        s.workspaceLimits(proposed.byWorkspace),
 		EligibleShare: s.eligibleShare,
 	}
 	in.IdleAdvisers, in.AllAdvisers = s.countAdvisers(now)
@@ -140,7 +140,7 @@
 	if len(in.Pending) == 0 {
 		return in
 	}
-	s.addWorkers(in, now)
+	s.addWorkers(in, proposed.byWorker, now)
 	slices.SortFunc(in.Pending, func(a, b plan.Pending) int {
 		if a.Key.Job != b.Key.Job {
 			if a.Key.Job < b.Key.Job {
@@ -153,9 +153,9 @@
 	return in
 }
 
-// addWorkers adds the workers that accept new tasks, ordered by ID. The state is
-// locked.
-func (s *Scheduler) addWorkers(in *plan.Input, now clock.Instant) {
+// addWorkers adds the workers that accept new tasks, ordered by ID. proposed is what
+// the plans that are being committed use of each. The state is locked.
+func (s *Scheduler) addWorkers(in *plan.Input, proposed map[cell.WorkerID]model.Resources, now clock.Instant) {
 	preemptable := preemptionTargets(in.Pending)
 	workers := s.cfg.State.SortedWorkers()
 	in.Workers = make([]plan.Worker, 0, len(workers))
@@ -167,7 +167,7 @@
 		speed := se.speed.value(now)
 		pw := plan.Worker{
 			ID: w.ID, Born: w.Born, DC: w.DC, Rack: rackOf(w.Labels), Pool: w.Pool, Labels: w.Labels,
-			Capacity: w.Capacity, Free: w.Free(), Speed: speed,
+			Capacity: w.Capacity, Free: w.Free().Sub(proposed[w.ID]), Speed: speed,
 			Suspect: se.failures.suspect(now) || speed < suspectSpeed,
 		}
 		if preemptable.has(w.ID) {
@@ -255,8 +255,8 @@
 }
 
 // workspaceLimits returns the capacity that each workspace with a limit has left.
-// The state is locked.
-func (s *Scheduler) workspaceLimits() map[string]*plan.Quota {
+// proposed is what the plans that are being committed use of it. The state is locked.
+func (s *Scheduler) workspaceLimits(proposed map[string]model.Resources) map[string]*plan.Quota {
 	out := map[string]*plan.Quota{}
 	c := &s.cfg.State.Config
 	for i := range c.Workspaces {
@@ -265,7 +265,7 @@
 		if limit == (model.Resources{}) {
 			continue
 		}
-		out[w.Name] = &plan.Quota{Limited: true, Remaining: remainingCapacity(limit, s.cfg.State.UsageByWorkspace[w.Name])}
+		out[w.Name] = &plan.Quota{Limited: true, Remaining: remainingCapacity(limit, s.cfg.State.UsageByWorkspace[w.Name].Add(proposed[w.Name]))}
 	}
 	return out
 }
@@ -304,10 +304,13 @@
 		for i := range occ.Steps {
 			st := &occ.Steps[i]
 			waiting := len(st.Tasks) - st.Done - st.Placed
-			if waiting <= 0 || !j.Ready(o, i) || (j.Steps[i].Gang && (st.Held > 0 || st.Placed > 0)) {
+			proposed := s.pipeline.byStep[cell.StepKey{Job: j.ID, Occurrence: o, Step: i}]
+			if waiting <= 0 || !j.Ready(o, i) || (j.Steps[i].Gang && (st.Held > 0 || st.Placed > 0 || proposed > 0)) {
 				continue
 			}
-			ps = append(ps, s.pendingStep(j, q, o, i, adm))
+			if p := s.pendingStep(j, q, o, i, adm); len(p.Waiting) > 0 {
+				ps = append(ps, p)
+			}
 		}
 	}
 	return ps
@@ -325,13 +328,15 @@
 	}
 	tasks := j.Occurrences[o].Steps[i].Tasks
 	for index := range tasks {
-		if tasks[index].Status == cell.TaskWaiting {
+		_, proposed := s.pipeline.starts[cell.TaskKey{Job: j.ID, Occurrence: o, Step: i, Index: index}]
+		if tasks[index].Status == cell.TaskWaiting && !proposed {
 			p.Waiting = append(p.Waiting, index)
 			p.NextRun = append(p.NextRun, tasks[index].Run+1)
 		}
 	}
 	if step.MaxPerWorker > 0 {
 		p.OnWorker = tasksByWorker(tasks)
+		s.pipeline.addTasksByWorker(p.Key, tasks, p.OnWorker)
 	}
 	if q.Advice != nil {
 		p.Advice = s.adviceFor(p.Key)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -80,8 +80,8 @@
 	longPolls int
 
 	ends endBatch
-	// planning is set while a plan is being committed.
-	planning bool
+	// pipeline holds the plans that are being committed.
+	pipeline pipeline
 	// nextPlanAt is when the next plan may be computed, and planTimer fires then if a
 	// plan is wanted earlier.
 	nextPlanAt clock.Instant
@@ -184,7 +184,8 @@
 	s.admissions = map[cell.JobID]admission{}
 	s.shareBuckets = map[string]*tokenBucket{}
 	s.ends, s.longPolls = endBatch{}, 0
-	s.planning, s.creatingOccurrences, s.dirty, s.nextCleanup, s.nextPlanAt = false, false, true, 0, 0
+	s.pipeline = newPipeline()
+	s.creatingOccurrences, s.dirty, s.nextCleanup, s.nextPlanAt = false, true, 0, 0
 	s.synced = false
 	for _, a := range s.advisers {
 		a.busy = false
