Plan late steps less often, and pause for three times a plan's length

Change: steps that are late anyway are in a plan only after five times its length; plans take at most a quarter of the control loop's time. TestLateStepsAreSkippedOnRequest.

--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -239,7 +239,7 @@
 // A gang that can no longer end in time is served only while enough advisers
 // are idle.
 func (p *planner) mayRequestAdvice(s *Pending) bool {
-	if s.Advice == nil || (p.in.Now > s.latestStart() && s.Step.Gang && !p.advisersIdle(s)) {
+	if s.Advice == nil || (s.late(p.in.Now) && s.Step.Gang && !p.advisersIdle(s)) {
 		return false
 	}
 	return s.Advice.InFlight == 0 && p.in.IdleAdvisers > p.reservedAdvisers(s)
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -159,6 +159,9 @@
 	// EligibleShare maps queues to their eligible shares: the share of evaluated workers
 	// that the placement policy lets run a step.
 	EligibleShare map[string]float64
+	// SkipLate leaves out the steps that can no longer meet their deadline. They come
+	// after all others, so that the plan for these is the same.
+	SkipLate bool
 	// IdleAdvisers is the number of idle advisers out of AllAdvisers. Each handles one
 	// advice request at a time.
 	IdleAdvisers int
@@ -213,7 +216,11 @@
 	}
 	sortByUrgency(in.Pending, in.Now)
 	for i := range in.Pending {
-		p.placeStep(&in.Pending[i])
+		s := &in.Pending[i]
+		if in.SkipLate && s.late(in.Now) {
+			break
+		}
+		p.placeStep(s)
 	}
 	return p.out
 }
@@ -244,12 +251,15 @@
 	if s.OverShare {
 		r += overShareRank
 	}
-	if now > s.latestStart() {
+	if s.late(now) {
 		r += lateRank
 	}
 	return r
 }
 
+// late reports whether the step can no longer meet its deadline.
+func (s *Pending) late(now clock.Instant) bool { return now > s.latestStart() }
+
 // latestStart returns the latest time at which the step can start to meet its
 // deadline.
 func (s *Pending) latestStart() clock.Instant { return s.Deadline.Add(-s.Remaining) }
--- a/internal/cell/plan/plan_test.go
+++ b/internal/cell/plan/plan_test.go
@@ -200,6 +200,20 @@
 	qt.Check(t, out.AdviceRequests[0].Workers, qt.DeepEquals, []cell.WorkerID{"w2"})
 }
 
+// TestLateStepsAreSkippedOnRequest checks that a plan without late steps is the same for
+// all others.
+func TestLateStepsAreSkippedOnRequest(t *testing.T) {
+	late := pending("late", 1, 4, 1, false)
+	late.Deadline = testNow
+	for _, skip := range []bool{false, true} {
+		in := input([]Worker{worker("w1", 16)}, late, pending("j", 2, 4, 1, false))
+		in.SkipLate = skip
+		placed := placedOn(Compute(in))
+		qt.Check(t, placed["j"]["w1"], qt.Equals, 2)
+		qt.Check(t, placed["late"]["w1"] == 1, qt.Equals, !skip)
+	}
+}
+
 func TestAdviceRequests(t *testing.T) {
 	ws := []Worker{worker("w1", 16), worker("w2", 2), worker("w3", 0)}
 	out := Compute(input(ws, withAdvice(pending("j", 1, 1, 0, false))))
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -19,7 +19,11 @@
 	// planPauseFactor is the least pause between two plans as a multiple of the time
 	// that the last one took, so that planning leaves most of the processor to the
 	// calls to workers.
-	planPauseFactor = 1
+	planPauseFactor = 3
+	// latePlanFactor is the least time between two plans that include late steps, as a
+	// multiple of the time that the last such plan took. On the heaviest days most of
+	// the waiting gangs are late, and take most of a plan's time.
+	latePlanFactor = 5
 )
 
 // plan computes a plan for the waiting tasks and commits its starts. Up to
@@ -36,8 +40,12 @@
 	s.dirty = false
 	var in *plan.Input
 	s.cfg.State.Read(func() { in = s.snapshot() })
+	in.SkipLate = begin < s.nextLatePlanAt
 	out := plan.Compute(in)
 	took := s.now().Sub(begin)
+	if !in.SkipLate {
+		s.nextLatePlanAt = begin.Add(latePlanFactor * took)
+	}
 	s.recordPlan(took)
 	s.nextPlanAt = begin.Add(took + max(minPlanPause, planPauseFactor*took))
 	for i := range out.AdviceRequests {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -86,8 +86,10 @@
 	// plan is wanted earlier.
 	nextPlanAt clock.Instant
 	planTimer  *time.Timer
-	plans      planStats
-	loop       loopStats
+	// nextLatePlanAt is when the next plan may include late steps.
+	nextLatePlanAt clock.Instant
+	plans          planStats
+	loop           loopStats
 	// creatingOccurrences is set while a command that creates occurrences is
 	// being committed.
 	creatingOccurrences bool
@@ -185,7 +187,7 @@
 	s.shareBuckets = map[string]*tokenBucket{}
 	s.ends, s.longPolls = endBatch{}, 0
 	s.pipeline = newPipeline()
-	s.creatingOccurrences, s.dirty, s.nextCleanup, s.nextPlanAt = false, true, 0, 0
+	s.creatingOccurrences, s.dirty, s.nextCleanup, s.nextPlanAt, s.nextLatePlanAt = false, true, 0, 0, 0
 	s.synced = false
 	for _, a := range s.advisers {
 		a.busy = false
