--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -247,7 +247,7 @@
 	r := &QueueReply{}
 	s.State.Read(func() {
 		for _, j := range s.State.Active {
-			if j.Queue == c.queue && j.State == cell.JobPending {
+			if j.Queue == c.queue && !s.Scheduler.HasBegun(j) {
 				r.Waiting++
 			}
 		}
--- a/internal/fdlimit/budget.go
+++ b/internal/fdlimit/budget.go
@@ -29,9 +29,9 @@
 
 	// Shares of the descriptors that storage leaves, in percent. The rest is for
 	// peers.
-	inboundPercent   = 27
-	longPollsPercent = 30
-	ordersPercent    = 33
+	inboundPercent   = 20
+	longPollsPercent = 29
+	ordersPercent    = 40
 )
 
 // Split divides the limit. A limit of 0 stands for one that is not known.
--- a/internal/fdlimit/fdlimit_test.go
+++ b/internal/fdlimit/fdlimit_test.go
@@ -111,3 +111,12 @@
 	qt.Assert(t, err, qt.IsNil)
 	return conn
 }
+
+// TestLargeFleetFits checks that the limit of the users' control VMs leaves a connection
+// for the orders to each of 1,100 workers and one for its long poll.
+func TestLargeFleetFits(t *testing.T) {
+	const limit, workers = 4124, 1100
+	b := Split(limit)
+	qt.Check(t, b.Orders >= workers*5/4, qt.IsTrue, qt.Commentf("%+v", b))
+	qt.Check(t, b.LongPolls >= workers, qt.IsTrue, qt.Commentf("%+v", b))
+}
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -56,6 +56,7 @@
 				continue
 			}
 			delete(s.admissions, id)
+			s.begun.remove(id)
 			j := s.cfg.State.Jobs[id]
 			if j == nil {
 				continue
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -95,6 +95,7 @@
 	switch {
 	case err == nil:
 		r.status, r.confirmedAt, r.lastProgress = runStarted, now, now
+		s.begun.add(k.Job)
 		s.cfg.Metrics.starts.Inc()
 		if adm, ok := s.admissions[k.Job]; ok && r.number == 1 && k.Index == 0 {
 			s.cfg.Metrics.firstStart.Observe(now.Sub(adm.submittedAt).Seconds())
--- a/internal/scheduler/pipeline.go
+++ b/internal/scheduler/pipeline.go
@@ -7,7 +7,7 @@
 
 // maxPlansInFlight bounds the plans that are being committed at a time. Under load a
 // commit takes several times as long as a plan.
-const maxPlansInFlight = 4
+const maxPlansInFlight = 2
 
 // pipeline holds the starts of the plans that are being committed. Later plans are
 // computed as if these starts were in the state already; the state validates each
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -19,7 +19,7 @@
 	// planPauseFactor is the least pause between two plans as a multiple of the time
 	// that the last one took, so that planning leaves most of the processor to the
 	// calls to workers.
-	planPauseFactor = 3
+	planPauseFactor = 1
 	// latePlanFactor is the least time between two plans that include late steps, as a
 	// multiple of the time that the last such plan took. On the heaviest days most of
 	// the waiting gangs are late, and take most of a plan's time.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -73,6 +73,7 @@
 	queueSpeed map[string]float64
 	// admissions holds what was recorded when this leader first saw a job.
 	admissions map[cell.JobID]admission
+	begun      begunJobs
 	// shareBuckets limits the rate of each workspace's jobs, by workspace.
 	shareBuckets map[string]*tokenBucket
 
@@ -109,6 +110,7 @@
 		events:    make(chan func(), eventQueueSize),
 		advisers:  map[string]*adviserState{},
 		planTimer: time.NewTimer(time.Hour),
+		begun:     begunJobs{ids: map[cell.JobID]bool{}},
 	}
 }
 
@@ -184,6 +186,7 @@
 	s.eligibleShare = map[string]float64{}
 	s.queueSpeed = map[string]float64{}
 	s.admissions = map[cell.JobID]admission{}
+	s.begun.reset()
 	s.shareBuckets = map[string]*tokenBucket{}
 	s.ends, s.longPolls = endBatch{}, 0
 	s.pipeline = newPipeline()
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -454,6 +454,7 @@
 		}
 		if r.status == runInherited || (r.status == runUnconfirmed && !r.stopSent) {
 			r.status, r.confirmedAt, r.stopRequestedAt = runStarted, now, 0
+			s.begun.add(rt.Task.Job)
 		}
 		s.recordProgress(se, rt.Task, r, rt.Percent, now)
 		if rt.Checkpoint != "" {
@@ -480,6 +481,7 @@
 			continue
 		}
 		r.ending = true
+		s.begun.add(f.Task.Job)
 		s.recordOutcome(se, f)
 		s.addEnd(se, f.Task, r, f.Outcome, f.Checkpoint)
 	}
