Try workers that have left every 3 s only

Change: 3 s once the lease has ended, or when a draining worker has nothing to run. TestRenewalRetries.

--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -33,9 +33,12 @@
 	// that the next one lists several at once.
 	endGatherDelay = 50 * time.Millisecond
 	// renewalRetry is the pause after a failed renewal, and unreachableRetry the
-	// pause once the worker has not answered for unreachableAfter.
+	// pause once the worker has not answered for unreachableAfter. goneRetry is the
+	// pause once its lease has ended, or it has nothing to run and shuts down: it
+	// probably won't be back.
 	renewalRetry     = 150 * time.Millisecond
 	unreachableRetry = 400 * time.Millisecond
+	goneRetry        = 3 * time.Second
 	// minClockRate is the lowest assumed rate of a worker's clock relative to
 	// ours.
 	minClockRate = 0.98
@@ -333,7 +336,10 @@
 			o.Wait = min(o.Wait, drainRenewalWait)
 		}
 	}
-	if now.Sub(se.lastReply) > unreachableAfter {
+	switch silence := now.Sub(se.lastReply); {
+	case silence > leaseTerm || (se.draining && len(se.runs) == 0):
+		rn.retryPause = goneRetry
+	case silence > unreachableAfter:
 		rn.retryPause = unreachableRetry
 	}
 	rn.order = o
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -244,6 +244,36 @@
 	qt.Check(t, r.ends.ends, qt.HasLen, 0)
 }
 
+// TestRenewalRetries checks that a worker that may only be cut off is tried again soon,
+// and one that has left costs few calls.
+func TestRenewalRetries(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		silence  time.Duration
+		draining bool
+		runs     int
+		want     time.Duration
+	}{
+		{"missed one renewal", time.Second, false, 1, renewalRetry},
+		{"cut off", 4 * time.Second, false, 1, unreachableRetry},
+		{"silent for longer than a lease", leaseTerm + time.Second, false, 1, goneRetry},
+		{"draining with runs", time.Second, true, 1, renewalRetry},
+		{"draining without runs", time.Second, true, 0, goneRetry},
+	} {
+		r := newRig(t, oneTask)
+		r.lead()
+		if c.runs > 0 {
+			r.startedRun()
+		}
+		se := r.sessions[testWorker]
+		se.draining = c.draining
+		r.clock.Advance(c.silence)
+		rn := r.nextRenewal(se)
+		rn.err = errNoReply
+		qt.Check(t, rn.nextPause(), qt.Equals, c.want, qt.Commentf(c.name))
+	}
+}
+
 func TestUnansweredRenewalsDoNotExtendLease(t *testing.T) {
 	r := newRig(t, oneTask)
 	r.lead()
