Revert to one plan in commit at a time

The leader's processor is what binds, so that commits take 70 ms whatever their number, and capacity is held meanwhile.

--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -17,8 +17,8 @@
 	// minPlanPause is the least pause between two plans.
 	minPlanPause = 2 * time.Millisecond
 	// planPauseFactor is the least pause between two plans as a multiple of the time
-	// that the last one took, so that planning leaves most of the processor to the
-	// calls to workers.
+	// that the last one took, so that planning leaves half of the control loop's time
+	// to events.
 	planPauseFactor = 1
 	// latePlanFactor is the least time between two plans that include late steps, as a
 	// multiple of the time that the last such plan took. On the heaviest days most of
@@ -26,10 +26,11 @@
 	latePlanFactor = 5
 )
 
-// plan computes a plan for the waiting tasks and commits its starts. Up to
-// maxPlansInFlight plans are committed at a time.
+// plan computes a plan for the waiting tasks and commits its starts. Only one
+// plan is committed at a time, so that each plan sees the result of the previous
+// one.
 func (s *Scheduler) plan(ctx context.Context) {
-	if s.pipeline.plans >= maxPlansInFlight || !s.dirty || !s.leads() {
+	if s.planning || !s.dirty || !s.leads() {
 		return
 	}
 	begin := s.now()
@@ -57,7 +58,7 @@
 	if len(out.Starts) == 0 {
 		return
 	}
-	s.cfg.State.Read(func() { s.pipeline.add(s.cfg.State, out.Starts) })
+	s.planning = true
 	proposedAt := s.now()
 	c := &cell.Command{Starts: &cell.Starts{Starts: out.Starts}}
 	s.propose(ctx, c, func(r cell.Result, err error) {
@@ -100,8 +101,7 @@
 // onPlanCommitted sends the starts that the cell accepted when it applied the
 // plan.
 func (s *Scheduler) onPlanCommitted(ctx context.Context, out *plan.Output, r cell.Result, err error) {
-	s.pipeline.remove(out.Starts)
-	s.dirty = true
+	s.planning, s.dirty = false, true
 	if err != nil {
 		s.cfg.Log.Warn("could not commit plan, planning again", zap.Int("starts", len(out.Starts)), zap.Error(err))
 		return
@@ -134,11 +134,11 @@
 // state only values that are never modified in place: steps, queues and labels.
 // The state is locked.
 func (s *Scheduler) snapshot() *plan.Input {
-	now, proposed := s.now(), s.pipeline.use(s.cfg.State)
+	now := s.now()
 	in := &plan.Input{
 		Now:           now,
 		StopTime:      s.cfg.Bounds.StopTimeout,
-		Quotas:        s.workspaceLimits(proposed.byWorkspace),
+		Quotas:        s.workspaceLimits(),
 		EligibleShare: s.eligibleShare,
 	}
 	in.IdleAdvisers, in.AllAdvisers = s.countAdvisers(now)
@@ -148,7 +148,7 @@
 	if len(in.Pending) == 0 {
 		return in
 	}
-	s.addWorkers(in, proposed.byWorker, now)
+	s.addWorkers(in, now)
 	slices.SortFunc(in.Pending, func(a, b plan.Pending) int {
 		if a.Key.Job != b.Key.Job {
 			if a.Key.Job < b.Key.Job {
@@ -161,9 +161,9 @@
 	return in
 }
 
-// addWorkers adds the workers that accept new tasks, ordered by ID. proposed is what
-// the plans that are being committed use of each. The state is locked.
-func (s *Scheduler) addWorkers(in *plan.Input, proposed map[cell.WorkerID]model.Resources, now clock.Instant) {
+// addWorkers adds the workers that accept new tasks, ordered by ID. The state is
+// locked.
+func (s *Scheduler) addWorkers(in *plan.Input, now clock.Instant) {
 	preemptable := preemptionTargets(in.Pending)
 	workers := s.cfg.State.SortedWorkers()
 	in.Workers = make([]plan.Worker, 0, len(workers))
@@ -175,7 +175,7 @@
 		speed := se.speed.value(now)
 		pw := plan.Worker{
 			ID: w.ID, Born: w.Born, DC: w.DC, Rack: rackOf(w.Labels), Pool: w.Pool, Labels: w.Labels,
-			Capacity: w.Capacity, Free: w.Free().Sub(proposed[w.ID]), Speed: speed,
+			Capacity: w.Capacity, Free: w.Free(), Speed: speed,
 			Suspect: se.failures.suspect(now) || speed < suspectSpeed,
 		}
 		if preemptable.has(w.ID) {
@@ -263,8 +263,8 @@
 }
 
 // workspaceLimits returns the capacity that each workspace with a limit has left.
-// proposed is what the plans that are being committed use of it. The state is locked.
-func (s *Scheduler) workspaceLimits(proposed map[string]model.Resources) map[string]*plan.Quota {
+// The state is locked.
+func (s *Scheduler) workspaceLimits() map[string]*plan.Quota {
 	out := map[string]*plan.Quota{}
 	c := &s.cfg.State.Config
 	for i := range c.Workspaces {
@@ -273,7 +273,7 @@
 		if limit == (model.Resources{}) {
 			continue
 		}
-		out[w.Name] = &plan.Quota{Limited: true, Remaining: remainingCapacity(limit, s.cfg.State.UsageByWorkspace[w.Name].Add(proposed[w.Name]))}
+		out[w.Name] = &plan.Quota{Limited: true, Remaining: remainingCapacity(limit, s.cfg.State.UsageByWorkspace[w.Name])}
 	}
 	return out
 }
@@ -312,13 +312,10 @@
 		for i := range occ.Steps {
 			st := &occ.Steps[i]
 			waiting := len(st.Tasks) - st.Done - st.Placed
-			proposed := s.pipeline.byStep[cell.StepKey{Job: j.ID, Occurrence: o, Step: i}]
-			if waiting <= 0 || !j.Ready(o, i) || (j.Steps[i].Gang && (st.Held > 0 || st.Placed > 0 || proposed > 0)) {
+			if waiting <= 0 || !j.Ready(o, i) || (j.Steps[i].Gang && (st.Held > 0 || st.Placed > 0)) {
 				continue
 			}
-			if p := s.pendingStep(j, q, o, i, adm); len(p.Waiting) > 0 {
-				ps = append(ps, p)
-			}
+			ps = append(ps, s.pendingStep(j, q, o, i, adm))
 		}
 	}
 	return ps
@@ -336,15 +333,13 @@
 	}
 	tasks := j.Occurrences[o].Steps[i].Tasks
 	for index := range tasks {
-		_, proposed := s.pipeline.starts[cell.TaskKey{Job: j.ID, Occurrence: o, Step: i, Index: index}]
-		if tasks[index].Status == cell.TaskWaiting && !proposed {
+		if tasks[index].Status == cell.TaskWaiting {
 			p.Waiting = append(p.Waiting, index)
 			p.NextRun = append(p.NextRun, tasks[index].Run+1)
 		}
 	}
 	if step.MaxPerWorker > 0 {
 		p.OnWorker = tasksByWorker(tasks)
-		s.pipeline.addTasksByWorker(p.Key, tasks, p.OnWorker)
 	}
 	if q.Advice != nil {
 		p.Advice = s.adviceFor(p.Key)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -81,8 +81,8 @@
 	longPolls int
 
 	ends endBatch
-	// pipeline holds the plans that are being committed.
-	pipeline pipeline
+	// planning is set while a plan is being committed.
+	planning bool
 	// nextPlanAt is when the next plan may be computed, and planTimer fires then if a
 	// plan is wanted earlier.
 	nextPlanAt clock.Instant
@@ -189,8 +189,8 @@
 	s.begun.reset()
 	s.shareBuckets = map[string]*tokenBucket{}
 	s.ends, s.longPolls = endBatch{}, 0
-	s.pipeline = newPipeline()
-	s.creatingOccurrences, s.dirty, s.nextCleanup, s.nextPlanAt, s.nextLatePlanAt = false, true, 0, 0, 0
+	s.planning, s.creatingOccurrences, s.dirty = false, false, true
+	s.nextCleanup, s.nextPlanAt, s.nextLatePlanAt = 0, 0, 0
 	s.synced = false
 	for _, a := range s.advisers {
 		a.busy = false
