--- a/internal/fdlimit/limiter.go
+++ b/internal/fdlimit/limiter.go
@@ -17,8 +17,9 @@
 	slots chan struct{}
 	// onFull is called when a dial finds all slots taken. It should close idle
 	// connections.
-	onFull func()
-	full   atomic.Uint64
+	onFull  func()
+	full    atomic.Uint64
+	waiting atomic.Int64
 }
 
 // NewLimiter returns a Limiter that opens at most limit connections with dial.
@@ -47,6 +48,8 @@
 	default:
 	}
 	l.full.Add(1)
+	l.waiting.Add(1)
+	defer l.waiting.Add(-1)
 	l.onFull()
 	select {
 	case l.slots <- struct{}{}:
@@ -61,6 +64,9 @@
 // Open returns the number of open connections, those being opened included.
 func (l *Limiter) Open() int { return len(l.slots) }
 
+// Waiting returns how many dials wait for a slot.
+func (l *Limiter) Waiting() int { return int(l.waiting.Load()) }
+
 // Limit returns the highest number of open connections.
 func (l *Limiter) Limit() int { return cap(l.slots) }
 
