--- a/internal/scheduler/begun_test.go
+++ b/internal/scheduler/begun_test.go
@@ -23,7 +23,11 @@
 	r.onStartReply(r.ctx, se, k, se.runs[k], ErrNotSent)
 	qt.Check(t, r.HasBegun(job), qt.IsFalse)
 	r.commitEnds(r.ctx)
-	r.runUntil(func() bool { return job.Occurrences[0].Steps[0].Tasks[0].Status == cell.TaskWaiting })
+	r.runUntil(func() bool {
+		waiting := false
+		r.state.Read(func() { waiting = job.Occurrences[0].Steps[0].Tasks[0].Status == cell.TaskWaiting })
+		return waiting
+	})
 
 	k = r.place(0, 2)
 	r.startRun(r.ctx, &cell.Start{Task: k, Run: 2, Worker: testWorker, Born: 1}, "", "", "")
