--- a/internal/fdlimit/budget.go
+++ b/internal/fdlimit/budget.go
@@ -28,10 +28,10 @@
 	minStorage   = 24
 
 	// Shares of the descriptors that storage leaves, in percent. The rest is for
-	// peers.
-	inboundPercent   = 20
-	longPollsPercent = 29
-	ordersPercent    = 40
+	// peers. Each worker needs a connection for long polls and one for orders.
+	inboundPercent   = 18
+	longPollsPercent = 34
+	ordersPercent    = 37
 )
 
 // Split divides the limit. A limit of 0 stands for one that is not known.
--- a/internal/fdlimit/fdlimit_test.go
+++ b/internal/fdlimit/fdlimit_test.go
@@ -119,4 +119,6 @@
 	b := Split(limit)
 	qt.Check(t, b.Orders >= workers*5/4, qt.IsTrue, qt.Commentf("%+v", b))
 	qt.Check(t, b.LongPolls >= workers, qt.IsTrue, qt.Commentf("%+v", b))
+	const grown = workers * 4 / 3
+	qt.Check(t, b.Orders >= grown, qt.IsTrue, qt.Commentf("%+v for a third more workers", b))
 }
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -108,8 +108,9 @@
 	return err
 }
 
-// TestLongPollsAreLimited checks that renewals beyond the limit don't wait at their
-// workers, are paced instead, and wait again once there is room.
+// TestLongPollsAreLimited checks that the renewals of sessions beyond the limit don't
+// wait at their workers and are paced instead. A session keeps its right to wait while
+// its worker replies, so that more workers than connections don't take turns at them.
 func TestLongPollsAreLimited(t *testing.T) {
 	r := newRig(t, oneTask)
 	r.cfg.Bounds.MaxLongPolls = 1
@@ -127,6 +128,13 @@
 	qt.Check(t, short.order.Wait, qt.Equals, time.Duration(0))
 	qt.Check(t, short.nextPause(), qt.Equals, shortPollInterval)
 
+	long.reply = &RenewReply{ClockMillis: 2000}
+	r.onRenewalReply(r.ctx, first, &long)
+	again := r.nextRenewal(second)
+	qt.Check(t, again.order.Wait, qt.Equals, time.Duration(0), qt.Commentf("the sessions take turns"))
+	long = r.nextRenewal(first)
+	qt.Check(t, long.order.Wait, qt.Equals, renewalWait)
+
 	long.err = errNoReply
 	r.onRenewalReply(r.ctx, first, &long)
 	rn := r.nextRenewal(second)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -30,8 +30,8 @@
 	StopTimeout time.Duration
 	// RestoreTime is how long a task takes to resume from a checkpoint.
 	RestoreTime time.Duration
-	// MaxLongPolls bounds the lease renewals that wait at their workers at a time,
-	// each of which occupies a connection; 0 means no limit.
+	// MaxLongPolls bounds the workers whose lease renewals may wait there, each of
+	// which occupies a connection; 0 means no limit.
 	MaxLongPolls int
 	// EndedJobRetention is how long the state of an ended job is kept.
 	EndedJobRetention time.Duration
@@ -77,7 +77,7 @@
 	// shareBuckets limits the rate of each workspace's jobs, by workspace.
 	shareBuckets map[string]*tokenBucket
 
-	// longPolls counts the sessions whose renewal waits at the worker.
+	// longPolls counts the sessions whose renewals may wait at the worker.
 	longPolls int
 
 	ends endBatch
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -27,7 +27,7 @@
 	drainLease       = 1500 * time.Millisecond
 	drainRenewalWait = 400 * time.Millisecond
 	// shortPollInterval is the interval of a worker's renewals that don't wait,
-	// while Bounds.MaxLongPolls others do.
+	// while those of Bounds.MaxLongPolls others may.
 	shortPollInterval = 500 * time.Millisecond
 	// endGatherDelay is the pause after a renewal that listed finished runs, so
 	// that the next one lists several at once.
@@ -129,8 +129,8 @@
 	// resumed lets the renewal loop continue after a reply is handled and the
 	// ends that it listed are recorded.
 	resumed chan struct{}
-	// longPolling says that a renewal of the loop waits at the worker.
-	longPolling bool
+	// longPolls says that the renewals of the loop may wait at the worker.
+	longPolls bool
 
 	runs map[cell.TaskKey]*run
 	// blockedUntil is the time before which no new tasks are placed on the
@@ -183,7 +183,7 @@
 // closeSession ends the session's renewal loop and forgets the session.
 func (s *Scheduler) closeSession(se *session) {
 	se.cancel()
-	s.endLongPoll(se)
+	s.endLongPolls(se)
 	delete(s.sessions, se.target.ID)
 }
 
@@ -327,7 +327,7 @@
 	}
 	rn := renewal{target: se.target, sent: now, retryPause: renewalRetry}
 	if se.fenceAccepted && o.LeaseMillis != 0 {
-		if s.beginLongPoll(se) {
+		if s.mayLongPoll(se) {
 			o.Wait = renewalWait
 		} else {
 			rn.pause = shortPollInterval
@@ -346,22 +346,26 @@
 	return rn
 }
 
-// beginLongPoll reports whether the session's next renewal may wait at the worker,
-// and counts it if so.
-func (s *Scheduler) beginLongPoll(se *session) bool {
+// mayLongPoll reports whether the session's next renewal may wait at the worker. A
+// session keeps that right while its worker replies: its renewals then share one
+// connection, where turns between the sessions would open one for each turn.
+func (s *Scheduler) mayLongPoll(se *session) bool {
+	if se.longPolls {
+		return true
+	}
 	if s.cfg.Bounds.MaxLongPolls > 0 && s.longPolls >= s.cfg.Bounds.MaxLongPolls {
 		return false
 	}
 	s.longPolls++
-	se.longPolling = true
+	se.longPolls = true
 	return true
 }
 
-// endLongPoll frees the place of a renewal that waited at the worker.
-func (s *Scheduler) endLongPoll(se *session) {
-	if se.longPolling {
+// endLongPolls gives the session's right to wait at the worker to another one.
+func (s *Scheduler) endLongPolls(se *session) {
+	if se.longPolls {
 		s.longPolls--
-		se.longPolling = false
+		se.longPolls = false
 	}
 }
 
@@ -385,13 +389,13 @@
 // onRenewalReply handles the outcome of a renewal.
 func (s *Scheduler) onRenewalReply(ctx context.Context, se *session, rn *renewal) {
 	now := s.now()
-	if !rn.outOfBand {
-		s.endLongPoll(se)
-	}
 	if rn.err == nil && rn.reply.Incarnation != 0 && rn.reply.Incarnation != se.target.Incarnation {
 		rn.err = &RefusedError{RefusedIncarnation}
 	}
 	if rn.err != nil {
+		if !rn.outOfBand {
+			s.endLongPolls(se)
+		}
 		s.onRenewalError(ctx, se, rn.err)
 		se.resumeAfter(rn)
 		return
