--- a/internal/control/fleetgroup.go
+++ b/internal/control/fleetgroup.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"kumquatwing/internal/clock"
 	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/fleet"
 	"kumquatwing/internal/model"
@@ -45,10 +46,12 @@
 	view atomic.Pointer[fleetView]
 	// revisionChanged receives a value when view has a new revision.
 	revisionChanged chan struct{}
-	// wasLeader and unreachable are what was last recorded as an event. They are used
-	// by run's goroutine only.
-	wasLeader   bool
-	unreachable map[model.VMID]bool
+	// wasLeader and unreachable are what was last recorded as an event, and
+	// leadingSince is when this process began to lead. They are used by run's goroutine
+	// only.
+	wasLeader    bool
+	unreachable  map[model.VMID]bool
+	leadingSince clock.Instant
 }
 
 // openFleetGroup opens this process's member under the identity in its store, or
@@ -186,23 +189,22 @@
 	kind := eventStepsDown
 	if leads {
 		kind = eventLeads
+		f.leadingSince = f.s.clock.Now()
 	}
 	f.s.events.Record(eventlog.Event{Kind: kind, Detail: fmt.Sprintf("fleet group, term %d", st.Term)})
 	f.s.log.Info("leadership of the fleet group changed", zap.Bool("leads", leads), zap.Uint64("term", st.Term))
 }
 
-// candidates lists the processes that have announced themselves. Those without a
-// recent announcement are marked as unreachable. Each change is recorded.
+// candidates returns the processes that may be members. Each change of their
+// reachability is recorded.
 func (f *fleetGroup) candidates() []candidate {
-	now := f.s.clock.Now()
-	var out []candidate
-	for _, ann := range f.s.announcements.list() {
-		unreachable := now.Sub(ann.receivedAt) > unreachableAfter
-		if unreachable != f.unreachable[ann.VM] {
-			f.unreachable[ann.VM] = unreachable
-			f.recordReachability(ann.VM, ann.DC, unreachable)
+	out := fleetCandidates(f.s.announcements.list(), f.s.fleetView().members, f.leadingSince, f.s.clock.Now())
+	for i := range out {
+		c := &out[i]
+		if c.unreachable != f.unreachable[c.vm] {
+			f.unreachable[c.vm] = c.unreachable
+			f.recordReachability(c.vm, c.dc, c.unreachable)
 		}
-		out = append(out, candidate{id: ann.ID, vm: ann.VM, dc: ann.DC, addr: ann.WireAddr, disk: ann.Disk, unreachable: unreachable})
 	}
 	return out
 }
@@ -221,7 +223,7 @@
 func (f *fleetGroup) reconcileMembers(ctx context.Context) {
 	st := f.s.fleetStatus()
 	node, _ := f.current()
-	f.s.applyChange(ctx, fleetGroupName, node, nextFleetChange(st.Members, f.candidates()))
+	f.s.applyChange(ctx, fleetGroupName, node, nextFleetChange(st.Members, f.candidates(), st.Self))
 }
 
 // applyChange applies one step of a membership change to a group.
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -24,6 +24,9 @@
 	addr        string
 	disk        bool
 	unreachable bool
+	// unheard says that the process is registered but has not announced itself to
+	// this leader.
+	unheard bool
 }
 
 // changeKind is the kind of one membership change.
@@ -42,11 +45,12 @@
 	member replica.Member
 }
 
-// nextFleetChange returns the next change of the fleet group. Every process is a
-// member. Each data centre has at most one reachable voter, on a VM with a disk if it
-// has one, and there are at most maxFleetVoters of these. An unreachable voter is
-// removed once another process of its data centre has been promoted.
-func nextFleetChange(members []replica.Member, candidates []candidate) membershipChange {
+// nextFleetChange returns the next change of the fleet group, which leader leads. Every
+// process is a member. Each data centre has one reachable voter, on a VM with a disk if
+// it has one, and there are at most maxFleetVoters of these. An unreachable voter is
+// removed once another process of its data centre has been promoted, and so is a second
+// reachable voter of a data centre.
+func nextFleetChange(members []replica.Member, candidates []candidate, leader replica.MemberID) membershipChange {
 	byVM := candidatesByVM(candidates)
 	if c := nextAddition(members, candidates); c.kind != changeNone {
 		return c
@@ -54,7 +58,10 @@
 	if c := nextFleetPromotion(members, candidates, byVM); c.kind != changeNone {
 		return c
 	}
-	return nextFleetRemoval(members, byVM)
+	if c := nextFleetRemoval(members, byVM); c.kind != changeNone {
+		return c
+	}
+	return nextSurplusRemoval(members, byVM, leader)
 }
 
 // nextDCChange returns the next change of a data centre group. Every process of the
@@ -89,7 +96,7 @@
 // member under its current identity. Adding it replaces the member on the same VM.
 func nextAddition(members []replica.Member, candidates []candidate) membershipChange {
 	for _, c := range candidates {
-		if c.unreachable {
+		if c.unreachable || c.unheard {
 			continue
 		}
 		known := slices.ContainsFunc(members, func(m replica.Member) bool { return m.ID == c.id })
@@ -137,7 +144,7 @@
 		return cmp.Compare(a.vm, b.vm)
 	})
 	for _, c := range ordered {
-		if c.unreachable || hasVoter[c.dc] {
+		if c.unreachable || c.unheard || hasVoter[c.dc] {
 			continue
 		}
 		for _, m := range members {
@@ -168,3 +175,25 @@
 	}
 	return membershipChange{}
 }
+
+// nextSurplusRemoval returns the removal of a reachable voter whose data centre has
+// another one. The leader stays, and so does the first voter on a VM with a disk.
+func nextSurplusRemoval(members []replica.Member, byVM map[string]candidate, leader replica.MemberID) membershipChange {
+	kept := map[model.DCID]replica.Member{}
+	for _, m := range members {
+		c, ok := byVM[m.VM]
+		if m.Learner || !ok || c.id != m.ID || c.unreachable {
+			continue
+		}
+		other, second := kept[c.dc]
+		switch {
+		case !second:
+			kept[c.dc] = m
+		case m.ID == leader || (other.ID != leader && c.disk && !byVM[other.VM].disk):
+			return membershipChange{changeRemove, other}
+		default:
+			return membershipChange{changeRemove, m}
+		}
+	}
+	return membershipChange{}
+}
--- a/internal/entry/backend_test.go
+++ b/internal/entry/backend_test.go
@@ -13,6 +13,7 @@
 
 	"kumquatwing/internal/api"
 	"kumquatwing/internal/fake/backend"
+	"kumquatwing/internal/fake/loopback"
 	"kumquatwing/internal/settings"
 	"kumquatwing/internal/verdict"
 )
@@ -218,7 +219,7 @@
 func TestFailoverToNextControl(t *testing.T) {
 	t.Parallel()
 	dc := newTestDC(t)
-	e := dc.addEntry(func(cfg *Config) { cfg.Control = append([]string{freeAddr(t)}, cfg.Control...) })
+	e := dc.addEntry(func(cfg *Config) { cfg.Control = append([]string{loopback.Addr()}, cfg.Control...) })
 	dc.addServer("orders")
 	qt.Assert(t, dc.send(e, request{path: "/q/orders", key: vetsKey, body: "x"}).body, qt.Equals, "x")
 }
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -19,6 +19,7 @@
 
 	"kumquatwing/internal/api"
 	"kumquatwing/internal/fake/backend"
+	"kumquatwing/internal/fake/loopback"
 )
 
 const (
@@ -236,7 +237,7 @@
 
 // startProcess starts a kqentry process and waits until it is ready.
 func startProcess(b *testing.B, dc *testDC) *process {
-	p := &process{t: b, binary: buildEntry(b), vm: "e0", addr: freeAddr(b), wire: dc.control.Node.Addr(), args: []string{"--requests", "4096"}}
+	p := &process{t: b, binary: buildEntry(b), vm: "e0", addr: loopback.Addr(), wire: dc.control.Node.Addr(), args: []string{"--requests", "4096"}}
 	p.start()
 	dc.eventually("kqentry is ready", func() bool {
 		resp, err := dc.client.Get("http://" + p.addr + api.PathReady)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log"
 	"net"
@@ -30,8 +29,10 @@
 	requestTimeout = 15 * time.Minute
 	// keepAliveTimeout limits the idle time of a connection between two requests.
 	keepAliveTimeout = 60 * time.Second
-	// finalSyncTimeout limits the sync at the end of a graceful stop.
+	// finalSyncTimeout limits the syncs at the end of a graceful stop, and
+	// finalSyncRetry is the pause after one that failed.
 	finalSyncTimeout = 2 * time.Second
+	finalSyncRetry   = 50 * time.Millisecond
 )
 
 // Entry is a kqentry process. It must be created with Open.
@@ -170,7 +171,8 @@
 	}
 	err := e.drain()
 	stopLoops()
-	return errors.Join(err, e.finalSync())
+	e.finalSync()
+	return err
 }
 
 // drain stops the HTTP server after the requests in flight have ended. Requests
@@ -195,19 +197,22 @@
 }
 
 // finalSync tells the data centre's group that this process holds no slots any
-// more. If the sync fails, the group gets the slots back when the slot lease
-// expires. It logs an error of the sync and always returns nil.
-func (e *Entry) finalSync() error {
+// more. It repeats a failed sync until finalSyncTimeout; if none succeeds, the group
+// gets the slots back when the slot lease expires.
+func (e *Entry) finalSync() {
 	ctx, cancel := context.WithTimeout(context.Background(), finalSyncTimeout)
 	defer cancel()
+	err := e.syncOnce(ctx, true)
+	for err != nil && clock.Sleep(ctx, finalSyncRetry) {
+		err = e.syncOnce(ctx, true)
+	}
 	detail := "slots handed back"
-	if err := e.syncOnce(ctx, true); err != nil {
+	if err != nil {
 		detail = "slots come back only after their lease"
 		e.log.Warn(detail, zap.Error(err))
 	}
 	e.record(eventStopped, "", detail)
 	e.log.Info("stopped")
-	return nil
 }
 
 // httpErrorLog is an io.Writer that logs the HTTP server's errors at debug level.
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -45,6 +45,21 @@
 	qt.Assert(t, dc.control.Granted("s0"), qt.Equals, 0)
 }
 
+// TestFinalSyncIsRepeated checks that a stopping process returns its slots although the
+// leader of the data centre's group does not answer its first syncs.
+func TestFinalSyncIsRepeated(t *testing.T) {
+	t.Parallel()
+	dc := newTestDC(t)
+	e := dc.addEntry()
+	dc.addServer("orders", func(cfg *fakeConfig) { cfg.AnnounceInterval = time.Hour })
+	qt.Assert(t, dc.control.Granted("s0"), qt.Equals, 8)
+	dc.control.Fail(api.TopicEntrySync, verdict.RefuseMayHaveRun(verdict.ReasonUnreachable, "cut off"))
+	recovered := time.AfterFunc(600*time.Millisecond, func() { dc.control.Fail(api.TopicEntrySync, nil) })
+	defer recovered.Stop()
+	qt.Assert(t, e.stop(), qt.IsNil)
+	qt.Assert(t, dc.control.Granted("s0"), qt.Equals, 0)
+}
+
 // loadGenerator sends requests to entry VMs from several concurrent callers until
 // stopAndCollect is called. mu protects results.
 type loadGenerator struct {
@@ -76,6 +91,19 @@
 	}
 }
 
+// completed returns how many requests have got a response from a server so far.
+func (l *loadGenerator) completed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, res := range l.results {
+		if res.verdict == verdict.Done {
+			n++
+		}
+	}
+	return n
+}
+
 // stopAndCollect waits until all callers have ended and returns all results.
 func (l *loadGenerator) stopAndCollect() []result {
 	close(l.stop)
@@ -176,20 +204,18 @@
 	q.key = shopKey
 	shop.run(dc, e, 24, q)
 	time.Sleep(2 * time.Second)
-	done := map[string]int{}
+	// The shares hold while both workspaces have waiting requests: once one generator
+	// stops, the other gets all slots.
+	doneVets, doneShop := vets.completed(), shop.completed()
+	results := append(vets.stopAndCollect(), shop.stopAndCollect()...)
 	runs := s.Counts().Runs
-	for name, l := range map[string]*loadGenerator{"vets": vets, "shop": shop} {
-		for _, res := range l.stopAndCollect() {
-			if res.verdict == verdict.Done {
-				done[name]++
-			}
-			if res.verdict == verdict.NotRun {
-				qt.Assert(t, runs[res.id], qt.Equals, 0)
-			}
+	for _, res := range results {
+		if res.verdict == verdict.NotRun {
+			qt.Assert(t, runs[res.id], qt.Equals, 0)
 		}
 	}
-	ratio := float64(done["vets"]) / float64(done["shop"])
-	t.Logf("shares 3:1, completed requests %d:%d", done["vets"], done["shop"])
+	ratio := float64(doneVets) / float64(doneShop)
+	t.Logf("shares 3:1, completed requests %d:%d", doneVets, doneShop)
 	qt.Assert(t, ratio > 2 && ratio < 4, qt.IsTrue, qt.Commentf("%.2f", ratio))
 }
 
--- a/internal/entry/process_test.go
+++ b/internal/entry/process_test.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"kumquatwing/internal/api"
+	"kumquatwing/internal/fake/loopback"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/verdict"
 )
@@ -29,6 +30,8 @@
 	wire   string
 	args   []string
 	cmd    *exec.Cmd
+	// stderr holds the output of all starts, which is logged if the test fails.
+	stderr bytes.Buffer
 }
 
 // buildEntry builds the kqentry binary and returns its path.
@@ -40,17 +43,10 @@
 	return binary
 }
 
-// freeAddr returns a loopback address whose port was free a moment ago.
-func freeAddr(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (p *process) start() {
 	args := []string{"--vm", p.vm, "--dc", "a", "--listen", p.addr, "--control", p.wire, "--sync", "50ms", "--grace", "100ms"}
 	p.cmd = exec.Command(p.binary, append(args, p.args...)...)
+	p.cmd.Stderr = &p.stderr
 	qt.Assert(p.t, p.cmd.Start(), qt.IsNil)
 }
 
@@ -125,7 +121,7 @@
 	cl := &caller{dc: dc, history: &history{byRequest: map[model.RequestID][]result{}}}
 	var entries []*process
 	for i := range 3 {
-		p := &process{t: t, binary: binary, vm: fmt.Sprint("e", i), addr: freeAddr(t), wire: dc.control.Node.Addr()}
+		p := &process{t: t, binary: binary, vm: fmt.Sprint("e", i), addr: loopback.Addr(), wire: dc.control.Node.Addr()}
 		p.start()
 		entries = append(entries, p)
 		cl.addrs = append(cl.addrs, p.addr)
@@ -133,6 +129,9 @@
 	defer func() {
 		for _, p := range entries {
 			p.kill()
+			if t.Failed() {
+				t.Logf("output of %s: %s", p.vm, p.stderr.String())
+			}
 		}
 	}()
 	for range 3 {
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -119,11 +119,11 @@
 		defer cancel()
 	}
 	select {
-	case slot := <-w.slot:
-		if slot == nil {
-			return nil, verdict.Refuse(verdict.ReasonStopping, "entry VM is stopping").WithRetryAfter(0)
+	case t := <-w.turn:
+		if t.refusal != nil {
+			return nil, t.refusal
 		}
-		return slot, nil
+		return t.slot, nil
 	case <-ctx.Done():
 	}
 	if slot := p.cancelWait(req.Queue, w); slot != nil {
@@ -146,6 +146,11 @@
 	return verdict.Refuse(verdict.ReasonDeadline, "caller gave up while waiting in queue %s", req.Queue)
 }
 
+// stoppingRefusal returns the refusal of a pool that is closed.
+func stoppingRefusal() *verdict.Refusal {
+	return verdict.Refuse(verdict.ReasonStopping, "entry VM is stopping").WithRetryAfter(0)
+}
+
 // noServerRefusal returns the refusal for a queue without slots on this entry VM.
 func noServerRefusal(queue model.QueueName) *verdict.Refusal {
 	return verdict.Refuse(verdict.ReasonNoServer, "no slot of a backend server is lent to this entry VM for queue %s", queue).WithRetryAfter(time.Second)
@@ -169,7 +174,7 @@
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
-		return nil, verdict.Refuse(verdict.ReasonStopping, "entry VM is stopping").WithRetryAfter(0)
+		return nil, stoppingRefusal()
 	}
 	q := p.queue(req.Queue)
 	if err := p.shed(q, req); err != nil {
@@ -181,12 +186,12 @@
 		share:     req.Share,
 		deadline:  req.Deadline,
 		avoid:     req.Avoid,
-		slot:      make(chan *Slot, 1),
+		turn:      make(chan turn, 1),
 	}
 	q.waiters.push(w)
 	longerDeadline := p.longest.observe(time.Now(), time.Until(req.Deadline))
 	p.dispatch(req.Queue, q)
-	grown := w.index >= 0 && q.demandGrown()
+	grown := w.waiting() && q.demandGrown()
 	q.peakDemand = max(q.peakDemand, q.inUse+q.waiters.len())
 	p.mu.Unlock()
 	if grown || longerDeadline {
@@ -232,10 +237,11 @@
 	if p.queue(queue).waiters.remove(w) {
 		return nil
 	}
-	return <-w.slot
+	return (<-w.turn).slot
 }
 
-// dispatch assigns free slots to waiting requests. The caller must hold p.mu.
+// dispatch assigns free slots to waiting requests, and refuses those whose turn comes
+// too late. The caller must hold p.mu.
 func (p *Pool) dispatch(name model.QueueName, q *slotQueue) {
 	if q.waiters.len() == 0 || !p.slotLease.Valid(p.clock.Now()) {
 		return
@@ -249,13 +255,31 @@
 		if s == nil {
 			return
 		}
+		if q.tooLate(w, now) {
+			q.waiters.remove(w)
+			w.turn <- turn{refusal: lateRefusal(name, w.deadline.Sub(now), q.meanHold)}
+			continue
+		}
 		q.waiters.pop()
 		s.inUse++
 		q.inUse++
-		w.slot <- &Slot{pool: p, server: s, queue: name, acquiredAt: now}
+		w.turn <- turn{slot: &Slot{pool: p, server: s, queue: name, acquiredAt: now}}
 	}
 }
 
+// tooLate reports whether a request whose turn has come can no longer end by its
+// deadline. It would only occupy a slot that others wait for. Where no other request
+// waits it is tried all the same, so that meanHold follows servers that have become
+// faster.
+func (q *slotQueue) tooLate(w *waiter, now time.Time) bool {
+	return q.waiters.len() > 1 && w.deadline.Sub(now) < q.meanHold
+}
+
+// lateRefusal returns the refusal for a request that got its turn too late.
+func lateRefusal(queue model.QueueName, left, hold time.Duration) *verdict.Refusal {
+	return verdict.Refuse(verdict.ReasonOverload, "a request of queue %s takes about %v, the deadline is in %v", queue, hold, left).WithRetryAfter(hold)
+}
+
 // chooseServer returns the server of the queue with the most free slots, or nil if
 // there is none. Servers that failed lately, and even more so those that failed
 // this request, are chosen only if no better server has a free slot.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"net/http"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,6 +88,38 @@
 	qt.Assert(t, busy >= 9 && busy <= 11, qt.IsTrue, qt.Commentf("%d of 20", busy))
 }
 
+// TestExpiredRequestsCostNoShare guards against a workspace that loses its share with
+// each request that leaves the queue without a slot, as at its deadline.
+func TestExpiredRequestsCostNoShare(t *testing.T) {
+	q := newFairQueue()
+	got := map[model.WorkspaceID]int{}
+	var oldest []*waiter
+	pushShop := func() {
+		w := &waiter{workspace: "shop", share: 1}
+		q.push(w)
+		oldest = append(oldest, w)
+	}
+	for range 24 {
+		q.push(&waiter{workspace: "vets", share: 3})
+		pushShop()
+	}
+	for range 400 {
+		w := q.pop()
+		got[w.workspace]++
+		if w.workspace == "vets" {
+			q.push(&waiter{workspace: "vets", share: 3})
+		} else {
+			pushShop()
+		}
+		for !oldest[0].waiting() {
+			oldest = oldest[1:]
+		}
+		q.remove(oldest[0])
+		pushShop()
+	}
+	qt.Assert(t, got["shop"] >= 99 && got["shop"] <= 101, qt.IsTrue, qt.Commentf("%v", got))
+}
+
 func TestRemovedWaitersAreNotHandedOut(t *testing.T) {
 	q := newFairQueue()
 	first, second := &waiter{workspace: "a"}, &waiter{workspace: "b"}
@@ -209,6 +242,76 @@
 	}
 }
 
+// overload counts the requests of callers that send more than the slots can serve.
+type overload struct {
+	mu   sync.Mutex
+	done map[model.WorkspaceID]int
+}
+
+// call sends one request of a workspace and waits for its end. The server needs hold
+// for it, and the caller gives up after 500 ms.
+func (o *overload) call(p *Pool, workspace model.WorkspaceID, share int64, hold time.Duration) {
+	const patience = 500 * time.Millisecond
+	req := slotRequestIn(patience)
+	req.Workspace, req.Share, req.MaxWaiting = workspace, share, 100
+	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+	defer cancel()
+	slot, err := p.Acquire(ctx, req)
+	if err != nil {
+		time.Sleep(10 * time.Millisecond)
+		return
+	}
+	if left := time.Until(req.Deadline); left < hold {
+		time.Sleep(left)
+		slot.ReleaseAfterAbort()
+		return
+	}
+	time.Sleep(hold)
+	slot.ReleaseDone()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.done[workspace]++
+}
+
+// TestOverloadIsSharedAndServed plays an overload through the queue: 24 callers of each
+// of two workspaces with the shares 3:1, whose requests get a turn shortly before or
+// after their deadline. Slots must not be spent on requests that can't end in time, and
+// what is served must follow the shares.
+func TestOverloadIsSharedAndServed(t *testing.T) {
+	const slots, period = 4, 4 * time.Second
+	for _, hold := range []time.Duration{10 * time.Millisecond, 24 * time.Millisecond, 60 * time.Millisecond} {
+		t.Run(hold.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, state := newTestPool(slots)
+				o := &overload{done: map[model.WorkspaceID]int{}}
+				ends := time.Now().Add(period)
+				var wg sync.WaitGroup
+				for workspace, share := range map[model.WorkspaceID]int64{"vets": 3, "shop": 1} {
+					for range 24 {
+						wg.Go(func() {
+							for time.Now().Before(ends) {
+								o.call(p, workspace, share, hold)
+							}
+						})
+					}
+				}
+				wg.Go(func() {
+					for time.Now().Before(ends) {
+						time.Sleep(200 * time.Millisecond)
+						syncPool(p, state)
+					}
+				})
+				wg.Wait()
+				capacity := slots * int(period/hold)
+				vets, shop := o.done["vets"], o.done["shop"]
+				t.Logf("%d of %d served, %d and %d", vets+shop, capacity, vets, shop)
+				qt.Check(t, 10*(vets+shop) >= 9*capacity, qt.IsTrue)
+				qt.Check(t, vets >= 2*shop && vets <= 4*shop, qt.IsTrue)
+			})
+		})
+	}
+}
+
 // TestSlotValid checks Slot.Valid, the check right before a request is sent, after
 // the lease, the grant or the announced deadline has changed.
 func TestSlotValid(t *testing.T) {
--- a/internal/route/sync.go
+++ b/internal/route/sync.go
@@ -153,7 +153,7 @@
 	p.closed = true
 	for _, q := range p.queues {
 		for q.waiters.len() > 0 {
-			q.waiters.pop().slot <- nil
+			q.waiters.pop().turn <- turn{refusal: stoppingRefusal()}
 		}
 	}
 	for _, s := range p.servers {
