--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -36,6 +36,7 @@
 		{"cancel-wave", cancelManyJobs},
 		{"bad-worker", addFailingWorkers},
 		{"silent-worker", addSilentWorkers},
+		{"entries-killed", killEntriesInTurn},
 	}
 	for i, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -79,6 +80,19 @@
 	l.recordOutOfService(dc, false)
 }
 
+// killEntriesInTurn kills each kqentry twice while it serves requests, so that many
+// callers lose the response to a request that has run and repeat it at another VM.
+func killEntriesInTurn(c *cluster, _ *load) {
+	for range 2 {
+		eachVM(func(dc, vm int) {
+			c.kill(entryName(dc, vm))
+			time.Sleep(300 * time.Millisecond)
+			c.restart(entryName(dc, vm))
+			time.Sleep(300 * time.Millisecond)
+		})
+	}
+}
+
 // pauseProcesses freezes a data centre's leader and one of its kqentry processes
 // while a key is revoked and the data centre is taken out of service. Both
 // resume after the changes must be in force.
