Follow the cell's leader by pings, and send no call into a silence

While the leader is cut off or without power, each call tried five control processes one after the other for 0.6 s each, was sent to all of them and so might have run; the address was tried again 1.5 s later. After an election a call that waited for the old leader found the new one 0.6 s later.

Change: a client pings the control processes side by side while its leader is silent for 0.25 s or refuses; a process that doesn't answer gets no further call until it answers a ping. Members bound forwarded calls and say that the leader, not they, does not answer.

--- a/internal/cellapi/cellapi_test.go
+++ b/internal/cellapi/cellapi_test.go
@@ -111,8 +111,8 @@
 
 func TestFinalRefusalKeepsMayHaveRun(t *testing.T) {
 	refused := verdict.Refuse(verdict.ReasonNoLeader, "x").WithRetryAfter(time.Second)
-	qt.Check(t, verdict.FromError(finalRefusal(refused, false)).Verdict, qt.Equals, verdict.NotRun)
-	mayHaveRun := verdict.FromError(finalRefusal(refused, true))
+	qt.Check(t, verdict.FromError(withMayHaveRun(refused, false)).Verdict, qt.Equals, verdict.NotRun)
+	mayHaveRun := verdict.FromError(withMayHaveRun(refused, true))
 	qt.Check(t, mayHaveRun.Verdict, qt.Equals, verdict.MayHaveRun, qt.Commentf("an earlier attempt may have run"))
 	qt.Check(t, mayHaveRun.RetryAfterMillis, qt.Equals, int64(0))
 }
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -51,6 +51,7 @@
 	handle(s, topicReport, s.report)
 	handle(s, topicLeave, s.leave)
 	handle(s, topicHello, s.hello)
+	wire.HandleTyped(cfg.Wire, topicPing, s.ping)
 	return s
 }
 
@@ -74,10 +75,41 @@
 		if !ok {
 			return nil, verdict.Refuse(verdict.ReasonNoLeader, "the cell has no leader")
 		}
-		return s.Wire.CallRaw(ctx, m.Addr, topic+leaderSuffix, body)
+		return s.forward(ctx, m.Addr, topic, body)
 	})
 }
 
+// forwardTimeout bounds a forwarded call. It is below attemptTimeout, so that the
+// sender learns that the leader doesn't answer, and not this process.
+const forwardTimeout = 450 * time.Millisecond
+
+// forward sends a call to the leader and returns the reply.
+func (s *Server) forward(ctx context.Context, leader, topic string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	reply, err := s.Wire.CallRaw(ctx, leader, topic+leaderSuffix, body)
+	if err == nil {
+		return reply, nil
+	}
+	switch r := verdict.FromError(err); r.Reason {
+	case verdict.ReasonUnreachable, verdict.ReasonDeadline:
+		return nil, verdict.New(r.Verdict, verdict.ReasonNoLeader, "the leader at %s does not answer: %s", leader, r.Message)
+	default:
+		return nil, r
+	}
+}
+
+// ping tells which leader this process knows. A leader whose lease has ended may have
+// a successor, and does not name itself.
+func (s *Server) ping(context.Context, *PingRequest) (*PingReply, error) {
+	st := s.Group.Status()
+	m, ok := st.LeaderMember()
+	if !ok || (st.Leader == st.Self && !st.IsLeader()) {
+		return &PingReply{}, nil
+	}
+	return &PingReply{Leader: m.Addr, Term: st.Term}, nil
+}
+
 // confirmLeadership returns an error unless this process certainly is the leader.
 // Called after a read, it shows that no later leader has changed what was read.
 func (s *Server) confirmLeadership() error {
@@ -299,7 +331,7 @@
 		s.Scheduler.SetAdviser(ctx, req.Addr, &remoteAdviser{s.Wire, req.Addr})
 	}
 	st := s.Group.Status()
-	r := &HelloReply{}
+	r := &HelloReply{Term: st.Term}
 	for _, m := range st.Members {
 		r.Controls = append(r.Controls, m.Addr)
 		if m.ID == st.Leader {
--- a/internal/cellapi/types.go
+++ b/internal/cellapi/types.go
@@ -22,6 +22,7 @@
 	topicLeave     = "cell.leave"
 	topicHello     = "cell.hello"
 	topicAdvise    = "cell.advise"
+	topicPing      = "cell.ping"
 	// leaderSuffix marks the topic of a forwarded call, which is not forwarded
 	// again.
 	leaderSuffix = "@leader"
@@ -138,8 +139,10 @@
 
 // HelloReply lists the cell's control processes.
 type HelloReply struct {
-	// Leader is the wire address of the leader, "" if none is known.
+	// Leader is the wire address of the leader, "" if none is known, and Term the
+	// term in which it leads.
 	Leader string
+	Term   uint64
 	// Controls are the wire addresses of all control processes, sorted.
 	Controls []string
 	// Configured says that the cell has a configuration.
