Repeat unanswered orders sooner, and pass over advisers that failed until their hello

A stop without a reply is repeated after 50 ms. - An adviser in a data centre that is cut off got a request every 1.1 s until 3 s after its last hello; each request holds up its step. One that failed waits for its next hello now, and a request has 0.3 s above the policy's time instead of 1 s, doubled for a step whose request failed. - A process that was frozen and leads no longer wrote 213 lines on runs that it took for lost; housekeeping needs the leadership now.

--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -32,6 +32,8 @@
 	Evaluated map[cell.WorkerID]bool
 	// InFlight is the number of advice requests that have not been answered.
 	InFlight int
+	// Failed is the number of the newest advice requests in a row that got no answer.
+	Failed int
 	// sortedEligible caches the keys of Eligible in ascending order; nil if it is
 	// outdated.
 	sortedEligible []cell.WorkerID
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -17,8 +17,10 @@
 	// alive.
 	adviserTimeout = 3 * time.Second
 	// adviceCallMargin is added to the expected duration of an advice request to
-	// get its timeout.
-	adviceCallMargin = time.Second
+	// get its timeout. It doubles with each request for the step that failed, at most
+	// maxMarginDoublings times.
+	adviceCallMargin   = 300 * time.Millisecond
+	maxMarginDoublings = 3
 	// ticketExpiryMargin is subtracted from a ticket's validity, so that the
 	// ticket is still valid when a start that carries it reaches the worker.
 	ticketExpiryMargin = 200 * time.Millisecond
@@ -33,8 +35,10 @@
 	adviser   Adviser
 	lastHello clock.Instant
 	busy      bool
-	// lastUsed is when the adviser was last given a request.
+	// lastUsed is when the adviser was last given a request, and failed says that it
+	// gave no answer to it.
 	lastUsed clock.Instant
+	failed   bool
 }
 
 // SetAdviser registers the process at addr as one that can request advice from
@@ -64,8 +68,14 @@
 	return idle, all
 }
 
-// alive reports whether the adviser has sent a hello within adviserTimeout.
-func (a *adviserState) alive(now clock.Instant) bool { return now.Sub(a.lastHello) < adviserTimeout }
+// alive reports whether the adviser has sent a hello within adviserTimeout and, if a
+// request to it failed, since it was given that request.
+func (a *adviserState) alive(now clock.Instant) bool {
+	if a.failed && a.lastHello <= a.lastUsed {
+		return false
+	}
+	return now.Sub(a.lastHello) < adviserTimeout
+}
 
 // idle reports whether the adviser is alive and has no call in progress.
 func (a *adviserState) idle(now clock.Instant) bool { return !a.busy && a.alive(now) }
@@ -109,7 +119,7 @@
 		return
 	}
 	a.busy, a.lastUsed = true, now
-	limit := adviceCallMargin + s.expectedAdviceTime(r)
+	limit := adviceCallMargin<<min(st.Failed, maxMarginDoublings) + s.expectedAdviceTime(r)
 	key, queue, workers := r.Key, r.Queue, r.Workers
 	s.cfg.Metrics.adviceRequests.WithLabelValues(queue).Inc()
 	go func() {
@@ -117,12 +127,14 @@
 		defer cancel()
 		advice, err := a.adviser.Advise(callCtx, key, workers)
 		s.post(ctx, func() {
-			a.busy, s.dirty = false, true
+			a.busy, a.failed, s.dirty = false, err != nil, true
 			st.InFlight--
 			if err != nil {
+				st.Failed++
 				s.cfg.Log.Info("advice request to the placement policy failed", zap.Stringer("step", key), zap.Error(err))
 				return
 			}
+			st.Failed = 0
 			s.onAdvice(st, queue, workers, advice)
 		})
 	}()
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -12,14 +12,14 @@
 )
 
 const (
-	// orderTimeout bounds the wait for a worker's reply to a start or a stop.
-	orderTimeout = 300 * time.Millisecond
 	// startAttempts is how often a start is sent that gets no reply. Starts are
 	// idempotent by the number of the run.
-	startAttempts = 3
+	startAttempts = 4
 	// stopRetryInterval is the pause before a stop is sent again for a run that
-	// is still running.
-	stopRetryInterval = 400 * time.Millisecond
+	// is still running, and unansweredStopRetry the pause after a stop without a
+	// reply.
+	stopRetryInterval   = 400 * time.Millisecond
+	unansweredStopRetry = 50 * time.Millisecond
 	// refusalBackoff is how long no new tasks are placed on a worker that refused
 	// one.
 	refusalBackoff = 500 * time.Millisecond
@@ -57,8 +57,8 @@
 // refusal only if no earlier attempt may still be carried out.
 func (s *Scheduler) sendStart(ctx context.Context, t WorkerTarget, o StartOrder) error {
 	var unanswered error
-	for range startAttempts {
-		err := s.attemptStart(ctx, t, o)
+	for attempt := range startAttempts {
+		err := s.attemptStart(ctx, t, o, attempt)
 		var refused *RefusedError
 		switch {
 		case err == nil:
@@ -78,14 +78,22 @@
 }
 
 // attemptStart sends a start once and waits for the reply, if this member still
-// leads.
-func (s *Scheduler) attemptStart(ctx context.Context, t WorkerTarget, o StartOrder) error {
+// leads. attempt counts the earlier attempts at the start.
+func (s *Scheduler) attemptStart(ctx context.Context, t WorkerTarget, o StartOrder, attempt int) error {
 	if !s.leads() {
 		return errNotLeading
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	if attempt > 0 {
+		s.calls.repeatedStarts.Add(1)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.replyTimes.timeout(attempt))
 	defer cancel()
-	return s.cfg.Workers.Start(ctx, t, o)
+	sentAt := s.now()
+	err := s.cfg.Workers.Start(ctx, t, o)
+	if attempt == 0 {
+		s.replyTimes.observe(s.now().Sub(sentAt))
+	}
+	return err
 }
 
 // onStartReply handles the outcome of a start.
@@ -205,7 +213,7 @@
 	if !s.leads() {
 		return errNotLeading
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.replyTimes.timeout(0))
 	defer cancel()
 	return s.cfg.Workers.Stop(ctx, t, o)
 }
@@ -222,8 +230,12 @@
 			r.stopAcceptedAt = now
 			s.probeRuns(ctx, se, r)
 		}
-	case errors.As(err, &refused) && refused.Refusal == RefusedIncarnation:
-		s.recordIncarnationGone(ctx, se)
+	case errors.As(err, &refused):
+		if refused.Refusal == RefusedIncarnation {
+			s.recordIncarnationGone(ctx, se)
+		}
+	default:
+		r.nextStopAt = now.Add(unansweredStopRetry)
 	}
 }
 
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -55,9 +56,9 @@
 		{"confirmed", []error{nil}, runStarted, false, nil, false},
 		{"confirmed at the second attempt", []error{errNoReply, nil}, runStarted, false, nil, false},
 		{"confirmed after a failed dial", []error{ErrNotSent, nil}, runStarted, false, nil, false},
-		{"never answered", []error{errNoReply, errNoReply, errNoReply}, runUnconfirmed, true, nil, true},
-		{"never sent", []error{ErrNotSent, ErrNotSent, ErrNotSent}, runStarting, false, []cell.Outcome{cell.OutcomeLost}, true},
-		{"sent once, then not", []error{errNoReply, ErrNotSent, ErrNotSent}, runUnconfirmed, true, nil, true},
+		{"never answered", slices.Repeat([]error{errNoReply}, startAttempts), runUnconfirmed, true, nil, true},
+		{"never sent", slices.Repeat([]error{ErrNotSent}, startAttempts), runStarting, false, []cell.Outcome{cell.OutcomeLost}, true},
+		{"sent once, then not", append([]error{errNoReply}, slices.Repeat([]error{ErrNotSent}, startAttempts-1)...), runUnconfirmed, true, nil, true},
 		{"refused", []error{refused}, runStarting, false, []cell.Outcome{cell.OutcomeLost}, false},
 		{"refused after an attempt without a reply", []error{errNoReply, refused}, runUnconfirmed, true, nil, true},
 	} {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -80,6 +81,10 @@
 	// longPolls counts the sessions whose renewals may wait at the worker.
 	longPolls int
 
+	// replyTimes estimates how long workers take to answer orders.
+	replyTimes replyTimes
+	calls      callStats
+
 	ends endBatch
 	// planning is set while a plan is being committed.
 	planning bool
@@ -155,7 +160,9 @@
 			event()
 		case <-s.planTimer.C:
 		case <-ticker.C:
-			s.housekeep(ctx)
+			if s.leads() {
+				s.housekeep(ctx)
+			}
 		}
 		wokenAt := s.now()
 		s.drainEvents()
@@ -176,6 +183,14 @@
 	committing time.Duration
 }
 
+// callStats counts the calls to workers since the last status line. Other goroutines
+// than the control goroutine add to it.
+type callStats struct {
+	repeatedStarts atomic.Int64
+	renewals       atomic.Int64
+	failedRenewals atomic.Int64
+}
+
 // takeOver commits this scheduler's term, after which the cell rejects the
 // commands of all earlier schedulers as stale.
 func (s *Scheduler) takeOver(ctx context.Context) error {
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -382,6 +382,10 @@
 		callCtx, cancel := context.WithTimeout(ctx, rn.order.Wait+renewalReplyMargin)
 		rn.reply, rn.err = s.cfg.Workers.RenewLease(callCtx, rn.target, rn.order)
 		cancel()
+		s.calls.renewals.Add(1)
+		if rn.err != nil {
+			s.calls.failedRenewals.Add(1)
+		}
 	}
 	s.post(ctx, func() { s.onRenewalReply(ctx, se, rn) })
 }
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -57,7 +57,9 @@
 		zap.Int64("used", used/1000), zap.Int("jobs", active), zap.Int64("waiting_tasks", waitingTasks),
 		zap.Ints("workers_by_free_quarter", workersByBand[:]), zap.Any("waiting_steps", waiting), zap.Any("millicpu", held), zap.Int("advisers_idle", idle), zap.Int("advisers", all),
 		zap.Int("plans", s.plans.count), zap.Duration("planning", s.plans.total), zap.Duration("longest_plan", s.plans.longest), zap.Int("long_polls", s.longPolls),
-		zap.Int("events", s.loop.events), zap.Duration("busy", s.loop.busy), zap.Duration("committing", s.loop.committing), zap.Int("goroutines", runtime.NumGoroutine()))
+		zap.Int("events", s.loop.events), zap.Duration("busy", s.loop.busy), zap.Duration("committing", s.loop.committing), zap.Int("goroutines", runtime.NumGoroutine()),
+		zap.Int64("renewals", s.calls.renewals.Swap(0)), zap.Int64("failed_renewals", s.calls.failedRenewals.Swap(0)),
+		zap.Int64("repeated_starts", s.calls.repeatedStarts.Swap(0)), zap.Duration("order_timeout", s.replyTimes.timeout(0)))
 	s.plans, s.loop = planStats{}, loopStats{}
 }
 
