Let gangs ask about workers with free room first, and fewer of them reserve

Gangs asked the placement policy about the first workers with most room in all, mostly full ones whose runs they would have to stop, and 22 of them held free workers without having enough.

Change: requests name workers with free slots first; in a large pool gangs begin at different workers (one start for each 100); one gang for each 100 workers reserves, instead of 50.

--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -5,6 +5,8 @@
 	"iter"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kumquatwing/internal/cell"
 	"kumquatwing/internal/model"
 )
@@ -36,6 +38,9 @@
 	// quickGangOversampling is the ratio for a gang whose policy is quick, since a
 	// further request soon follows.
 	quickGangOversampling = 3.0
+	// workersPerStart is the distance of the workers at which the requests for
+	// different gangs begin.
+	workersPerStart = 100
 	// minRequestWorkers is the minimum number of workers in a request, provided
 	// that there are so many candidates.
 	minRequestWorkers = 6
@@ -135,15 +140,18 @@
 	return sorted
 }
 
-// gangCandidate is a worker that an advice request for a gang may name, with the
-// number of the gang's task slots on it.
+// gangCandidate is a worker that an advice request for a gang may name.
 type gangCandidate struct {
 	worker *Worker
-	slots  int
+	// free is the number of the gang's task slots that are free on the worker now, and
+	// available that with those that preemption would free.
+	free, available int
+	// order breaks ties, see firstCandidate.
+	order int
 }
 
-// compareGangCandidates orders suspect workers last, then those with the most slots
-// first, then by input order.
+// compareGangCandidates orders suspect workers last, then those with the most free
+// slots first, and then those with the most available ones.
 func compareGangCandidates(a, b gangCandidate) int {
 	if a.worker.Suspect != b.worker.Suspect {
 		if a.worker.Suspect {
@@ -151,20 +159,22 @@
 		}
 		return -1
 	}
-	return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(a.worker.inputIndex, b.worker.inputIndex))
+	return cmp.Or(cmp.Compare(b.free, a.free), cmp.Compare(b.available, a.available), cmp.Compare(a.order, b.order))
 }
 
 // requestGangAdvice requests advice for a gang about the workers that accept returns
-// true for. It lists those with the most task slots first and suspect ones last.
-// Capacity that is being released or can be preempted counts.
+// true for. It lists those with the most free task slots first and suspect ones last.
+// Capacity that is being released or can be preempted counts after that.
 func (p *planner) requestGangAdvice(s *Pending, accept func(*Pending, *Worker) bool) {
 	if !p.mayRequestAdvice(s) {
 		return
 	}
 	var candidates []gangCandidate
+	first := s.firstCandidate(len(p.in.Workers))
 	for _, w := range p.pools[s.Pool] {
 		if w.hasLabel(s.Step.Requires) && accept(s, w) {
-			candidates = append(candidates, gangCandidate{w, availableSlots(s, w)})
+			order := (w.inputIndex - first + len(p.in.Workers)) % len(p.in.Workers)
+			candidates = append(candidates, gangCandidate{w, freeSlots(s, w), availableSlots(s, w), order})
 		}
 	}
 	slices.SortFunc(candidates, compareGangCandidates)
@@ -186,6 +196,15 @@
 	}
 }
 
+// firstCandidate returns the index, below n, of the worker with which the step's
+// candidates begin. Gangs that wait at the same time begin at different workers of a
+// large pool, so that they don't all count on the same ones. In a small pool they share
+// the first workers, which leaves the others to small tasks.
+func (s *Pending) firstCandidate(n int) int {
+	starts := max(1, n/workersPerStart)
+	return int(xxhash.Sum64String(s.Key.String())%uint64(starts)) * workersPerStart
+}
+
 // availableSlots returns the number of the step's task slots on the worker, with those
 // that preemption would free.
 func availableSlots(s *Pending, w *Worker) int { return slotsIn(s, w, w.availableTo(s.Queue.Priority)) }
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -13,7 +13,7 @@
 	// free capacity while they wait for more. With n workers in the pool, the limit
 	// is n/workersPerReservingGang, but at least minReservingGangs.
 	minReservingGangs       = 2
-	workersPerReservingGang = 50
+	workersPerReservingGang = 100
 	// searchedGangsFactor limits the waiting gangs for which a plan searches runs to
 	// preempt, as a multiple of those that may reserve capacity. The search takes
 	// long, and the less urgent gangs would find little left.
--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -32,6 +32,10 @@
 	eligibleShare float64
 	// checkpoints reports that stopped tasks resume where they were.
 	checkpoints bool
+	// failShare is the share of the runs that fail at a random time, and sizeSigma the
+	// spread of the tasks' CPU from job to job, as the standard deviation of its
+	// logarithm.
+	failShare, sizeSigma float64
 }
 
 // yearbookLoad returns job classes in the proportions that the yearbook workspace
@@ -43,13 +47,13 @@
 	return []loadClass{
 		{"table", 3.0, true, 8, 4500, 4600, 4 * time.Second, 11.6, cell.Queue{
 			Name: "table", Priority: 1, ObjectiveMillis: 1000, Stretch: 2.2, Advice: advice(560, 8),
-		}, 0.3, false},
+		}, 0.3, false, 0, 0},
 		{"series", 11, false, 10, 890, 910, 2700 * time.Millisecond, 2.23, cell.Queue{
 			Name: "series", Priority: 2, ObjectiveMillis: 3000, Stretch: 4, Advice: advice(66, 0.94),
-		}, 0.45, true},
+		}, 0.45, true, 0, 0},
 		{"extract", 60, false, 2, 1300, 1800, 800 * time.Millisecond, 0.439, cell.Queue{
 			Name: "extract", Priority: 0, ObjectiveMillis: 250, Stretch: 1.5, Advice: advice(9.3, 0.13),
-		}, 0.7, false},
+		}, 0.7, false, 0, 0},
 	}
 }
 
@@ -70,6 +74,10 @@
 	burstFactor float64
 	// planInterval is the virtual time between two plans.
 	planInterval time.Duration
+	// lostShare of the workers are gone from 10 s on, and no plan is made for pause,
+	// the time without a leader, from 6 s on.
+	lostShare float64
+	pause     time.Duration
 }
 
 // scaledLoad returns yearbookLoad scaled up for four times as many workers. All
@@ -94,8 +102,9 @@
 	run       int64
 	worker    int
 	// endsAt is the time at which the current run completes, and stopsAt the time
-	// at which a preemption ends it, 0 if it is not preempted.
-	endsAt, stopsAt, startedAt clock.Instant
+	// at which a preemption ends it, 0 if it is not preempted. failsAt is the time at
+	// which it fails, 0 if it does not.
+	endsAt, stopsAt, startedAt, failsAt clock.Instant
 }
 
 type simJob struct {
@@ -152,13 +161,61 @@
 			l.submitArrivals()
 		}
 		l.endTasks()
+		l.failRuns()
 		l.completeCalls()
-		l.planOnce()
+		if !l.pausedNow() {
+			l.planOnce()
+		}
 		l.now = l.now.Add(l.planInterval)
 	}
 	return l.results()
 }
 
+// pausedNow reports whether there is no leader to make plans.
+func (l *simulation) pausedNow() bool {
+	const pauseBegins = 6 * time.Second
+	at := l.now.Sub(testNow)
+	return at >= pauseBegins && at < pauseBegins+l.pause
+}
+
+// gone reports whether the worker with the given index has left.
+func (l *simulation) gone(worker int) bool {
+	const lossAt = 10 * time.Second
+	if l.now.Sub(testNow) < lossAt {
+		return false
+	}
+	return float64(worker*7%l.workers) < l.lostShare*float64(l.workers)
+}
+
+// failRuns ends the runs that fail or whose worker has left, and with them the other
+// runs of their gangs.
+func (l *simulation) failRuns() {
+	for _, j := range l.unfinished {
+		broken := false
+		for i := range j.tasks {
+			t := &j.tasks[i]
+			if t.running && (l.gone(t.worker) || (t.failsAt != 0 && t.failsAt <= l.now)) {
+				l.endRun(j, t)
+				broken = true
+			}
+		}
+		if !broken || !j.step.Gang {
+			continue
+		}
+		for i := range j.tasks {
+			if t := &j.tasks[i]; t.running {
+				l.endRun(j, t)
+			}
+		}
+	}
+}
+
+// endRun ends a run whose work is lost.
+func (l *simulation) endRun(j *simJob, t *simTask) {
+	t.running, t.stopsAt = false, 0
+	l.free[t.worker] = l.free[t.worker].Add(j.step.Need)
+}
+
 // submitArrivals submits the jobs that arrive within one plan interval. The first
 // class has a burst from 8 to 14 s.
 func (l *simulation) submitArrivals() {
@@ -182,7 +239,7 @@
 	j := &simJob{
 		id: cell.JobID(fmt.Sprintf("%s-%04d", c.name, len(l.jobs))), class: c, submittedAt: l.now,
 		step: cell.Step{
-			Count: width, Need: model.Resources{MilliCPU: c.milliCPU, MemoryMB: c.memoryMB}, Gang: c.gang,
+			Count: width, Need: l.taskSize(c), Gang: c.gang,
 			EstimateMillis: int64(float64(work.Milliseconds()) * math.Exp(0.3*l.rand.NormFloat64())), Checkpoints: c.checkpoints,
 		},
 		advice: &StepAdvice{Eligible: map[cell.WorkerID]Ticket{}, Evaluated: map[cell.WorkerID]bool{}},
@@ -196,6 +253,15 @@
 	l.jobs, l.unfinished = append(l.jobs, j), append(l.unfinished, j)
 }
 
+// taskSize returns the size of the tasks of one job.
+func (l *simulation) taskSize(c *loadClass) model.Resources {
+	if c.sizeSigma == 0 {
+		return model.Resources{MilliCPU: c.milliCPU, MemoryMB: c.memoryMB}
+	}
+	factor := math.Exp(c.sizeSigma*l.rand.NormFloat64() - c.sizeSigma*c.sizeSigma/2)
+	return model.Resources{MilliCPU: min(15_000, max(300, int64(factor*float64(c.milliCPU)))), MemoryMB: c.memoryMB}
+}
+
 // endTasks ends the runs that have completed or were stopped by now.
 func (l *simulation) endTasks() {
 	for _, j := range l.unfinished {
@@ -300,7 +366,13 @@
 		panic("start exceeds the free capacity of its worker")
 	}
 	t.running, t.worker, t.run = true, w, t.run+1
-	t.startedAt, t.endsAt = l.now, l.now.Add(t.remaining)
+	t.startedAt, t.endsAt, t.failsAt = l.now, l.now.Add(t.remaining), 0
+	// Whether a run fails depends on nothing but the run, so that the same runs fail
+	// whatever the plans are.
+	luck := rand.New(rand.NewPCG(hashString(string(j.id)), uint64(s.Task.Index)<<8|uint64(t.run)))
+	if luck.Float64() < j.class.failShare {
+		t.failsAt = l.now.Add(time.Duration(luck.Float64() * float64(t.remaining)))
+	}
 }
 
 // input returns the snapshot of the simulated cell.
@@ -311,6 +383,9 @@
 	for i, free := range l.free {
 		w := worker(fmt.Sprintf("w%03d", i), 0)
 		w.Capacity, w.Free = model.Resources{MilliCPU: 16000, MemoryMB: 32768}, free
+		if l.gone(i) {
+			w.Capacity, w.Free = model.Resources{}, model.Resources{}
+		}
 		in.Workers = append(in.Workers, w)
 	}
 	for _, j := range l.unfinished {
@@ -450,11 +525,11 @@
 // arrival. It must not starve the largest jobs of a class for it.
 func TestLoadAgainstFirstFit(t *testing.T) {
 	smallCluster := func(burst float64) scenario {
-		return scenario{fmt.Sprintf("48 workers, burst %.1f", burst), 48, 12, yearbookLoad(), burst, 10 * time.Millisecond}
+		return scenario{fmt.Sprintf("48 workers, burst %.1f", burst), 48, 12, yearbookLoad(), burst, 10 * time.Millisecond, 0, 0}
 	}
 	for _, sc := range []scenario{
 		smallCluster(1), smallCluster(1.8), smallCluster(2.5),
-		{"192 workers, burst 1.8", 192, 39, scaledLoad(), 1.8, 20 * time.Millisecond},
+		{"192 workers, burst 1.8", 192, 39, scaledLoad(), 1.8, 20 * time.Millisecond, 0, 0},
 	} {
 		t.Run(sc.name, func(t *testing.T) {
 			planned, firstFitResults := simulate(sc, 7, Compute), simulate(sc, 7, firstFit)
@@ -487,7 +562,7 @@
 // must be served like urgent jobs that are no gangs.
 func TestUrgentGangsAreServedUnderLoad(t *testing.T) {
 	for _, burst := range []float64{1.8, 3} {
-		sc := scenario{fmt.Sprintf("192 workers, burst %.1f", burst), 192, 26, urgentGangLoad(), burst, 20 * time.Millisecond}
+		sc := scenario{fmt.Sprintf("192 workers, burst %.1f", burst), 192, 26, urgentGangLoad(), burst, 20 * time.Millisecond, 0, 0}
 		t.Run(sc.name, func(t *testing.T) {
 			results := simulate(sc, 7, Compute)
 			single, gangs := results["extract"], results["extract-gang"]
