--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -212,7 +212,7 @@
 
 func (s *State) isGangTask(k TaskKey) bool {
 	j := s.Jobs[k.Job]
-	return j != nil && k.Step < len(j.Steps) && j.Steps[k.Step].Gang
+	return j != nil && isIndex(k.Step, len(j.Steps)) && j.Steps[k.Step].Gang
 }
 
 // canPlace reports whether all the starts together are valid in the present state.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"errors"
 	"slices"
 	"sync"
 
@@ -178,12 +179,18 @@
 	return consensus.Encode(&snap)
 }
 
+// errDamagedSnapshot is the error of a snapshot whose parts don't match.
+var errDamagedSnapshot = errors.New("cell: snapshot is damaged")
+
 // Restore implements replica.StateMachine.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
 	if err := consensus.Decode(data, &snap); err != nil {
 		return err
 	}
+	if len(snap.Held) != len(snap.Workers) || slices.Contains(snap.Jobs, nil) {
+		return errDamagedSnapshot
+	}
 	s.mu.Lock()
 	s.reset()
 	s.Leadership, s.Config, s.ConfigDocument = snap.Leadership, snap.Config, snap.Document
@@ -278,14 +285,17 @@
 	}
 }
 
+// isIndex reports whether i is an index of a slice of length n.
+func isIndex(i, n int) bool { return i >= 0 && i < n }
+
 // Task returns a task with its job and step. Those that don't exist are nil.
 func (s *State) Task(k TaskKey) (*Job, *StepState, *Task) {
 	j := s.Jobs[k.Job]
-	if j == nil || k.Occurrence >= len(j.Occurrences) || k.Step >= len(j.Steps) {
+	if j == nil || !isIndex(k.Occurrence, len(j.Occurrences)) || !isIndex(k.Step, len(j.Steps)) {
 		return j, nil, nil
 	}
 	st := &j.Occurrences[k.Occurrence].Steps[k.Step]
-	if k.Index >= len(st.Tasks) {
+	if !isIndex(k.Index, len(st.Tasks)) {
 		return j, st, nil
 	}
 	return j, st, &st.Tasks[k.Index]
--- a/internal/cellapi/cellapi_test.go
+++ b/internal/cellapi/cellapi_test.go
@@ -83,6 +83,33 @@
 	qt.Check(t, reasonOf(err), qt.Equals, verdict.ReasonUnknownJob, qt.Commentf("another workspace's job"))
 }
 
+// TestOversizedJobsAreRefused checks that a job whose tasks would take the memory of all
+// control processes is refused, and one of the largest allowed size is not.
+func TestOversizedJobsAreRefused(t *testing.T) {
+	ctx := context.Background()
+	_, client := newServer(t)
+	_, err := client.Configure(ctx, &ConfigureRequest{Config: testConfig, Document: []byte("{}")})
+	qt.Assert(t, err, qt.IsNil)
+	for i, c := range []struct {
+		name     string
+		steps    []cell.Step
+		schedule cell.Schedule
+		want     verdict.Reason
+	}{
+		{"largest", []cell.Step{{Count: maxTasks}}, cell.Schedule{}, ""},
+		{"wide", []cell.Step{{Count: 2_000_000_000}}, cell.Schedule{}, verdict.ReasonBadRequest},
+		{"wide in sum", []cell.Step{{Count: maxTasks}, {Count: 1}}, cell.Schedule{}, verdict.ReasonBadRequest},
+		{"many steps", make([]cell.Step, maxSteps+1), cell.Schedule{}, verdict.ReasonBadRequest},
+		{"often", []cell.Step{{Count: 10}}, cell.Schedule{Times: 2_000_000_000}, verdict.ReasonBadRequest},
+		{"never", []cell.Step{{Count: 1}}, cell.Schedule{Times: -1}, verdict.ReasonBadRequest},
+	} {
+		_, err := client.Submit(ctx, &SubmitRequest{
+			Place: CallTarget{"h", "/q/", "ka"}, ID: cell.JobID(rune('a' + i)), Steps: c.steps, Schedule: c.schedule,
+		})
+		qt.Check(t, reasonOf(err), qt.Equals, c.want, qt.Commentf(c.name))
+	}
+}
+
 func TestSupersededReportsAreIgnored(t *testing.T) {
 	s, client := newServer(t)
 	send := func(id cell.WorkerID, born, seq int64, draining bool) {
--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"kumquatwing/internal/cell"
 	"kumquatwing/internal/clock"
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/verdict"
 	"kumquatwing/internal/wire"
 )
@@ -127,7 +127,7 @@
 // decode decodes the reply to a call.
 func decode[Resp any](topic string, reply []byte) (*Resp, error) {
 	resp := new(Resp)
-	if err := msgpack.Unmarshal(reply, resp); err != nil {
+	if err := codec.Unmarshal(reply, resp); err != nil {
 		return nil, verdict.RefuseMayHaveRun(verdict.ReasonInternal, "%s: reply can't be decoded: %v", topic, err)
 	}
 	return resp, nil
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -198,31 +197,6 @@
 	return &SubmitReply{Known: r.Known}, nil
 }
 
-// invalidJobReason returns why a job is invalid, or "".
-func invalidJobReason(req *SubmitRequest) string {
-	if req.ID == "" || strings.Contains(string(req.ID), ".") {
-		return "the job's id is missing or has a dot"
-	}
-	if len(req.Steps) == 0 {
-		return "the job has no steps"
-	}
-	for i := range req.Steps {
-		st := &req.Steps[i]
-		if st.Count <= 0 {
-			return "a step has no tasks"
-		}
-		if st.Need.MilliCPU < 0 || st.Need.MemoryMB < 0 || st.Need.Accelerators < 0 {
-			return "a step needs less than nothing"
-		}
-		for _, dependency := range st.After {
-			if dependency < 0 || dependency >= i {
-				return "a step must come after earlier steps"
-			}
-		}
-	}
-	return ""
-}
-
 func (s *Server) job(_ context.Context, req *JobRequest) (*JobReply, error) {
 	c, err := s.authorize(&req.Place)
 	if err != nil {
--- /dev/null
+++ b/internal/cellapi/validate.go
@@ -0,0 +1,56 @@
+package cellapi
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Limits on a job. The state of each task is held by every control process, so that one
+// job without a limit could take all their memory.
+const (
+	maxSteps = 1_000
+	// maxTasks limits the tasks of one occurrence, and maxTotalTasks those of all.
+	maxTasks      = 20_000
+	maxTotalTasks = 1_000_000
+)
+
+// invalidJobReason returns why a job is invalid, or "".
+func invalidJobReason(req *SubmitRequest) string {
+	if req.ID == "" || strings.Contains(string(req.ID), ".") {
+		return "the job's id is missing or has a dot"
+	}
+	if len(req.Steps) == 0 || len(req.Steps) > maxSteps {
+		return fmt.Sprintf("the job has %d steps, not 1 to %d", len(req.Steps), maxSteps)
+	}
+	tasks := 0
+	for i := range req.Steps {
+		if reason := invalidStepReason(req, i); reason != "" {
+			return reason
+		}
+		tasks += req.Steps[i].Count
+	}
+	if tasks > maxTasks {
+		return fmt.Sprintf("the job has %d tasks, more than %d", tasks, maxTasks)
+	}
+	if times := req.Schedule.Times; times < 0 || times > maxTotalTasks/tasks {
+		return fmt.Sprintf("the job has %d occurrences of %d tasks, more than %d tasks in all", times, tasks, maxTotalTasks)
+	}
+	return ""
+}
+
+// invalidStepReason returns why step i of a job is invalid, or "".
+func invalidStepReason(req *SubmitRequest, i int) string {
+	st := &req.Steps[i]
+	if st.Count <= 0 || st.Count > maxTasks {
+		return fmt.Sprintf("a step has %d tasks, not 1 to %d", st.Count, maxTasks)
+	}
+	if st.Need.MilliCPU < 0 || st.Need.MemoryMB < 0 || st.Need.Accelerators < 0 {
+		return "a step needs less than nothing"
+	}
+	for _, dependency := range st.After {
+		if dependency < 0 || dependency >= i {
+			return "a step must come after earlier steps"
+		}
+	}
+	return ""
+}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -111,6 +111,7 @@
 	if err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
+	n.wire.SetLogger(cfg.Log)
 	n.state = cell.NewState(n.notifyChanged)
 	n.self = n.identity(store)
 	n.member, err = replica.Open(replica.Config{
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -15,6 +15,8 @@
 	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"kumquatwing/internal/codec"
 )
 
 // ID identifies one incarnation of a member. A process that has lost its state
@@ -199,4 +201,4 @@
 }
 
 // Decode decodes data encoded by Encode into v.
-func Decode(data []byte, v any) error { return msgpack.Unmarshal(data, v) }
+func Decode(data []byte, v any) error { return codec.Unmarshal(data, v) }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -116,6 +116,7 @@
 		return nil, err
 	}
 	s.wire = node
+	node.SetLogger(s.log)
 	if s.eventFile != nil {
 		node.SetClock(s.eventFile)
 	}
--- a/internal/dcstate/state.go
+++ b/internal/dcstate/state.go
@@ -4,8 +4,6 @@
 package dcstate
 
 import (
-	"github.com/vmihailenco/msgpack/v5"
-
 	"kumquatwing/internal/codec"
 	"kumquatwing/internal/ledger"
 	"kumquatwing/internal/model"
@@ -67,7 +65,7 @@
 func (s *State) Apply(_ uint64, command []byte) []byte {
 	var c Command
 	var r Result
-	if err := msgpack.Unmarshal(command, &c); err != nil {
+	if err := codec.Unmarshal(command, &c); err != nil {
 		r.Refusal = verdict.Refuse(verdict.ReasonBadRequest, "command can't be decoded: %v", err)
 	} else {
 		s.apply(&c, &r)
@@ -122,7 +120,7 @@
 // Restore implements replica.StateMachine.
 func (s *State) Restore(snapshot []byte) error {
 	var data snapshotData
-	if err := msgpack.Unmarshal(snapshot, &data); err != nil {
+	if err := codec.Unmarshal(snapshot, &data); err != nil {
 		return err
 	}
 	if err := s.Work.Restore(data.Work); err != nil {
@@ -145,7 +143,7 @@
 // refused, the error is the refusal.
 func DecodeResult(b []byte) (*Result, error) {
 	r := &Result{}
-	if err := msgpack.Unmarshal(b, r); err != nil {
+	if err := codec.Unmarshal(b, r); err != nil {
 		return nil, verdict.RefuseMayHaveRun(verdict.ReasonInternal, "result can't be decoded: %v", err)
 	}
 	if r.Refusal != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,6 +125,7 @@
 	if e.node, err = wire.Listen(e.cfg.Wire, nil); err != nil {
 		return err
 	}
+	e.node.SetLogger(e.log)
 	if f, ok := e.events.(*eventlog.File); ok {
 		e.node.SetClock(f)
 	}
--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -11,6 +11,7 @@
 
 	"kumquatwing/internal/api"
 	"kumquatwing/internal/clock"
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/fake/worker"
 	"kumquatwing/internal/model"
@@ -110,7 +111,7 @@
 
 func decode(data []byte) *work.Command {
 	cmd := &work.Command{}
-	if err := msgpack.Unmarshal(data, cmd); err != nil {
+	if err := codec.Unmarshal(data, cmd); err != nil {
 		panic(err)
 	}
 	return cmd
--- a/internal/fleet/command.go
+++ b/internal/fleet/command.go
@@ -203,7 +203,7 @@
 // decode is the inverse of Encode.
 func decode(b []byte) (*Command, error) {
 	c := new(Command)
-	if err := msgpack.Unmarshal(b, c); err != nil {
+	if err := codec.Unmarshal(b, c); err != nil {
 		return nil, err
 	}
 	return c, nil
--- a/internal/fleet/result.go
+++ b/internal/fleet/result.go
@@ -1,8 +1,7 @@
 package fleet
 
 import (
-	"github.com/vmihailenco/msgpack/v5"
-
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/verdict"
 )
 
@@ -29,7 +28,7 @@
 // it returns the refusal as the error, along with the result.
 func DecodeResult(b []byte) (*Result, error) {
 	r := new(Result)
-	if err := msgpack.Unmarshal(b, r); err != nil {
+	if err := codec.Unmarshal(b, r); err != nil {
 		return nil, verdict.RefuseMayHaveRun(verdict.ReasonInternal, "fleet: result can't be decoded: %v", err)
 	}
 	if r.Refusal != nil {
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/settings"
 	"kumquatwing/internal/verdict"
@@ -82,7 +83,7 @@
 // stays unchanged.
 func (s *State) Restore(b []byte) error {
 	var in snapshot
-	if err := msgpack.Unmarshal(b, &in); err != nil {
+	if err := codec.Unmarshal(b, &in); err != nil {
 		return verdict.Refuse(verdict.ReasonInternal, "fleet: snapshot can't be decoded: %v", err)
 	}
 	if in.Format != snapshotFormat {
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/model"
 )
 
@@ -42,7 +43,7 @@
 // Restore replaces the whole state by that of a snapshot and keeps the limits.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
-	if err := msgpack.Unmarshal(data, &snap); err != nil {
+	if err := codec.Unmarshal(data, &snap); err != nil {
 		return err
 	}
 	fresh := New(snap.DC, snap.Generation, s.limits)
--- a/internal/slots/snapshot.go
+++ b/internal/slots/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/model"
 )
 
@@ -35,7 +36,7 @@
 // Restore replaces the whole state by that of a snapshot.
 func (s *State) Restore(data []byte) error {
 	var snap snapshot
-	if err := msgpack.Unmarshal(data, &snap); err != nil {
+	if err := codec.Unmarshal(data, &snap); err != nil {
 		return err
 	}
 	fresh := NewState(snap.Generation)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -9,8 +9,6 @@
 	"encoding/binary"
 	"io"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"kumquatwing/internal/codec"
 	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/verdict"
@@ -91,7 +89,7 @@
 		return nil, err
 	}
 	f := &frame{}
-	if err := msgpack.Unmarshal(body, f); err != nil {
+	if err := codec.Unmarshal(body, f); err != nil {
 		return nil, verdict.Refuse(verdict.ReasonBadRequest, "frame can't be decoded: %v", err)
 	}
 	return f, nil
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -4,11 +4,12 @@
 	"bufio"
 	"context"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
-	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
 
 	"kumquatwing/internal/codec"
 	"kumquatwing/internal/eventlog"
@@ -23,6 +24,9 @@
 	// maxHandlers bounds the requests that a node handles at the same time, over
 	// all topics.
 	maxHandlers = 512
+	// maxTopicHandlers bounds those of one topic, so that requests that wait for long
+	// leave others to be handled.
+	maxTopicHandlers = maxHandlers * 3 / 4
 	// defaultCallTimeout bounds a call whose context has no deadline.
 	defaultCallTimeout = 5 * time.Second
 )
@@ -51,8 +55,10 @@
 	peers       map[string]*peer
 	subscribers map[string][]chan *message.Message
 	handlers    map[string]Handler
-	conns       map[net.Conn]struct{}
-	closed      bool
+	// running counts the requests of each topic that are being handled.
+	running map[string]int
+	conns   map[net.Conn]struct{}
+	closed  bool
 
 	// handlerSlots is a semaphore with maxHandlers slots.
 	handlerSlots chan struct{}
@@ -61,6 +67,7 @@
 
 	traffic trafficCounter
 	clock   HybridClock
+	log     *zap.Logger
 }
 
 var (
@@ -84,9 +91,11 @@
 		peers:        map[string]*peer{},
 		subscribers:  map[string][]chan *message.Message{},
 		handlers:     map[string]Handler{},
+		running:      map[string]int{},
 		conns:        map[net.Conn]struct{}{},
 		handlerSlots: make(chan struct{}, maxHandlers),
 		done:         make(chan struct{}),
+		log:          zap.NewNop(),
 	}
 	n.wg.Add(1)
 	go n.accept()
@@ -109,6 +118,10 @@
 // before the first message is sent or handled.
 func (n *Node) SetClock(c HybridClock) { n.clock = c }
 
+// SetLogger sets the logger for panics of handlers. It must be called before the first
+// handler is registered.
+func (n *Node) SetLogger(log *zap.Logger) { n.log = log.Named("wire") }
+
 // stamp sets the timestamp of an outgoing frame.
 func (n *Node) stamp(f *frame) {
 	if n.clock != nil {
@@ -227,7 +240,7 @@
 func Typed[Req, Resp any](topic string, h func(ctx context.Context, req *Req) (*Resp, error)) Handler {
 	return func(ctx context.Context, body []byte) ([]byte, error) {
 		req := new(Req)
-		if err := msgpack.Unmarshal(body, req); err != nil {
+		if err := codec.Unmarshal(body, req); err != nil {
 			return nil, verdict.Refuse(verdict.ReasonBadRequest, "%s: request can't be decoded: %v", topic, err)
 		}
 		resp, err := h(ctx, req)
@@ -250,7 +263,7 @@
 	if err != nil {
 		return err
 	}
-	if err := msgpack.Unmarshal(reply, resp); err != nil {
+	if err := codec.Unmarshal(reply, resp); err != nil {
 		return verdict.RefuseMayHaveRun(verdict.ReasonInternal, "%s: reply can't be decoded: %v", topic, err)
 	}
 	return nil
@@ -374,22 +387,49 @@
 }
 
 // serveRequest runs the handler of a request and writes the reply. It refuses the
-// request if maxHandlers are running.
+// request if maxHandlers are running, or maxTopicHandlers of its topic.
 func (n *Node) serveRequest(f *frame, replies *replyWriter) {
 	defer n.wg.Done()
 	reply := &frame{Kind: kindReply, ID: f.ID}
-	select {
-	case n.handlerSlots <- struct{}{}:
+	if n.beginRequest(f.Topic) {
 		reply.Body, reply.Refusal = n.runHandler(f)
-		<-n.handlerSlots
-	default:
+		n.endRequest(f.Topic)
+	} else {
 		reply.Refusal = verdict.Refuse(verdict.ReasonOverload, "%s: too many requests at once", f.Topic)
 	}
 	n.stamp(reply)
 	replies.write(reply)
 }
 
-func (n *Node) runHandler(f *frame) ([]byte, *verdict.Refusal) {
+// beginRequest takes a handler slot for a request, and reports whether there is one.
+func (n *Node) beginRequest(topic string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.running[topic] >= maxTopicHandlers {
+		return false
+	}
+	select {
+	case n.handlerSlots <- struct{}{}:
+		n.running[topic]++
+		return true
+	default:
+		return false
+	}
+}
+
+// endRequest frees the slot that beginRequest took.
+func (n *Node) endRequest(topic string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	<-n.handlerSlots
+	if n.running[topic]--; n.running[topic] == 0 {
+		delete(n.running, topic)
+	}
+}
+
+// runHandler runs the handler of a request. A panic ends the request and not the
+// process.
+func (n *Node) runHandler(f *frame) (body []byte, refusal *verdict.Refusal) {
 	n.mu.Lock()
 	h := n.handlers[f.Topic]
 	n.mu.Unlock()
@@ -400,6 +440,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(f.BudgetMillis)*time.Millisecond)
 	defer cancel()
+	defer func() {
+		if v := recover(); v != nil {
+			n.log.Error("handler of a request panicked", zap.String("topic", f.Topic), zap.Any("panic", v), zap.ByteString("stack", debug.Stack()))
+			body, refusal = nil, verdict.RefuseMayHaveRun(verdict.ReasonInternal, "%s: the handler failed", f.Topic)
+		}
+	}()
 	body, err := h(ctx, f.Body)
 	if err != nil {
 		return nil, verdict.FromError(err)
--- a/internal/wire/node_test.go
+++ b/internal/wire/node_test.go
@@ -59,6 +59,48 @@
 	qt.Assert(t, r.Retry, qt.IsTrue)
 }
 
+// TestPanicEndsOneRequest checks that a handler that panics ends its request, of which
+// the caller learns that it may have run, and not the process.
+func TestPanicEndsOneRequest(t *testing.T) {
+	server, client := listen(t, nil), listen(t, nil)
+	server.Handle("bad", func(context.Context, []byte) ([]byte, error) { panic("unexpected") })
+	server.Handle("good", func(context.Context, []byte) ([]byte, error) { return nil, nil })
+	_, err := client.CallRaw(context.Background(), server.Addr(), "bad", nil)
+	r := verdict.FromError(err)
+	qt.Check(t, r.Verdict, qt.Equals, verdict.MayHaveRun)
+	qt.Check(t, r.Reason, qt.Equals, verdict.ReasonInternal)
+	_, err = client.CallRaw(context.Background(), server.Addr(), "good", nil)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, server.running, qt.HasLen, 0)
+}
+
+// TestOneTopicLeavesHandlersToOthers checks that requests of one topic that wait, as
+// they do without a quorum, leave handlers to other topics.
+func TestOneTopicLeavesHandlersToOthers(t *testing.T) {
+	server, client := listen(t, nil), listen(t, nil)
+	release := make(chan struct{})
+	defer close(release)
+	server.Handle("waits", func(context.Context, []byte) ([]byte, error) {
+		<-release
+		return nil, nil
+	})
+	server.Handle("ping", func(context.Context, []byte) ([]byte, error) { return nil, nil })
+	refused := make(chan error, maxHandlers+1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range maxHandlers + 1 {
+		go func() {
+			_, err := client.CallRaw(ctx, server.Addr(), "waits", nil)
+			refused <- err
+		}()
+	}
+	for range maxHandlers + 1 - maxTopicHandlers {
+		qt.Check(t, verdict.FromError(<-refused).Reason, qt.Equals, verdict.ReasonOverload)
+	}
+	_, err := client.CallRaw(ctx, server.Addr(), "ping", nil)
+	qt.Check(t, err, qt.IsNil)
+}
+
 // TestVerdictsWithoutReply checks the verdicts of calls that get no reply. The
 // server's kernel accepts connections, but no process reads from them.
 func TestVerdictsWithoutReply(t *testing.T) {
--- a/internal/work/snapshot.go
+++ b/internal/work/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"kumquatwing/internal/codec"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/placement/estimate"
 )
@@ -51,7 +52,7 @@
 // Restore replaces the whole state by that of a snapshot.
 func (s *State) Restore(snapshot []byte) error {
 	var im image
-	if err := msgpack.Unmarshal(snapshot, &im); err != nil {
+	if err := codec.Unmarshal(snapshot, &im); err != nil {
 		return err
 	}
 	fresh := New()
