--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -138,9 +138,26 @@
 // gets this error.
 var ErrNotSent = errors.New("scheduler: the order was not sent")
 
+// permissionKey is the context key of the function that MayStillSend calls.
+type permissionKey struct{}
+
+// WithPermission returns a context for orders that may be sent only while permitted
+// reports true.
+func WithPermission(ctx context.Context, permitted func() bool) context.Context {
+	return context.WithValue(ctx, permissionKey{}, permitted)
+}
+
+// MayStillSend reports whether the sender of an order still leads. A WorkerClient calls
+// it right before it writes an order: the process may have been suspended since the
+// order was given, and its clocks for timeouts don't count that time.
+func MayStillSend(ctx context.Context) bool {
+	permitted, ok := ctx.Value(permissionKey{}).(func() bool)
+	return !ok || permitted()
+}
+
 // WorkerClient sends orders to workers. After an error other than *RefusedError
 // and ErrNotSent, the order may or may not have been carried out, or may still be.
-// Errors may be wrapped.
+// Errors may be wrapped. An order whose context fails MayStillSend is not sent.
 type WorkerClient interface {
 	Start(ctx context.Context, w WorkerTarget, o StartOrder) error
 	Stop(ctx context.Context, w WorkerTarget, o StopOrder) error
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -77,6 +77,12 @@
 	return unanswered
 }
 
+// orderContext returns the context of one call with an order, which ends after timeout.
+// The order is sent only while this member leads.
+func (s *Scheduler) orderContext(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(WithPermission(ctx, s.leads), timeout)
+}
+
 // attemptStart sends a start once and waits for the reply, if this member still
 // leads. attempt counts the earlier attempts at the start.
 func (s *Scheduler) attemptStart(ctx context.Context, t WorkerTarget, o StartOrder, attempt int) error {
@@ -86,7 +92,7 @@
 	if attempt > 0 {
 		s.calls.repeatedStarts.Add(1)
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.replyTimes.timeout(attempt))
+	ctx, cancel := s.orderContext(ctx, s.replyTimes.timeout(attempt))
 	defer cancel()
 	sentAt := s.now()
 	err := s.cfg.Workers.Start(ctx, t, o)
@@ -213,7 +219,7 @@
 	if !s.leads() {
 		return errNotLeading
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.replyTimes.timeout(0))
+	ctx, cancel := s.orderContext(ctx, s.replyTimes.timeout(0))
 	defer cancel()
 	return s.cfg.Workers.Stop(ctx, t, o)
 }
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -109,6 +109,47 @@
 	return err
 }
 
+// permissionRecorder keeps the contexts of the orders that it gets.
+type permissionRecorder struct {
+	contexts []context.Context
+}
+
+func (w *permissionRecorder) Start(ctx context.Context, _ WorkerTarget, _ StartOrder) error {
+	w.contexts = append(w.contexts, ctx)
+	return nil
+}
+
+func (w *permissionRecorder) Stop(ctx context.Context, _ WorkerTarget, _ StopOrder) error {
+	w.contexts = append(w.contexts, ctx)
+	return nil
+}
+
+func (w *permissionRecorder) RenewLease(ctx context.Context, _ WorkerTarget, _ RenewOrder) (*RenewReply, error) {
+	w.contexts = append(w.contexts, ctx)
+	return nil, errNoReply
+}
+
+// TestOrdersMayBeSentWhileLeading checks that each kind of order that was given under a
+// leadership may no longer be sent once that has ended.
+func TestOrdersMayBeSentWhileLeading(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	workers := &permissionRecorder{}
+	r.cfg.Workers = workers
+	target := WorkerTarget{ID: testWorker}
+	qt.Assert(t, r.attemptStart(r.ctx, target, StartOrder{}, 0), qt.IsNil)
+	qt.Assert(t, r.sendStop(r.ctx, target, StopOrder{}), qt.IsNil)
+	r.renew(r.ctx, r.sessions[testWorker], &renewal{target: target})
+	qt.Assert(t, workers.contexts, qt.HasLen, 3)
+	for _, ctx := range workers.contexts {
+		qt.Check(t, MayStillSend(ctx), qt.IsTrue)
+	}
+	r.term++
+	for _, ctx := range workers.contexts {
+		qt.Check(t, MayStillSend(ctx), qt.IsFalse)
+	}
+}
+
 // TestLongPollsAreLimited checks that the renewals of sessions beyond the limit don't
 // wait at their workers and are paced instead. A session keeps its right to wait while
 // its worker replies, so that more workers than connections don't take turns at them.
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -163,7 +163,7 @@
 	if !s.leads() {
 		rn.err = errNotLeading
 	} else {
-		callCtx, cancel := context.WithTimeout(ctx, rn.order.Wait+renewalMarginFactor*s.replyTimes.timeout(0))
+		callCtx, cancel := s.orderContext(ctx, rn.order.Wait+renewalMarginFactor*s.replyTimes.timeout(0))
 		rn.reply, rn.err = s.cfg.Workers.RenewLease(callCtx, rn.target, rn.order)
 		cancel()
 		s.calls.renewals.Add(1)
