Keep a draining worker draining when an older report is applied after it

Looked for what was told: a server that had left was in use again. It could happen here: two reports of one worker are handled side by side, as when the first was sent to another process after a timeout; the older one, which tells of a change and not of the shutdown, may be committed last, and the worker got new tasks again. The check was in the handler, before the commit; the replicated state keeps it now.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -165,7 +165,8 @@
 
 // updateWorker stores what a worker reported about itself. A report of a newer
 // incarnation ends all runs of the previous one, and one of an older incarnation is
-// ignored.
+// ignored. A worker that is draining stays so for the rest of its incarnation: a report
+// from before may be applied after the one that told of it.
 func (s *State) updateWorker(report *Worker) {
 	w := s.Workers[report.ID]
 	if w == nil {
@@ -176,10 +177,14 @@
 	if report.Born < w.Born {
 		return
 	}
+	draining := report.Draining
 	if report.Born > w.Born {
 		s.endAllRuns(w)
+	} else {
+		draining = draining || w.Draining
 	}
 	w.Worker = *report
+	w.Draining = draining
 }
 
 // endAllRuns ends all runs of a worker incarnation that no longer exists as lost.
