Stop no run as stalled that no reply lists as running

The first reply after the cut belonged to a renewal besides the loop; ends are not recorded from these, but it counted as one without progress.

Change: a run's progress is judged by the replies that list it as running.

--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -102,14 +102,15 @@
 }
 
 // stopStalled stops the runs of a worker that make no progress by the worker's own
-// account: the newest reply still lists them without progress. While the worker
-// does not reply, nothing is known of its runs, and none is stopped.
+// account: a reply lists them as running, without progress since an earlier one. While
+// the worker does not reply, nothing is known of its runs, and none is stopped; nor is
+// one that the first reply after that lists among those that have ended.
 func (s *Scheduler) stopStalled(ctx context.Context, se *session, now clock.Instant) {
 	for k, r := range se.runs {
 		if r.status != runStarted || r.stopRequestedAt != 0 || r.ending || r.percent >= nearlyDonePercent {
 			continue
 		}
-		if se.lastReply.Sub(r.lastProgress) < stallTimeout || se.lastReply.Sub(r.confirmedAt) < stallTimeout || s.isService(k) {
+		if r.listedAt.Sub(r.lastProgress) < stallTimeout || r.listedAt.Sub(r.confirmedAt) < stallTimeout || s.isService(k) {
 			continue
 		}
 		s.cfg.Log.Info("run makes no progress, stopping it", zap.Stringer("task", k), zap.Int64("run", r.number),
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -67,6 +67,26 @@
 	qt.Check(t, se.runs[k].stopRequestedAt, qt.Equals, clock.Instant(0))
 }
 
+// TestRunsThatEndedInSilenceAreNotStalled checks that a run that ended while its worker
+// was cut off is not stopped as stalled, nor its worker left out, when the first reply
+// afterwards belongs to a renewal besides the loop, from which ends are not recorded.
+func TestRunsThatEndedInSilenceAreNotStalled(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	k := r.startedRun()
+	se := r.sessions[testWorker]
+	r.clock.Advance(time.Second)
+	r.deliverReply(RenewReply{ClockMillis: 2000, Running: []RunningTask{{Task: k, Run: 1, Percent: 60}}})
+	r.clock.Advance(6 * time.Second)
+	ended := []FinishedTask{{Number: 1, Task: k, Run: 1, Outcome: cell.OutcomeDone}}
+	r.deliverReplyTo(true, RenewReply{ClockMillis: 8000, Finished: ended})
+	r.stopStalled(r.ctx, se, r.now())
+	qt.Check(t, se.runs[k].stopRequestedAt, qt.Equals, clock.Instant(0))
+	qt.Check(t, r.now() < se.blockedUntil, qt.IsFalse)
+	r.deliverReply(RenewReply{ClockMillis: 8100, Finished: ended})
+	r.runUntil(func() bool { return len(r.endsOf(k)) > 0 || se.runs[k] == nil || se.runs[k].ending })
+}
+
 func TestSlowWorkersAreSuspect(t *testing.T) {
 	now := clock.Instant(time.Hour)
 	var slow, usual speedEstimate
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -81,6 +81,8 @@
 	// lastProgress is when percent last changed, or the run was created or
 	// confirmed.
 	lastProgress clock.Instant
+	// listedAt is when the worker last listed the run as running.
+	listedAt clock.Instant
 	// ending is set while the run's end is being recorded.
 	ending bool
 }
@@ -309,6 +311,7 @@
 			r.status, r.confirmedAt, r.stopRequestedAt = runStarted, now, 0
 			s.begun.add(rt.Task.Job)
 		}
+		r.listedAt = now
 		s.recordProgress(se, rt.Task, r, rt.Percent, now)
 		if rt.Checkpoint != "" {
 			r.checkpoint = rt.Checkpoint
