--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -65,12 +65,12 @@
 		minions = 6
 		jobs    = 72
 		width   = 50
-		cutAt   = 1500 * time.Millisecond
-		cutFor  = 4 * time.Second
+		cutAt   = time.Second
+		cutFor  = 5 * time.Second
 	)
 	e.proxied = true
-	// Tasks last 2 to 4.5 s, so that their ends spread.
-	duration := func(string) time.Duration { return 2*time.Second + rand.N(2500*time.Millisecond) }
+	// Tasks last 3 to 5.5 s, so that their ends spread.
+	duration := func(string) time.Duration { return 3*time.Second + rand.N(2500*time.Millisecond) }
 	if err := e.addMinions(minions, duration); err != nil {
 		return err
 	}
@@ -81,7 +81,7 @@
 	var accepted []string
 	for range jobs {
 		id := newJobID()
-		if submit(e.rec, e.d.entryAddrs(), pathPrefix, id, "small", step{Count: width, CPU: 25, Mem: 50, Estimate: 3000}) {
+		if submit(e.rec, e.d.entryAddrs(), pathPrefix, id, "small", step{Count: width, CPU: 25, Mem: 50, Estimate: 4000}) {
 			accepted = append(accepted, id)
 		}
 	}
@@ -355,3 +355,47 @@
 		}
 	}
 }
+
+// refusedYetRun: the leader takes a job, and its answer to the entry process is lost, as
+// the two are cut off from each other. While the entry process looks for another way to
+// the leader, the operator removes the job's route.
+func refusedYetRun(e *env) error {
+	const rounds = 5
+	if err := e.addMinions(6, func(string) time.Duration { return 500 * time.Millisecond }); err != nil {
+		return err
+	}
+	if err := e.configure(routesFrom(0, rounds)...); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	job := step{Count: 2, CPU: 1300, Mem: 1800, Estimate: 500}
+	for round := range rounds {
+		leader, entry := e.d.leader(), e.d.entries[round%len(e.d.entries)]
+		link := e.d.link(leader.ip, entry.ip)
+		id := newJobID()
+		accepted := make(chan bool, 1)
+		if e.trouble {
+			e.rec.log("%s and %s are cut off from each other once a request has passed", leader.name, entry.name)
+			link.cutAfterNext.Store(true)
+		}
+		go func() {
+			entryAddr := fmt.Sprintf("%s:%d", entry.ip, callersPort)
+			accepted <- submit(e.rec, []string{entryAddr}, routePrefix(round), id, "refused", job)
+		}()
+		time.Sleep(200 * time.Millisecond)
+		next := configuration(2+round, routesFrom(round+1, rounds)...)
+		status, err := order(e.rec, e.d.controlAddrs(), slices.Index(e.d.controls, leader), "PUT", "/config", next, 4*time.Second)
+		if err != nil || status != 200 {
+			return fmt.Errorf("the configuration got %d, %v", status, err)
+		}
+		ok := <-accepted
+		link.down.Store(false)
+		time.Sleep(2 * time.Second)
+		n := e.rec.startsOf(id)
+		e.rec.log("job %s: accepted %v, %d starts", id, ok, n)
+		if !ok && n > 0 {
+			e.rec.breaks("REFUSED: all attempts to hand in job %s were rejected, and %d of its tasks started", id, n)
+		}
+	}
+	return nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,14 +31,20 @@
 	proxies []*proxy
 }
 
+// cases are the cases by name. Those without a folder of their own, evac and refused,
+// are told in REPORT.md.
 var cases = map[string]func(*env) error{
-	"reborn": reborn,
-	"ends":   manyEnds,
-	"drain":  drainingCut,
-	"evac":   lateWithdrawal,
-	"route":  removedRoute,
+	"reborn":  reborn,
+	"drain":   drainingCut,
+	"route":   removedRoute,
+	"ends":    manyEnds,
+	"evac":    lateWithdrawal,
+	"refused": refusedYetRun,
 }
 
+// betweenMachines holds the cases that cut links between machines of the system.
+var betweenMachines = map[string]bool{"route": true, "evac": true, "refused": true}
+
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD TARGET")
@@ -54,7 +60,7 @@
 		return exitNotRun
 	}
 	defer rec.file.Close()
-	d, err := newDeployment(target, name == "evac" || name == "route")
+	d, err := newDeployment(target, betweenMachines[name])
 	if d != nil {
 		defer d.stop()
 	}
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -10,8 +10,14 @@
 // down nothing passes, silently, as in a partition.
 type link struct {
 	down atomic.Bool
+	// cutAfterNext makes the link go down as soon as the next request has passed.
+	cutAfterNext atomic.Bool
 }
 
+// minRequestBytes tells requests of clients from pings and heartbeats, which are
+// smaller.
+const minRequestBytes = 150
+
 // minRetransmission is how long TCP waits before it first sends unacknowledged bytes
 // again; the pause doubles each time.
 const minRetransmission = 200 * time.Millisecond
@@ -79,14 +85,14 @@
 	}
 	defer server.Close()
 	done := make(chan struct{}, 2)
-	go pump(link, client, server, done)
-	go pump(link, server, client, done)
+	go pump(link, client, server, done, true)
+	go pump(link, server, client, done, false)
 	<-done
 }
 
 // pump copies bytes. What is read while the link is down gets through later, the end of
 // the connection too.
-func pump(l *link, from, to net.Conn, done chan<- struct{}) {
+func pump(l *link, from, to net.Conn, done chan<- struct{}, requests bool) {
 	buf := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buf)
@@ -95,6 +101,9 @@
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
 			}
+			if requests && n > minRequestBytes && l.cutAfterNext.CompareAndSwap(true, false) {
+				l.down.Store(true)
+			}
 		}
 		if err != nil {
 			done <- struct{}{}
