--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-GOFLAGS="${GOFLAGS:-} -mod=mod" GOWORK=off go build -o ../bin/standin .
+GOFLAGS= GOWORK=off GOTOOLCHAIN=local go build -buildvcs=false -o ../bin/standin .
