Log which members a group without a leader hears

Change: a member that knows no leader for 2 s logs the quorum, its voters and when it last heard each member, at most every 5 s. Test: TestLostQuorumIsLogged.

--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -84,11 +84,12 @@
 
 // Node is one member of a group. Its member goroutine (see run) owns core, which
 // holds the consensus state, the store and the state machine; the goroutine also
-// owns addrs and reopenAfter.
+// owns addrs, leaderWatch and reopenAfter.
 type Node struct {
 	cfg   Config
-	core  *core
-	addrs addressBook
+	core        *core
+	addrs       addressBook
+	leaderWatch leaderWatch
 
 	calls     chan func(now clock.Instant)
 	cancel    context.CancelFunc
@@ -122,11 +123,12 @@
 	}
 	cfg.Logger = cfg.Logger.Named("raft." + cfg.Group)
 	n := &Node{
-		cfg:     cfg,
-		addrs:   addressBook{byID: map[consensus.ID]string{}},
-		calls:   make(chan func(clock.Instant), queueLength),
-		done:    make(chan struct{}),
-		stopped: make(chan struct{}),
+		cfg:         cfg,
+		addrs:       addressBook{byID: map[consensus.ID]string{}},
+		leaderWatch: leaderWatch{heardAt: map[consensus.ID]clock.Instant{}},
+		calls:       make(chan func(clock.Instant), queueLength),
+		done:        make(chan struct{}),
+		stopped:     make(chan struct{}),
 	}
 	co, err := newCore(n.coreConfig(cfg.Store), cfg.Clock.Now())
 	if err != nil {
@@ -213,6 +215,7 @@
 		case <-ticker.C:
 			n.rejoin(n.cfg.Clock.Now())
 			n.core.raft.Tick(n.cfg.Clock.Now())
+			n.watchLeader(n.cfg.Clock.Now())
 		case call := <-n.calls:
 			call(n.cfg.Clock.Now())
 		case m, ok := <-messages:
@@ -282,6 +285,7 @@
 		return
 	}
 	n.addrs.record(e.Message.From, e.Addr)
+	n.leaderWatch.heard(e.Message.From, n.cfg.Clock.Now())
 	n.core.raft.Step(n.cfg.Clock.Now(), e.Message)
 }
 
