Account for a restarted worker's runs before they are given up

Cause: a start without a reply is repeated, and names the worker's id only, so that it reached the next incarnation at the same address. All runs of the earlier incarnation counted as lost as soon as a later one replied or reported. Change: the fencing token is the term and a counter of the incarnations that the leader has met, so that the next incarnation refuses orders for the earlier one once it has answered a renewal. Runs are lost only if it doesn't list them after that; its report is committed by the scheduler once all runs are accounted for, and keeps those. Ends are acknowledged to the incarnation that listed them. Unknown runs are stopped. Evidence: 'worker incarnation has ended, dropping its runs' and new placements of tasks whose first start was still being repeated. Ruled out: a stop for each run on the next incarnation instead of the token; it takes a call for each run, and a start after it is only refused for the same run. Replayed log entries keep their meaning: only commands of a scheduler keep the runs.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -40,7 +40,7 @@
 	case c.SetOut != nil:
 		s.setOutOfService(c.SetOut)
 	case c.Workers != nil:
-		s.updateWorkers(c.Workers)
+		s.updateWorkers(c.Workers, c.Leadership != 0)
 	case c.Starts != nil:
 		return s.applyStarts(c.Starts.Starts)
 	case c.Ends != nil:
@@ -150,9 +150,9 @@
 	}
 }
 
-func (s *State) updateWorkers(c *Workers) {
+func (s *State) updateWorkers(c *Workers, keepRuns bool) {
 	for i := range c.Seen {
-		s.updateWorker(&c.Seen[i])
+		s.updateWorker(&c.Seen[i], keepRuns)
 	}
 	for _, g := range c.Gone {
 		if w := s.Workers[g.ID]; w != nil && w.Born == g.Born {
@@ -164,10 +164,10 @@
 }
 
 // updateWorker stores what a worker reported about itself. A report of a newer
-// incarnation ends all runs of the previous one, and one of an older incarnation is
-// ignored. A worker that is draining stays so for the rest of its incarnation: a report
-// from before may be applied after the one that told of it.
-func (s *State) updateWorker(report *Worker) {
+// incarnation ends all runs of the previous one, unless keepRuns is set, and one of an
+// older incarnation is ignored. A worker that is draining stays so for the rest of its
+// incarnation: a report from before may be applied after the one that told of it.
+func (s *State) updateWorker(report *Worker, keepRuns bool) {
 	w := s.Workers[report.ID]
 	if w == nil {
 		w = &WorkerState{Allocations: map[TaskKey]Allocation{}}
@@ -178,10 +178,11 @@
 		return
 	}
 	draining := report.Draining
-	if report.Born > w.Born {
-		s.endAllRuns(w)
-	} else {
+	switch {
+	case report.Born == w.Born:
 		draining = draining || w.Draining
+	case !keepRuns:
+		s.endAllRuns(w)
 	}
 	w.Worker = *report
 	w.Draining = draining
--- a/internal/cellapi/cellapi_test.go
+++ b/internal/cellapi/cellapi_test.go
@@ -28,13 +28,45 @@
 	s := Serve(Config{
 		Wire: node, Group: group, State: state, Clock: clock.Boot{}, Log: zap.NewNop(),
 		Scheduler: scheduler.New(scheduler.Config{
-			Group: group, State: state, Clock: clock.Boot{}, Log: zap.NewNop(),
+			Group: group, State: state, Workers: silentWorkers{}, Clock: clock.Boot{}, Log: zap.NewNop(),
 			Metrics: scheduler.NewMetrics(prometheus.NewRegistry()),
 		}),
 	})
 	return s, NewClient(node, []string{node.Addr()}, clock.Boot{}, zap.NewNop())
 }
 
+// silentWorkers never answers an order.
+type silentWorkers struct{}
+
+func (silentWorkers) Start(ctx context.Context, _ scheduler.WorkerTarget, _ scheduler.StartOrder) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (silentWorkers) Stop(ctx context.Context, _ scheduler.WorkerTarget, _ scheduler.StopOrder) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (silentWorkers) RenewLease(ctx context.Context, _ scheduler.WorkerTarget, _ scheduler.RenewOrder) (*scheduler.RenewReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// lead runs the scheduler of the server until the end of the test.
+func lead(t *testing.T, s *Server) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Scheduler.Lead(ctx, s.Group.Status().Term)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
 func reasonOf(err error) verdict.Reason {
 	if err == nil {
 		return ""
@@ -112,6 +144,7 @@
 
 func TestSupersededReportsAreIgnored(t *testing.T) {
 	s, client := newServer(t)
+	lead(t, s)
 	send := func(id cell.WorkerID, born, seq int64, draining bool) {
 		t.Helper()
 		_, err := client.Report(context.Background(), &ReportRequest{
--- a/internal/cellapi/reports.go
+++ b/internal/cellapi/reports.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"kumquatwing/internal/cell"
 	"kumquatwing/internal/verdict"
@@ -45,6 +46,11 @@
 	if !s.reports.accept(w.ID, reportVersion{w.Born, req.Sequence}) {
 		return &ReportReply{}, nil
 	}
+	if s.replaces(&w) {
+		if err := s.reportIncarnation(ctx, &w); err != nil {
+			return nil, err
+		}
+	}
 	cmd, changed := s.workerChanges(&w)
 	if changed {
 		if _, err := s.propose(ctx, &cell.Command{Workers: cmd}); err != nil {
@@ -57,6 +63,27 @@
 	return &ReportReply{}, s.confirmLeadership()
 }
 
+// incarnationWait bounds the wait until the runs of an earlier incarnation are accounted
+// for. It is below attemptTimeout, so that the sender learns why it was refused.
+const incarnationWait = 400 * time.Millisecond
+
+// replaces reports whether the worker is a newer incarnation of a known one.
+func (s *Server) replaces(w *cell.Worker) bool {
+	newer := false
+	s.State.Read(func() {
+		old := s.State.Workers[w.ID]
+		newer = old != nil && w.Born > old.Born && !s.superseded(w)
+	})
+	return newer
+}
+
+// reportIncarnation has the scheduler commit the report of a newer incarnation.
+func (s *Server) reportIncarnation(ctx context.Context, w *cell.Worker) error {
+	ctx, cancel := context.WithTimeout(ctx, incarnationWait)
+	defer cancel()
+	return s.Scheduler.ReportIncarnation(ctx, w)
+}
+
 // workerChanges returns the changes that a report makes to the replicated
 // state, and whether there are any. A worker that is draining stays so for the
 // rest of its incarnation. A report from an address shows that older
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -9,11 +9,12 @@
 	"kumquatwing/internal/cell"
 )
 
-// endAck is the number up to which a worker's finished runs are acknowledged
-// once the batch is committed.
+// endAck is the number up to which the finished runs of a worker's incarnation are
+// acknowledged once the batch is committed.
 type endAck struct {
-	session *session
-	number  int64
+	session     *session
+	incarnation int64
+	number      int64
 }
 
 // endBatch collects run ends for the next commit.
@@ -90,7 +91,9 @@
 // renewal loops that waited for the commit.
 func acknowledge(acks []endAck) {
 	for _, ack := range acks {
-		ack.session.lastRecordedEnd = max(ack.session.lastRecordedEnd, ack.number)
+		if ack.incarnation == ack.session.replying {
+			ack.session.lastRecordedEnd = max(ack.session.lastRecordedEnd, ack.number)
+		}
 		ack.session.resume()
 	}
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -38,12 +38,16 @@
 	if se == nil || se.target.Incarnation != st.Born {
 		return
 	}
-	r := &run{number: st.Run, status: runStarting, lastProgress: s.now(), checkpoint: checkpoint}
+	r := &run{number: st.Run, status: runStarting, fence: se.fence, lastProgress: s.now(), checkpoint: checkpoint}
 	r.leaseMillis = s.extendLease(se)
 	se.runs[st.Task] = r
+	if se.isReplaced() {
+		s.recordNotStarted(ctx, se, st.Task, r)
+		return
+	}
 	o := StartOrder{
 		Task: st.Task, Run: st.Run, Spec: spec, LeaseMillis: r.leaseMillis,
-		Fence: s.term, Checkpoint: checkpoint, Token: token,
+		Fence: r.fence, Checkpoint: checkpoint, Token: token,
 	}
 	target := se.target
 	go func() {
@@ -131,7 +135,8 @@
 
 // onStartRefused handles a refused start: the run did not start and never will.
 // It is recorded as lost, unless a newer leader has fenced this one off or the
-// whole incarnation of the worker is recorded as gone.
+// whole incarnation of the worker is recorded as gone. A start that only this leader's
+// own newer token has fenced off was meant for an earlier incarnation.
 func (s *Scheduler) onStartRefused(ctx context.Context, se *session, k cell.TaskKey, r *run, reason Refusal) {
 	s.cfg.Metrics.refused.WithLabelValues(reason.String()).Inc()
 	s.cfg.Log.Info("worker refused the start", zap.Stringer("task", k), zap.Int64("run", r.number),
@@ -145,8 +150,10 @@
 			a.SetEligible(se.target.ID, expireTicket(a.Eligible[se.target.ID]))
 		}
 	case RefusedFence:
-		r.status = runUnconfirmed
-		return
+		if r.fence == se.fence {
+			r.status = runUnconfirmed
+			return
+		}
 	default:
 		se.blockedUntil = s.now().Add(refusalBackoff)
 	}
@@ -207,7 +214,7 @@
 		r.stopRequestedAt = now
 	}
 	r.stopInFlight, r.stopSent = true, true
-	target, o := se.target, StopOrder{k, r.number, s.term}
+	target, o := se.target, StopOrder{k, r.number, se.fence}
 	go func() {
 		err := s.sendStop(ctx, target, o)
 		s.post(ctx, func() { s.onStopReply(ctx, se, r, err) })
@@ -249,10 +256,14 @@
 // accepted the stop of a run whose start was not answered. The next regular
 // renewal may be more than a second away.
 func (s *Scheduler) probeRuns(ctx context.Context, se *session, r *run) {
-	if r.status != runUnconfirmed || r.ending {
-		return
+	if r.status == runUnconfirmed && !r.ending {
+		s.probe(ctx, se)
 	}
-	rn := &renewal{target: se.target, order: RenewOrder{Fence: s.term, AcknowledgedEnds: se.lastRecordedEnd}, sent: s.now(), outOfBand: true}
+}
+
+// probe requests the list of runs from a worker besides the renewal loop.
+func (s *Scheduler) probe(ctx context.Context, se *session) {
+	rn := &renewal{target: se.target, order: RenewOrder{Fence: se.fence, AcknowledgedEnds: se.lastRecordedEnd}, sent: s.now(), outOfBand: true}
 	go s.renew(ctx, se, rn)
 }
 
@@ -271,6 +282,7 @@
 				s.requestStop(ctx, se, k, r)
 			}
 		}
+		s.dropIncarnation(ctx, se)
 		s.stopStalled(ctx, se, now)
 		s.stopBeforeShutdown(ctx, se, now)
 		s.declareExpiredRunsLost(se, now)
@@ -315,5 +327,8 @@
 			return false
 		}
 	}
+	if now < se.inheritedLeaseUntil {
+		return false
+	}
 	return !se.hasClock || se.minClock(now) > se.latestLeaseEnd+leaseExpiryMargin.Milliseconds()
 }
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -249,7 +249,7 @@
 // acceptsTasks reports whether new tasks may be placed on a worker. The state is
 // locked.
 func (s *Scheduler) acceptsTasks(se *session, w *cell.WorkerState, now clock.Instant) bool {
-	return se.fenceAccepted && !se.lost && !w.Draining && !s.cfg.State.OutOfService[w.DC] &&
+	return se.fenceAccepted && !se.lost && !se.isReplaced() && !w.Draining && !s.cfg.State.OutOfService[w.DC] &&
 		now >= se.blockedUntil && now.Sub(se.lastReply) < unreachableAfter
 }
 
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -89,7 +89,7 @@
 // nextRenewal prepares the next renewal of the loop.
 func (s *Scheduler) nextRenewal(se *session) renewal {
 	now := s.now()
-	o := RenewOrder{Fence: s.term, AcknowledgedEnds: se.lastRecordedEnd}
+	o := RenewOrder{Fence: se.fence, AcknowledgedEnds: se.lastRecordedEnd}
 	if now.Sub(se.lastReply) < renewalCutoff {
 		o.LeaseMillis = s.extendLease(se)
 	}
@@ -177,9 +177,6 @@
 // onRenewalReply handles the outcome of a renewal.
 func (s *Scheduler) onRenewalReply(ctx context.Context, se *session, rn *renewal) {
 	now := s.now()
-	if rn.err == nil && rn.reply.Incarnation != 0 && rn.reply.Incarnation != se.target.Incarnation {
-		rn.err = &RefusedError{RefusedIncarnation}
-	}
 	if !rn.outOfBand {
 		s.recordReplyLoss(se, rn)
 	}
@@ -191,11 +188,16 @@
 		se.resumeAfter(rn)
 		return
 	}
+	if !s.noteIncarnation(se, rn) {
+		s.probe(ctx, se)
+		se.resumeAfter(rn)
+		return
+	}
 	first := !se.fenceAccepted
 	se.fenceAccepted, se.lastReply, se.lost = true, now, false
 	se.recordClock(rn.reply.ClockMillis, now)
 	s.dirty = s.dirty || first
-	running := s.updateRunning(se, rn)
+	running := s.updateRunning(ctx, se, rn)
 	s.recordFinished(ctx, se, rn, running)
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -58,12 +58,17 @@
 	cfg    Config
 	events chan func()
 
-	// term is the term in which this member leads; it is also the fencing token.
+	// term is the term in which this member leads.
 	term uint64
 	// leadingSince is when the leadership began.
 	leadingSince clock.Instant
 
 	sessions map[cell.WorkerID]*session
+	// held holds the workers whose sessions hold the report of a newer incarnation.
+	held map[cell.WorkerID]bool
+	// fences counts the fencing tokens of this process.
+	fences uint64
+
 	advice   map[cell.StepKey]*plan.StepAdvice
 	advisers map[string]*adviserState
 	// eligibleShare is, by queue, the moving average of the share of evaluated
@@ -213,7 +218,7 @@
 // reset clears the state of an earlier leadership and starts one in term.
 func (s *Scheduler) reset(term uint64) {
 	s.term, s.leadingSince = term, s.cfg.Clock.Now()
-	s.sessions = map[cell.WorkerID]*session{}
+	s.sessions, s.held = map[cell.WorkerID]*session{}, map[cell.WorkerID]bool{}
 	s.advice = map[cell.StepKey]*plan.StepAdvice{}
 	s.eligibleShare = map[string]float64{}
 	s.queueSpeed = map[string]float64{}
@@ -258,6 +263,7 @@
 func (s *Scheduler) step(ctx context.Context) {
 	s.syncSessions(ctx)
 	s.commitEnds(ctx)
+	s.adoptReports(ctx)
 	s.plan(ctx)
 }
 
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -61,6 +61,8 @@
 type run struct {
 	number int64
 	status runStatus
+	// fence is the fencing token of the start.
+	fence uint64
 	// leaseMillis is the end of the lease that the start carried, in
 	// milliseconds on the worker's clock.
 	leaseMillis int64
@@ -96,6 +98,15 @@
 	// shutdownAt is when a draining worker may shut down, 0 if that is not known.
 	shutdownAt clock.Instant
 
+	// fence is the fencing token of the orders to the worker.
+	fence uint64
+	// replying is the incarnation that replied last, at first the recorded one, and
+	// replyingSince when it first did.
+	replying      int64
+	replyingSince clock.Instant
+	// report is the report of a newer incarnation, nil if there is none.
+	report *pendingReport
+
 	// clockMillis is the worker's clock reading in a reply that arrived at
 	// clockReadAt.
 	clockMillis int64
@@ -104,8 +115,11 @@
 	// latestLeaseEnd is the latest lease end that was sent, in milliseconds on
 	// the worker's clock.
 	latestLeaseEnd int64
-	// fenceAccepted says that the worker has answered a renewal of this leader,
-	// and so has seen its fencing token.
+	// inheritedLeaseUntil is when the leases have certainly ended that the worker took
+	// from orders for an earlier incarnation, 0 if there can be none.
+	inheritedLeaseUntil clock.Instant
+	// fenceAccepted says that the worker has answered a renewal with the session's
+	// fencing token.
 	fenceAccepted bool
 	// lastReply is when the worker last answered a renewal, or else when the
 	// session was opened.
@@ -123,6 +137,8 @@
 	renewalFailed bool
 
 	runs map[cell.TaskKey]*run
+	// unknownStops holds the tasks of unknown runs that are being stopped.
+	unknownStops map[cell.TaskKey]bool
 	// blockedUntil is the time before which no new tasks are placed on the
 	// worker.
 	blockedUntil clock.Instant
@@ -156,24 +172,34 @@
 // is locked.
 func (s *Scheduler) syncSession(ctx context.Context, id cell.WorkerID) {
 	w, se := s.cfg.State.Workers[id], s.sessions[id]
-	if se != nil && (w == nil || w.Born != se.target.Incarnation) {
+	switch {
+	case se == nil:
+	case w == nil:
+		s.closeSession(se)
+	case w.Born == se.target.Incarnation:
+	case w.Born == se.replying:
+		se.target.Incarnation = w.Born
+		se.failures, se.speed, se.shutdownAt = failureHistory{}, speedEstimate{}, 0
+	default:
 		s.closeSession(se)
 		se = nil
 	}
 	if w == nil {
 		return
 	}
-	if se == nil {
+	inherited := se == nil
+	if inherited {
 		se = s.openSession(ctx, w)
 	}
 	se.target.Addr, se.draining = w.Addr, w.Draining
-	s.syncRuns(ctx, se, w)
+	s.syncRuns(ctx, se, w, inherited)
 }
 
 // closeSession ends the session's renewal loop and forgets the session.
 func (s *Scheduler) closeSession(se *session) {
 	se.cancel()
 	s.endLongPolls(se)
+	s.dropReport(se)
 	delete(s.sessions, se.target.ID)
 }
 
@@ -183,9 +209,13 @@
 	se := &session{
 		target:    WorkerTarget{w.ID, w.Addr, w.Born},
 		cancel:    cancel,
+		fence:     s.nextFence(),
+		replying:  w.Born,
 		lastReply: s.now(),
 		resumed:   make(chan struct{}, 1),
 		runs:      map[cell.TaskKey]*run{},
+
+		unknownStops: map[cell.TaskKey]bool{},
 	}
 	s.sessions[w.ID] = se
 	go s.renewalLoop(ctx, se, s.firstRenewalDelay())
@@ -204,12 +234,18 @@
 }
 
 // syncRuns adds runs for new allocations, drops runs whose allocation was
-// released and stops runs whose job has ended. The state is locked.
-func (s *Scheduler) syncRuns(ctx context.Context, se *session, w *cell.WorkerState) {
+// released and stops runs whose job has ended. If the session has just been opened, the
+// allocations are inherited: an earlier leader, or this one for an earlier incarnation,
+// placed them. The state is locked.
+func (s *Scheduler) syncRuns(ctx context.Context, se *session, w *cell.WorkerState, inherited bool) {
+	status := runPlaced
+	if inherited {
+		status = runInherited
+	}
 	for k, a := range w.Allocations {
 		r := se.runs[k]
 		if r == nil || r.number != a.Run {
-			r = &run{number: a.Run, status: s.newRunStatus(), lastProgress: s.now()}
+			r = &run{number: a.Run, status: status, lastProgress: s.now()}
 			se.runs[k] = r
 		}
 		if j := s.cfg.State.Jobs[k.Job]; j == nil || j.State.Ended() {
@@ -223,15 +259,6 @@
 	}
 }
 
-// newRunStatus returns the status of an allocation that has no run yet. Those
-// that the first sync of a leadership finds were placed by earlier leaders.
-func (s *Scheduler) newRunStatus() runStatus {
-	if s.synced {
-		return runPlaced
-	}
-	return runInherited
-}
-
 // estimateClock returns an estimate of the worker's clock at now, in
 // milliseconds, which may be slightly ahead.
 func (se *session) estimateClock(now clock.Instant) int64 {
@@ -295,9 +322,9 @@
 	})
 }
 
-// updateRunning updates the runs that a reply lists as running, and returns the
-// listed run numbers by task.
-func (s *Scheduler) updateRunning(se *session, rn *renewal) map[cell.TaskKey]int64 {
+// updateRunning updates the runs that a reply lists as running, stops those that are not
+// known, and returns the listed run numbers by task.
+func (s *Scheduler) updateRunning(ctx context.Context, se *session, rn *renewal) map[cell.TaskKey]int64 {
 	now := s.now()
 	listed := make(map[cell.TaskKey]int64, len(rn.reply.Running))
 	for i := range rn.reply.Running {
@@ -305,6 +332,7 @@
 		listed[rt.Task] = rt.Run
 		r := se.runs[rt.Task]
 		if r == nil || r.number != rt.Run {
+			s.stopUnknownRun(ctx, se, rt.Task, rt.Run)
 			continue
 		}
 		if r.status == runInherited || (r.status == runUnconfirmed && !r.stopSent) {
@@ -352,7 +380,7 @@
 		}
 	}
 	if last > se.lastRecordedEnd && !rn.outOfBand {
-		s.ends.acks = append(s.ends.acks, endAck{se, last})
+		s.ends.acks = append(s.ends.acks, endAck{se, se.replying, last})
 		return
 	}
 	se.resumeAfter(rn)
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -122,7 +122,7 @@
 // replyTo delivers the reply to a renewal of the loop or to an out-of-band one.
 func (r *rig) deliverReplyTo(outOfBand bool, reply RenewReply) {
 	se := r.sessions[testWorker]
-	rn := &renewal{target: se.target, order: RenewOrder{Fence: r.term}, sent: r.now(), reply: &reply, outOfBand: outOfBand}
+	rn := &renewal{target: se.target, order: RenewOrder{Fence: se.fence}, sent: r.now(), reply: &reply, outOfBand: outOfBand}
 	r.onRenewalReply(r.ctx, se, rn)
 }
 
