Keep runs until the leases of earlier leaders have ended

Cause: only its granter knows a lease. Change: the end of the longest lease of earlier leaders stays in the session.

--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -118,7 +117,7 @@
 // instant, whatever end its order states: one that is meant for an earlier incarnation
 // has an end on another clock, and only Bounds.MaxLease limits it.
 func (s *Scheduler) longestLeaseFrom(at clock.Instant) clock.Instant {
-	return at.Add(time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseExpiryMargin)
+	return at.Add(certainAfter(s.cfg.Bounds.MaxLease))
 }
 
 // adoptReports asks the workers with held reports what they run, and commits the reports
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -313,21 +313,10 @@
 	}
 }
 
-// leaseExpired reports whether every lease ever granted to the worker has
-// expired. The leases that an earlier leader granted are not known until the
-// worker has replied; until then the longest possible lease is assumed, counted
-// from the start of this leadership.
+// leaseExpired reports whether every lease ever granted to the worker has expired, by
+// this leader, by earlier ones, and by orders for an earlier incarnation.
 func (s *Scheduler) leaseExpired(se *session, now clock.Instant) bool {
-	if now.Sub(se.lastReply) < unreachableAfter {
-		return false
-	}
-	if !se.fenceAccepted {
-		longestLease := time.Duration(float64(min(leaseTerm, s.cfg.Bounds.MaxLease)) / minClockRate)
-		if now.Sub(s.leadingSince) < longestLease+leaseExpiryMargin {
-			return false
-		}
-	}
-	if now < se.inheritedLeaseUntil {
+	if now.Sub(se.lastReply) < unreachableAfter || now < se.inheritedLeaseUntil {
 		return false
 	}
 	return !se.hasClock || se.minClock(now) > se.latestLeaseEnd+leaseExpiryMargin.Milliseconds()
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -115,8 +115,9 @@
 	// latestLeaseEnd is the latest lease end that was sent, in milliseconds on
 	// the worker's clock.
 	latestLeaseEnd int64
-	// inheritedLeaseUntil is when the leases have certainly ended that the worker took
-	// from orders for an earlier incarnation, 0 if there can be none.
+	// inheritedLeaseUntil is when the leases have certainly ended that an earlier leader
+	// granted, or that the worker took from orders for an earlier incarnation; 0 if there
+	// can be none. The replies of the worker don't tell its lease.
 	inheritedLeaseUntil clock.Instant
 	// fenceAccepted says that the worker has answered a renewal with the session's
 	// fencing token.
@@ -217,6 +218,9 @@
 
 		unknownStops: map[cell.TaskKey]bool{},
 	}
+	if !s.synced {
+		se.inheritedLeaseUntil = s.leadingSince.Add(certainAfter(s.leaseDuration()))
+	}
 	s.sessions[w.ID] = se
 	go s.renewalLoop(ctx, se, s.firstRenewalDelay())
 	return se
@@ -286,7 +290,7 @@
 	if !se.hasClock {
 		return 0
 	}
-	term := min(leaseTerm, s.cfg.Bounds.MaxLease)
+	term := s.leaseDuration()
 	if se.draining {
 		term = drainLease
 	}
@@ -295,6 +299,15 @@
 	return end
 }
 
+// leaseDuration returns the duration of the longest leases that leaders grant.
+func (s *Scheduler) leaseDuration() time.Duration { return min(leaseTerm, s.cfg.Bounds.MaxLease) }
+
+// certainAfter returns how long after its begin a lease of the given duration has
+// certainly ended on the slowest clock of a worker.
+func certainAfter(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/minClockRate) + leaseExpiryMargin
+}
+
 // onRenewalError handles a failed renewal. Only a reply from another incarnation
 // has an effect here; the renewal loop retries after other errors.
 func (s *Scheduler) onRenewalError(ctx context.Context, se *session, err error) {
