Lose no run by a reply that may leave out ends

Cause: a worker lists 500 unacknowledged ends at a time; a run that the reply left out counted as lost. Evidence: 'worker no longer has the run' 140 times beside 500 ends in one reply.

--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -95,6 +95,9 @@
 	Incarnation int64
 	Running     []RunningTask
 	Finished    []FinishedTask
+	// MoreFinished says that the worker may have finished runs that it didn't list. It
+	// lists them once the listed ones are acknowledged.
+	MoreFinished bool
 }
 
 // Refusal is the reason why a worker refused an order.
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -362,7 +362,7 @@
 }
 
 // recordFinished records the ends that a reply lists, and as lost the runs that
-// the worker certainly doesn't have. The renewal loop continues once the listed
+// the worker certainly doesn't have, if the lists are complete. The renewal loop continues once the listed
 // ends are durable. Ends are taken only from the loop's own renewals: each
 // renewal of the loop acknowledges all ends that the previous one listed, so
 // these must be recorded before it is sent.
@@ -386,7 +386,7 @@
 		if r.ending || running[k] == r.number || listed[k] == r.number {
 			continue
 		}
-		if r.isLost(rn) {
+		if !rn.reply.MoreFinished && r.isLost(rn) {
 			r.ending = true
 			s.cfg.Log.Info("worker no longer has the run, recording it as lost", zap.Stringer("task", k), zap.Int64("run", r.number), zap.String("worker", string(se.target.ID)))
 			s.addEnd(se, k, r, cell.OutcomeLost, r.checkpoint)
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -380,3 +380,29 @@
 	r.declareExpiredRunsLost(se, r.now())
 	qt.Check(t, r.endsOf(k), qt.HasLen, 1)
 }
+
+// TestRunsAreNotLostByIncompleteLists guards against tasks that run twice after many of a
+// worker's runs have ended at once: the worker lists the ends in several replies, and a
+// run that the first one leaves out may have ended, too.
+func TestRunsAreNotLostByIncompleteLists(t *testing.T) {
+	r := newRig(t, cell.Step{Count: 2, Need: model.Resources{MilliCPU: 1000}, EstimateMillis: 1000})
+	r.lead()
+	r.deliverReply(RenewReply{ClockMillis: 1000})
+	se := r.sessions[testWorker]
+	var keys []cell.TaskKey
+	for i := range 2 {
+		k := r.place(i, 1)
+		r.startRun(r.ctx, &cell.Start{Task: k, Run: 1, Worker: testWorker, Born: 1}, "", "", "")
+		r.onStartReply(r.ctx, se, k, se.runs[k], nil)
+		keys = append(keys, k)
+	}
+	ended := func(number int64, k cell.TaskKey) []FinishedTask {
+		return []FinishedTask{{Number: number, Task: k, Run: 1, Outcome: cell.OutcomeDone}}
+	}
+	r.clock.Advance(time.Second)
+	r.deliverReply(RenewReply{ClockMillis: 2000, Finished: ended(1, keys[0]), MoreFinished: true})
+	qt.Check(t, r.endsOf(keys[1]), qt.HasLen, 0)
+	r.deliverReply(RenewReply{ClockMillis: 2010, Finished: ended(2, keys[1])})
+	qt.Check(t, r.endsOf(keys[0]), qt.DeepEquals, []cell.Outcome{cell.OutcomeDone})
+	qt.Check(t, r.endsOf(keys[1]), qt.DeepEquals, []cell.Outcome{cell.OutcomeDone})
+}
