Refuse a job whose queue was removed before it is applied

Cause: queue and key are checked before the job is proposed and not when it is applied; the planner passed over jobs without a queue without a word. Change: State.submit checks queue and workspace; the leader then checks the call again, which gives 404, not run. A job without a queue is logged. Evidence: 'job submitted' after 'configuration committed' without its queue.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -57,11 +57,16 @@
 	return Result{}
 }
 
-// submit adds a job. A job without a start time gets its only occurrence at once.
+// submit adds a job. A job without a start time gets its only occurrence at once. The
+// queue or the workspace may have been removed after the proposer had checked them; such
+// a job would never run.
 func (s *State) submit(j *Job) Result {
 	if s.Jobs[j.ID] != nil {
 		return Result{Known: true}
 	}
+	if s.Config.Queue(j.Queue) == nil || (j.Workspace != "" && s.Config.Workspace(j.Workspace) == nil) {
+		return Result{Unknown: true}
+	}
 	job := *j
 	job.State, job.Occurrences = JobPending, nil
 	s.Jobs[job.ID], s.Active[job.ID] = &job, &job
--- a/internal/cell/apply_test.go
+++ b/internal/cell/apply_test.go
@@ -112,3 +112,25 @@
 	qt.Check(t, restored.UsageByWorkspace["a"], qt.Equals, model.Resources{MilliCPU: 1000, MemoryMB: 10})
 	qt.Check(t, restored.Active, qt.HasLen, 1)
 }
+
+// TestJobForRemovedQueueIsRefused guards against jobs that are accepted and never run:
+// their queue or workspace is removed after it was checked and before the job is applied.
+func TestJobForRemovedQueueIsRefused(t *testing.T) {
+	s := stateWithJob(t, Step{Count: 1})
+	without := s.Config
+	without.Version, without.Queues, without.Workspaces = 2, nil, nil
+	applyCommand(t, s, &Command{Configure: &Configure{Document: []byte("{}"), Config: without}})
+	submit := func(id JobID, queue, workspace string) Result {
+		return applyCommand(t, s, &Command{Submit: &Submit{Job{ID: id, Queue: queue, Workspace: workspace, Steps: []Step{{Count: 1}}}}})
+	}
+	qt.Check(t, submit("00000000000000ab", "q", "").Unknown, qt.IsTrue)
+	qt.Check(t, s.Jobs["00000000000000ab"], qt.IsNil)
+	qt.Check(t, submit(testJob, "q", "a"), qt.DeepEquals, Result{Known: true}, qt.Commentf("a job that was accepted before"))
+	qt.Check(t, s.QueueOf(s.Jobs[testJob]), qt.Not(qt.IsNil), qt.Commentf("its queue is kept"))
+
+	workspaceGone := without
+	workspaceGone.Version, workspaceGone.Queues = 3, []Queue{{Name: "q", Pool: "p"}}
+	applyCommand(t, s, &Command{Configure: &Configure{Document: []byte("{}"), Config: workspaceGone}})
+	qt.Check(t, submit("00000000000000ac", "q", "a").Unknown, qt.IsTrue)
+	qt.Check(t, submit("00000000000000ac", "q", "").Unknown, qt.IsFalse)
+}
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -23,7 +23,8 @@
 // never lowers the term.
 type Lead struct{ Term uint64 }
 
-// Submit stores a job. It changes nothing if a job with this ID exists.
+// Submit stores a job. It changes nothing if a job with this ID exists, or if the job's
+// queue or workspace isn't configured.
 type Submit struct{ Job Job }
 
 // Cancel cancels a job that has not ended.
@@ -124,7 +125,8 @@
 	Stale bool
 	// Known reports that a job with the submitted job's ID existed already.
 	Known bool
-	// Unknown reports that the job to cancel doesn't exist.
+	// Unknown reports that the job to cancel doesn't exist, or that the queue or the
+	// workspace of the submitted job doesn't.
 	Unknown bool
 	// Accepted holds the indexes of the starts that were placed, in ascending order.
 	Accepted []int
--- a/internal/cellapi/cellapi_test.go
+++ b/internal/cellapi/cellapi_test.go
@@ -225,3 +225,37 @@
 	qt.Check(t, s.Unchanged(&ready), qt.IsFalse, qt.Commentf("a report from before the worker was draining"))
 	qt.Check(t, s.Unchanged(&w), qt.IsFalse, qt.Commentf("a draining worker's report always goes to the leader"))
 }
+
+// removingGroup applies a configuration before the next command, as a concurrent call of
+// an operator may.
+type removingGroup struct {
+	replica.Group
+	before []byte
+}
+
+func (g *removingGroup) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if c := g.before; c != nil {
+		g.before = nil
+		if _, err := g.Group.Propose(ctx, c); err != nil {
+			return nil, err
+		}
+	}
+	return g.Group.Propose(ctx, command)
+}
+
+// TestJobIsRefusedIfItsQueueIsRemovedMeanwhile guards against a caller that is told that
+// its job was accepted, although the queue was removed before the job was applied.
+func TestJobIsRefusedIfItsQueueIsRemovedMeanwhile(t *testing.T) {
+	ctx := context.Background()
+	s, client := newServer(t)
+	_, err := client.Configure(ctx, &ConfigureRequest{Config: testConfig, Document: []byte("{}")})
+	qt.Assert(t, err, qt.IsNil)
+	without := testConfig
+	without.Version, without.Queues = 2, nil
+	remove, err := (&cell.Command{Configure: &cell.Configure{Config: without, Document: []byte("{}")}}).Encode()
+	qt.Assert(t, err, qt.IsNil)
+	s.Group = &removingGroup{s.Group, remove}
+	_, err = s.submit(ctx, &SubmitRequest{Place: CallTarget{"h", "/q/", "ka"}, ID: "j", Steps: []cell.Step{{Count: 1}}})
+	qt.Check(t, reasonOf(err), qt.Equals, verdict.ReasonUnknownQueue)
+	qt.Check(t, verdict.FromError(err).Verdict, qt.Equals, verdict.NotRun)
+}
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -180,24 +180,40 @@
 	return c, err
 }
 
+// submitAttempts is how often a job is proposed whose queue or workspace is removed and
+// configured again meanwhile.
+const submitAttempts = 3
+
 func (s *Server) submit(ctx context.Context, req *SubmitRequest) (*SubmitReply, error) {
-	c, err := s.authorize(&req.Place)
-	if err != nil {
-		return nil, err
-	}
-	if reason := invalidJobReason(req); reason != "" {
-		return nil, verdict.Refuse(verdict.ReasonBadRequest, "%s", reason)
+	for range submitAttempts {
+		c, err := s.authorize(&req.Place)
+		if err != nil {
+			return nil, err
+		}
+		if reason := invalidJobReason(req); reason != "" {
+			return nil, verdict.Refuse(verdict.ReasonBadRequest, "%s", reason)
+		}
+		r, err := s.propose(ctx, submitCommand(req, &c))
+		if err != nil {
+			return nil, err
+		}
+		if r.Unknown {
+			s.Log.Info("job refused, its queue was removed meanwhile", zap.String("job", string(req.ID)), zap.String("queue", c.queue))
+			continue
+		}
+		s.Log.Info("job submitted", zap.String("job", string(req.ID)), zap.String("queue", c.queue),
+			zap.String("workspace", c.workspace), zap.Bool("known", r.Known))
+		return &SubmitReply{Known: r.Known}, nil
 	}
-	r, err := s.propose(ctx, &cell.Command{Submit: &cell.Submit{Job: cell.Job{
+	return nil, verdict.Refuse(verdict.ReasonNoLease, "the queue changes too often")
+}
+
+// submitCommand returns the command that stores the job of a request.
+func submitCommand(req *SubmitRequest, c *caller) *cell.Command {
+	return &cell.Command{Submit: &cell.Submit{Job: cell.Job{
 		ID: req.ID, Queue: c.queue, Workspace: c.workspace, Spec: req.Spec, Steps: req.Steps,
 		Schedule: req.Schedule, SubmittedUnixMillis: time.Now().UnixMilli(),
-	}}})
-	if err != nil {
-		return nil, err
-	}
-	s.Log.Info("job submitted", zap.String("job", string(req.ID)), zap.String("queue", c.queue),
-		zap.String("workspace", c.workspace), zap.Bool("known", r.Known))
-	return &SubmitReply{Known: r.Known}, nil
+	}}}
 }
 
 func (s *Server) job(_ context.Context, req *JobRequest) (*JobReply, error) {
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -44,6 +44,9 @@
 		adm.overShare = !s.takeShareToken(s.cfg.State.Config.Workspace(j.Workspace), now)
 	}
 	s.admissions[j.ID] = adm
+	if s.cfg.State.QueueOf(j) == nil {
+		s.cfg.Log.Error("job can't run, its queue is not known", zap.String("job", string(j.ID)), zap.String("queue", j.Queue))
+	}
 	return adm
 }
 
