--- a/internal/cellapi/call.go
+++ b/internal/cellapi/call.go
@@ -46,10 +46,12 @@
 
 // callState is the state of one call to the leader.
 type callState struct {
-	client   *Client
-	topic    string
-	body     []byte
-	outcomes chan outcome
+	client *Client
+	topic  string
+	// body is the request, and repeated the one for attempts that follow on one that may
+	// have run.
+	body, repeated []byte
+	outcomes       chan outcome
 	// inProgress holds the addresses of the attempts that have no outcome yet.
 	inProgress map[string]bool
 	// refusedBy is the address of the last attempt that failed. It is tried again at
@@ -61,18 +63,19 @@
 	mayHaveRun bool
 }
 
-// call sends an idempotent request to the leader and returns the reply. It is
+func (c *Client) newCall(topic string) *callState {
+	return &callState{client: c, topic: topic, outcomes: make(chan outcome), inProgress: map[string]bool{}, last: errNoLeader()}
+}
+
+// run sends an idempotent request to the leader and returns the reply. It is
 // repeated until it gets a final answer or ctx ends, and also sent to a leader that
 // is elected meanwhile. While the cell is not reachable, a call that certainly has
 // not run is refused at once; any other goes on, to find out. The verdict of a
 // refusal is NotRun only if no attempt may have run.
-func (c *Client) call(ctx context.Context, topic string, body []byte) ([]byte, error) {
+func (k *callState) run(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	k := &callState{
-		client: c, topic: topic, body: body, outcomes: make(chan outcome),
-		inProgress: map[string]bool{}, last: errNoLeader(),
-	}
+	c := k.client
 	ticker := time.NewTicker(retryInterval)
 	defer ticker.Stop()
 	for {
@@ -117,10 +120,14 @@
 
 // start sends one attempt to a control process in the background.
 func (k *callState) start(ctx context.Context, addr string) {
+	body := k.body
+	if k.mayHaveRun || len(k.inProgress) > 0 {
+		body = k.repeated
+	}
 	k.inProgress[addr] = true
 	go func() {
 		o := outcome{addr: addr}
-		o.reply, o.refusal = k.client.attempt(ctx, addr, k.topic, k.body)
+		o.reply, o.refusal = k.client.attempt(ctx, addr, k.topic, body)
 		select {
 		case k.outcomes <- o:
 		case <-ctx.Done():
--- a/internal/cellapi/call_test.go
+++ b/internal/cellapi/call_test.go
@@ -33,6 +33,8 @@
 	slow time.Duration
 	// received counts the calls that a process received, pings excluded.
 	received map[string]int
+	// answeredRepeated says that the last answered submission was marked as repeated.
+	answeredRepeated bool
 }
 
 const fakeControls = 5
@@ -70,7 +72,7 @@
 }
 
 // CallRaw implements transport.
-func (f *fakeCell) CallRaw(ctx context.Context, addr, topic string, _ []byte) ([]byte, error) {
+func (f *fakeCell) CallRaw(ctx context.Context, addr, topic string, body []byte) ([]byte, error) {
 	f.mu.Lock()
 	if topic != topicPing && !f.refusing[addr] {
 		f.received[addr]++
@@ -90,6 +92,11 @@
 		return nil, verdict.Refuse(verdict.ReasonNotLeader, "this process does not lead")
 	}
 	time.Sleep(slow)
+	var req SubmitRequest
+	if err := codec.Unmarshal(body, &req); err != nil {
+		return nil, err
+	}
+	f.set(func() { f.answeredRepeated = req.Repeated })
 	return codec.Marshal(&SubmitReply{})
 }
 
@@ -261,3 +268,25 @@
 		time.Sleep(lookupRounds*lookupInterval + pingTimeout)
 	})
 }
+
+// TestAttemptsAfterALostReplyAreMarked guards against a leader that can't tell a first
+// attempt at a submission from one that follows on a lost reply.
+func TestAttemptsAfterALostReplyAreMarked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCell()
+		c := f.newClient()
+		submit := func() {
+			_, err := c.Submit(t.Context(), &SubmitRequest{ID: "j"})
+			qt.Assert(t, err, qt.IsNil)
+		}
+		submit()
+		qt.Check(t, f.answeredRepeated, qt.IsFalse)
+		f.silent[controlAddr(0)] = true
+		time.AfterFunc(300*time.Millisecond, func() {
+			f.set(func() { f.leader, f.term = controlAddr(3), 2 })
+		})
+		submit()
+		qt.Check(t, f.answeredRepeated, qt.IsTrue)
+		time.Sleep(lookupRounds*lookupInterval + pingTimeout)
+	})
+}
--- a/internal/cellapi/cellapi_test.go
+++ b/internal/cellapi/cellapi_test.go
@@ -259,3 +259,39 @@
 	qt.Check(t, reasonOf(err), qt.Equals, verdict.ReasonUnknownQueue)
 	qt.Check(t, verdict.FromError(err).Verdict, qt.Equals, verdict.NotRun)
 }
+
+// TestRepeatedSubmissionOfAcceptedJob guards against a caller that is refused although its
+// job runs: the reply to the first attempt was lost, and the queue was removed before the
+// second one.
+func TestRepeatedSubmissionOfAcceptedJob(t *testing.T) {
+	ctx := context.Background()
+	s, client := newServer(t)
+	configure := func(c cell.Config) {
+		t.Helper()
+		_, err := client.Configure(ctx, &ConfigureRequest{Config: c, Document: []byte("{}")})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	configure(testConfig)
+	req := &SubmitRequest{Place: CallTarget{"h", "/q/", "ka"}, ID: "j", Steps: []cell.Step{{Count: 1}}}
+	_, err := s.submit(ctx, req)
+	qt.Assert(t, err, qt.IsNil)
+	without := testConfig
+	without.Version, without.Queues = 2, nil
+	configure(without)
+	for _, c := range []struct {
+		name     string
+		repeated bool
+		key, id  string
+		want     verdict.Reason
+	}{
+		{"repeated", true, "ka", "j", ""},
+		{"first attempt", false, "ka", "j", verdict.ReasonUnknownQueue},
+		{"another workspace", true, "kb", "j", verdict.ReasonUnknownQueue},
+		{"another job", true, "ka", "k", verdict.ReasonUnknownQueue},
+	} {
+		again := *req
+		again.Repeated, again.Place.Key, again.ID = c.repeated, c.key, cell.JobID(c.id)
+		_, err := s.submit(ctx, &again)
+		qt.Check(t, reasonOf(err), qt.Equals, c.want, qt.Commentf(c.name))
+	}
+}
--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -68,7 +68,9 @@
 
 // Submit submits a job.
 func (c *Client) Submit(ctx context.Context, req *SubmitRequest) (*SubmitReply, error) {
-	return invoke[SubmitReply](ctx, c, topicSubmit, req)
+	repeated := *req
+	repeated.Repeated = true
+	return invokeRepeatable[SubmitReply](ctx, c, topicSubmit, req, &repeated)
 }
 
 // Job returns the state of a job.
@@ -113,11 +115,21 @@
 
 // invoke makes a call and returns its reply.
 func invoke[Resp any](ctx context.Context, c *Client, topic string, req any) (*Resp, error) {
-	body, err := encode(topic, req)
-	if err != nil {
+	return invokeRepeatable[Resp](ctx, c, topic, req, req)
+}
+
+// invokeRepeatable makes a call and returns its reply. Attempts that follow on one that
+// may have run send the request repeated.
+func invokeRepeatable[Resp any](ctx context.Context, c *Client, topic string, req, repeated any) (*Resp, error) {
+	k := c.newCall(topic)
+	var err error
+	if k.body, err = encode(topic, req); err != nil {
+		return nil, err
+	}
+	if k.repeated, err = encode(topic, repeated); err != nil {
 		return nil, err
 	}
-	reply, err := c.call(ctx, topic, body)
+	reply, err := k.run(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -188,7 +188,7 @@
 	for range submitAttempts {
 		c, err := s.authorize(&req.Place)
 		if err != nil {
-			return nil, err
+			return s.acceptedBefore(req, err)
 		}
 		if reason := invalidJobReason(req); reason != "" {
 			return nil, verdict.Refuse(verdict.ReasonBadRequest, "%s", reason)
@@ -208,6 +208,24 @@
 	return nil, verdict.Refuse(verdict.ReasonNoLease, "the queue changes too often")
 }
 
+// acceptedBefore answers an attempt to submit a job that is refused with err. If an
+// earlier attempt may have run, and the cell has the job of this caller, that attempt was
+// accepted, and the queue was removed after it.
+func (s *Server) acceptedBefore(req *SubmitRequest, err error) (*SubmitReply, error) {
+	if !req.Repeated || verdict.FromError(err).Reason != verdict.ReasonUnknownQueue {
+		return nil, err
+	}
+	accepted := false
+	s.State.Read(func() {
+		j, ws := s.State.Jobs[req.ID], s.State.Config.WorkspaceOfKey(req.Place.Key)
+		accepted = j != nil && ws != nil && ws.Name == j.Workspace
+	})
+	if !accepted {
+		return nil, err
+	}
+	return &SubmitReply{Known: true}, nil
+}
+
 // submitCommand returns the command that stores the job of a request.
 func submitCommand(req *SubmitRequest, c *caller) *cell.Command {
 	return &cell.Command{Submit: &cell.Submit{Job: cell.Job{
--- a/internal/cellapi/types.go
+++ b/internal/cellapi/types.go
@@ -44,6 +44,8 @@
 	Spec     string
 	Steps    []cell.Step
 	Schedule cell.Schedule
+	// Repeated says that an earlier attempt at this request may have run.
+	Repeated bool
 }
 
 // SubmitReply confirms that the job is stored durably.
