Refuse a delayed change of a data centre's service

Cause: an order that its sender had given up, and sent again by another way, was still executed by its receiver after the cut; nothing told that it was old. Ruled out: an id for each order, since the operator's own repetition through another process would get another one; resetting the connection, since the receiver may have read the order already.

--- a/internal/cellapi/call.go
+++ b/internal/cellapi/call.go
@@ -207,7 +207,7 @@
 
 // readOnly reports whether calls of the topic change nothing.
 func readOnly(topic string) bool {
-	return topic == topicJob || topic == topicQueue || topic == topicConfig
+	return topic == topicJob || topic == topicQueue || topic == topicConfig || topic == topicHello
 }
 
 // refuseUnreachable returns the refusal of a call that was not sent because the cell
--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -98,11 +98,6 @@
 	return invoke[ConfigReply](ctx, c, topicConfig, &ConfigRequest{})
 }
 
-// SetOut takes a data centre out of service or puts it back in service.
-func (c *Client) SetOut(ctx context.Context, req *SetOutRequest) (*SetOutReply, error) {
-	return invoke[SetOutReply](ctx, c, topicSetOut, req)
-}
-
 // Report sends a worker's report.
 func (c *Client) Report(ctx context.Context, req *ReportRequest) (*ReportReply, error) {
 	return invoke[ReportReply](ctx, c, topicReport, req)
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -36,6 +36,7 @@
 type Server struct {
 	Config
 	reports reportTracker
+	service serviceRevisions
 }
 
 // Serve returns a Server and registers its handlers for all calls with cfg.Wire.
@@ -325,15 +326,6 @@
 	return r, nil
 }
 
-func (s *Server) setOut(ctx context.Context, req *SetOutRequest) (*SetOutReply, error) {
-	_, err := s.propose(ctx, &cell.Command{SetOut: &cell.SetOut{DC: req.DC, Out: req.Out}})
-	if err != nil {
-		return nil, err
-	}
-	s.Log.Info("data centre service state set", zap.String("dc", req.DC), zap.Bool("out", req.Out))
-	return &SetOutReply{}, nil
-}
-
 func (s *Server) hello(ctx context.Context, req *HelloRequest) (*HelloReply, error) {
 	if req.Member != nil && s.Join != nil {
 		s.Join(*req.Member)
@@ -342,7 +334,7 @@
 		s.Scheduler.SetAdviser(ctx, req.Addr, &remoteAdviser{s.Wire, req.Addr})
 	}
 	st := s.Group.Status()
-	r := &HelloReply{Term: st.Term}
+	r := &HelloReply{Term: st.Term, ServiceChanges: s.service.counts(st.Term)}
 	for _, m := range st.Members {
 		r.Controls = append(r.Controls, m.Addr)
 		if m.ID == st.Leader {
--- a/internal/cellapi/types.go
+++ b/internal/cellapi/types.go
@@ -96,6 +96,8 @@
 type SetOutRequest struct {
 	DC  string
 	Out bool
+	// Revision is the revision that the change is based on; Client.SetOut sets it.
+	Revision ServiceRevision
 }
 
 // SetOutReply confirms that the change is durable and in force.
@@ -150,6 +152,9 @@
 	Controls []string
 	// Configured says that the cell has a configuration.
 	Configured bool
+	// ServiceChanges counts the changes of each data centre's service that the leader has
+	// made in Term.
+	ServiceChanges map[string]uint64
 }
 
 // AdviseRequest asks a process to request advice from the placement policy about
