Find jobs under the new name of their queue

Cause: jobs were shown to their workspace and counted by the name of their queue only. Change: jobs submitted at the same place are found there if the queue is or was open; counts go by place, too. Removed queues are kept while any job refers to them, and no longer for ever. Evidence: TestJobsAreFoundUnderARenamedQueue failed before.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -123,13 +123,19 @@
 }
 
 // configure replaces the configuration if the new version is higher or none is set
-// yet. It keeps the removed queues that active jobs refer to.
+// yet. It keeps the removed queues that jobs refer to.
 func (s *State) configure(c *Configure) {
 	if c.Config.Version <= s.Config.Version && s.ConfigDocument != nil {
 		return
 	}
+	inUse := s.queuesInUse()
+	for name := range s.RemovedQueues {
+		if !inUse[name] {
+			delete(s.RemovedQueues, name)
+		}
+	}
 	for _, q := range s.Config.Queues {
-		if c.Config.Queue(q.Name) == nil && s.queueInUse(q.Name) {
+		if c.Config.Queue(q.Name) == nil && inUse[q.Name] {
 			s.RemovedQueues[q.Name] = q
 		}
 	}
@@ -137,14 +143,13 @@
 	s.indexQueues()
 }
 
-// queueInUse reports whether an active job was submitted to the queue.
-func (s *State) queueInUse(queue string) bool {
-	for _, j := range s.Active {
-		if j.Queue == queue {
-			return true
-		}
+// queuesInUse returns the names of the queues that jobs were submitted to.
+func (s *State) queuesInUse() map[string]bool {
+	names := map[string]bool{}
+	for _, j := range s.Jobs {
+		names[j.Queue] = true
 	}
-	return false
+	return names
 }
 
 func (s *State) setOutOfService(c *SetOut) {
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -42,6 +42,16 @@
 	Advice *Advice
 }
 
+// Place is where a queue is called. A configuration may give the queue at a place
+// another name.
+type Place struct {
+	Host   string
+	Prefix string
+}
+
+// Place returns where the queue is called.
+func (q *Queue) Place() Place { return Place{q.Host, q.Prefix} }
+
 // Pool is a named set of workers.
 type Pool struct {
 	Name string
@@ -130,12 +140,10 @@
 	for i := range c.Pools {
 		pools[c.Pools[i].Name] = true
 	}
-	type route struct{ host, prefix string }
-	routes := map[route]bool{}
+	places := map[Place]bool{}
 	names := map[string]bool{}
 	for i := range c.Queues {
 		q := &c.Queues[i]
-		r := route{q.Host, q.Prefix}
 		switch {
 		case q.Name == "" || names[q.Name]:
 			return "queue " + q.Name + ": its name is missing or taken"
@@ -143,12 +151,12 @@
 			return "queue " + q.Name + ": host or prefix is missing"
 		case !pools[q.Pool]:
 			return "queue " + q.Name + ": unknown pool " + q.Pool
-		case routes[r]:
+		case places[q.Place()]:
 			return "queue " + q.Name + ": another queue has its host and prefix"
 		case q.TimeoutMillis <= 0:
 			return "queue " + q.Name + ": the time-out must be above 0"
 		}
-		routes[r], names[q.Name] = true, true
+		places[q.Place()], names[q.Name] = true, true
 	}
 	return c.checkKeys()
 }
--- a/internal/cellapi/cellapi_test.go
+++ b/internal/cellapi/cellapi_test.go
@@ -295,3 +295,47 @@
 		qt.Check(t, reasonOf(err), qt.Equals, c.want, qt.Commentf(c.name))
 	}
 }
+
+// TestJobsAreFoundUnderARenamedQueue guards against accepted jobs that callers can't find
+// any more, and that no queue counts, after a configuration has given the queue at their
+// place another name and made it open, or closed it.
+func TestJobsAreFoundUnderARenamedQueue(t *testing.T) {
+	ctx := context.Background()
+	s, client := newServer(t)
+	configure := func(version int64, q cell.Queue) {
+		t.Helper()
+		c := testConfig
+		q.Host, q.Prefix, q.TimeoutMillis, q.Pool = "h", "/q/", 1000, "p"
+		other := cell.Queue{Name: "elsewhere", Host: "h", Prefix: "/x/", TimeoutMillis: 1000, Pool: "p", Open: true}
+		c.Version, c.Queues = version, []cell.Queue{q, other}
+		_, err := client.Configure(ctx, &ConfigureRequest{Config: c, Document: []byte("{}")})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	submit := func(id cell.JobID, key string) {
+		t.Helper()
+		_, err := s.submit(ctx, &SubmitRequest{Place: CallTarget{"h", "/q/", key}, ID: id, Steps: []cell.Step{{Count: 1}}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	check := func(id cell.JobID, path, key string, want verdict.Reason) {
+		t.Helper()
+		_, err := s.job(ctx, &JobRequest{Place: CallTarget{"h", path, key}, ID: id})
+		qt.Check(t, reasonOf(err), qt.Equals, want)
+	}
+	configure(1, cell.Queue{Name: "closed"})
+	submit("with-key", "ka")
+	configure(2, cell.Queue{Name: "open", Open: true})
+	submit("without-key", "")
+	check("with-key", "/q/", "", "")
+	check("with-key", "/q/", "ka", "")
+	check("with-key", "/x/", "", verdict.ReasonUnknownJob)
+	queue, err := s.queue(ctx, &QueueRequest{Place: CallTarget{"h", "/q/", ""}})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, queue.Waiting, qt.Equals, 2)
+	_, err = s.cancel(ctx, &JobRequest{Place: CallTarget{"h", "/q/", ""}, ID: "with-key"})
+	qt.Check(t, err, qt.IsNil)
+
+	configure(3, cell.Queue{Name: "closed-again"})
+	check("without-key", "/q/", "ka", "")
+	check("with-key", "/q/", "ka", "")
+	check("with-key", "/q/", "kb", verdict.ReasonUnknownJob)
+}
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -144,6 +144,21 @@
 type caller struct {
 	queue     string
 	workspace string
+	// place is the location of the queue, and open says that it takes calls without a
+	// key.
+	place cell.Place
+	open  bool
+}
+
+// maySee reports whether the caller may read and cancel a job: one of its workspace, or
+// one that was submitted at the same place, if that took or takes calls without a key. The
+// queue there may have another name by now. The state is locked.
+func (s *Server) maySee(c *caller, j *cell.Job) bool {
+	if j.Workspace == c.workspace {
+		return true
+	}
+	q := s.State.QueueOf(j)
+	return (c.open || j.Workspace == "") && q != nil && q.Place() == c.place
 }
 
 // authorize returns the queue and the workspace of a call, or an error if the
@@ -163,7 +178,7 @@
 			err = verdict.Refuse(verdict.ReasonUnknownQueue, "no queue at %s%s", p.Host, p.Path)
 			return
 		}
-		c.queue = q.Name
+		c.queue, c.place, c.open = q.Name, q.Place(), q.Open
 		ws := cfg.WorkspaceOfKey(p.Key)
 		if ws == nil && !q.Open {
 			err = verdict.Refuse(verdict.ReasonBadKey, "the key is not known")
@@ -242,7 +257,7 @@
 	}
 	var r *JobReply
 	s.State.Read(func() {
-		if j := s.State.Jobs[req.ID]; j != nil && j.Workspace == c.workspace {
+		if j := s.State.Jobs[req.ID]; j != nil && s.maySee(&c, j) {
 			r = &JobReply{State: j.State, Reason: j.Reason}
 		}
 	})
@@ -267,7 +282,7 @@
 	known := false
 	s.State.Read(func() {
 		j := s.State.Jobs[req.ID]
-		known = j != nil && j.Workspace == c.workspace
+		known = j != nil && s.maySee(&c, j)
 	})
 	if !known {
 		if err := s.confirmLeadership(); err != nil {
@@ -291,7 +306,8 @@
 	r := &QueueReply{}
 	s.State.Read(func() {
 		for _, j := range s.State.Active {
-			if j.Queue == c.queue && !s.Scheduler.HasBegun(j) {
+			q := s.State.QueueOf(j)
+			if q != nil && (q.Name == c.queue || q.Place() == c.place) && !s.Scheduler.HasBegun(j) {
 				r.Waiting++
 			}
 		}
