Count the memory and the accelerators of filler tasks

Change: Step.Reserved is what a task takes of a worker's capacity, used by the state and by the planner. Evidence: TestFillersTakeMemory; the state accepted all three tasks before.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -250,10 +250,7 @@
 			return false
 		}
 		total = total.Add(spec.Need)
-		if spec.Filler {
-			continue
-		}
-		added[st.Worker] = added[st.Worker].Add(spec.Need)
+		added[st.Worker] = added[st.Worker].Add(spec.Reserved())
 		if !added[st.Worker].Fits(w.Free()) {
 			return false
 		}
--- a/internal/cell/apply_test.go
+++ b/internal/cell/apply_test.go
@@ -134,3 +134,14 @@
 	qt.Check(t, submit("00000000000000ac", "q", "a").Unknown, qt.IsTrue)
 	qt.Check(t, submit("00000000000000ac", "q", "").Unknown, qt.IsFalse)
 }
+
+// TestFillersTakeMemory guards against a worker whose memory is overcommitted: only the
+// CPU of filler tasks doesn't count against its capacity.
+func TestFillersTakeMemory(t *testing.T) {
+	s := stateWithJob(t, Step{Count: 3, Filler: true, Need: model.Resources{MilliCPU: 16000, MemoryMB: 16000}})
+	for i, want := range []int{1, 1, 0} {
+		r := applyCommand(t, s, &Command{Leadership: 2, Starts: &Starts{[]Start{startOf(i, 1)}}})
+		qt.Check(t, len(r.Accepted), qt.Equals, want, qt.Commentf("task %d", i))
+	}
+	qt.Check(t, s.Workers[testWorker].Free(), qt.Equals, model.Resources{MilliCPU: 16000})
+}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -51,13 +51,24 @@
 	Image string
 	// TargetMillis is the maximum response time of service tasks.
 	TargetMillis int64
-	// Filler tasks use capacity that others leave idle. They don't count against the
-	// capacity of their worker.
+	// Filler tasks use CPU time that others leave idle: their CPU doesn't count against
+	// the capacity of their worker.
 	Filler bool
 	// MaxUnavailable limits the service tasks that the system may disrupt at once.
 	MaxUnavailable int
 }
 
+// Reserved returns the part of a worker's capacity that one task takes.
+func (s *Step) Reserved() model.Resources { return reserved(s.Need, s.Filler) }
+
+// reserved returns the part of a worker's capacity that a task with the given need takes.
+func reserved(need model.Resources, filler bool) model.Resources {
+	if filler {
+		need.MilliCPU = 0
+	}
+	return need
+}
+
 // Schedule defines when a job's steps are executed. The zero value executes them
 // once, immediately.
 type Schedule struct {
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -185,7 +185,7 @@
 // that less urgent steps can't use it.
 func (p *planner) reserve(s *Pending, slots []*Worker) {
 	for _, w := range slots {
-		w.Free = w.Free.Sub(s.Step.Need)
+		w.Free = w.Free.Sub(s.Step.Reserved())
 	}
 }
 
@@ -292,14 +292,13 @@
 func freeSlots(s *Pending, w *Worker) int { return slotsIn(s, w, w.Free) }
 
 // slotsIn returns the number of waiting tasks of the step that fit into the given
-// capacity of the worker. Filler tasks are limited only by MaxPerWorker.
+// capacity of the worker.
 func slotsIn(s *Pending, w *Worker, capacity model.Resources) int {
 	n := len(s.Waiting)
-	if !s.Step.Filler {
-		n = limitTasks(n, s.Step.Need.MilliCPU, capacity.MilliCPU)
-		n = limitTasks(n, s.Step.Need.MemoryMB, capacity.MemoryMB)
-		n = limitTasks(n, s.Step.Need.Accelerators, capacity.Accelerators)
-	}
+	need := s.Step.Reserved()
+	n = limitTasks(n, need.MilliCPU, capacity.MilliCPU)
+	n = limitTasks(n, need.MemoryMB, capacity.MemoryMB)
+	n = limitTasks(n, need.Accelerators, capacity.Accelerators)
 	if s.Step.MaxPerWorker > 0 {
 		n = min(n, s.Step.MaxPerWorker-s.OnWorker[w.ID])
 	}
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -334,7 +334,7 @@
 
 // fits reports whether the worker can run one more task of the step.
 func fits(s *Pending, w *Worker) bool {
-	if !s.Step.Filler && !s.Step.Need.Fits(w.Free) {
+	if !s.Step.Reserved().Fits(w.Free) {
 		return false
 	}
 	if !w.hasLabel(s.Step.Requires) {
@@ -354,12 +354,9 @@
 }
 
 // startTask adds the start of a task to the plan. It subtracts the task's need
-// from the workspace's quota and, except for filler tasks, from the worker's free
-// capacity.
+// from the workspace's quota, and what it reserves from the worker's free capacity.
 func (p *planner) startTask(s *Pending, index int, run int64, w *Worker) {
-	if !s.Step.Filler {
-		w.Free = w.Free.Sub(s.Step.Need)
-	}
+	w.Free = w.Free.Sub(s.Step.Reserved())
 	if s.OnWorker != nil {
 		s.OnWorker[w.ID]++
 	}
--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -114,7 +114,7 @@
 		return slotOption{}
 	}
 	capacity, lost := f.free[i], 0.0
-	if s.Step.Need.Fits(capacity) {
+	if s.Step.Reserved().Fits(capacity) {
 		return slotOption{possible: true}
 	}
 	for _, v := range w.victimsByLoss() {
@@ -125,7 +125,7 @@
 		if lost += v.LostWork; lost > f.maxLostWork {
 			break
 		}
-		if s.Step.Need.Fits(capacity) {
+		if s.Step.Reserved().Fits(capacity) {
 			return slotOption{possible: true, lost: lost}
 		}
 	}
@@ -139,7 +139,7 @@
 	var victims []*Victim
 	capacity := f.free[i]
 	for _, v := range f.workers[i].victimsByLoss() {
-		if s.Step.Need.Fits(capacity) {
+		if s.Step.Reserved().Fits(capacity) {
 			break
 		}
 		if v.mayYieldTo(s) {
@@ -178,7 +178,7 @@
 		f.free[i] = f.free[i].Add(v.Need)
 		c.victims, c.victimWorkers = append(c.victims, v), append(c.victimWorkers, w)
 	}
-	f.free[i] = f.free[i].Sub(f.pending.Step.Need)
+	f.free[i] = f.free[i].Sub(f.pending.Step.Reserved())
 	f.taken[i]++
 	f.options[i] = f.nextOption(i)
 }
--- a/internal/cell/plan/score.go
+++ b/internal/cell/plan/score.go
@@ -38,7 +38,7 @@
 	if s.Step.DataRack != "" && w.Rack == s.Step.DataRack {
 		v += dataRackWeight
 	}
-	left := w.Free.Sub(s.Step.Need)
+	left := w.Free.Sub(s.Step.Reserved())
 	v -= bestFitWeight * float64(left.MilliCPU) / 16000
 	return v
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -14,7 +14,7 @@
 	Task TaskKey
 	Run  int64
 	Need model.Resources
-	// Filler allocations don't count against the worker's capacity.
+	// Filler allocations don't count against the worker's CPU capacity.
 	Filler    bool
 	Workspace string
 }
@@ -232,9 +232,7 @@
 func (s *State) addAllocation(w *WorkerState, a Allocation) {
 	s.changedWorkers[w.ID] = true
 	w.Allocations[a.Task] = a
-	if !a.Filler {
-		w.Used = w.Used.Add(a.Need)
-	}
+	w.Used = w.Used.Add(reserved(a.Need, a.Filler))
 	s.UsageByWorkspace[a.Workspace] = s.UsageByWorkspace[a.Workspace].Add(a.Need)
 }
 
@@ -242,9 +240,7 @@
 func (s *State) removeAllocation(w *WorkerState, a Allocation) {
 	s.changedWorkers[w.ID] = true
 	delete(w.Allocations, a.Task)
-	if !a.Filler {
-		w.Used = w.Used.Sub(a.Need)
-	}
+	w.Used = w.Used.Sub(reserved(a.Need, a.Filler))
 	s.UsageByWorkspace[a.Workspace] = s.UsageByWorkspace[a.Workspace].Sub(a.Need)
 }
 
