Keep ended jobs for the whole time whatever the wall clocks say

Cause: the end of a job is stamped with one leader's wall clock, and the job is deleted by another's.

--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -399,35 +399,3 @@
 	}
 	return time.Duration(longest) * time.Millisecond
 }
-
-// cleanupInterval is the interval at which expired jobs and unused policy answers
-// are deleted.
-const cleanupInterval = 5 * time.Second
-
-// deleteExpiredJobs deletes jobs that ended more than Bounds.EndedJobRetention ago,
-// and the policy answers for all ended jobs.
-func (s *Scheduler) deleteExpiredJobs(ctx context.Context, now clock.Instant) {
-	if now < s.nextCleanup {
-		return
-	}
-	s.nextCleanup = now.Add(cleanupInterval)
-	var expired []cell.JobID
-	cutoff := time.Now().Add(-s.cfg.Bounds.EndedJobRetention).UnixMilli()
-	s.cfg.State.Read(func() {
-		for id, j := range s.cfg.State.Jobs {
-			if j.State.Ended() && j.EndedUnixMillis < cutoff {
-				expired = append(expired, id)
-			}
-		}
-		for k := range s.advice {
-			if s.cfg.State.Active[k.Job] == nil {
-				delete(s.advice, k)
-			}
-		}
-	})
-	if len(expired) == 0 {
-		return
-	}
-	slices.Sort(expired)
-	s.propose(ctx, &cell.Command{Forget: &cell.Forget{Jobs: expired}}, func(cell.Result, error) {})
-}
