review: case 7, an odd heartbeat has tasks run twice

A heartbeat of another writer, for a service that isn't configured and with the address of a minion, ends all runs of that minion as lost. Its tasks run a second time elsewhere while the first runs go on.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -25,6 +25,7 @@
 	"lost-restart": lostRestart,
 	"late-submit":  lateSubmit,
 	"late-leave":   lateLeave,
+	"odd-writer":   oddWriter,
 }
 
 func main() {
