--- a/review/standins-2/leave.go
+++ b/review/standins-2/leave.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// Disruption of lateLeave: a control process that doesn't lead stands still for
-// leaveFreeze, while leaveMinions minions are replaced at a time.
+// Disruption of lateLeave: leaveRounds times, a control process that doesn't lead stands
+// still for leaveFreeze, while leaveMinions minions are replaced at a time.
 const (
+	leaveRounds  = 4
 	leaveMinions = 3
 	leaveFreeze  = 6500 * time.Millisecond
 	// leaveStart is how long a minion takes from its start to its first heartbeat.
@@ -19,25 +20,35 @@
 // at another control process, which acknowledges them. Once the frozen process has gone
 // on, jobs for the minions, which are up again and say that they are ready, must run.
 func lateLeave(rec *record, root string, trouble bool) (bool, error) {
-	w, err := newWorldOnCores(rec, root, 1, leaveMinions, 1)
+	w, err := newWorldOnCores(rec, root, 1, leaveRounds*leaveMinions, 1)
 	defer w.close()
 	if err != nil {
 		return false, err
 	}
+	for i := range leaveRounds {
+		if err := leaveRound(w, w.minions[i*leaveMinions:(i+1)*leaveMinions], trouble); err != nil {
+			return false, err
+		}
+	}
+	return jobsWait(w), nil
+}
+
+// leaveRound replaces minions while a control process is frozen.
+func leaveRound(w *world, minions []*minion, trouble bool) error {
 	frozen := w.follower()
 	if trouble {
 		frozen.freeze()
 	}
 	frozenAt := time.Now()
 	var wg sync.WaitGroup
-	errs := make(chan error, leaveMinions)
-	for _, m := range w.minions {
+	errs := make(chan error, len(minions))
+	for _, m := range minions {
 		wg.Go(func() { errs <- replaceMinion(w, m, frozen) })
 	}
 	wg.Wait()
-	for range w.minions {
+	for range minions {
 		if err := <-errs; err != nil {
-			return false, err
+			return err
 		}
 	}
 	time.Sleep(time.Until(frozenAt.Add(leaveFreeze)))
@@ -45,7 +56,7 @@
 		frozen.thaw()
 	}
 	time.Sleep(2 * time.Second)
-	return jobsWait(w), nil
+	return nil
 }
 
 // follower returns a control process that doesn't lead.
