--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target/review-2"
 cd "$root/review/standins-2"
-GOFLAGS=-mod=mod GOWORK=off GOPROXY=off go build -buildvcs=false -o "$root/target/review-2/reviewcases" .
+GOFLAGS= GOWORK=off GOTOOLCHAIN=local go build -buildvcs=false -o "$root/target/review-2/reviewcases" .
--- a/review/standins-2/minion.go
+++ b/review/standins-2/minion.go
@@ -296,8 +296,10 @@
 	m.grant(lf, b.DeadlineMS)
 	run := &runSeen{task: b.Task, run: b.Run, begun: time.Now()}
 	work := m.work
-	if d, err := time.ParseDuration(strings.TrimPrefix(b.Spec, "work ")); err == nil {
-		work = d
+	if words := strings.Fields(b.Spec); len(words) > 1 && words[0] == "work" {
+		if d, err := time.ParseDuration(words[1]); err == nil {
+			work = d
+		}
 	}
 	run.timer = time.AfterFunc(work, func() {
 		m.mu.Lock()
@@ -306,7 +308,7 @@
 	})
 	lf.running[b.Task] = run
 	m.starts = append(m.starts, startSeen{time.Now(), m.id, b.Task, b.Run, b.Spec, b.Fence})
-	m.rec.add("%s: run %d of %s begins, fence %d, spec %q", m.id, b.Run, b.Task, b.Fence, b.Spec)
+	m.rec.add("%s: run %d of %s begins, fence %d, spec %.20q", m.id, b.Run, b.Task, b.Fence, b.Spec)
 	m.reply(w, lf, 200, "")
 }
 
--- a/review/standins-2/restart.go
+++ b/review/standins-2/restart.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Disruptions of lostRestart. The freezes are shorter than an election takes, so that the
 // leader goes on leading.
@@ -10,6 +13,8 @@
 	freezeTime  = 330 * time.Millisecond
 	freezePause = 400 * time.Millisecond
 	crashTime   = time.Second
+	// specBytes pads the jobs; the pages allow 4,000 bytes.
+	specBytes = 2000
 )
 
 // lostRestart freezes the leader for moments while jobs arrive, and then the minions of
@@ -21,9 +26,9 @@
 	if err != nil {
 		return false, err
 	}
-	clients := newTraffic(w, 24, 100*time.Millisecond, "work 300ms")
+	clients := newTraffic(w, 48, 50*time.Millisecond, "work 300ms "+strings.Repeat("x", specBytes))
 	time.Sleep(3 * time.Second)
-	for round := range rounds {
+	for range rounds {
 		leader := w.leader()
 		for range freezes {
 			if trouble {
@@ -35,7 +40,7 @@
 			}
 			time.Sleep(freezePause)
 		}
-		if err := crashRack(w, round%2, trouble); err != nil {
+		if err := crashRack(w, trouble); err != nil {
 			return false, err
 		}
 		rec.add("the leader was %s and is %s", leader.name, w.leader().name)
@@ -51,10 +56,10 @@
 	return len(left) > 0, nil
 }
 
-// crashRack ends the three minions of a rack at once, and starts them again under their
-// ids after crashTime.
-func crashRack(w *world, rack int, trouble bool) error {
-	minions := w.minions[3*rack : 3*rack+3]
+// crashRack ends the three minions of the first rack, which have most of the tasks, at
+// once, and starts them again under their ids after crashTime.
+func crashRack(w *world, trouble bool) error {
+	minions := w.minions[:3]
 	for _, m := range minions {
 		if trouble {
 			m.end()
--- a/review/standins-2/traffic.go
+++ b/review/standins-2/traffic.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// trafficCPU is what each task of the traffic needs, in thousandths of a core.
+const trafficCPU = 100
+
 // traffic is a number of clients that hand in jobs of one task, one after the other.
 type traffic struct {
 	stop chan struct{}
@@ -32,7 +35,7 @@
 		case <-time.After(pause):
 		}
 		id := newID()
-		a := call("POST", w.entries[0].frontAddr(), queuePrefix+id, headers(3*time.Second), jobBody(1, spec), 3*time.Second)
+		a := call("POST", w.entries[0].frontAddr(), queuePrefix+id, headers(3*time.Second), jobBody(1, trafficCPU, spec), 3*time.Second)
 		if a.status/100 != 2 {
 			w.rec.add("client: POST %s%s: %v", queuePrefix, id, a)
 			continue
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -111,8 +111,9 @@
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-func jobBody(tasks int, spec string) []byte {
-	b, _ := json.Marshal(map[string]any{"spec": spec, "steps": []any{map[string]any{"count": tasks, "cpu": 1000, "mem-mb": 256, "estimate-ms": 500}}})
+// jobBody returns the body of a job of one step, whose tasks need cpu thousandths of a core.
+func jobBody(tasks, cpu int, spec string) []byte {
+	b, _ := json.Marshal(map[string]any{"spec": spec, "steps": []any{map[string]any{"count": tasks, "cpu": cpu, "mem-mb": 256, "estimate-ms": 500}}})
 	return b
 }
 
@@ -122,7 +123,7 @@
 
 // submit hands a job in at an entry process.
 func (w *world) submit(entry int, id string, tasks int, spec string, deadline time.Duration) answer {
-	a := call("POST", w.entries[entry].frontAddr(), queuePrefix+id, headers(deadline), jobBody(tasks, spec), deadline)
+	a := call("POST", w.entries[entry].frontAddr(), queuePrefix+id, headers(deadline), jobBody(tasks, 1000, spec), deadline)
 	w.rec.add("client: POST %s to %s: %v", queuePrefix+id, w.entries[entry].name, a)
 	return a
 }
