Let the cancel of an unknown job hold for a later submission

Cause: the answer that there is no such job was read from the state and kept nowhere, so that a submission that was applied later was new. Ruled out as the cause: that net/http sees the end of a connection late.

The cancel is committed now, and leaves a tombstone by workspace and place that a submission meets when it is applied.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -53,13 +53,16 @@
 		}
 	case c.Forget != nil:
 		s.deleteJobs(c.Forget.Jobs)
+		for i := range c.Forget.Tombstones {
+			s.tombstones.remove(&c.Forget.Tombstones[i])
+		}
 	}
 	return Result{}
 }
 
 // submit adds a job. A job without a start time gets its only occurrence at once. The
 // queue or the workspace may have been removed after the proposer had checked them; such
-// a job would never run.
+// a job would never run. A job that was cancelled before must not run.
 func (s *State) submit(j *Job) Result {
 	if s.Jobs[j.ID] != nil {
 		return Result{Known: true}
@@ -67,6 +70,9 @@
 	if s.Config.Queue(j.Queue) == nil || (j.Workspace != "" && s.Config.Workspace(j.Workspace) == nil) {
 		return Result{Unknown: true}
 	}
+	if s.cancelledBefore(j) {
+		return Result{Cancelled: true}
+	}
 	job := *j
 	job.State, job.Occurrences = JobPending, nil
 	s.Jobs[job.ID], s.Active[job.ID] = &job, &job
@@ -89,10 +95,12 @@
 	j.Occurrences = append(j.Occurrences, o)
 }
 
+// cancel cancels a job. If its caller can't see it, the cancel holds for a submission that
+// is applied later.
 func (s *State) cancel(c *Cancel) Result {
 	j := s.Jobs[c.ID]
-	if j == nil {
-		return Result{Unknown: true}
+	if j == nil || (c.Caller != nil && !s.MaySee(c.Caller, j)) {
+		return s.addTombstone(c)
 	}
 	if !j.State.Ended() {
 		s.endJob(j, JobCancelled, "", c.UnixMillis)
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -23,14 +23,17 @@
 // never lowers the term.
 type Lead struct{ Term uint64 }
 
-// Submit stores a job. It changes nothing if a job with this ID exists, or if the job's
-// queue or workspace isn't configured.
+// Submit stores a job. It changes nothing if a job with this ID exists, if the job's
+// queue or workspace isn't configured, or if the job was cancelled before.
 type Submit struct{ Job Job }
 
-// Cancel cancels a job that has not ended.
+// Cancel cancels a job that has not ended. If the caller can't see such a job, it leaves a
+// tombstone.
 type Cancel struct {
 	ID         JobID
 	UnixMillis int64
+	// Caller is who cancels the job, nil in commands of earlier versions.
+	Caller *Caller
 }
 
 // Configure replaces the configuration if the new version is higher.
@@ -112,8 +115,11 @@
 // Due creates the next occurrences of scheduled jobs.
 type Due struct{ Jobs []JobID }
 
-// Forget deletes jobs that ended long ago.
-type Forget struct{ Jobs []JobID }
+// Forget deletes jobs that ended long ago, and tombstones of cancels long ago.
+type Forget struct {
+	Jobs       []JobID
+	Tombstones []Tombstone
+}
 
 // Encode returns the command encoded as a log entry.
 func (c *Command) Encode() ([]byte, error) { return consensus.Encode(c) }
@@ -128,6 +134,11 @@
 	// Unknown reports that the job to cancel doesn't exist, or that the queue or the
 	// workspace of the submitted job doesn't.
 	Unknown bool
+	// Cancelled reports that the submitted job was cancelled before.
+	Cancelled bool
+	// Full reports that a cancel was not recorded, since the workspace has too many
+	// tombstones.
+	Full bool
 	// Accepted holds the indexes of the starts that were placed, in ascending order.
 	Accepted []int
 }
--- a/internal/cell/fuzz_test.go
+++ b/internal/cell/fuzz_test.go
@@ -20,6 +20,8 @@
 		{Lead: &Lead{Term: 9}},
 		{Submit: &Submit{Job{ID: "j2", Queue: "q", Workspace: "a", Steps: []Step{{Count: 2, Gang: true}, {Count: 1, After: []int{0}}}}}},
 		{Cancel: &Cancel{ID: testJob}},
+		{Cancel: &Cancel{ID: "unknown", Caller: &Caller{Workspace: "a"}}},
+		{Forget: &Forget{Tombstones: []Tombstone{{ID: "unknown", Caller: Caller{Workspace: "a"}, Cancels: 1}}}},
 		{Leadership: 2, Starts: &Starts{[]Start{startOf(0, 1), odd}}},
 		endOf(0, 1, OutcomeFailed),
 		oddEnd,
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -70,6 +70,7 @@
 	Workers    []Worker
 	Held       [][]Allocation
 	Jobs       []*Job
+	Tombstones []Tombstone
 }
 
 // State is the replicated state of a cell. Apply, Snapshot and Restore are called by
@@ -92,7 +93,8 @@
 	Workers      map[WorkerID]*WorkerState
 	Jobs         map[JobID]*Job
 	// Active holds the jobs that have not ended.
-	Active map[JobID]*Job
+	Active     map[JobID]*Job
+	tombstones tombstones
 	// queues indexes the queues by name, including RemovedQueues.
 	queues map[string]*Queue
 	// UsageByWorkspace maps workspaces to the sum of their allocations.
@@ -121,6 +123,7 @@
 	s.OutOfService = map[string]bool{}
 	s.Workers = map[WorkerID]*WorkerState{}
 	s.Jobs = map[JobID]*Job{}
+	s.tombstones = newTombstones()
 	s.Active = map[JobID]*Job{}
 	s.UsageByWorkspace = map[string]model.Resources{}
 	s.changedWorkers, s.sortedWorkers = map[WorkerID]bool{}, nil
@@ -176,6 +179,7 @@
 	for _, id := range sortedKeys(s.Jobs) {
 		snap.Jobs = append(snap.Jobs, s.Jobs[id])
 	}
+	snap.Tombstones = s.tombstones.all()
 	return consensus.Encode(&snap)
 }
 
@@ -209,6 +213,9 @@
 			s.addAllocation(ws, a)
 		}
 	}
+	for _, t := range snap.Tombstones {
+		s.tombstones.restore(t)
+	}
 	for _, j := range snap.Jobs {
 		s.Jobs[j.ID] = j
 		if !j.State.Ended() {
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -139,26 +139,10 @@
 	return r, nil
 }
 
-// caller is the queue that a call is for and the workspace that makes it, ""
-// for a call without a key.
+// caller is who makes a call, and the name of the queue that it is for.
 type caller struct {
-	queue     string
-	workspace string
-	// place is the location of the queue, and open says that it takes calls without a
-	// key.
-	place cell.Place
-	open  bool
-}
-
-// maySee reports whether the caller may read and cancel a job: one of its workspace, or
-// one that was submitted at the same place, if that took or takes calls without a key. The
-// queue there may have another name by now. The state is locked.
-func (s *Server) maySee(c *caller, j *cell.Job) bool {
-	if j.Workspace == c.workspace {
-		return true
-	}
-	q := s.State.QueueOf(j)
-	return (c.open || j.Workspace == "") && q != nil && q.Place() == c.place
+	queue string
+	cell.Caller
 }
 
 // authorize returns the queue and the workspace of a call, or an error if the
@@ -178,14 +162,14 @@
 			err = verdict.Refuse(verdict.ReasonUnknownQueue, "no queue at %s%s", p.Host, p.Path)
 			return
 		}
-		c.queue, c.place, c.open = q.Name, q.Place(), q.Open
+		c.queue, c.Place, c.Open = q.Name, q.Place(), q.Open
 		ws := cfg.WorkspaceOfKey(p.Key)
 		if ws == nil && !q.Open {
 			err = verdict.Refuse(verdict.ReasonBadKey, "the key is not known")
 			return
 		}
 		if ws != nil {
-			c.workspace = ws.Name
+			c.Workspace = ws.Name
 		}
 	})
 	if err != nil {
@@ -213,12 +197,16 @@
 		if err != nil {
 			return nil, err
 		}
+		if r.Cancelled {
+			s.Log.Info("job refused, it was cancelled before", zap.String("job", string(req.ID)), zap.String("workspace", c.Workspace))
+			return nil, verdict.Refuse(verdict.ReasonCancelled, "job %s was cancelled before it was submitted", req.ID)
+		}
 		if r.Unknown {
 			s.Log.Info("job refused, its queue was removed meanwhile", zap.String("job", string(req.ID)), zap.String("queue", c.queue))
 			continue
 		}
 		s.Log.Info("job submitted", zap.String("job", string(req.ID)), zap.String("queue", c.queue),
-			zap.String("workspace", c.workspace), zap.Bool("known", r.Known))
+			zap.String("workspace", c.Workspace), zap.Bool("known", r.Known))
 		return &SubmitReply{Known: r.Known}, nil
 	}
 	return nil, verdict.Refuse(verdict.ReasonNoLease, "the queue changes too often")
@@ -245,7 +233,7 @@
 // submitCommand returns the command that stores the job of a request.
 func submitCommand(req *SubmitRequest, c *caller) *cell.Command {
 	return &cell.Command{Submit: &cell.Submit{Job: cell.Job{
-		ID: req.ID, Queue: c.queue, Workspace: c.workspace, Spec: req.Spec, Steps: req.Steps,
+		ID: req.ID, Queue: c.queue, Workspace: c.Workspace, Spec: req.Spec, Steps: req.Steps,
 		Schedule: req.Schedule, SubmittedUnixMillis: time.Now().UnixMilli(),
 	}}}
 }
@@ -257,7 +245,7 @@
 	}
 	var r *JobReply
 	s.State.Read(func() {
-		if j := s.State.Jobs[req.ID]; j != nil && s.maySee(&c, j) {
+		if j := s.State.Jobs[req.ID]; j != nil && s.State.MaySee(&c.Caller, j) {
 			r = &JobReply{State: j.State, Reason: j.Reason}
 		}
 	})
@@ -274,27 +262,29 @@
 	return verdict.Refuse(verdict.ReasonUnknownJob, "no job %s", id)
 }
 
+// tombstoneRetryAfter is the Retry-After of a cancel for which the cell has no tombstone
+// left. Tombstones expire by the minute.
+const tombstoneRetryAfter = 5 * time.Second
+
+// cancel cancels a job. The cancel of an unknown job is committed before the reply, so that
+// a submission that was held up on its way doesn't run the job later.
 func (s *Server) cancel(ctx context.Context, req *JobRequest) (*CancelReply, error) {
 	c, err := s.authorize(&req.Place)
 	if err != nil {
 		return nil, err
 	}
-	known := false
-	s.State.Read(func() {
-		j := s.State.Jobs[req.ID]
-		known = j != nil && s.maySee(&c, j)
-	})
-	if !known {
-		if err := s.confirmLeadership(); err != nil {
-			return nil, err
-		}
-		return nil, unknownJob(req.ID)
-	}
-	cmd := &cell.Command{Cancel: &cell.Cancel{ID: req.ID, UnixMillis: time.Now().UnixMilli()}}
-	if _, err := s.propose(ctx, cmd); err != nil {
+	cmd := &cell.Command{Cancel: &cell.Cancel{ID: req.ID, UnixMillis: time.Now().UnixMilli(), Caller: &c.Caller}}
+	r, err := s.propose(ctx, cmd)
+	switch {
+	case err != nil:
 		return nil, err
+	case r.Full:
+		return nil, verdict.Refuse(verdict.ReasonOverload, "too many unknown jobs were cancelled").WithRetryAfter(tombstoneRetryAfter)
+	}
+	s.Log.Info("job cancelled", zap.String("job", string(req.ID)), zap.String("workspace", c.Workspace), zap.Bool("known", !r.Unknown))
+	if r.Unknown {
+		return nil, unknownJob(req.ID)
 	}
-	s.Log.Info("job cancelled", zap.String("job", string(req.ID)))
 	return &CancelReply{}, nil
 }
 
@@ -307,7 +297,7 @@
 	s.State.Read(func() {
 		for _, j := range s.State.Active {
 			q := s.State.QueueOf(j)
-			if q != nil && (q.Name == c.queue || q.Place() == c.place) && !s.Scheduler.HasBegun(j) {
+			if q != nil && (q.Name == c.queue || q.Place() == c.Place) && !s.Scheduler.HasBegun(j) {
 				r.Waiting++
 			}
 		}
--- a/internal/scheduler/retention.go
+++ b/internal/scheduler/retention.go
@@ -24,6 +24,12 @@
 type retention struct {
 	// seenEndedAt is when this leader first saw that a job had ended, by job.
 	seenEndedAt map[cell.JobID]clock.Instant
+	// seenTombstoneAt is when this leader first saw a tombstone.
+	seenTombstoneAt map[cell.Tombstone]clock.Instant
+}
+
+func newRetention() retention {
+	return retention{seenEndedAt: map[cell.JobID]clock.Instant{}, seenTombstoneAt: map[cell.Tombstone]clock.Instant{}}
 }
 
 // expired reports whether a job that has ended was kept for the given time.
@@ -39,18 +45,39 @@
 	return now.Sub(at) >= keep
 }
 
-// deleteExpiredJobs deletes jobs that ended more than Bounds.EndedJobRetention ago,
-// and the policy answers for all ended jobs.
+// deleteExpiredJobs deletes jobs that ended more than Bounds.EndedJobRetention ago, the
+// policy answers for all ended jobs, and expired tombstones.
 func (s *Scheduler) deleteExpiredJobs(ctx context.Context, now clock.Instant) {
 	if now < s.nextCleanup {
 		return
 	}
 	s.nextCleanup = now.Add(cleanupInterval)
-	expired := s.expiredJobs(now, time.Now())
-	if len(expired) == 0 {
+	forget := &cell.Forget{Jobs: s.expiredJobs(now, time.Now()), Tombstones: s.expiredTombstones(now)}
+	if len(forget.Jobs) == 0 && len(forget.Tombstones) == 0 {
 		return
 	}
-	s.propose(ctx, &cell.Command{Forget: &cell.Forget{Jobs: expired}}, func(cell.Result, error) {})
+	s.propose(ctx, &cell.Command{Forget: forget}, func(cell.Result, error) {})
+}
+
+// expiredTombstones returns the tombstones to delete: like the state of a cancelled job,
+// they are kept for Bounds.EndedJobRetention, counted from when this leader first saw them.
+func (s *Scheduler) expiredTombstones(now clock.Instant) []cell.Tombstone {
+	var all []cell.Tombstone
+	s.cfg.State.Read(func() { all = s.cfg.State.Tombstones() })
+	seen := make(map[cell.Tombstone]clock.Instant, len(all))
+	var expired []cell.Tombstone
+	for _, t := range all {
+		at, known := s.retention.seenTombstoneAt[t]
+		if !known {
+			at = now
+		}
+		seen[t] = at
+		if now.Sub(at) >= s.cfg.Bounds.EndedJobRetention {
+			expired = append(expired, t)
+		}
+	}
+	s.retention.seenTombstoneAt = seen
+	return expired
 }
 
 // expiredJobs returns the jobs to delete, sorted, and forgets what was kept for jobs that
--- a/internal/scheduler/retention_test.go
+++ b/internal/scheduler/retention_test.go
@@ -30,3 +30,25 @@
 	qt.Check(t, r.expiredJobs(r.now(), ahead(keep)), qt.HasLen, 0, qt.Commentf("a new leader with a clock ahead"))
 	qt.Check(t, r.expiredJobs(r.now(), ended.Add(keep+maxClockError)), qt.HasLen, 1, qt.Commentf("beyond doubt"))
 }
+
+// TestTombstonesExpire checks that the cancel of an unknown job holds for as long as an
+// ended job is kept, counted anew with each cancel and each leader, and not for good.
+func TestTombstonesExpire(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	keep := r.cfg.Bounds.EndedJobRetention
+	cancel := &cell.Command{Cancel: &cell.Cancel{ID: "unknown", Caller: &cell.Caller{Workspace: "a"}}}
+	r.apply(cancel)
+	start := r.now()
+	qt.Check(t, r.expiredTombstones(start), qt.HasLen, 0)
+	qt.Check(t, r.expiredTombstones(start.Add(keep-time.Second)), qt.HasLen, 0)
+	expired := r.expiredTombstones(start.Add(keep))
+	qt.Assert(t, expired, qt.HasLen, 1)
+
+	r.apply(cancel)
+	qt.Check(t, r.expiredTombstones(start.Add(keep)), qt.HasLen, 0, qt.Commentf("cancelled again"))
+	r.apply(&cell.Command{Leadership: r.term, Forget: &cell.Forget{Tombstones: expired}})
+	qt.Check(t, r.state.Tombstones(), qt.HasLen, 1, qt.Commentf("cancelled again after the deletion was proposed"))
+	r.apply(&cell.Command{Leadership: r.term, Forget: &cell.Forget{Tombstones: r.expiredTombstones(start.Add(2 * keep))}})
+	qt.Check(t, r.state.Tombstones(), qt.HasLen, 0)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -225,7 +225,7 @@
 	s.queueSpeed = map[string]float64{}
 	s.admissions = map[cell.JobID]admission{}
 	s.begun.reset()
-	s.retention = retention{seenEndedAt: map[cell.JobID]clock.Instant{}}
+	s.retention = newRetention()
 	s.shareBuckets = map[string]*tokenBucket{}
 	s.ends, s.longPolls, s.replyLoss = endBatch{}, 0, replyLoss{}
 	s.planning, s.creatingOccurrences, s.dirty = false, false, true
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -32,6 +32,7 @@
 	ReasonUnknownWorkspace  Reason = "unknown-workspace"
 	ReasonUnknownQueue      Reason = "unknown-queue"
 	ReasonUnknownJob        Reason = "unknown-job"
+	ReasonCancelled         Reason = "cancelled"
 	ReasonUnknownKey        Reason = "unknown-key"
 	ReasonNoLease           Reason = "no-settings-lease"
 	ReasonNoLeader          Reason = "no-leader"
