Drop replies to closed sessions, and replace a refused token

Cause: the reply to a probe came after the session was replaced. The closed session took it for a new incarnation, drew a token above that of the open one, and showed it to the worker, which then refused all orders of the open session. Nothing acted on these refusals.

The outcomes of renewals and stops of a closed session are dropped, so that only the open session draws tokens. A refused token is replaced, so that such a state ends by itself, whatever has brought it about.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -152,6 +152,7 @@
 	case RefusedFence:
 		if r.fence == se.fence {
 			r.status = runUnconfirmed
+			s.replaceFence(se, r.fence)
 			return
 		}
 	default:
@@ -173,7 +174,7 @@
 // recordNotStarted records a run that certainly did not start and never will, and
 // stops the other runs of its gang.
 func (s *Scheduler) recordNotStarted(ctx context.Context, se *session, k cell.TaskKey, r *run) {
-	if s.sessions[se.target.ID] == se && se.runs[k] == r && !r.ending {
+	if s.isOpen(se) && se.runs[k] == r && !r.ending {
 		r.ending = true
 		s.addEnd(se, k, r, cell.OutcomeLost, "")
 	}
@@ -231,8 +232,11 @@
 	return s.cfg.Workers.Stop(ctx, t, o)
 }
 
-// onStopReply handles the outcome of a stop.
+// onStopReply handles the outcome of a stop. That of a closed session is dropped.
 func (s *Scheduler) onStopReply(ctx context.Context, se *session, r *run, err error) {
+	if !s.isOpen(se) {
+		return
+	}
 	now := s.now()
 	r.stopInFlight = false
 	r.nextStopAt = now.Add(stopRetryInterval)
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -174,8 +174,11 @@
 	s.post(ctx, func() { s.onRenewalReply(ctx, se, rn) })
 }
 
-// onRenewalReply handles the outcome of a renewal.
+// onRenewalReply handles the outcome of a renewal. That of a closed session is dropped.
 func (s *Scheduler) onRenewalReply(ctx context.Context, se *session, rn *renewal) {
+	if !s.isOpen(se) {
+		return
+	}
 	now := s.now()
 	if !rn.outOfBand {
 		s.recordReplyLoss(se, rn)
@@ -184,7 +187,7 @@
 		if !rn.outOfBand {
 			s.endLongPolls(se)
 		}
-		s.onRenewalError(ctx, se, rn.err)
+		s.onRenewalError(ctx, se, rn)
 		se.resumeAfter(rn)
 		return
 	}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -204,6 +204,11 @@
 	delete(s.sessions, se.target.ID)
 }
 
+// isOpen reports whether a session is the present one with its worker. A reply to a closed
+// session has no effect: it may come from an earlier incarnation, and a fencing token that
+// it draws is above that of the open session, whose orders the worker would then refuse.
+func (s *Scheduler) isOpen(se *session) bool { return s.sessions[se.target.ID] == se }
+
 // openSession opens the session with a worker and starts its renewal loop.
 func (s *Scheduler) openSession(ctx context.Context, w *cell.WorkerState) *session {
 	ctx, cancel := context.WithCancel(ctx)
@@ -308,16 +313,31 @@
 	return time.Duration(float64(lease)/minClockRate) + leaseExpiryMargin
 }
 
-// onRenewalError handles a failed renewal. Only a reply from another incarnation
-// has an effect here; the renewal loop retries after other errors.
-func (s *Scheduler) onRenewalError(ctx context.Context, se *session, err error) {
+// onRenewalError handles a failed renewal. Only a reply from another incarnation and a
+// refused token have an effect here; the renewal loop retries after other errors.
+func (s *Scheduler) onRenewalError(ctx context.Context, se *session, rn *renewal) {
 	var refused *RefusedError
-	if !errors.As(err, &refused) {
+	if !errors.As(rn.err, &refused) {
 		return
 	}
-	if refused.Refusal == RefusedIncarnation {
+	switch refused.Refusal {
+	case RefusedIncarnation:
 		s.recordIncarnationGone(ctx, se)
+	case RefusedFence:
+		s.replaceFence(se, rn.order.Fence)
+	}
+}
+
+// replaceFence gives a session a new fencing token after its worker has refused an order
+// with the present one. The worker has seen a higher token: of a later leader, which will
+// depose this one, or of this leader, in which case only a new token lets it take orders.
+func (s *Scheduler) replaceFence(se *session, refused uint64) {
+	if se.fence != refused {
+		return
 	}
+	se.fence, se.fenceAccepted = s.nextFence(), false
+	s.cfg.Log.Warn("worker refused the fencing token, using a new one", zap.String("worker", string(se.target.ID)),
+		zap.Uint64("refused", refused), zap.Uint64("fence", se.fence))
 }
 
 // recordIncarnationGone commits that an incarnation of a worker has ended, and
