Take no report as proof of what a worker runs

Cause: a report with the address of a worker and a later start time ended that worker's runs, and one under its own ID replaced it, without a question to the worker.

A newer incarnation or another address is a claim now, which the worker confirms at the address that it names. A worker whose address another one reports is asked, and its own answer decides.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -168,9 +168,10 @@
 	}
 }
 
-func (s *State) updateWorkers(c *Workers, keepRuns bool) {
+// updateWorkers applies reports. confirmed says that the scheduler issued the command.
+func (s *State) updateWorkers(c *Workers, confirmed bool) {
 	for i := range c.Seen {
-		s.updateWorker(&c.Seen[i], keepRuns)
+		s.updateWorker(&c.Seen[i], confirmed)
 	}
 	for _, g := range c.Gone {
 		if w := s.Workers[g.ID]; w != nil && w.Born == g.Born {
@@ -181,11 +182,12 @@
 	}
 }
 
-// updateWorker stores what a worker reported about itself. A report of a newer
-// incarnation ends all runs of the previous one, unless keepRuns is set, and one of an
-// older incarnation is ignored. A worker that is draining stays so for the rest of its
-// incarnation: a report from before may be applied after the one that told of it.
-func (s *State) updateWorker(report *Worker, keepRuns bool) {
+// updateWorker stores what a worker reported about itself. Only the scheduler records a
+// newer incarnation or another address of a known worker, once the worker has confirmed
+// it: the runs pass to that. The report of an older incarnation is ignored. A worker that
+// is draining stays so for the rest of its incarnation: a report from before may be applied
+// after the one that told of it.
+func (s *State) updateWorker(report *Worker, confirmed bool) {
 	w := s.Workers[report.ID]
 	if w == nil {
 		w = &WorkerState{Allocations: map[TaskKey]Allocation{}}
@@ -195,13 +197,11 @@
 	if report.Born < w.Born {
 		return
 	}
-	draining := report.Draining
-	switch {
-	case report.Born == w.Born:
-		draining = draining || w.Draining
-	case !keepRuns:
-		s.endAllRuns(w)
+	known := w.ID != ""
+	if known && !confirmed && (report.Born > w.Born || report.Addr != w.Addr) {
+		return
 	}
+	draining := report.Draining || (known && report.Born == w.Born && w.Draining)
 	w.Worker = *report
 	w.Draining = draining
 }
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -49,9 +49,9 @@
 	Out bool
 }
 
-// Workers records reports from workers. A report of a newer incarnation of a worker ends
-// the runs of the earlier one. If a scheduler issued the command, they pass to the newer
-// one instead: it has listed them as running.
+// Workers records reports from workers. Only a scheduler records a newer incarnation or
+// another address of a known worker: the worker has confirmed it, and has listed the runs
+// of the earlier incarnation as running.
 type Workers struct {
 	// Seen holds what workers reported about themselves.
 	Seen []Worker
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -276,6 +276,25 @@
 	return s.queues[j.Queue]
 }
 
+// KnowsPool reports whether a pool is configured, or needed by a queue whose jobs are kept.
+// Before the first configuration it is true for all.
+func (s *State) KnowsPool(name string) bool {
+	if s.ConfigDocument == nil {
+		return true
+	}
+	for i := range s.Config.Pools {
+		if s.Config.Pools[i].Name == name {
+			return true
+		}
+	}
+	for _, q := range s.RemovedQueues {
+		if q.Pool == name {
+			return true
+		}
+	}
+	return false
+}
+
 // indexQueues rebuilds the index that QueueOf reads. A queue of the present
 // configuration takes precedence over a removed one of the same name.
 func (s *State) indexQueues() {
--- a/internal/cell/withdrawal_test.go
+++ b/internal/cell/withdrawal_test.go
@@ -42,6 +42,10 @@
 		reborn := before
 		reborn.Born++
 		applyCommand(t, state, seen(reborn))
+		qt.Check(t, state.Workers[testWorker].Draining, qt.IsTrue, qt.Commentf("an incarnation that the scheduler hasn't confirmed"))
+		confirmed := seen(reborn)
+		confirmed.Leadership = 2
+		applyCommand(t, state, confirmed)
 		qt.Check(t, state.Workers[testWorker].Draining, qt.IsFalse)
 	}
 }
--- a/internal/cellapi/reports.go
+++ b/internal/cellapi/reports.go
@@ -10,25 +10,25 @@
 	"kumquatwing/internal/verdict"
 )
 
-// reportTracker tracks the newest report of each worker that this process has
-// handled.
+// reportTracker tracks the latest report of each worker that this process has handled.
 type reportTracker struct {
 	mu   sync.Mutex
 	last map[cell.WorkerID]reportVersion
 }
 
-// reportVersion orders the reports of a worker: by incarnation, then by sequence.
+// reportVersion orders the reports of one incarnation of a worker.
 type reportVersion struct{ born, sequence int64 }
 
 func newReportTracker() reportTracker { return reportTracker{last: map[cell.WorkerID]reportVersion{}} }
 
-// accept records the version of a report and reports whether no newer one was
-// recorded before.
+// accept records the version of a report and reports whether it is not older than the
+// latest one of its incarnation. Incarnations are not compared here: the latest report may
+// claim one that the worker doesn't confirm.
 func (r *reportTracker) accept(id cell.WorkerID, v reportVersion) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, ok := r.last[id]
-	if ok && (v.born < old.born || (v.born == old.born && v.sequence < old.sequence)) {
+	if ok && v.born == old.born && v.sequence < old.sequence {
 		return false
 	}
 	r.last[id] = v
@@ -46,85 +46,89 @@
 	if !s.reports.accept(w.ID, reportVersion{w.Born, req.Sequence}) {
 		return &ReportReply{}, nil
 	}
-	if s.replaces(&w) {
-		if err := s.reportIncarnation(ctx, &w); err != nil {
-			return nil, err
-		}
+	if err := s.confirmReport(ctx, &w); err != nil {
+		return nil, err
 	}
-	cmd, changed := s.workerChanges(&w)
-	if changed {
-		if _, err := s.propose(ctx, &cell.Command{Workers: cmd}); err != nil {
+	if s.changesWorker(&w) {
+		if _, err := s.propose(ctx, &cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{w}}}); err != nil {
 			return nil, err
 		}
 	}
+	if others := s.othersAt(&w); len(others) > 0 {
+		s.Scheduler.VerifyWorkers(ctx, others)
+	}
 	if w.Draining && req.Remaining > 0 {
-		s.Scheduler.NoteShutdown(ctx, w.ID, req.Remaining)
+		s.Scheduler.NoteShutdown(ctx, cell.Incarnation{ID: w.ID, Born: w.Born}, req.Remaining)
 	}
 	return &ReportReply{}, s.confirmLeadership()
 }
 
-// incarnationWait bounds the wait until the runs of an earlier incarnation are accounted
-// for. It is below attemptTimeout, so that the sender learns why it was refused.
-const incarnationWait = 400 * time.Millisecond
+// confirmWait bounds the wait until a worker has confirmed a report, and the runs of its
+// earlier incarnation are accounted for. It is below attemptTimeout, so that the sender
+// learns why it was refused.
+const confirmWait = 400 * time.Millisecond
+
+// confirmReport has the scheduler ask the worker about a report that needs it, and commit
+// the report.
+func (s *Server) confirmReport(ctx context.Context, w *cell.Worker) error {
+	if !s.needsConfirmation(w) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	if err := s.Scheduler.ConfirmReport(ctx, w); err != nil {
+		return err
+	}
+	if s.needsConfirmation(w) {
+		return verdict.Refuse(verdict.ReasonNoLease, "the report of worker %s is not recorded yet", w.ID)
+	}
+	return nil
+}
 
-// replaces reports whether the worker is a newer incarnation of a known one.
-func (s *Server) replaces(w *cell.Worker) bool {
-	newer := false
+// needsConfirmation reports whether a report names a newer incarnation of a known worker,
+// or another address.
+func (s *Server) needsConfirmation(w *cell.Worker) bool {
+	needs := false
 	s.State.Read(func() {
 		old := s.State.Workers[w.ID]
-		newer = old != nil && w.Born > old.Born && !s.superseded(w)
+		needs = old != nil && (w.Born > old.Born || (w.Born == old.Born && w.Addr != old.Addr))
 	})
-	return newer
+	return needs
 }
 
-// reportIncarnation has the scheduler commit the report of a newer incarnation.
-func (s *Server) reportIncarnation(ctx context.Context, w *cell.Worker) error {
-	ctx, cancel := context.WithTimeout(ctx, incarnationWait)
-	defer cancel()
-	return s.Scheduler.ReportIncarnation(ctx, w)
-}
-
-// workerChanges returns the changes that a report makes to the replicated
-// state, and whether there are any. A worker that is draining stays so for the
-// rest of its incarnation. A report from an address shows that older
-// incarnations of other workers at this address have ended.
-func (s *Server) workerChanges(w *cell.Worker) (*cell.Workers, bool) {
-	cmd := &cell.Workers{}
+// changesWorker reports whether a report changes the replicated state. A worker that is
+// draining stays so for the rest of its incarnation. A report of a known worker for a pool
+// that isn't configured comes from another sender.
+func (s *Server) changesWorker(w *cell.Worker) bool {
+	changes := false
 	s.State.Read(func() {
-		if s.superseded(w) {
-			return
-		}
 		old := s.State.Workers[w.ID]
-		if old != nil && old.Born == w.Born {
-			w.Draining = w.Draining || old.Draining
-		}
-		if old == nil || w.Born > old.Born || (w.Born == old.Born && !sameWorker(&old.Worker, w)) {
-			cmd.Seen = []cell.Worker{*w}
-		}
-		for id, other := range s.State.Workers {
-			if id != w.ID && other.Addr == w.Addr && other.Born < w.Born {
-				cmd.Gone = append(cmd.Gone, cell.Incarnation{ID: id, Born: other.Born})
-			}
+		if old == nil {
+			changes = true
+			return
 		}
-	})
-	slices.SortFunc(cmd.Gone, func(a, b cell.Incarnation) int {
-		if a.ID < b.ID {
-			return -1
+		if old.Born != w.Born || !s.State.KnowsPool(w.Pool) {
+			return
 		}
-		return 1
+		w.Draining = w.Draining || old.Draining
+		changes = !sameWorker(&old.Worker, w)
 	})
-	return cmd, len(cmd.Seen)+len(cmd.Gone) > 0
+	return changes
 }
 
-// superseded reports whether a later incarnation of another worker has the same
-// address. The state is locked.
-func (s *Server) superseded(w *cell.Worker) bool {
-	for id, other := range s.State.Workers {
-		if id != w.ID && other.Addr == w.Addr && other.Born > w.Born {
-			return true
+// othersAt returns the other workers with the address of a report, sorted. Which of them
+// lives, the workers tell.
+func (s *Server) othersAt(w *cell.Worker) []cell.WorkerID {
+	var ids []cell.WorkerID
+	s.State.Read(func() {
+		for id, other := range s.State.Workers {
+			if id != w.ID && other.Addr == w.Addr {
+				ids = append(ids, id)
+			}
 		}
-	}
-	return false
+	})
+	slices.Sort(ids)
+	return ids
 }
 
 // Unchanged reports whether a worker's report matches this process's copy of
@@ -155,19 +159,21 @@
 // have ended, its lease has expired or another incarnation replies at its
 // address.
 func (s *Server) leave(ctx context.Context, req *LeaveRequest) (*LeaveReply, error) {
-	var w *cell.Worker
+	var w cell.Worker
 	s.State.Read(func() {
-		if old := s.State.Workers[req.ID]; old != nil && !old.Draining {
-			c := old.Worker
-			w = &c
+		if old := s.State.Workers[req.ID]; old != nil {
+			w = old.Worker
 		}
 	})
-	if w != nil {
+	if w.ID == "" {
+		return &LeaveReply{}, s.confirmLeadership()
+	}
+	if !w.Draining {
 		w.Draining = true
-		if _, err := s.propose(ctx, &cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{*w}}}); err != nil {
+		if _, err := s.propose(ctx, &cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{w}}}); err != nil {
 			return nil, err
 		}
 	}
-	s.Scheduler.NoteShutdown(ctx, req.ID, 0)
+	s.Scheduler.NoteShutdown(ctx, cell.Incarnation{ID: w.ID, Born: w.Born}, 0)
 	return &LeaveReply{}, s.confirmLeadership()
 }
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -15,17 +15,17 @@
 // time saves a checkpoint and resumes on another worker.
 const shutdownMargin = 300 * time.Millisecond
 
-// NoteShutdown records that a draining worker may shut down once remaining has
-// passed.
-func (s *Scheduler) NoteShutdown(ctx context.Context, id cell.WorkerID, remaining time.Duration) {
+// NoteShutdown records that an incarnation of a draining worker may shut down once
+// remaining has passed.
+func (s *Scheduler) NoteShutdown(ctx context.Context, w cell.Incarnation, remaining time.Duration) {
 	at := s.now().Add(remaining)
 	s.enqueue(ctx, func() {
-		se := s.sessions[id]
-		if se == nil {
+		se := s.sessions[w.ID]
+		if se == nil || se.target.Incarnation != w.Born {
 			return
 		}
 		if se.shutdownAt == 0 {
-			s.cfg.Log.Info("worker announced its shutdown", zap.String("worker", string(id)), zap.Duration("in", remaining), zap.Int("runs", len(se.runs)))
+			s.cfg.Log.Info("worker announced its shutdown", zap.String("worker", string(w.ID)), zap.Duration("in", remaining), zap.Int("runs", len(se.runs)))
 		}
 		se.shutdownAt = at
 	})
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -160,18 +160,24 @@
 // renew sends a renewal and posts its outcome. It runs outside the control
 // goroutine.
 func (s *Scheduler) renew(ctx context.Context, se *session, rn *renewal) {
+	s.sendRenewal(ctx, rn)
+	s.post(ctx, func() { s.onRenewalReply(ctx, se, rn) })
+}
+
+// sendRenewal sends a renewal and waits for the reply, if this member still leads. It runs
+// outside the control goroutine.
+func (s *Scheduler) sendRenewal(ctx context.Context, rn *renewal) {
 	if !s.leads() {
 		rn.err = errNotLeading
-	} else {
-		callCtx, cancel := s.orderContext(ctx, rn.order.Wait+renewalMarginFactor*s.replyTimes.timeout(0))
-		rn.reply, rn.err = s.cfg.Workers.RenewLease(callCtx, rn.target, rn.order)
-		cancel()
-		s.calls.renewals.Add(1)
-		if rn.err != nil {
-			s.calls.failedRenewals.Add(1)
-		}
+		return
+	}
+	callCtx, cancel := s.orderContext(ctx, rn.order.Wait+renewalMarginFactor*s.replyTimes.timeout(0))
+	defer cancel()
+	rn.reply, rn.err = s.cfg.Workers.RenewLease(callCtx, rn.target, rn.order)
+	s.calls.renewals.Add(1)
+	if rn.err != nil {
+		s.calls.failedRenewals.Add(1)
 	}
-	s.post(ctx, func() { s.onRenewalReply(ctx, se, rn) })
 }
 
 // onRenewalReply handles the outcome of a renewal. That of a closed session is dropped.
@@ -191,6 +197,7 @@
 		se.resumeAfter(rn)
 		return
 	}
+	s.judgeClaim(se, rn)
 	if !s.noteIncarnation(se, rn) {
 		s.probe(ctx, se)
 		se.resumeAfter(rn)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -64,8 +64,9 @@
 	leadingSince clock.Instant
 
 	sessions map[cell.WorkerID]*session
-	// held holds the workers whose sessions hold the report of a newer incarnation.
-	held map[cell.WorkerID]bool
+	// claimed holds the workers whose sessions have a claim, and unverified those to ask
+	// whether they still live.
+	claimed, unverified map[cell.WorkerID]bool
 	// fences counts the fencing tokens of this process.
 	fences uint64
 
@@ -219,7 +220,8 @@
 // reset clears the state of an earlier leadership and starts one in term.
 func (s *Scheduler) reset(term uint64) {
 	s.term, s.leadingSince = term, s.cfg.Clock.Now()
-	s.sessions, s.held = map[cell.WorkerID]*session{}, map[cell.WorkerID]bool{}
+	s.sessions = map[cell.WorkerID]*session{}
+	s.claimed, s.unverified = map[cell.WorkerID]bool{}, map[cell.WorkerID]bool{}
 	s.advice = map[cell.StepKey]*plan.StepAdvice{}
 	s.eligibleShare = map[string]float64{}
 	s.queueSpeed = map[string]float64{}
@@ -265,7 +267,8 @@
 func (s *Scheduler) step(ctx context.Context) {
 	s.syncSessions(ctx)
 	s.commitEnds(ctx)
-	s.adoptReports(ctx)
+	s.verifyWorkers(ctx)
+	s.checkClaims(ctx)
 	s.plan(ctx)
 }
 
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -104,8 +104,8 @@
 	// replyingSince when it first did.
 	replying      int64
 	replyingSince clock.Instant
-	// report is the report of a newer incarnation, nil if there is none.
-	report *pendingReport
+	// claim is a report that the worker has not confirmed yet, nil if there is none.
+	claim *claim
 
 	// clockMillis is the worker's clock reading in a reply that arrived at
 	// clockReadAt.
@@ -200,7 +200,7 @@
 func (s *Scheduler) closeSession(se *session) {
 	se.cancel()
 	s.endLongPolls(se)
-	s.dropReport(se)
+	s.endClaim(se, se.claim != nil && se.claim.adopting)
 	delete(s.sessions, se.target.ID)
 }
 
