Take back a leave call that was meant for an earlier incarnation

Cause: a leave call names an ID. A process that had stood still carried out calls whose callers were gone, and they marked the workers' next incarnations, for good.

The mark of a leave call that the worker hasn't confirmed is taken back once its incarnation reports ready twice, a second apart, and answers an order that was sent in between. A late report from before a true leave call doesn't do that.

TestLateLeaveCallEnds failed before; TestLeaveCallHolds checks the other order.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -173,13 +173,37 @@
 	for i := range c.Seen {
 		s.updateWorker(&c.Seen[i], confirmed)
 	}
-	for _, g := range c.Gone {
-		if w := s.Workers[g.ID]; w != nil && w.Born == g.Born {
+	for _, i := range c.Gone {
+		if w := s.incarnation(i); w != nil {
 			s.endAllRuns(w)
-			delete(s.Workers, g.ID)
-			s.changedWorkers[g.ID], s.sortedWorkers = true, nil
+			delete(s.Workers, i.ID)
+			s.changedWorkers[i.ID], s.sortedWorkers = true, nil
 		}
 	}
+	for _, i := range c.Left {
+		if w := s.incarnation(i); w != nil && !w.Draining {
+			s.setLeaving(w, true)
+		}
+	}
+	for _, i := range c.Stayed {
+		if w := s.incarnation(i); w != nil && w.Leaving {
+			s.setLeaving(w, false)
+		}
+	}
+}
+
+// incarnation returns the worker whose recorded incarnation is the given one, or nil.
+func (s *State) incarnation(i Incarnation) *WorkerState {
+	if w := s.Workers[i.ID]; w != nil && w.Born == i.Born {
+		return w
+	}
+	return nil
+}
+
+// setLeaving marks a worker as draining by a leave call, or takes that back.
+func (s *State) setLeaving(w *WorkerState, leaving bool) {
+	w.Draining, w.Leaving = leaving, leaving
+	s.changedWorkers[w.ID] = true
 }
 
 // updateWorker stores what a worker reported about itself. Only the scheduler records a
@@ -201,9 +225,11 @@
 	if known && !confirmed && (report.Born > w.Born || report.Addr != w.Addr) {
 		return
 	}
-	draining := report.Draining || (known && report.Born == w.Born && w.Draining)
+	same := known && report.Born == w.Born
+	draining := report.Draining || (same && w.Draining)
+	leaving := !report.Draining && same && w.Leaving
 	w.Worker = *report
-	w.Draining = draining
+	w.Draining, w.Leaving = draining, leaving
 }
 
 // endAllRuns ends all runs of a worker incarnation that no longer exists as lost.
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -57,6 +57,9 @@
 	Seen []Worker
 	// Gone lists the worker incarnations that have permanently ended.
 	Gone []Incarnation
+	// Left lists those that a leave call named, and Stayed those of them that have shown
+	// since that they don't leave.
+	Left, Stayed []Incarnation
 }
 
 // Start places one run of a task on a worker.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -39,6 +39,9 @@
 	Capacity model.Resources
 	// Draining workers take no new tasks.
 	Draining bool
+	// Leaving says that a worker is draining by a leave call alone, which may have been
+	// meant for an earlier incarnation: it has not said itself that it drains.
+	Leaving bool
 }
 
 // HasLabel reports whether the worker has the label. It returns true for "".
--- a/internal/cellapi/reports.go
+++ b/internal/cellapi/reports.go
@@ -49,6 +49,7 @@
 	if err := s.confirmReport(ctx, &w); err != nil {
 		return nil, err
 	}
+	s.checkLeaving(ctx, &w, req.Sequence)
 	if s.changesWorker(&w) {
 		if _, err := s.propose(ctx, &cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{w}}}); err != nil {
 			return nil, err
@@ -110,8 +111,9 @@
 		if old.Born != w.Born || !s.State.KnowsPool(w.Pool) {
 			return
 		}
+		confirmsLeave := w.Draining && old.Leaving
 		w.Draining = w.Draining || old.Draining
-		changes = !sameWorker(&old.Worker, w)
+		changes = confirmsLeave || !sameWorker(&old.Worker, w)
 	})
 	return changes
 }
@@ -153,27 +155,3 @@
 	return a.Addr == b.Addr && a.DC == b.DC && a.Pool == b.Pool && slices.Equal(a.Labels, b.Labels) &&
 		a.Capacity == b.Capacity && a.Draining == b.Draining
 }
-
-// leave handles a worker's notice that it is about to shut down. The worker is
-// marked as draining and gets no new tasks. Its runs stay allocated until they
-// have ended, its lease has expired or another incarnation replies at its
-// address.
-func (s *Server) leave(ctx context.Context, req *LeaveRequest) (*LeaveReply, error) {
-	var w cell.Worker
-	s.State.Read(func() {
-		if old := s.State.Workers[req.ID]; old != nil {
-			w = old.Worker
-		}
-	})
-	if w.ID == "" {
-		return &LeaveReply{}, s.confirmLeadership()
-	}
-	if !w.Draining {
-		w.Draining = true
-		if _, err := s.propose(ctx, &cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{w}}}); err != nil {
-			return nil, err
-		}
-	}
-	s.Scheduler.NoteShutdown(ctx, cell.Incarnation{ID: w.ID, Born: w.Born}, 0)
-	return &LeaveReply{}, s.confirmLeadership()
-}
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -36,12 +36,13 @@
 type Server struct {
 	Config
 	reports reportTracker
+	stays   stayTracker
 	service serviceRevisions
 }
 
 // Serve returns a Server and registers its handlers for all calls with cfg.Wire.
 func Serve(cfg Config) *Server {
-	s := &Server{Config: cfg, reports: newReportTracker()}
+	s := &Server{Config: cfg, reports: newReportTracker(), stays: newStayTracker()}
 	handle(s, topicSubmit, s.submit)
 	handle(s, topicJob, s.job)
 	handle(s, topicCancel, s.cancel)
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -78,6 +78,22 @@
 	})
 }
 
+// AnsweredSince reports whether an incarnation of a worker has answered a renewal that was
+// sent after an instant of the scheduler's clock.
+func (s *Scheduler) AnsweredSince(ctx context.Context, w cell.Incarnation, at clock.Instant) bool {
+	answered := make(chan bool, 1)
+	s.enqueue(ctx, func() {
+		se := s.sessions[w.ID]
+		answered <- se != nil && se.target.Incarnation == w.Born && se.replying == w.Born && se.answeredSentAt > at
+	})
+	select {
+	case a := <-answered:
+		return a
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // verifyWorkers sends the probes that VerifyWorkers requested.
 func (s *Scheduler) verifyWorkers(ctx context.Context) {
 	for id := range s.unverified {
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -205,6 +205,7 @@
 	}
 	first := !se.fenceAccepted
 	se.fenceAccepted, se.lastReply, se.lost = true, now, false
+	se.answeredSentAt = max(se.answeredSentAt, rn.sent)
 	se.recordClock(rn.reply.ClockMillis, now)
 	s.dirty = s.dirty || first
 	running := s.updateRunning(ctx, se, rn)
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -122,6 +122,8 @@
 	// fenceAccepted says that the worker has answered a renewal with the session's
 	// fencing token.
 	fenceAccepted bool
+	// answeredSentAt is when the last renewal was sent that the worker has answered.
+	answeredSentAt clock.Instant
 	// lastReply is when the worker last answered a renewal, or else when the
 	// session was opened.
 	lastReply clock.Instant
@@ -193,6 +195,9 @@
 		se = s.openSession(ctx, w)
 	}
 	se.target.Addr, se.draining = w.Addr, w.Draining
+	if !se.draining {
+		se.shutdownAt = 0
+	}
 	s.syncRuns(ctx, se, w, inherited)
 }
 
