End runs whose start was not sent or was meant for an earlier incarnation

Cause: a start that is not sent for a lapse of the leader's lease counted as one that may be carried out later. It ended only by the end of its lease, a time on the clock of the incarnation that it was meant for, which was compared with the clock of the next one.

Such a start is recorded as not started at once; no attempt of it was sent. A run with a lower token than an answered renewal that doesn't list it is lost.

TestUnsentStartIsPlacedAgain and TestUnconfirmedRunOfEndedIncarnationIsLost failed before.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -57,8 +57,8 @@
 }
 
 // sendStart sends a start, up to startAttempts times if no reply comes, while this
-// member still leads. The result is ErrNotSent only if no attempt was sent, and a
-// refusal only if no earlier attempt may still be carried out.
+// member still leads. The result is ErrNotSent or errNotLeading only if no attempt was
+// sent, and a refusal only if no earlier attempt may still be carried out.
 func (s *Scheduler) sendStart(ctx context.Context, t WorkerTarget, o StartOrder) error {
 	var unanswered error
 	for attempt := range startAttempts {
@@ -119,9 +119,10 @@
 			s.cfg.Metrics.firstStart.Observe(now.Sub(adm.submittedAt).Seconds())
 		}
 	case errors.Is(err, errNotLeading):
-		r.status = runUnconfirmed
+		s.onStartNotSent(ctx, se, k, r, err)
 	case errors.Is(err, ErrNotSent):
-		s.onStartNotSent(ctx, se, k, r)
+		se.blockedUntil = now.Add(refusalBackoff)
+		s.onStartNotSent(ctx, se, k, r, err)
 	case errors.As(err, &refused):
 		s.onStartRefused(ctx, se, k, r, refused.Refusal)
 	default:
@@ -162,12 +163,12 @@
 }
 
 // onStartNotSent handles a start that was never sent. The task is placed again at
-// once, without a failed attempt.
-func (s *Scheduler) onStartNotSent(ctx context.Context, se *session, k cell.TaskKey, r *run) {
+// once, without a failed attempt. A leader that has a successor can't commit that, and the
+// successor finds out by itself.
+func (s *Scheduler) onStartNotSent(ctx context.Context, se *session, k cell.TaskKey, r *run, cause error) {
 	s.cfg.Metrics.refused.WithLabelValues("not-sent").Inc()
 	s.cfg.Log.Info("start could not be sent, placing the task again", zap.Stringer("task", k), zap.Int64("run", r.number),
-		zap.String("worker", string(se.target.ID)))
-	se.blockedUntil = s.now().Add(refusalBackoff)
+		zap.String("worker", string(se.target.ID)), zap.Error(cause))
 	s.recordNotStarted(ctx, se, k, r)
 }
 
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -424,6 +424,11 @@
 	se.resumeAfter(rn)
 }
 
+// fencedOff reports whether the worker refuses the start of the run since the renewal, whose
+// token is higher. That is so for a start that was meant for an earlier incarnation, whose
+// clock the end of its lease belongs to.
+func (r *run) fencedOff(rn *renewal) bool { return r.fence < rn.order.Fence }
+
 // isLost reports whether a run that the reply to rn does not list is certain
 // not to be running and never to run.
 func (r *run) isLost(rn *renewal) bool {
@@ -434,7 +439,7 @@
 		return r.confirmedAt < rn.sent
 	case runUnconfirmed:
 		stopped := r.stopAcceptedAt != 0 && r.stopAcceptedAt < rn.sent
-		return stopped || rn.reply.ClockMillis > r.leaseMillis
+		return stopped || r.fencedOff(rn) || rn.reply.ClockMillis > r.leaseMillis
 	}
 	return false
 }
