Refuse a call whose caller has closed the connection

Before a call that changes state is carried out, the process now asks the kernel whether the peer has closed the connection. This is no guarantee, since a caller behind a partition can't be seen to go; tombstones, the check of leave calls and the revision of a data centre's service give that. It keeps late reports, late cancels of an id that is used again and late changes of a data centre's service from processes that stood still.

--- a/internal/fdlimit/limiter.go
+++ b/internal/fdlimit/limiter.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -87,6 +89,15 @@
 	return err
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return conn.SyscallConn()
+}
+
 // limitedListener closes new connections at once while limit are open.
 type limitedListener struct {
 	net.Listener
