Run no request for which its caller no longer waits

The budget is stated when the request is written, with the sender's steady clock. The receiver takes off how much later than the fastest request of the same connection this one was read. Wall clocks aren't compared, since they jump, and no clock outlives the connection. The first request of a connection counts as in time, so this is a help like the check of closed connections; tombstones and the check of leave calls don't rely on it.

--- a/internal/httpx/disconnect.go
+++ b/internal/httpx/disconnect.go
@@ -13,7 +13,9 @@
 
 // WithConn returns the context of the requests on a connection, for CallerGone. It is the
 // ConnContext of an http.Server.
-func WithConn(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
 
 // CallerGone reports whether the caller of a request is known to have closed the
 // connection. Unlike the end of the request's context, which a goroutine of net/http
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -45,9 +45,11 @@
 	// ID is that of the request, unique on its connection; the reply repeats it.
 	ID    uint64 `msgpack:"i"`
 	Topic string `msgpack:"t,omitempty"`
-	// BudgetMillis is the remaining time until the caller's deadline. It is set on
-	// requests only.
+	// BudgetMillis is the remaining time until the caller's deadline when the frame is
+	// written, and SentMillis the sender's steady clock then. They are set on requests
+	// only.
 	BudgetMillis int64  `msgpack:"b,omitempty"`
+	SentMillis   int64  `msgpack:"s,omitempty"`
 	Body         []byte `msgpack:"p,omitempty"`
 	// At is the sender's hybrid logical time. It orders the events of several
 	// processes.
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -10,6 +10,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 	"go.uber.org/zap"
 
+	"kumquatwing/internal/clock"
 	"kumquatwing/internal/codec"
 	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/verdict"
@@ -275,14 +276,7 @@
 		ctx, cancel = context.WithTimeout(ctx, defaultCallTimeout)
 		defer cancel()
 	}
-	deadline, _ := ctx.Deadline()
-	f := &frame{
-		Kind:         kindRequest,
-		Topic:        topic,
-		BudgetMillis: max(1, time.Until(deadline).Milliseconds()),
-		Body:         body,
-	}
-	return n.peer(addr).call(ctx, f)
+	return n.peer(addr).call(ctx, &frame{Kind: kindRequest, Topic: topic, Body: body})
 }
 
 // peer returns the peer for addr. If there is none, it creates it and starts its
@@ -351,6 +345,7 @@
 	counted := &countingConn{Conn: c, counter: &n.traffic}
 	r := bufio.NewReaderSize(counted, readBufferBytes)
 	replies := newReplyWriter(counted)
+	var delays delayTracker
 	for {
 		f, err := readFrame(r)
 		if err != nil {
@@ -361,6 +356,7 @@
 		case kindMessage:
 			n.deliver(f)
 		case kindRequest:
+			f.BudgetMillis -= delays.lateness(f.SentMillis, clock.Boot{}.Now()).Milliseconds()
 			n.wg.Add(1)
 			go n.serveRequest(f, replies)
 		default:
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"kumquatwing/internal/clock"
 	"kumquatwing/internal/verdict"
 )
 
@@ -27,6 +28,8 @@
 // pendingCall is a request that waits for its reply.
 type pendingCall struct {
 	id uint64
+	// deadline is when the caller gives up.
+	deadline time.Time
 	// reply receives the reply, or nil if there will be none.
 	reply chan *frame
 	// sent is set before the request is written to a connection. It is protected by
@@ -40,6 +43,15 @@
 	call  *pendingCall
 }
 
+// setBudget states in a request how long its caller still waits.
+func (q *queuedFrame) setBudget() {
+	if q.call == nil {
+		return
+	}
+	q.frame.BudgetMillis = max(1, time.Until(q.call.deadline).Milliseconds())
+	q.frame.SentMillis = time.Duration(clock.Boot{}.Now()).Milliseconds()
+}
+
 // peer sends messages and requests to one address and matches the replies. It has
 // at most one connection at a time.
 type peer struct {
@@ -84,7 +96,8 @@
 // call sends a request and waits until its reply arrives, ctx is done or the peer
 // is closed.
 func (p *peer) call(ctx context.Context, f *frame) ([]byte, error) {
-	c := p.register(f)
+	deadline, _ := ctx.Deadline()
+	c := p.register(f, deadline)
 	defer p.unregister(c)
 	if err := p.enqueue(f, c); err != nil {
 		return nil, err
@@ -125,12 +138,12 @@
 }
 
 // register assigns an id to the request f and registers its call.
-func (p *peer) register(f *frame) *pendingCall {
+func (p *peer) register(f *frame, deadline time.Time) *pendingCall {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastID++
 	f.ID = p.lastID
-	c := &pendingCall{id: f.ID, reply: make(chan *frame, 1)}
+	c := &pendingCall{id: f.ID, deadline: deadline, reply: make(chan *frame, 1)}
 	p.calls[f.ID] = c
 	return c
 }
@@ -241,6 +254,7 @@
 		conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if p.markSent(next.call) {
 			p.node.stamp(next.frame)
+			next.setBudget()
 			if err := writeFrame(w, next.frame); err != nil {
 				return
 			}
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -28,14 +28,18 @@
 }
 
 // serveRequest runs the handler of a request and writes the reply. It refuses the
-// request if maxHandlers are running, or maxTopicHandlers of its topic.
+// request if its caller has given up, or if maxHandlers are running, or maxTopicHandlers
+// of its topic.
 func (n *Node) serveRequest(f *frame, replies *replyWriter) {
 	defer n.wg.Done()
 	reply := &frame{Kind: kindReply, ID: f.ID}
-	if n.beginRequest(f.Topic) {
+	switch {
+	case f.BudgetMillis <= 0:
+		reply.Refusal = verdict.Refuse(verdict.ReasonDeadline, "%s: held up for longer than the caller waits", f.Topic)
+	case n.beginRequest(f.Topic):
 		reply.Body, reply.Refusal = n.runHandler(f)
 		n.endRequest(f.Topic)
-	} else {
+	default:
 		reply.Refusal = verdict.Refuse(verdict.ReasonOverload, "%s: too many requests at once", f.Topic)
 	}
 	n.stamp(reply)
