Accept connections again after a failure to accept one

It pauses 50 ms, logs the error and goes on until the node is closed.

TestNodeAcceptsAfterErrors failed before (no reply within 5 s).

--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -82,6 +82,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return newNode(l, dial), nil
+}
+
+// newNode returns a node that accepts connections from l.
+func newNode(l net.Listener, dial Dialer) *Node {
 	if dial == nil {
 		dial = dialerFrom(l.Addr())
 	}
@@ -99,7 +104,7 @@
 	}
 	n.wg.Add(1)
 	go n.accept()
-	return n, nil
+	return n
 }
 
 // dialerFrom returns a Dialer that connects from the IP address of listen, so that
@@ -120,7 +125,17 @@
 
 // SetLogger sets the logger for panics of handlers. It must be called before the first
 // handler is registered.
-func (n *Node) SetLogger(log *zap.Logger) { n.log = log.Named("wire") }
+func (n *Node) SetLogger(log *zap.Logger) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.log = log.Named("wire")
+}
+
+func (n *Node) logger() *zap.Logger {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.log
+}
 
 // stamp sets the timestamp of an outgoing frame.
 func (n *Node) stamp(f *frame) {
@@ -316,12 +331,35 @@
 	delete(n.conns, c)
 }
 
+// acceptRetry is the pause after a failure to accept a connection.
+const acceptRetry = 50 * time.Millisecond
+
+// pauseAccept waits before the next attempt to accept a connection. It returns false if the
+// node is closed.
+func (n *Node) pauseAccept(err error) bool {
+	select {
+	case <-n.done:
+		return false
+	default:
+	}
+	n.logger().Warn("could not accept a connection, trying again", zap.Error(err))
+	select {
+	case <-n.done:
+		return false
+	case <-time.After(acceptRetry):
+		return true
+	}
+}
+
 func (n *Node) accept() {
 	defer n.wg.Done()
 	for {
 		c, err := n.listener.Accept()
 		if err != nil {
-			return
+			if !n.pauseAccept(err) {
+				return
+			}
+			continue
 		}
 		if !n.track(c) {
 			c.Close()
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -87,7 +87,7 @@
 	defer cancel()
 	defer func() {
 		if v := recover(); v != nil {
-			n.log.Error("handler of a request panicked", zap.String("topic", f.Topic), zap.Any("panic", v), zap.ByteString("stack", debug.Stack()))
+			n.logger().Error("handler of a request panicked", zap.String("topic", f.Topic), zap.Any("panic", v), zap.ByteString("stack", debug.Stack()))
 			body, refusal = nil, verdict.RefuseMayHaveRun(verdict.ReasonInternal, "%s: the handler failed", f.Topic)
 		}
 	}()
