Record no end of a run while its worker's next incarnation is adopted

The end of a run names the incarnation that had it.

Replies that arrive while an incarnation is being recorded change nothing; the worker lists the same with the next renewal. A lease isn't declared expired then.

TestEndsDuringAdoptionAreRecorded failed before (the job didn't end).

--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -234,15 +234,19 @@
 	return true
 }
 
+// isBeingAdopted reports whether another incarnation is being recorded. The end of a run
+// names the incarnation that had it, so that none may be committed meanwhile.
+func (se *session) isBeingAdopted() bool { return se.adopting != 0 && se.adopting != se.target.Incarnation }
+
 // adoptClaim commits the claimed report. No plan is being committed meanwhile, and none
 // that is made later places a task on the worker, so that the runs stay the same.
 func (s *Scheduler) adoptClaim(ctx context.Context, se *session) {
 	c := se.claim
-	c.adopting = true
+	c.adopting, se.adopting = true, c.worker.Born
 	s.propose(ctx, &cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{c.worker}}}, func(_ cell.Result, err error) {
 		if err != nil {
 			s.cfg.Log.Warn("could not record the report of a worker, will try again", zap.String("worker", string(se.target.ID)), zap.Error(err))
-			c.adopting = false
+			c.adopting, se.adopting = false, 0
 			return
 		}
 		if se.claim == c {
--- a/internal/scheduler/incarnation_test.go
+++ b/internal/scheduler/incarnation_test.go
@@ -149,3 +149,38 @@
 	s.got <- o
 	return nil
 }
+
+// TestEndsDuringAdoptionAreRecorded guards against a run that never ends: its end was
+// listed while the incarnation that runs it was being recorded, was committed for the
+// earlier incarnation after that, and so was dropped and acknowledged.
+func TestEndsDuringAdoptionAreRecorded(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	r.deliverReplyFrom(1)
+	k, run := r.startUnanswered()
+	se := r.sessions[testWorker]
+	r.onStartReply(r.ctx, se, k, run, nil)
+	reborn := r.state.Workers[testWorker].Worker
+	reborn.Born = 2
+	r.holdClaim(reborn, make(chan bool, 1))
+	listed := RunningTask{Task: k, Run: 1}
+	for range 2 {
+		r.clock.Advance(time.Millisecond)
+		r.deliverReplyFrom(2, listed)
+	}
+	r.checkClaims(r.ctx)
+	r.runUntil(func() bool { return r.state.Workers[testWorker].Born == 2 })
+
+	ended := RenewReply{ClockMillis: 1000, Incarnation: 2, Finished: []FinishedTask{{Number: 1, Task: k, Run: 1, Outcome: cell.OutcomeDone}}}
+	r.clock.Advance(time.Millisecond)
+	r.deliverReply(ended)
+	r.commitEnds(r.ctx)
+	r.syncSessions(r.ctx)
+	r.runUntil(func() bool { return r.ends.inFlight == 0 })
+	r.clock.Advance(time.Millisecond)
+	if se.lastRecordedEnd == 0 {
+		r.deliverReply(ended)
+		r.commitEnds(r.ctx)
+	}
+	r.runUntil(func() bool { return r.state.Jobs[testJob].State == cell.JobSucceeded })
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -303,7 +303,7 @@
 // certainly expired. Runs whose start is still outstanding are left for a later
 // call.
 func (s *Scheduler) declareExpiredRunsLost(se *session, now clock.Instant) {
-	if se.lost || len(se.runs) == 0 || !s.leaseExpired(se, now) {
+	if se.lost || len(se.runs) == 0 || se.isBeingAdopted() || !s.leaseExpired(se, now) {
 		return
 	}
 	se.lost = true
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -197,6 +197,11 @@
 		se.resumeAfter(rn)
 		return
 	}
+	if se.isBeingAdopted() {
+		// The worker lists the same again once the incarnation is recorded.
+		se.resumeAfter(rn)
+		return
+	}
 	s.judgeClaim(se, rn)
 	if !s.noteIncarnation(se, rn) {
 		s.probe(ctx, se)
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -106,6 +106,8 @@
 	replyingSince clock.Instant
 	// claim is a report that the worker has not confirmed yet, nil if there is none.
 	claim *claim
+	// adopting is the incarnation that is being recorded, or was last.
+	adopting int64
 
 	// clockMillis is the worker's clock reading in a reply that arrived at
 	// clockReadAt.
