Name the occurrence that a command creates

The command names the number of each occurrence, and one that exists isn't created again. Commands of earlier versions are applied as before.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -48,6 +48,11 @@
 			s.applyEnd(&c.Ends.Ends[i], c.Ends.UnixMillis)
 		}
 	case c.Due != nil:
+		for _, k := range c.Due.Occurrences {
+			if j := s.Active[k.Job]; j != nil && len(j.Occurrences) == k.Number {
+				s.addOccurrence(j)
+			}
+		}
 		for _, id := range c.Due.Jobs {
 			s.addOccurrence(s.Active[id])
 		}
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -115,8 +115,18 @@
 	UnixMillis int64
 }
 
-// Due creates the next occurrences of scheduled jobs.
-type Due struct{ Jobs []JobID }
+// OccurrenceKey identifies an occurrence of a scheduled job, counted from 0.
+type OccurrenceKey struct {
+	Job    JobID
+	Number int
+}
+
+// Due creates occurrences of scheduled jobs, except for those that exist.
+type Due struct {
+	Occurrences []OccurrenceKey
+	// Jobs lists the jobs whose next occurrence a command of an earlier version creates.
+	Jobs []JobID
+}
 
 // Forget deletes jobs that ended long ago, and tombstones of cancels long ago.
 type Forget struct {
--- a/internal/cell/fuzz_test.go
+++ b/internal/cell/fuzz_test.go
@@ -28,6 +28,7 @@
 		{Workers: &Workers{Seen: []Worker{worker}, Gone: []Incarnation{{ID: testWorker, Born: 1}}}},
 		{SetOut: &SetOut{DC: "dc1", Out: true}},
 		{Due: &Due{Jobs: []JobID{testJob, "none"}}},
+		{Due: &Due{Occurrences: []OccurrenceKey{{Job: testJob, Number: 1}, {Job: "none", Number: -1}}}},
 		{Forget: &Forget{Jobs: []JobID{testJob}}},
 		{Configure: &Configure{Config: Config{Version: 2}}},
 	}
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -236,7 +236,9 @@
 
 // isBeingAdopted reports whether another incarnation is being recorded. The end of a run
 // names the incarnation that had it, so that none may be committed meanwhile.
-func (se *session) isBeingAdopted() bool { return se.adopting != 0 && se.adopting != se.target.Incarnation }
+func (se *session) isBeingAdopted() bool {
+	return se.adopting != 0 && se.adopting != se.target.Incarnation
+}
 
 // adoptClaim commits the claimed report. No plan is being committed meanwhile, and none
 // that is made later places a task on the worker, so that the runs stay the same.
--- a/internal/scheduler/occurrences.go
+++ b/internal/scheduler/occurrences.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -15,20 +16,20 @@
 	if s.creatingOccurrences {
 		return
 	}
-	var due []cell.JobID
+	var due []cell.OccurrenceKey
 	s.cfg.State.Read(func() {
 		for id, j := range s.cfg.State.Active {
 			if at, ok := j.NextDue(); ok && wall.UnixMilli() >= at {
-				due = append(due, id)
+				due = append(due, cell.OccurrenceKey{Job: id, Number: len(j.Occurrences)})
 			}
 		}
 	})
 	if len(due) == 0 {
 		return
 	}
-	slices.Sort(due)
+	slices.SortFunc(due, func(a, b cell.OccurrenceKey) int { return cmp.Compare(a.Job, b.Job) })
 	s.creatingOccurrences = true
-	s.propose(ctx, &cell.Command{Due: &cell.Due{Jobs: due}}, func(cell.Result, error) {
+	s.propose(ctx, &cell.Command{Due: &cell.Due{Occurrences: due}}, func(cell.Result, error) {
 		s.creatingOccurrences, s.dirty = false, true
 	})
 }
