Refuse deeply nested messages before they are decoded

One message of 8 MB with nested arrays in a field that the receiver doesn't know ended the process: the decoder skips such a field by recursion, and the stack exceeded its limit ("fatal error: stack overflow", which no handler can recover). JSON isn't concerned: encoding/json and fastjson bound the depth.

Data of 64 KiB and more is checked for its depth before it is decoded.

--- a/internal/codec/decode.go
+++ b/internal/codec/decode.go
@@ -9,17 +9,32 @@
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
+const (
+	// maxDepth bounds the arrays and maps within each other.
+	maxDepth = 64
+	// checkedBytes is the size from which data is checked for its depth. The decoder
+	// recurses for each level, which the stack bears for shorter data.
+	checkedBytes = 64 << 10
+)
+
+// ErrTooDeep is the error of arrays and maps that are nested too deeply.
+var ErrTooDeep = errors.New("codec: arrays or maps are nested too deeply")
+
 // ErrTooLong is the error of an array or a map that has more elements than there are
 // bytes left.
 var ErrTooLong = errors.New("codec: length is beyond the end of the data")
 
 // Unmarshal decodes the msgpack in data into v. The library allocates the whole length
 // that an array states, so that a damaged message of a few bytes could take all
-// memory. Unmarshal refuses lengths that the data can't hold first.
+// memory, and recurses into nested values that it skips, so that a long one could end the
+// process. Unmarshal refuses lengths that the data can't hold, and deep nesting, first.
 func Unmarshal(data []byte, v any) error {
 	if err := checkLengths(data); err != nil {
 		return err
 	}
+	if err := checkDepth(data); err != nil {
+		return err
+	}
 	return msgpack.Unmarshal(data, v)
 }
 
@@ -43,6 +58,37 @@
 	return nil
 }
 
+// checkDepth returns ErrTooDeep if long data has arrays or maps that are nested deeper than
+// maxDepth. Data that is damaged in another way is left to the decoder.
+func checkDepth(data []byte) error {
+	if len(data) < checkedBytes {
+		return nil
+	}
+	// left holds, for each array or map that is open, how many values are left in it.
+	left := make([]int, 0, maxDepth)
+	for len(data) > 0 {
+		size, elements := header(data)
+		if size == 0 || size > len(data) {
+			return nil
+		}
+		data = data[size:]
+		for len(left) > 0 && left[len(left)-1] == 0 {
+			left = left[:len(left)-1]
+		}
+		if len(left) > 0 {
+			left[len(left)-1]--
+		}
+		if elements == 0 {
+			continue
+		}
+		if len(left) == maxDepth {
+			return ErrTooDeep
+		}
+		left = append(left, elements)
+	}
+	return nil
+}
+
 // header returns the size in bytes of the value at the start of data, and for an array
 // or a map that of its header alone and the number of values that follow. The size is 0
 // if the value is damaged.
