--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -155,12 +155,37 @@
 			return "queue " + q.Name + ": another queue has its host and prefix"
 		case q.TimeoutMillis <= 0:
 			return "queue " + q.Name + ": the time-out must be above 0"
+		case !q.inRange():
+			return "queue " + q.Name + ": a time or the stretch is out of range"
 		}
 		places[q.Place()], names[q.Name] = true, true
 	}
 	return c.checkKeys()
 }
 
+const (
+	// maxMillis bounds the times of a configuration, so that they fit into a
+	// time.Duration.
+	maxMillis = 1 << 40
+	// maxStretch bounds the stretch of a queue.
+	maxStretch = 1 << 20
+)
+
+// inRange reports whether the times of a queue, and its stretch, are neither below 0 nor
+// too large to be computed with.
+func (q *Queue) inRange() bool {
+	times := []float64{float64(q.TimeoutMillis), float64(q.ObjectiveMillis)}
+	if a := q.Advice; a != nil {
+		times = append(times, a.DecideMillis, a.PerWorkerMillis, float64(a.ValidMillis))
+	}
+	for _, t := range times {
+		if t < 0 || t > maxMillis {
+			return false
+		}
+	}
+	return q.Stretch >= 0 && q.Stretch <= maxStretch
+}
+
 // checkKeys returns an error text if two workspaces share a key, or "".
 func (c *Config) checkKeys() string {
 	owner := map[string]string{}
--- a/internal/cellapi/cellapi_test.go
+++ b/internal/cellapi/cellapi_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"kumquatwing/internal/cell"
 	"kumquatwing/internal/clock"
+	"kumquatwing/internal/model"
 	"kumquatwing/internal/replica"
 	"kumquatwing/internal/scheduler"
 	"kumquatwing/internal/verdict"
@@ -141,6 +143,10 @@
 		{"many steps", make([]cell.Step, maxSteps+1), cell.Schedule{}, verdict.ReasonBadRequest},
 		{"often", []cell.Step{{Count: 10}}, cell.Schedule{Times: 2_000_000_000}, verdict.ReasonBadRequest},
 		{"never", []cell.Step{{Count: 1}}, cell.Schedule{Times: -1}, verdict.ReasonBadRequest},
+		{"sum of needs", []cell.Step{{Count: 2, Need: model.Resources{MilliCPU: math.MaxInt64}}}, cell.Schedule{}, verdict.ReasonBadRequest},
+		{"estimate", []cell.Step{{Count: 1, EstimateMillis: math.MaxInt64}}, cell.Schedule{}, verdict.ReasonBadRequest},
+		{"negative estimate", []cell.Step{{Count: 1, EstimateMillis: -1}}, cell.Schedule{}, verdict.ReasonBadRequest},
+		{"times that wrap", []cell.Step{{Count: 1}}, cell.Schedule{Times: 3, FirstUnixMillis: 1, IntervalMillis: math.MaxInt64}, verdict.ReasonBadRequest},
 	} {
 		_, err := client.Submit(ctx, &SubmitRequest{
 			Place: CallTarget{"h", "/q/", "ka"}, ID: cell.JobID(rune('a' + i)), Steps: c.steps, Schedule: c.schedule,
