--- a/internal/scheduler/client.go
+++ b/internal/scheduler/client.go
@@ -98,6 +98,8 @@
 	// MoreFinished says that the worker may have finished runs that it didn't list. It
 	// lists them once the listed ones are acknowledged.
 	MoreFinished bool
+	// OddRows counts the rows that were left out, since they name no run.
+	OddRows int
 }
 
 // Refusal is the reason why a worker refused an order.
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"kumquatwing/internal/clock"
 )
 
@@ -213,10 +215,22 @@
 	se.answeredSentAt = max(se.answeredSentAt, rn.sent)
 	se.recordClock(rn.reply.ClockMillis, now)
 	s.dirty = s.dirty || first
+	s.noteOddRows(se, rn)
 	running := s.updateRunning(ctx, se, rn)
 	s.recordFinished(ctx, se, rn, running)
 }
 
+// noteOddRows logs when a worker begins to list rows that name no run, and when it no
+// longer does.
+func (s *Scheduler) noteOddRows(se *session, rn *renewal) {
+	odd := rn.reply.OddRows > 0
+	if odd == se.listsOddRows {
+		return
+	}
+	se.listsOddRows = odd
+	s.cfg.Log.Warn("rows in the worker's lists that name no run", zap.String("worker", string(se.target.ID)), zap.Int("rows", rn.reply.OddRows))
+}
+
 // recordReplyLoss records whether a renewal of the loop failed. A failed one counts as
 // lost once the worker has answered the next: a worker that is out of reach tells
 // nothing about the replies of the others.
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -138,6 +138,8 @@
 	// longPolls says that the renewals of the loop have a connection of their own and
 	// may wait at the worker.
 	longPolls bool
+	// listsOddRows says that the last reply had rows that name no run.
+	listsOddRows bool
 	// renewalFailed says that the last renewal of the loop got no reply.
 	renewalFailed bool
 
