Limit callers' connections, and let idle ones make way for new ones

A control process closed each new connection beyond its limit while idle ones, of many workers, stayed open.

Three quarters of an entry process's descriptors are for callers now. A new connection beyond a limit takes the place of the one that has been idle for the longest time, and is closed only if none is idle, so that its caller turns to another process.

TestIdleConnectionsMakeWay failed with the former listener (EOF, reset).

--- a/internal/fdlimit/budget.go
+++ b/internal/fdlimit/budget.go
@@ -48,4 +48,28 @@
 	return b
 }
 
+// EntryBudget is the number of descriptors that each purpose of an entry process may use.
+// The rest is for peers, listeners and the runtime.
+type EntryBudget struct {
+	// Callers is for the connections of callers.
+	Callers int
+	// Policy is for the connections to the placement policy.
+	Policy int
+}
+
+// Shares of an entry process's descriptors, in percent.
+const (
+	callersPercent = 75
+	policyPercent  = 5
+)
+
+// SplitEntry divides the limit of an entry process. A limit of 0 stands for one that is
+// not known.
+func SplitEntry(limit int) EntryBudget {
+	if limit <= 0 {
+		limit = defaultLimit
+	}
+	return EntryBudget{Callers: atLeastOne(limit * callersPercent / 100), Policy: atLeastOne(limit * policyPercent / 100)}
+}
+
 func atLeastOne(n int) int { return max(1, n) }
--- a/internal/fdlimit/fdlimit_test.go
+++ b/internal/fdlimit/fdlimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -79,7 +80,8 @@
 func TestListenerClosesConnectionsBeyondItsLimit(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	l := Listener(inner, 1)
+	full := 0
+	l := NewListener(inner, 1, func() { full++ })
 	defer l.Close()
 	accepted := make(chan net.Conn, 4)
 	go func() {
@@ -103,6 +105,46 @@
 	(<-accepted).Close()
 	first.Close()
 	third.Close()
+	qt.Check(t, full, qt.Equals, 1)
+}
+
+// TestIdleConnectionsMakeWay guards against clients that are kept out for good: many
+// workers keep their connections open, and an operator, or another worker, gets none.
+func TestIdleConnectionsMakeWay(t *testing.T) {
+	const limit, clients = 3, 8
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l := NewListener(inner, limit, func() {})
+	busy := make(chan struct{})
+	server := &http.Server{ConnState: l.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			w.(http.Flusher).Flush()
+			<-busy
+		}
+	})}
+	go server.Serve(l)
+	defer server.Close()
+	get := func(c *http.Client, path string) error {
+		resp, err := c.Get("http://" + inner.Addr().String() + path)
+		if err != nil {
+			return err
+		}
+		if path != "/wait" {
+			return resp.Body.Close()
+		}
+		return nil
+	}
+	for i := range clients {
+		c := &http.Client{Transport: &http.Transport{}}
+		qt.Check(t, get(c, "/"), qt.IsNil, qt.Commentf("client %d", i))
+	}
+	for i := range limit {
+		c := &http.Client{Transport: &http.Transport{}}
+		qt.Check(t, get(c, "/wait"), qt.IsNil, qt.Commentf("client %d", i))
+	}
+	refused := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+	qt.Check(t, get(refused, "/"), qt.IsNotNil, qt.Commentf("no connection is idle"))
+	close(busy)
 }
 
 func dialTCP(t *testing.T, addr net.Addr) net.Conn {
--- a/internal/fdlimit/limiter.go
+++ b/internal/fdlimit/limiter.go
@@ -97,33 +97,3 @@
 	}
 	return conn.SyscallConn()
 }
-
-// limitedListener closes new connections at once while limit are open.
-type limitedListener struct {
-	net.Listener
-	slots chan struct{}
-}
-
-// Listener returns a listener that accepts connections from l. A connection beyond
-// limit open ones is closed at once, so that its caller turns to another process
-// and doesn't wait.
-func Listener(l net.Listener, limit int) net.Listener {
-	return &limitedListener{l, make(chan struct{}, limit)}
-}
-
-// Accept implements net.Listener.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case l.slots <- struct{}{}:
-			return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
-		default:
-			// The caller sees the connection closed; there is nobody to tell of an error.
-			_ = conn.Close()
-		}
-	}
-}
