--- a/internal/cellapi/reports.go
+++ b/internal/cellapi/reports.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	s.checkLeaving(ctx, &w, req.Sequence)
-	if s.changesWorker(&w) {
+	if s.mergeReport(&w) {
 		if _, err := s.propose(ctx, &cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{w}}}); err != nil {
 			return nil, err
 		}
@@ -97,15 +97,14 @@
 	return needs
 }
 
-// changesWorker reports whether a report changes the replicated state. A worker that is
-// draining stays so for the rest of its incarnation. A report of a known worker for a pool
-// that isn't configured comes from another sender.
-func (s *Server) changesWorker(w *cell.Worker) bool {
-	changes := false
+// mergeReport adds to a report that its worker drains, if the cell knows that of the
+// incarnation, and reports whether the report then changes the replicated state. A report of
+// a known worker for a pool that isn't configured comes from another sender.
+func (s *Server) mergeReport(w *cell.Worker) (changed bool) {
 	s.State.Read(func() {
 		old := s.State.Workers[w.ID]
 		if old == nil {
-			changes = true
+			changed = true
 			return
 		}
 		if old.Born != w.Born || !s.State.KnowsPool(w.Pool) {
@@ -113,9 +112,9 @@
 		}
 		confirmsLeave := w.Draining && old.Leaving
 		w.Draining = w.Draining || old.Draining
-		changes = confirmsLeave || !sameWorker(&old.Worker, w)
+		changed = confirmsLeave || !sameWorker(&old.Worker, w)
 	})
-	return changes
+	return changed
 }
 
 // othersAt returns the other workers with the address of a report, sorted. Which of them
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -204,7 +204,7 @@
 func (s *Scheduler) judgeClaim(se *session, rn *renewal) {
 	c := se.claim
 	replied := rn.reply.Incarnation
-	if c == nil || replied == 0 || rn.sent < c.madeAt {
+	if c == nil || c.adopting || replied == 0 || rn.sent < c.madeAt {
 		return
 	}
 	sameAddr := c.worker.Addr == se.target.Addr
--- a/internal/scheduler/listedruns.go
+++ b/internal/scheduler/listedruns.go
@@ -34,11 +34,11 @@
 	return listed
 }
 
-// recordFinished records the ends that a reply lists, and as lost the runs that
-// the worker certainly doesn't have, if the lists are complete. The renewal loop continues once the listed
-// ends are durable. Ends are taken only from the loop's own renewals: each
-// renewal of the loop acknowledges all ends that the previous one listed, so
-// these must be recorded before it is sent.
+// recordFinished records the ends that a reply lists, and as lost the runs that the worker
+// certainly doesn't have, if the lists are complete. The renewal loop continues once the
+// listed ends are durable. Ends are taken only from the loop's own renewals: each renewal of
+// the loop acknowledges all ends that the previous one listed, so these must be recorded
+// before it is sent.
 func (s *Scheduler) recordFinished(ctx context.Context, se *session, rn *renewal, running map[cell.TaskKey]int64) {
 	listed := map[cell.TaskKey]int64{}
 	last := se.lastRecordedEnd
