Test that a claim isn't refused while it is committed

Without the guard TestClaimIsNotRefusedWhileItIsCommitted fails (the reporter is told false). Tests only; no program changes.

--- a/internal/scheduler/closedsession_test.go
+++ b/internal/scheduler/closedsession_test.go
@@ -57,3 +57,23 @@
 	r.deliverReplyFrom(1)
 	qt.Check(t, r.acceptsTasks(se, r.state.Workers[testWorker], r.now()), qt.IsTrue)
 }
+
+// TestClaimIsNotRefusedWhileItIsCommitted guards against a worker whose report is refused
+// although it is recorded: a reply from its former address comes during the commit.
+func TestClaimIsNotRefusedWhileItIsCommitted(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	r.deliverReplyFrom(1)
+	moved := r.state.Workers[testWorker].Worker
+	moved.Addr = "10.0.0.2:1"
+	done := make(chan bool, 1)
+	r.holdClaim(moved, done)
+	se := r.sessions[testWorker]
+	se.claim.confirmed = true
+	r.checkClaims(r.ctx)
+	r.clock.Advance(time.Millisecond)
+	r.deliverReplyFrom(1)
+	r.runUntil(func() bool { return se.claim == nil })
+	qt.Check(t, <-done, qt.IsTrue)
+	qt.Check(t, r.state.Workers[testWorker].Addr, qt.Equals, moved.Addr)
+}
