plan: expected task times and remaining work in the planner's input

The expected run time of a task is asked for at one place of the scheduler, and the planner gets it besides the work that a job still needs. Both still follow the declared estimate; no decision changes.

--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -429,6 +429,7 @@
 		p := Pending{
 			Key: cell.StepKey{Job: j.id}, Step: &j.step, Queue: &j.class.queue, Pool: "p", Workspace: "a",
 			Deadline: j.acceptedAt.Add(j.objective), Remaining: time.Duration(j.step.EstimateMillis) * time.Millisecond, Advice: j.advice,
+			TaskTime: time.Duration(j.step.EstimateMillis) * time.Millisecond,
 		}
 		for i := range j.tasks {
 			t := &j.tasks[i]
@@ -443,6 +444,7 @@
 			}
 		}
 		if len(p.Waiting) > 0 {
+			p.RemainingWork = j.unfinishedWork()
 			in.Pending = append(in.Pending, p)
 		}
 	}
@@ -482,6 +484,17 @@
 	return out
 }
 
+// unfinishedWork returns the estimated work of the unfinished tasks, in core-milliseconds.
+func (j *simJob) unfinishedWork() float64 {
+	work := 0.0
+	for i := range j.tasks {
+		if !j.tasks[i].done {
+			work += float64(j.step.EstimateMillis) * float64(j.step.Need.MilliCPU) / 1000
+		}
+	}
+	return work
+}
+
 func (j *simJob) estimatedWork() int64 { return int64(len(j.tasks)) * j.step.EstimateMillis }
 
 func (r *classResult) add(j *simJob, largest bool) {
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -133,9 +133,15 @@
 	Deadline clock.Instant
 	// OverShare reports that the job's workspace had submitted more than its share.
 	OverShare bool
-	// Remaining is the estimated run time of the critical path through the job's
+	// Remaining is the expected run time of the critical path through the job's
 	// unfinished steps.
 	Remaining time.Duration
+	// TaskTime is the expected run time of one task of the step, on a worker of nominal
+	// speed.
+	TaskTime time.Duration
+	// RemainingWork is the expected work of the job's unfinished tasks, in
+	// core-milliseconds.
+	RemainingWork float64
 	// Advice is nil if the queue has no placement policy.
 	Advice *StepAdvice
 	// eligible caches the result of planner.eligible, nil before the first call.
--- a/internal/cell/plan/plan_test.go
+++ b/internal/cell/plan/plan_test.go
@@ -31,9 +31,11 @@
 		Step: &cell.Step{
 			Count: n, Need: model.Resources{MilliCPU: cores * 1000, MemoryMB: 10}, EstimateMillis: 4000, Gang: gang,
 		},
-		Queue:     &cell.Queue{Name: fmt.Sprint("q", priority), Priority: priority},
-		Deadline:  testNow.Add(time.Minute),
-		Remaining: 4 * time.Second,
+		Queue:         &cell.Queue{Name: fmt.Sprint("q", priority), Priority: priority},
+		Deadline:      testNow.Add(time.Minute),
+		Remaining:     4 * time.Second,
+		TaskTime:      4 * time.Second,
+		RemainingWork: float64(n) * float64(cores) * 4000,
 	}
 	for i := range n {
 		p.Waiting = append(p.Waiting, i)
--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -183,9 +183,9 @@
 	f.options[i] = f.nextOption(i)
 }
 
-// waitingWork returns the estimated work of the waiting tasks, in core-milliseconds.
+// waitingWork returns the expected work of the waiting tasks, in core-milliseconds.
 func (s *Pending) waitingWork() float64 {
-	return float64(len(s.Waiting)) * float64(s.Step.Need.MilliCPU) / 1000 * float64(s.Step.EstimateMillis)
+	return float64(len(s.Waiting)) * float64(s.Step.Need.MilliCPU) / 1000 * float64(s.TaskTime.Milliseconds())
 }
 
 // deselect marks the victims as not preempted by this plan.
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -75,7 +75,7 @@
 	s.cfg.Metrics.jobs.WithLabelValues(j.Queue, j.State.String()).Observe(took.Seconds())
 	var target time.Duration
 	if q := s.cfg.State.QueueOf(j); q != nil {
-		target = objective(j, q)
+		target = s.objective(j, q)
 	}
 	s.cfg.Log.Info("job ended", zap.String("job", string(j.ID)), zap.String("queue", j.Queue),
 		zap.String("workspace", j.Workspace), zap.Stringer("state", j.State), zap.String("reason", j.Reason),
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -329,9 +329,11 @@
 	p := plan.Pending{
 		Key:  cell.StepKey{Job: j.ID, Occurrence: o, Step: i},
 		Step: step, Queue: q, Pool: q.Pool, Workspace: j.Workspace,
-		Deadline:  adm.submittedAt.Add(objective(j, q)),
-		OverShare: adm.overShare,
-		Remaining: remainingCriticalPath(j, o),
+		Deadline:      adm.submittedAt.Add(s.objective(j, q)),
+		OverShare:     adm.overShare,
+		Remaining:     s.remainingCriticalPath(j, o),
+		TaskTime:      s.taskTime(j, i),
+		RemainingWork: s.remainingWork(j, o),
 	}
 	tasks := j.Occurrences[o].Steps[i].Tasks
 	for index := range tasks {
@@ -360,11 +362,11 @@
 	return n
 }
 
-// objective returns the target duration of a job: the estimated time of its
+// objective returns the target duration of a job: the expected time of its
 // critical path and of its advice requests, times the stretch of the queue, plus
 // the fixed objective of the queue.
-func objective(j *cell.Job, q *cell.Queue) time.Duration {
-	work := float64(criticalPath(j, func(int) bool { return true }).Milliseconds())
+func (s *Scheduler) objective(j *cell.Job, q *cell.Queue) time.Duration {
+	work := float64(s.criticalPath(j, func(int) bool { return true }).Milliseconds())
 	advice := 0.0
 	if q.Advice != nil {
 		advice = (q.Advice.DecideMillis + objectiveAdviceWorkers*q.Advice.PerWorkerMillis) * float64(len(j.Steps))
@@ -376,26 +378,44 @@
 // objective of a job assumes.
 const objectiveAdviceWorkers = 30
 
-// remainingCriticalPath returns the estimated time of the critical path through
+// taskTime returns the expected run time of one task of the job's step with the given
+// index, on a worker of nominal speed.
+func (s *Scheduler) taskTime(j *cell.Job, step int) time.Duration {
+	return time.Duration(j.Steps[step].EstimateMillis) * time.Millisecond
+}
+
+// remainingCriticalPath returns the expected time of the critical path through
 // the unfinished steps of an occurrence.
-func remainingCriticalPath(j *cell.Job, o int) time.Duration {
+func (s *Scheduler) remainingCriticalPath(j *cell.Job, o int) time.Duration {
 	steps := j.Occurrences[o].Steps
-	return criticalPath(j, func(i int) bool { return steps[i].Done < len(steps[i].Tasks) })
+	return s.criticalPath(j, func(i int) bool { return steps[i].Done < len(steps[i].Tasks) })
+}
+
+// remainingWork returns the expected work of the tasks of an occurrence that are not
+// done, in core-milliseconds.
+func (s *Scheduler) remainingWork(j *cell.Job, o int) float64 {
+	work := 0.0
+	for i := range j.Occurrences[o].Steps {
+		st := &j.Occurrences[o].Steps[i]
+		cores := float64(j.Steps[i].Need.MilliCPU) / 1000
+		work += float64(len(st.Tasks)-st.Done) * cores * float64(s.taskTime(j, i).Milliseconds())
+	}
+	return work
 }
 
-// criticalPath returns the estimated time of the longest chain of dependent
+// criticalPath returns the expected time of the longest chain of dependent
 // steps. Steps for which include reports false take no time.
-func criticalPath(j *cell.Job, include func(step int) bool) time.Duration {
-	finish := make([]int64, len(j.Steps))
-	var longest int64
+func (s *Scheduler) criticalPath(j *cell.Job, include func(step int) bool) time.Duration {
+	finish := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
 	for i := range j.Steps {
 		for _, dependency := range j.Steps[i].After {
 			finish[i] = max(finish[i], finish[dependency])
 		}
 		if include(i) {
-			finish[i] += j.Steps[i].EstimateMillis
+			finish[i] += s.taskTime(j, i)
 		}
 		longest = max(longest, finish[i])
 	}
-	return time.Duration(longest) * time.Millisecond
+	return longest
 }
