--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -107,20 +107,20 @@
 // consumer usually needs only the first few, which are found without a look at the
 // rest.
 func (p *planner) adviceOrder(s *Pending) iter.Seq[*Worker] {
-	usable := func(w *Worker, suspect bool) bool {
-		return w.Suspect == suspect && fits(s, w) && !p.hasValidTicket(s, w)
+	usable := func(w *Worker, r adviceRank) bool {
+		return w.Suspect == r.suspect && (r.anySpeed || p.suits(s, w) == r.suits) && fits(s, w) && !p.hasValidTicket(s, w)
 	}
 	return func(yield func(*Worker) bool) {
-		for _, suspect := range []bool{false, true} {
+		for _, rank := range s.adviceRanks() {
 			eligible := slices.Clone(p.eligible(s))
 			slices.SortStableFunc(eligible, func(a, b *Worker) int { return cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU) })
 			for _, w := range eligible {
-				if usable(w, suspect) && !yield(w) {
+				if usable(w, rank) && !yield(w) {
 					return
 				}
 			}
 			for _, w := range p.leastFreeFirst(s.Pool) {
-				if usable(w, suspect) && p.notEvaluated(s, w) && !yield(w) {
+				if usable(w, rank) && p.notEvaluated(s, w) && !yield(w) {
 					return
 				}
 			}
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -98,9 +98,21 @@
 
 // assignSlots returns a worker for each waiting task of the gang, or nil if they
 // don't all fit into the given capacity of the candidates. A SameRack gang is
-// first tried on each rack alone. candidates is sorted in place, best score
-// first.
+// first tried on each rack alone. The slowest worker is as fast as possible.
+// candidates may be sorted in place.
 func (p *planner) assignSlots(s *Pending, candidates []*Worker, capacity func(*Worker) model.Resources) []*Worker {
+	if !hasSlots(s, candidates, capacity) {
+		return nil
+	}
+	if s.speed.varied {
+		return p.fastestSlots(s, candidates, capacity)
+	}
+	return assignSorted(s, candidates, capacity)
+}
+
+// assignSorted assigns the gang's waiting tasks to the candidates with the best scores.
+// candidates is sorted in place.
+func assignSorted(s *Pending, candidates []*Worker, capacity func(*Worker) model.Resources) []*Worker {
 	if !hasSlots(s, candidates, capacity) {
 		return nil
 	}
@@ -292,8 +304,11 @@
 func freeSlots(s *Pending, w *Worker) int { return slotsIn(s, w, w.Free) }
 
 // slotsIn returns the number of waiting tasks of the step that fit into the given
-// capacity of the worker.
+// capacity of the worker, 0 if the worker is too slow.
 func slotsIn(s *Pending, w *Worker, capacity model.Resources) int {
+	if s.tooSlow(w) {
+		return 0
+	}
 	n := len(s.Waiting)
 	need := s.Step.Reserved()
 	n = limitTasks(n, need.MilliCPU, capacity.MilliCPU)
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -83,9 +83,11 @@
 	inputIndex int
 	// byLoss caches the result of victimsByLoss.
 	byLoss []*Victim
-	// Speed is the measured speed of tasks on the worker relative to the usual
+	// Speed is the expected speed of tasks on the worker relative to the nominal
 	// speed of 1.
 	Speed float64
+	// classSpeed is the speed of the worker's class, see setSpeedClasses.
+	classSpeed float64
 	// Suspect workers get tasks only if no other worker fits.
 	Suspect bool
 }
@@ -146,6 +148,8 @@
 	Advice *StepAdvice
 	// eligible caches the result of planner.eligible, nil before the first call.
 	eligible []*Worker
+	// speed is set by planner.setSpeeds.
+	speed stepSpeed
 }
 
 // Quota is the remaining quota of a workspace.
@@ -201,6 +205,9 @@
 	byID  map[cell.WorkerID]*Worker
 	// poolsByFree caches the results of leastFreeFirst.
 	poolsByFree map[string][]*Worker
+	// speedClasses maps pool names to the speed classes of their workers, nil if all are
+	// equally fast.
+	speedClasses map[string][]speedClass
 	// waitingGangs counts the gangs that did not fit into the free capacity.
 	waitingGangs int
 	// reservingGangs counts the gangs that reserve free capacity which does not
@@ -221,6 +228,7 @@
 		p.pools[w.Pool] = append(p.pools[w.Pool], w)
 		p.byID[w.ID] = w
 	}
+	p.setSpeeds()
 	sortByUrgency(in.Pending, in.Now)
 	for i := range in.Pending {
 		s := &in.Pending[i]
@@ -340,7 +348,7 @@
 
 // fits reports whether the worker can run one more task of the step.
 func fits(s *Pending, w *Worker) bool {
-	if !s.Step.Reserved().Fits(w.Free) {
+	if !s.Step.Reserved().Fits(w.Free) || s.tooSlow(w) {
 		return false
 	}
 	if !w.hasLabel(s.Step.Requires) {
--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -110,7 +110,7 @@
 // the runs that nextVictims returns.
 func (f *slotSearch) nextOption(i int) slotOption {
 	s, w := f.pending, f.workers[i]
-	if s.Step.MaxPerWorker > 0 && s.OnWorker[w.ID]+f.taken[i] >= s.Step.MaxPerWorker {
+	if s.tooSlow(w) || (s.Step.MaxPerWorker > 0 && s.OnWorker[w.ID]+f.taken[i] >= s.Step.MaxPerWorker) {
 		return slotOption{}
 	}
 	capacity, lost := f.free[i], 0.0
--- a/internal/cell/plan/score.go
+++ b/internal/cell/plan/score.go
@@ -28,10 +28,10 @@
 
 // score rates a worker for a task of the step; higher is better. In order of
 // weight it prefers workers that are not suspect, those in the rack of the step's
-// data, fast ones, and those with the least free CPU left after the task (best
-// fit), in units of 16 cores.
+// data, those of the speed that suits the step (see speedScore), and those with the
+// least free CPU left after the task (best fit), in units of 16 cores.
 func score(s *Pending, w *Worker) float64 {
-	v := speedWeight * w.Speed
+	v := s.speedScore(w)
 	if w.Suspect {
 		v += suspectWeight
 	}
