--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -47,6 +47,7 @@
 		for i := range c.Ends.Ends {
 			s.applyEnd(&c.Ends.Ends[i], c.Ends.UnixMillis)
 		}
+		s.recordSpeeds(c.Ends.Speeds)
 	case c.Due != nil:
 		for _, k := range c.Due.Occurrences {
 			if j := s.Active[k.Job]; j != nil && len(j.Occurrences) == k.Number {
--- a/internal/cell/apply_workers.go
+++ b/internal/cell/apply_workers.go
@@ -60,6 +60,9 @@
 	same := known && report.Born == w.Born
 	draining := report.Draining || (same && w.Draining)
 	leaving := !report.Draining && same && w.Leaving
+	if !same {
+		w.Speed = 0
+	}
 	w.Worker = *report
 	w.Draining, w.Leaving = draining, leaving
 }
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -109,10 +109,13 @@
 	Checkpoint string
 }
 
-// Ends records the ends of runs.
+// Ends records the ends of runs, and with them what was learnt about the speed of workers.
 type Ends struct {
 	Ends       []End
 	UnixMillis int64
+	// Speeds holds the lasting speeds of workers that have changed, nil in commands of
+	// earlier versions.
+	Speeds []WorkerSpeed
 }
 
 // OccurrenceKey identifies an occurrence of a scheduled job, counted from 0.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -56,14 +56,18 @@
 	Allocations map[TaskKey]Allocation
 	// Used is the sum of the allocations that count against the capacity.
 	Used model.Resources
+	// Speed is the lasting speed of the worker's tasks in thousandths of the nominal
+	// speed, 0 if it is unknown. It ends with the incarnation.
+	Speed int64
 }
 
 // Free returns the free capacity.
 func (w *WorkerState) Free() model.Resources { return w.Capacity.Sub(w.Used) }
 
 // snapshot is the part of the state that Snapshot encodes. Former holds the removed
-// queues, Out the data centres that are out of service, and Held the allocations of
-// the worker with the same index in Workers.
+// queues, Out the data centres that are out of service, and Held the allocations and
+// Speeds the speed of the worker with the same index in Workers. Snapshots of earlier
+// versions have no Speeds.
 type snapshot struct {
 	Leadership uint64
 	Config     Config
@@ -74,6 +78,7 @@
 	Held       [][]Allocation
 	Jobs       []*Job
 	Tombstones []Tombstone
+	Speeds     []int64
 }
 
 // State is the replicated state of a cell. Apply, Snapshot and Restore are called by
@@ -178,6 +183,7 @@
 	for _, w := range s.SortedWorkers() {
 		snap.Workers = append(snap.Workers, w.Worker)
 		snap.Held = append(snap.Held, w.allocations())
+		snap.Speeds = append(snap.Speeds, w.Speed)
 	}
 	for _, id := range sortedKeys(s.Jobs) {
 		snap.Jobs = append(snap.Jobs, s.Jobs[id])
@@ -198,6 +204,9 @@
 	if len(snap.Held) != len(snap.Workers) || slices.Contains(snap.Jobs, nil) {
 		return errDamagedSnapshot
 	}
+	if len(snap.Speeds) != len(snap.Workers) {
+		snap.Speeds = make([]int64, len(snap.Workers))
+	}
 	s.mu.Lock()
 	s.reset()
 	s.Leadership, s.Config, s.ConfigDocument = snap.Leadership, snap.Config, snap.Document
@@ -209,7 +218,7 @@
 		s.OutOfService[dc] = true
 	}
 	for i, w := range snap.Workers {
-		ws := &WorkerState{Worker: w, Allocations: map[TaskKey]Allocation{}}
+		ws := &WorkerState{Worker: w, Allocations: map[TaskKey]Allocation{}, Speed: validSpeed(snap.Speeds[i])}
 		s.Workers[w.ID] = ws
 		s.changedWorkers[w.ID] = true
 		for _, a := range snap.Held[i] {
