--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -145,6 +145,14 @@
 	// refused holds the jobs whose callers try again.
 	refused []*simJob
 	calls   []simCall
+	// capacity is that of each worker.
+	capacity model.Resources
+	// speeds holds the speeds of the workers, nil if all are 1, and stragglerShare the share
+	// of the tasks that take stragglerFactor times as long as the others of their job.
+	// demandSwing is the amplitude of a swing of the demand with a period of swingPeriod.
+	speeds         []float64
+	stragglerShare float64
+	demandSwing    float64
 }
 
 // classResult summarizes how the jobs of one class were served.
@@ -164,10 +172,19 @@
 
 // simulate runs the scenario and returns the results by class name.
 func simulate(sc scenario, seed uint64, computePlan func(in *Input) Output) map[string]*classResult {
-	l := &simulation{scenario: sc, rand: rand.New(rand.NewPCG(seed, 1)), computePlan: computePlan, now: testNow}
+	return newSimulation(sc, seed, model.Resources{MilliCPU: 16000, MemoryMB: 32768}, computePlan).run()
+}
+
+func newSimulation(sc scenario, seed uint64, capacity model.Resources, computePlan func(in *Input) Output) *simulation {
+	l := &simulation{scenario: sc, rand: rand.New(rand.NewPCG(seed, 1)), capacity: capacity, computePlan: computePlan, now: testNow}
 	for range l.workers {
-		l.free = append(l.free, model.Resources{MilliCPU: 16000, MemoryMB: 32768})
+		l.free = append(l.free, capacity)
 	}
+	return l
+}
+
+// run runs the scenario and returns the results by class name.
+func (l *simulation) run() map[string]*classResult {
 	for l.now < testNow.Add(arrivalPeriod+drainPeriod) {
 		if l.now < testNow.Add(arrivalPeriod) {
 			l.submitArrivals()
@@ -238,6 +255,7 @@
 		if at := l.now.Sub(testNow); c == 0 && at >= 8*time.Second && at < 14*time.Second {
 			rate *= l.burstFactor
 		}
+		rate *= l.swing()
 		for ; rate > 0; rate-- {
 			if l.rand.Float64() < rate {
 				l.submit(class)
@@ -261,7 +279,7 @@
 	chain := float64(work.Milliseconds()) + a.DecideMillis + 30*a.PerWorkerMillis
 	j.objective = time.Duration(c.queue.Stretch*chain+float64(c.queue.ObjectiveMillis)) * time.Millisecond
 	for range width {
-		j.tasks = append(j.tasks, simTask{remaining: work})
+		j.tasks = append(j.tasks, simTask{remaining: l.straggle(work)})
 	}
 	l.jobs = append(l.jobs, j)
 	if l.refuses && l.pausedNow() {
@@ -313,7 +331,7 @@
 				t.running = false
 				l.free[t.worker] = l.free[t.worker].Add(j.step.Need)
 				if j.step.Checkpoints {
-					t.remaining = t.endsAt.Sub(t.stopsAt)
+					t.remaining = l.workDone(t.worker, t.endsAt.Sub(t.stopsAt))
 				}
 				t.stopsAt = 0
 			}
@@ -380,6 +398,7 @@
 	for i := range out.Starts {
 		l.start(&out.Starts[i])
 	}
+	l.paceGangs(out.Starts)
 	for i := range out.Stops {
 		t := &l.jobByID(out.Stops[i].Task.Job).tasks[out.Stops[i].Task.Index]
 		t.stopsAt = l.now.Add(stopTime)
@@ -403,7 +422,7 @@
 		panic("start exceeds the free capacity of its worker")
 	}
 	t.running, t.worker, t.run = true, w, t.run+1
-	t.startedAt, t.endsAt, t.failsAt = l.now, l.now.Add(t.remaining), 0
+	t.startedAt, t.endsAt, t.failsAt = l.now, l.now.Add(l.runTime(w, t.remaining)), 0
 	// Whether a run fails depends on nothing but the run, so that the same runs fail
 	// whatever the plans are.
 	luck := rand.New(rand.NewPCG(hashString(string(j.id)), uint64(s.Task.Index)<<8|uint64(t.run)))
@@ -419,7 +438,7 @@
 	in.AllAdvisers, in.IdleAdvisers = l.advisers, l.advisers-len(l.calls)
 	for i, free := range l.free {
 		w := worker(fmt.Sprintf("w%03d", i), 0)
-		w.Capacity, w.Free = model.Resources{MilliCPU: 16000, MemoryMB: 32768}, free
+		w.Capacity, w.Free, w.Speed = l.capacity, free, l.speed(i)
 		if l.gone(i) {
 			w.Capacity, w.Free = model.Resources{}, model.Resources{}
 		}
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -220,7 +220,10 @@
 // Compute computes the plan for a snapshot. It modifies in: it sorts in.Pending,
 // subtracts what the plan uses from the workers' free capacity, the quotas and
 // in.IdleAdvisers, and updates OnWorker and Advice.InFlight of the pending steps.
-func Compute(in *Input) Output {
+func Compute(in *Input) Output { return compute(in, (*planner).setSpeeds) }
+
+// compute is Compute with the given function in place of setSpeeds.
+func compute(in *Input, setSpeeds func(*planner)) Output {
 	p := &planner{in: in, pools: map[string][]*Worker{}, poolsByFree: map[string][]*Worker{}, byID: make(map[cell.WorkerID]*Worker, len(in.Workers))}
 	for i := range in.Workers {
 		w := &in.Workers[i]
@@ -228,7 +231,7 @@
 		p.pools[w.Pool] = append(p.pools[w.Pool], w)
 		p.byID[w.ID] = w
 	}
-	p.setSpeeds()
+	setSpeeds(p)
 	sortByUrgency(in.Pending, in.Now)
 	for i := range in.Pending {
 		s := &in.Pending[i]
--- a/internal/cell/plan/speed.go
+++ b/internal/cell/plan/speed.go
@@ -28,9 +28,10 @@
 	lastSlowStart = 700 * time.Millisecond
 )
 
-// speedClass is a set of workers of a pool whose speeds count as equal.
+// speedClass is a set of workers of a pool whose speeds count as equal: each is within
+// speedTolerance of the next one. The fastest class is a main one.
 type speedClass struct {
-	// speed is that of the fastest worker of the class.
+	// speed is the median of the class.
 	speed float64
 	// main says that the class has at least mainClassShare of the pool's workers.
 	main bool
@@ -66,16 +67,22 @@
 	}
 	sorted := slices.Clone(ws)
 	slices.SortFunc(sorted, func(a, b *Worker) int { return cmp.Compare(b.Speed, a.Speed) })
+	minMain := mainClassShare * float64(len(ws))
 	var classes []speedClass
-	size := 0
-	for _, w := range sorted {
-		if len(classes) == 0 || w.Speed*speedTolerance < classes[len(classes)-1].speed {
-			classes, size = append(classes, speedClass{speed: w.Speed}), 0
+	for begin := 0; begin < len(sorted); {
+		end := begin + 1
+		for end < len(sorted) && (sorted[end].Speed*speedTolerance >= sorted[end-1].Speed || (len(classes) == 0 && float64(end) < minMain)) {
+			end++
 		}
-		size++
-		c := &classes[len(classes)-1]
-		w.classSpeed = c.speed
-		c.main = float64(size) >= mainClassShare*float64(len(ws))
+		c := speedClass{speed: sorted[begin+(end-begin)/2].Speed, main: float64(end-begin) >= minMain}
+		for _, w := range sorted[begin:end] {
+			w.classSpeed = c.speed
+		}
+		classes = append(classes, c)
+		begin = end
+	}
+	if len(classes) == 1 {
+		return nil
 	}
 	return classes
 }
--- /dev/null
+++ b/internal/cell/plan/speedload_test.go
@@ -0,0 +1,140 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/cell"
+	"kumquatwing/internal/clock"
+	"kumquatwing/internal/model"
+)
+
+const (
+	stragglerFactor = 7
+	swingPeriod     = 15 * time.Second
+)
+
+// speed returns the speed of the worker with the given index.
+func (l *simulation) speed(worker int) float64 {
+	if l.speeds == nil {
+		return 1
+	}
+	return l.speeds[worker]
+}
+
+// runTime returns how long a worker takes for work, in time at nominal speed.
+func (l *simulation) runTime(worker int, work time.Duration) time.Duration {
+	if l.speeds == nil {
+		return work
+	}
+	return time.Duration(float64(work) / l.speeds[worker])
+}
+
+// workDone returns the work that a worker does in a run time.
+func (l *simulation) workDone(worker int, runTime time.Duration) time.Duration {
+	if l.speeds == nil {
+		return runTime
+	}
+	return time.Duration(float64(runTime) * l.speeds[worker])
+}
+
+// straggle returns the work of a task of a job whose other tasks have the given work.
+func (l *simulation) straggle(work time.Duration) time.Duration {
+	if l.stragglerShare > 0 && l.rand.Float64() < l.stragglerShare {
+		return stragglerFactor * work
+	}
+	return work
+}
+
+// swing returns the factor of the demand at present.
+func (l *simulation) swing() float64 {
+	if l.demandSwing == 0 {
+		return 1
+	}
+	return 1 + l.demandSwing*math.Sin(2*math.Pi*l.now.Sub(testNow).Seconds()/swingPeriod.Seconds())
+}
+
+// paceGangs makes the runs of each started gang end together, at the pace of the slowest.
+func (l *simulation) paceGangs(starts []cell.Start) {
+	if l.speeds == nil {
+		return
+	}
+	ends := map[cell.JobID]clock.Instant{}
+	for i := range starts {
+		if j := l.jobByID(starts[i].Task.Job); j.step.Gang {
+			ends[j.id] = max(ends[j.id], j.tasks[starts[i].Task.Index].endsAt)
+		}
+	}
+	for i := range starts {
+		if j := l.jobByID(starts[i].Task.Job); j.step.Gang {
+			j.tasks[starts[i].Task.Index].endsAt = ends[j.id]
+		}
+	}
+}
+
+// mixedSpeedLoad returns the job classes of a deployment whose workers have 64 cores each,
+// of which a quarter are slow. Steps of a job count as jobs.
+func mixedSpeedLoad() []loadClass {
+	classes := yearbookLoad()
+	gang, batch, quick := &classes[0], &classes[1], &classes[2]
+	gang.name, gang.jobsPerSecond, gang.meanTasks, gang.milliCPU, gang.memoryMB, gang.meanTaskTime = "gang", 4.77*1.2, 20, 18_000, 4600, 3400*time.Millisecond
+	batch.name, batch.jobsPerSecond, batch.meanTasks, batch.milliCPU, batch.memoryMB, batch.meanTaskTime = "batch", 7.89*1.5, 25, 6900, 910, 2300*time.Millisecond
+	quick.name, quick.jobsPerSecond, quick.meanTasks, quick.milliCPU, quick.memoryMB, quick.meanTaskTime = "quick", 88.3*0.7, 3, 9900, 1800, 680*time.Millisecond
+	gangs := *quick
+	gangs.name, gangs.gang, gangs.jobsPerSecond = "quick-gang", true, 88.3*0.3
+	return append(classes, gangs)
+}
+
+// placeBySpeedTerm is the placement of the version without speed classes: the speed of a
+// worker only adds to its score. It is the baseline of TestMixedSpeedLoad.
+func placeBySpeedTerm(in *Input) Output {
+	return compute(in, func(p *planner) {
+		for i := range p.in.Workers {
+			p.in.Workers[i].classSpeed = p.in.Workers[i].Speed
+		}
+	})
+}
+
+// mixedSpeedSimulation returns a simulation of the load with a quarter of the workers at
+// 0.55 of the nominal speed and the others at 1.2.
+func mixedSpeedSimulation(load float64, seed uint64, computePlan func(in *Input) Output) *simulation {
+	const workers = 350
+	classes := mixedSpeedLoad()
+	for i := range classes {
+		classes[i].jobsPerSecond *= load
+	}
+	sc := scenario{fmt.Sprintf("load %.2f", load), workers, 70, classes, 1, 20 * time.Millisecond, 0, 0, false}
+	l := newSimulation(sc, seed, model.Resources{MilliCPU: 64_000, MemoryMB: 256_000}, computePlan)
+	l.stragglerShare, l.demandSwing = 0.03, 0.55
+	for i := range workers {
+		l.speeds = append(l.speeds, 1.2)
+		if i%4 == 1 {
+			l.speeds[i] = 0.55
+		}
+	}
+	return l
+}
+
+// TestMixedSpeedLoad plays a deployment with slow and fast workers and fluctuating demand.
+func TestMixedSpeedLoad(t *testing.T) {
+	for _, load := range []float64{1, 1.2} {
+		t.Run(fmt.Sprintf("load %.1f", load), func(t *testing.T) {
+			t.Parallel()
+			planned := mixedSpeedSimulation(load, 7, Compute).run()
+			baseline := mixedSpeedSimulation(load, 7, placeBySpeedTerm).run()
+			for _, c := range mixedSpeedLoad() {
+				r, b := planned[c.name], baseline[c.name]
+				t.Logf("%-10s submitted %4d: in time %4d, late %4d, not served %4d; baseline %4d, %4d, %4d", c.name, r.submitted,
+					r.inTime, r.late, r.submitted-r.inTime-r.late, b.inTime, b.late, b.submitted-b.inTime-b.late)
+				largest := float64(r.largestServed) / float64(max(1, r.largestJobs))
+				qt.Check(t, largest >= r.servedShare()/2, qt.IsTrue, qt.Commentf("%s: the largest tenth is served %.2f, all %.2f", c.name, largest, r.servedShare()))
+			}
+			t.Logf("earned %.3f, baseline %.3f", earnedShare(planned), earnedShare(baseline))
+			qt.Check(t, earnedShare(planned) >= earnedShare(baseline), qt.IsTrue)
+		})
+	}
+}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -69,6 +69,8 @@
 	CatchUpTime time.Duration
 	Workers     scheduler.WorkerClient
 	Bounds      scheduler.Bounds
+	// EqualSpeeds makes all workers count as equally fast.
+	EqualSpeeds bool
 	// Advise requests advice from the placement policy; nil if the process
 	// has no access to the policy.
 	Advise  func(ctx context.Context, req *cellapi.AdviseRequest) (*cellapi.AdviseReply, error)
@@ -129,7 +131,7 @@
 	}
 	n.scheduler = scheduler.New(scheduler.Config{
 		Group: n.member, State: n.state, Changed: n.changed, Workers: cfg.Workers, Clock: n.clock, Bounds: cfg.Bounds,
-		Log: cfg.Log.Named("sched"), Metrics: scheduler.NewMetrics(cfg.Metrics),
+		EqualSpeeds: cfg.EqualSpeeds, Log: cfg.Log.Named("sched"), Metrics: scheduler.NewMetrics(cfg.Metrics),
 	})
 	n.client = cellapi.NewClient(n.wire, cfg.Seeds, n.clock, cfg.Log)
 	n.server = cellapi.Serve(cellapi.Config{
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -52,7 +52,7 @@
 		return
 	}
 	b.inFlight++
-	c := &cell.Command{Ends: &cell.Ends{Ends: ends, UnixMillis: time.Now().UnixMilli()}}
+	c := &cell.Command{Ends: &cell.Ends{Ends: ends, UnixMillis: time.Now().UnixMilli(), Speeds: s.takeUnrecordedSpeeds()}}
 	s.propose(ctx, c, func(_ cell.Result, err error) { s.onEndsCommitted(ends, acks, err) })
 }
 
--- a/internal/scheduler/listedruns.go
+++ b/internal/scheduler/listedruns.go
@@ -53,6 +53,9 @@
 		r.ending = true
 		s.begun.add(f.Task.Job)
 		s.recordOutcome(se, f)
+		if f.Outcome == cell.OutcomeDone {
+			s.recordRunTime(se, f.Task, r, rn, s.now())
+		}
 		s.addEnd(se, f.Task, r, f.Outcome, f.Checkpoint)
 	}
 	for k, r := range se.runs {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -17,6 +17,12 @@
 	firstStart prometheus.Histogram
 	// jobs is the time from a job's submission to its end.
 	jobs *prometheus.HistogramVec
+
+	// speedSamples counts the samples of workers' speeds, and speedRecords the lasting
+	// speeds that were sent to be recorded. workersBySpeed holds the number of workers in
+	// each band of speedBands.
+	speedSamples, speedRecords prometheus.Counter
+	workersBySpeed             *prometheus.GaugeVec
 }
 
 // NewMetrics returns the scheduler's metrics, registered with r.
@@ -50,6 +56,16 @@
 		Name: "kq_cell_job_seconds", Help: "Time from a job's record to its end, by queue and final state.",
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 10),
 	}, []string{"queue", "state"})
+	m.speedSamples = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kq_cell_worker_speed_samples_total", Help: "Comparisons of a run with the others of its step.",
+	})
+	m.speedRecords = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kq_cell_worker_speed_records_total", Help: "Lasting speeds of workers that were sent to be recorded.",
+	})
+	m.workersBySpeed = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "kq_cell_workers_by_speed", Help: "Workers that accept tasks, by the upper limit of their expected speed; 1 is nominal.",
+	}, []string{"below"})
+	r.MustRegister(m.speedSamples, m.speedRecords, m.workersBySpeed)
 	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
 	return m
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -113,6 +113,9 @@
 	switch {
 	case err == nil:
 		r.status, r.confirmedAt, r.lastProgress = runStarted, now, now
+		if r.checkpoint == "" {
+			r.startedAt = now
+		}
 		s.begun.add(k.Job)
 		s.cfg.Metrics.starts.Inc()
 		if adm, ok := s.admissions[k.Job]; ok && r.number == 1 && k.Index == 0 {
@@ -292,6 +295,7 @@
 		s.stopBeforeShutdown(ctx, se, now)
 		s.declareExpiredRunsLost(se, now)
 	}
+	s.settleSpeeds(now)
 	s.createDueOccurrences(ctx, time.Now())
 	s.reportEndedJobs(now)
 	s.deleteExpiredJobs(ctx, now)
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -172,11 +172,11 @@
 		if se == nil || !s.acceptsTasks(se, w, now) {
 			continue
 		}
-		speed := se.speed.value(now)
+		speed, slowed := s.expectedSpeed(se, w, now)
 		pw := plan.Worker{
 			ID: w.ID, Born: w.Born, DC: w.DC, Rack: rackOf(w.Labels), Pool: w.Pool, Labels: w.Labels,
 			Capacity: w.Capacity, Free: w.Free(), Speed: speed,
-			Suspect: se.failures.suspect(now) || speed < suspectSpeed,
+			Suspect: se.failures.suspect(now) || slowed,
 		}
 		if preemptable.has(w.ID) {
 			s.addVictims(&pw, se, w, now)
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -19,10 +19,8 @@
 	// stalled.
 	stallBackoff = 3 * time.Second
 	// workerSpeedWeight is the weight of the newest sample in the moving
-	// average of a worker's speed, and queueSpeedWeight that in the average of
-	// a queue.
+	// average of a worker's recent speed.
 	workerSpeedWeight = 0.2
-	queueSpeedWeight  = 0.02
 	// speedSampleMaxAge is how long a worker's speed estimate stays in use
 	// without a new sample.
 	speedSampleMaxAge = 4 * time.Second
@@ -31,21 +29,20 @@
 	minSpeedSamples = 4
 	// maxLogSpeed bounds the absolute value of one sample, a natural logarithm.
 	maxLogSpeed = 2.5
-	// suspectSpeed is the relative speed below which a worker is suspect.
+	// suspectSpeed is the share of its own lasting speed below which a worker is suspect.
 	suspectSpeed = 0.4
 )
 
-// speedEstimate estimates the relative speed of a worker as a moving average of
-// the logarithm of the speed of its tasks, relative to the average of their
-// queues.
+// speedEstimate estimates the recent speed of a worker relative to its lasting speed, as
+// a moving average of the logarithm.
 type speedEstimate struct {
 	meanLog    float64
 	samples    int
 	lastSample clock.Instant
 }
 
-// value returns the relative speed; 1 is the average of the queues. It is also 1
-// while there are too few or too old samples.
+// value returns the relative speed; 1 is the lasting speed. It is also 1 while there are
+// too few or too old samples.
 func (e *speedEstimate) value(now clock.Instant) float64 {
 	if e.samples < minSpeedSamples || now.Sub(e.lastSample) > speedSampleMaxAge {
 		return 1
@@ -65,42 +62,17 @@
 }
 
 // recordProgress records a run's percentage of work done as reported at now, and
-// samples the speed of the worker from the change.
+// notes the rate of the run from the change.
 func (s *Scheduler) recordProgress(se *session, k cell.TaskKey, r *run, percent int, now clock.Instant) {
 	if percent == r.percent {
 		return
 	}
 	if r.percent > 0 && percent > r.percent {
-		s.recordSpeed(se, k, float64(percent-r.percent)/100, now.Sub(r.lastProgress), now)
+		s.recordRate(se, k, r, float64(percent-r.percent)/100, now.Sub(r.lastProgress), false, now)
 	}
 	r.percent, r.lastProgress = percent, now
 }
 
-// recordSpeed updates the speed estimates of a worker and a queue from the time
-// that a share of a task's estimated work took.
-func (s *Scheduler) recordSpeed(se *session, k cell.TaskKey, share float64, took time.Duration, now clock.Instant) {
-	if took <= 0 {
-		return
-	}
-	var estimate float64
-	var queue string
-	s.cfg.State.Read(func() {
-		if j := s.cfg.State.Jobs[k.Job]; j != nil {
-			estimate, queue = float64(j.Steps[k.Step].EstimateMillis), j.Queue
-		}
-	})
-	if estimate <= 0 {
-		return
-	}
-	sample := math.Log(share * estimate / float64(took.Milliseconds()+1))
-	queueMean, ok := s.queueSpeed[queue]
-	if !ok {
-		queueMean = sample
-	}
-	s.queueSpeed[queue] = queueMean + queueSpeedWeight*(sample-queueMean)
-	se.speed.add(max(-maxLogSpeed, min(maxLogSpeed, sample-queueMean)), now)
-}
-
 // stopStalled stops the runs of a worker that make no progress by the worker's own
 // account: a reply lists them as running, without progress since an earlier one. While
 // the worker does not reply, nothing is known of its runs, and none is stopped; nor is
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -73,8 +73,10 @@
 	// pause how long it waits otherwise.
 	retryPause time.Duration
 	pause      time.Duration
-	reply      *RenewReply
-	err        error
+	// previousReply is lastLoopReply of the session at the reply.
+	previousReply clock.Instant
+	reply         *RenewReply
+	err           error
 }
 
 // nextPause returns how long the renewal loop waits after this renewal.
@@ -216,6 +218,13 @@
 	se.recordClock(rn.reply.ClockMillis, now)
 	s.dirty = s.dirty || first
 	s.noteOddRows(se, rn)
+	rn.previousReply = se.lastLoopReply
+	if !rn.outOfBand {
+		se.lastLoopReply = now
+		if rn.reply.MoreFinished {
+			se.lastLoopReply = 0
+		}
+	}
 	running := s.updateRunning(ctx, se, rn)
 	s.recordFinished(ctx, se, rn, running)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,8 +47,11 @@
 	Workers WorkerClient
 	Clock   clock.Clock
 	Bounds  Bounds
-	Log     *zap.Logger
-	Metrics *Metrics
+	// EqualSpeeds makes all workers count as equally fast. Otherwise their speeds are
+	// learnt.
+	EqualSpeeds bool
+	Log         *zap.Logger
+	Metrics     *Metrics
 }
 
 // Scheduler places the tasks of a cell while its process leads the group. The
@@ -75,9 +78,7 @@
 	// eligibleShare is, by queue, the moving average of the share of evaluated
 	// workers that the placement policy lets run a step.
 	eligibleShare map[string]float64
-	// queueSpeed is, by queue, the moving average of the logarithm of the speed
-	// of tasks relative to their estimates.
-	queueSpeed map[string]float64
+	speeds        *speedLearner
 	// admissions holds what was recorded when this leader first saw a job.
 	admissions map[cell.JobID]admission
 	begun      begunJobs
@@ -224,7 +225,7 @@
 	s.claimed, s.unverified = map[cell.WorkerID]bool{}, map[cell.WorkerID]bool{}
 	s.advice = map[cell.StepKey]*plan.StepAdvice{}
 	s.eligibleShare = map[string]float64{}
-	s.queueSpeed = map[string]float64{}
+	s.speeds = newSpeedLearner()
 	s.admissions = map[cell.JobID]admission{}
 	s.begun.reset()
 	s.retention = newRetention()
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -80,6 +80,11 @@
 	nextStopAt clock.Instant
 	checkpoint string
 	percent    int
+	// startedAt is when the worker confirmed the start of a run that began without a
+	// checkpoint, 0 for other runs.
+	startedAt clock.Instant
+	// speedCounted says that the run has counted for the lasting speed of its worker.
+	speedCounted bool
 	// lastProgress is when percent last changed, or the run was created or
 	// confirmed.
 	lastProgress clock.Instant
@@ -126,6 +131,9 @@
 	fenceAccepted bool
 	// answeredSentAt is when the last renewal was sent that the worker has answered.
 	answeredSentAt clock.Instant
+	// lastLoopReply is when the worker last answered a renewal of the loop with all the
+	// runs that it had finished, 0 if the last answer lacked some.
+	lastLoopReply clock.Instant
 	// lastReply is when the worker last answered a renewal, or else when the
 	// session was opened.
 	lastReply clock.Instant
@@ -150,7 +158,10 @@
 	// worker.
 	blockedUntil clock.Instant
 	failures     failureHistory
-	speed        speedEstimate
+	speed        workerSpeed
+	// labels and rack are the worker's, as of the last settleSpeeds.
+	labels []string
+	rack   string
 	// lost is set when the lease has expired and the runs are being recorded as
 	// lost, or the incarnation is being recorded as gone.
 	lost bool
@@ -186,7 +197,7 @@
 	case w.Born == se.target.Incarnation:
 	case w.Born == se.replying:
 		se.target.Incarnation = w.Born
-		se.failures, se.speed, se.shutdownAt = failureHistory{}, speedEstimate{}, 0
+		se.failures, se.speed, se.shutdownAt = failureHistory{}, workerSpeed{}, 0
 	default:
 		s.closeSession(se)
 		se = nil
