--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -88,6 +88,8 @@
 	Speed float64
 	// classSpeed is the speed of the worker's class, see setSpeedClasses.
 	classSpeed float64
+	// rareSpeed says that the class is not a main one.
+	rareSpeed bool
 	// Suspect workers get tasks only if no other worker fits.
 	Suspect bool
 }
@@ -208,6 +210,8 @@
 	// speedClasses maps pool names to the speed classes of their workers, nil if all are
 	// equally fast.
 	speedClasses map[string][]speedClass
+	// fastScarce says of each pool whether little of its fastest class is free.
+	fastScarce map[string]bool
 	// waitingGangs counts the gangs that did not fit into the free capacity.
 	waitingGangs int
 	// reservingGangs counts the gangs that reserve free capacity which does not
--- a/internal/cell/plan/speed.go
+++ b/internal/cell/plan/speed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -23,9 +24,13 @@
 	// times of short tasks have an error that does not shrink with them.
 	comfortFactor = 1.5
 	comfortSlack  = 500 * time.Millisecond
+	// scarceShare is the free share of the CPU capacity of a pool's fastest class below
+	// which work with slack leaves these workers to other work.
+	scarceShare = 0.2
 	// lastSlowStart is the time before the latest start on slower workers at which a gang
-	// ceases to wait for fast ones. It covers the tickets that it may still need.
-	lastSlowStart = 700 * time.Millisecond
+	// ceases to wait for fast ones. It covers two rounds of advice of a policy that takes a
+	// second.
+	lastSlowStart = 2 * time.Second
 )
 
 // speedClass is a set of workers of a pool whose speeds count as equal: each is within
@@ -76,7 +81,7 @@
 		}
 		c := speedClass{speed: sorted[begin+(end-begin)/2].Speed, main: float64(end-begin) >= minMain}
 		for _, w := range sorted[begin:end] {
-			w.classSpeed = c.speed
+			w.classSpeed, w.rareSpeed = c.speed, !c.main
 		}
 		classes = append(classes, c)
 		begin = end
@@ -87,12 +92,30 @@
 	return classes
 }
 
+// fastFreeShare returns the free share of the CPU capacity of the fastest class, 1 without
+// classes.
+func fastFreeShare(ws []*Worker, classes []speedClass) float64 {
+	if len(classes) == 0 {
+		return 1
+	}
+	var free, all int64
+	for _, w := range ws {
+		if w.classSpeed == classes[0].speed {
+			free += max(0, w.Free.MilliCPU)
+			all += w.Capacity.MilliCPU
+		}
+	}
+	return float64(free) / float64(max(1, all))
+}
+
 // setSpeeds classifies the workers of all pools and sets the speeds that the pending
 // steps need.
 func (p *planner) setSpeeds() {
 	p.speedClasses = make(map[string][]speedClass, len(p.pools))
+	p.fastScarce = make(map[string]bool, len(p.pools))
 	for name, ws := range p.pools {
 		p.speedClasses[name] = setSpeedClasses(ws)
+		p.fastScarce[name] = fastFreeShare(ws, p.speedClasses[name]) < scarceShare
 	}
 	for i := range p.in.Pending {
 		s := &p.in.Pending[i]
@@ -112,7 +135,10 @@
 // later: with one slow member, all others would hold their capacity for as long as that
 // one needs. Then it takes the fastest set of workers that there is.
 func (p *planner) speedFor(s *Pending, classes []speedClass) stepSpeed {
-	out := stepSpeed{varied: true, comfortable: s.speedNeeded(p.in.Now.Add(comfortSlack)) * comfortFactor}
+	out := stepSpeed{varied: true, comfortable: math.Inf(1)}
+	if p.fastScarce[s.Pool] {
+		out.comfortable = s.speedNeeded(p.in.Now.Add(comfortSlack)) * comfortFactor
+	}
 	fastest := p.fastestUsable(s, classes)
 	required := s.speedNeeded(p.in.Now.Add(startDelay))
 	if required > fastest {
@@ -165,9 +191,10 @@
 
 // speedScore returns the term of the score that depends on the worker's speed. Where a
 // single task has time to spare it prefers the slow workers, which leaves the fast ones to
-// work with little slack.
+// work with little slack. Workers of rare speeds are probably slow for a while only, and get
+// no such preference.
 func (s *Pending) speedScore(w *Worker) float64 {
-	if s.speed.varied && !s.Step.Gang && w.classSpeed >= s.speed.comfortable {
+	if s.speed.varied && !s.Step.Gang && !w.rareSpeed && w.classSpeed >= s.speed.comfortable {
 		return -speedWeight * w.classSpeed
 	}
 	return speedWeight * w.classSpeed
@@ -184,7 +211,7 @@
 	if s.Step.Gang || s.speed.comfortable > classes[len(classes)-1].speed {
 		return fast
 	}
-	return !fast
+	return !fast && !w.rareSpeed
 }
 
 // fastestSlots returns the slots of assignSlots on the workers of the fastest classes that
--- a/internal/cell/plan/speedload_test.go
+++ b/internal/cell/plan/speedload_test.go
@@ -138,3 +138,25 @@
 		})
 	}
 }
+
+// BenchmarkComputeMixedSpeeds measures the computation of one plan for a busy cell with
+// slow and fast workers, to compare with BenchmarkCompute.
+func BenchmarkComputeMixedSpeeds(b *testing.B) {
+	for _, c := range []struct{ workers, gangs, small int }{{350, 0, 20}, {350, 60, 20}, {1100, 60, 200}, {1100, 150, 200}} {
+		b.Run(fmt.Sprintf("workers=%d/gangs=%d/small=%d", c.workers, c.gangs, c.small), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				b.StopTimer()
+				in := busyCell(c.workers, c.gangs, c.small)
+				for i := range in.Workers {
+					in.Workers[i].Speed = 1.2
+					if i%4 == 1 {
+						in.Workers[i].Speed = 0.55
+					}
+				}
+				b.StartTimer()
+				Compute(in)
+			}
+		})
+	}
+}
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -35,7 +35,7 @@
 	minMeasuredShare = 0.9
 	// lastingSpeedStep is the factor by which a lasting speed must change to be recorded
 	// again.
-	lastingSpeedStep = 1.08
+	lastingSpeedStep = 1.05
 	// significantErrors is the number of standard errors by which a speed must differ from
 	// the recorded one to be recorded again.
 	significantErrors = 3
@@ -136,14 +136,22 @@
 	return &speedLearner{steps: map[cell.StepKey]*stepRates{}, groups: map[string]groupSpeed{}}
 }
 
+// speedSample is one sample of the logarithm of a worker's speed.
+type speedSample struct {
+	log float64
+	// rough says that it was taken in comparison with workers most of whose speeds were not
+	// known. Rough samples are dropped once there are minLastingSamples others.
+	rough bool
+}
+
 // workerSpeed is what the leader knows about the speed of a worker's incarnation.
 type workerSpeed struct {
 	// recorded is the lasting speed in the replicated state, in thousandths, 0 if there is
 	// none.
 	recorded int64
-	// samples holds the newest samples of the logarithm of the speed, and next the index
-	// that the next one takes once there are lastingSamples.
-	samples []float64
+	// samples holds the newest samples, and next the index that the next one takes once
+	// there are lastingSamples.
+	samples []speedSample
 	next    int
 	// lasting is the logarithm of the lasting speed, and stdError its standard error; both
 	// are valid if the lasting speed is known by samples of this leader.
@@ -178,20 +186,36 @@
 }
 
 // add adds a sample to the lasting speed.
-func (w *workerSpeed) add(sample float64) {
+func (w *workerSpeed) add(sample speedSample) {
 	w.changed = true
 	if len(w.samples) < lastingSamples {
 		w.samples = append(w.samples, sample)
+	} else {
+		w.samples[w.next] = sample
+		w.next = (w.next + 1) % lastingSamples
+	}
+	if sample.rough {
 		return
 	}
-	w.samples[w.next] = sample
-	w.next = (w.next + 1) % lastingSamples
+	rough := 0
+	for _, o := range w.samples {
+		if o.rough {
+			rough++
+		}
+	}
+	if rough > 0 && len(w.samples)-rough >= minLastingSamples {
+		w.samples = slices.DeleteFunc(w.samples, func(o speedSample) bool { return o.rough })
+		w.next = 0
+	}
 }
 
 // update computes the lasting speed from the samples.
 func (w *workerSpeed) update(scratch []float64) []float64 {
 	w.changed = false
-	scratch = append(scratch[:0], w.samples...)
+	scratch = scratch[:0]
+	for _, o := range w.samples {
+		scratch = append(scratch, o.log)
+	}
 	w.lasting = median(scratch)
 	if w.relearning {
 		w.relearning, w.recent = false, speedEstimate{}
@@ -342,11 +366,14 @@
 	if st == nil || se == nil {
 		return true
 	}
-	peers := l.scratch[:0]
+	peers, known := l.scratch[:0], 0
 	for i := range st.rates {
 		o := &st.rates[i]
 		if other := s.sessions[o.worker]; other != nil && r.comparable(o) {
 			peers = append(peers, o.log-other.speed.log(s.groupSpeedOf(other)))
+			if other.speed.known() {
+				known++
+			}
 		}
 	}
 	l.scratch = peers
@@ -360,7 +387,7 @@
 		w.recent.add(difference, r.at)
 	}
 	if r.lasting && w.acceptsLasting(r.at) {
-		w.add(sample)
+		w.add(speedSample{sample, 2*known < len(peers)})
 	}
 	s.cfg.Metrics.speedSamples.Inc()
 	return true
@@ -409,7 +436,7 @@
 	for _, se := range s.sessions {
 		w := &se.speed
 		for i := range w.samples {
-			w.samples[i] -= mean
+			w.samples[i].log -= mean
 		}
 		w.lasting -= mean
 	}
@@ -425,6 +452,10 @@
 			continue
 		}
 		log := se.speed.log(0)
+		if se.speed.recorded != 0 {
+			// As for the workers themselves in expectedSpeed.
+			log = math.Log(float64(se.speed.recorded) / 1000)
+		}
 		all = append(all, log)
 		for _, label := range se.labels {
 			byLabel[label] = append(byLabel[label], log)
