--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -153,6 +153,9 @@
 	speeds         []float64
 	stragglerShare float64
 	demandSwing    float64
+	// estimateError is the spread of the estimates as the standard deviation of their
+	// logarithm, 0 for 0.3. If it is set the planner's deadlines depend on the estimates.
+	estimateError float64
 }
 
 // classResult summarizes how the jobs of one class were served.
@@ -271,7 +274,7 @@
 		id: cell.JobID(fmt.Sprintf("%s-%04d", c.name, len(l.jobs))), class: c, submittedAt: l.now,
 		step: cell.Step{
 			Count: width, Need: l.taskSize(c), Gang: c.gang,
-			EstimateMillis: int64(float64(work.Milliseconds()) * math.Exp(0.3*l.rand.NormFloat64())), Checkpoints: c.checkpoints,
+			EstimateMillis: int64(float64(work.Milliseconds()) * math.Exp(cmp.Or(l.estimateError, 0.3)*l.rand.NormFloat64())), Checkpoints: c.checkpoints,
 		},
 		advice: &StepAdvice{Eligible: map[cell.WorkerID]Ticket{}, Evaluated: map[cell.WorkerID]bool{}},
 	}
@@ -447,7 +450,7 @@
 	for _, j := range l.unfinished {
 		p := Pending{
 			Key: cell.StepKey{Job: j.id}, Step: &j.step, Queue: &j.class.queue, Pool: "p", Workspace: "a",
-			Deadline: j.acceptedAt.Add(j.objective), Remaining: time.Duration(j.step.EstimateMillis) * time.Millisecond, Advice: j.advice,
+			Deadline: j.acceptedAt.Add(l.believedObjective(j)), Remaining: time.Duration(j.step.EstimateMillis) * time.Millisecond, Advice: j.advice,
 			TaskTime: time.Duration(j.step.EstimateMillis) * time.Millisecond,
 		}
 		for i := range j.tasks {
--- a/internal/cell/plan/speed.go
+++ b/internal/cell/plan/speed.go
@@ -27,10 +27,18 @@
 	// scarceShare is the free share of the CPU capacity of a pool's fastest class below
 	// which work with slack leaves these workers to other work.
 	scarceShare = 0.2
-	// lastSlowStart is the time before the latest start on slower workers at which a gang
-	// ceases to wait for fast ones. It covers two rounds of advice of a policy that takes a
-	// second.
-	lastSlowStart = 2 * time.Second
+	// muchFaster is the ratio of speeds from which on it is worth waiting for a faster
+	// worker, or leaving it to other work. The work with the least slack may take 1.5 times
+	// its run time, so that it is on time on workers that are slower by less.
+	muchFaster = 1.5
+	// minFastSlack is the least slack on fast workers with which a task waits for one. In it
+	// a quick policy answers and several tasks of a second end on the workers it names.
+	minFastSlack = 300 * time.Millisecond
+	// A gang waits for faster workers if they lack at most the share maxMissingShare of its
+	// slots, so that the rest soon becomes free, and if it ends there earlier by at least
+	// minEarlierEnd. That is longer than the few tasks of the missing slots take to end.
+	maxMissingShare = 0.2
+	minEarlierEnd   = time.Second
 )
 
 // speedClass is a set of workers of a pool whose speeds count as equal: each is within
@@ -127,31 +135,22 @@
 
 // speedFor returns the speeds that the step needs now.
 //
-// A task that can still end on time on some worker is not started where it would be
-// late: a late job has a fraction of its value however late it is, and the worker is
-// left to others. A task that would be late everywhere takes any worker.
-//
-// A gang waits for fast workers as long as it can still be on time with slower ones
-// later: with one slow member, all others would hold their capacity for as long as that
-// one needs. Then it takes the fastest set of workers that there is.
+// A single task that would be late on a slow worker and can still be on time on a fast one
+// is kept for a fast one, but only while at least minFastSlack is left for one to become
+// free: a late job has a fraction of its value however late it is, but with less time the
+// fast worker probably comes too late as well. A task that is late everywhere takes any
+// worker. Whether a gang waits is decided in fastestSlots.
 func (p *planner) speedFor(s *Pending, classes []speedClass) stepSpeed {
 	out := stepSpeed{varied: true, comfortable: math.Inf(1)}
+	if s.Step.Gang {
+		return out
+	}
 	if p.fastScarce[s.Pool] {
 		out.comfortable = s.speedNeeded(p.in.Now.Add(comfortSlack)) * comfortFactor
 	}
 	fastest := p.fastestUsable(s, classes)
-	required := s.speedNeeded(p.in.Now.Add(startDelay))
-	if required > fastest {
-		return out
-	}
-	out.required = required
-	if s.Step.Gang {
-		later := s.speedNeeded(p.in.Now.Add(startDelay + lastSlowStart))
-		for _, c := range classes {
-			if c.main && c.speed < fastest && c.speed >= later {
-				out.required = fastest
-			}
-		}
+	if s.speedNeeded(p.in.Now.Add(startDelay+minFastSlack)) <= fastest {
+		out.required = min(s.speedNeeded(p.in.Now.Add(startDelay)), fastest/muchFaster)
 	}
 	return out
 }
@@ -192,41 +191,75 @@
 // speedScore returns the term of the score that depends on the worker's speed. Where a
 // single task has time to spare it prefers the slow workers, which leaves the fast ones to
 // work with little slack. Workers of rare speeds are probably slow for a while only, and get
-// no such preference.
+// no such preference. A gang takes the slowest among the workers that fastestSlots allows:
+// its pace is that of the slowest anyway.
 func (s *Pending) speedScore(w *Worker) float64 {
-	if s.speed.varied && !s.Step.Gang && !w.rareSpeed && w.classSpeed >= s.speed.comfortable {
+	if s.speed.varied && (s.Step.Gang || (!w.rareSpeed && w.classSpeed >= s.speed.comfortable)) {
 		return -speedWeight * w.classSpeed
 	}
 	return speedWeight * w.classSpeed
 }
 
-// suits reports whether the worker is of the speed that the step prefers: the fastest
-// class for a gang or a step with little slack, and the slower ones otherwise.
+// suits reports whether the worker is of the speed that the step prefers: one that leaves
+// the fast workers to others if the step has time to spare, and otherwise one that is not
+// much slower than the fastest.
 func (p *planner) suits(s *Pending, w *Worker) bool {
 	classes := p.speedClasses[s.Pool]
 	if len(classes) < 2 {
 		return true
 	}
-	fast := w.classSpeed == classes[0].speed
-	if s.Step.Gang || s.speed.comfortable > classes[len(classes)-1].speed {
-		return fast
+	muchSlower := w.classSpeed*muchFaster <= classes[0].speed
+	if !s.Step.Gang && s.speed.comfortable <= classes[len(classes)-1].speed {
+		return muchSlower && !w.rareSpeed
 	}
-	return !fast && !w.rareSpeed
+	return !muchSlower
 }
 
 // fastestSlots returns the slots of assignSlots on the workers of the fastest classes that
 // hold the gang, so that its slowest worker is as fast as possible. It returns nil if all
-// classes together don't hold it.
+// classes together don't hold it, or if the gang had better wait for faster workers; then
+// it makes the slower ones too slow for the gang for the rest of the plan.
+//
+// The gang starts at once on the workers that hold it unless waiting is expected to end it
+// clearly earlier. Waiting while its deadline allows was tried: it depends on an estimate
+// that is off by a factor of up to 6, and gangs waited until they were late.
 func (p *planner) fastestSlots(s *Pending, candidates []*Worker, capacity func(*Worker) model.Resources) []*Worker {
+	nearlyFits := 0.0
 	for _, c := range p.speedClasses[s.Pool] {
 		fast := slices.DeleteFunc(slices.Clone(candidates), func(w *Worker) bool { return w.classSpeed < c.speed })
-		if slots := assignSorted(s, fast, capacity); slots != nil {
+		slots := assignSorted(s, fast, capacity)
+		switch {
+		case slots != nil && s.endsEarlier(nearlyFits, c.speed):
+			s.speed.required = nearlyFits
+			return nil
+		case slots != nil:
 			return slots
+		case nearlyFits == 0 && lacksFew(s, fast, capacity):
+			nearlyFits = c.speed
 		}
 	}
 	return nil
 }
 
+// endsEarlier reports whether the gang ends clearly earlier at the faster speed, 0 for none,
+// than at the slower one.
+func (s *Pending) endsEarlier(faster, slower float64) bool {
+	if faster < slower*muchFaster {
+		return false
+	}
+	return time.Duration(float64(s.TaskTime)/slower-float64(s.TaskTime)/faster) >= minEarlierEnd
+}
+
+// lacksFew reports whether the workers hold all but maxMissingShare of the gang's waiting
+// tasks.
+func lacksFew(s *Pending, ws []*Worker, capacity func(*Worker) model.Resources) bool {
+	n := 0
+	for _, w := range ws {
+		n += slotsIn(s, w, capacity(w))
+	}
+	return float64(n) >= (1-maxMissingShare)*float64(len(s.Waiting))
+}
+
 // adviceRank selects the workers of one part of adviceOrder.
 type adviceRank struct {
 	suspect bool
--- a/internal/cell/plan/speedload_test.go
+++ b/internal/cell/plan/speedload_test.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// believedObjective returns the objective that the planner computes from the estimate.
+func (l *simulation) believedObjective(j *simJob) time.Duration {
+	if l.estimateError == 0 {
+		return j.objective
+	}
+	a := j.class.queue.Advice
+	chain := float64(j.step.EstimateMillis) + a.DecideMillis + 30*a.PerWorkerMillis
+	return time.Duration(j.class.queue.Stretch*chain+float64(j.class.queue.ObjectiveMillis)) * time.Millisecond
+}
+
 // mixedSpeedLoad returns the job classes of a deployment whose workers have 64 cores each,
 // of which a quarter are slow. Steps of a job count as jobs.
 func mixedSpeedLoad() []loadClass {
@@ -99,42 +109,83 @@
 	})
 }
 
-// mixedSpeedSimulation returns a simulation of the load with a quarter of the workers at
-// 0.55 of the nominal speed and the others at 1.2.
-func mixedSpeedSimulation(load float64, seed uint64, computePlan func(in *Input) Output) *simulation {
+// speedSimulation returns a simulation of the classes on 350 workers of the given size, of
+// which one in every few, beginning with the second, has the odd speed.
+func speedSimulation(classes []loadClass, load float64, capacity model.Resources, usual, odd float64, every int, computePlan func(in *Input) Output) *simulation {
 	const workers = 350
-	classes := mixedSpeedLoad()
 	for i := range classes {
 		classes[i].jobsPerSecond *= load
 	}
 	sc := scenario{fmt.Sprintf("load %.2f", load), workers, 70, classes, 1, 20 * time.Millisecond, 0, 0, false}
-	l := newSimulation(sc, seed, model.Resources{MilliCPU: 64_000, MemoryMB: 256_000}, computePlan)
-	l.stragglerShare, l.demandSwing = 0.03, 0.55
+	l := newSimulation(sc, 7, capacity, computePlan)
 	for i := range workers {
-		l.speeds = append(l.speeds, 1.2)
-		if i%4 == 1 {
-			l.speeds[i] = 0.55
+		l.speeds = append(l.speeds, usual)
+		if i%every == 1 {
+			l.speeds[i] = odd
 		}
 	}
 	return l
 }
 
-// TestMixedSpeedLoad plays a deployment with slow and fast workers and fluctuating demand.
+// mixedSpeedSimulation returns a simulation of mixedSpeedLoad with a quarter of the workers
+// at 0.55 of the nominal speed and the others at 1.2.
+func mixedSpeedSimulation(load float64, computePlan func(in *Input) Output) *simulation {
+	l := speedSimulation(mixedSpeedLoad(), load, model.Resources{MilliCPU: 64_000, MemoryMB: 256_000}, 1.2, 0.55, 4, computePlan)
+	l.stragglerShare, l.demandSwing = 0.03, 0.55
+	return l
+}
+
+// similarSpeedSimulation returns a simulation of a deployment with too little capacity, a
+// third of whose workers are a little faster than the others.
+func similarSpeedSimulation(load float64, computePlan func(in *Input) Output) *simulation {
+	classes := mixedSpeedLoad()
+	classes[0].milliCPU, classes[0].meanTaskTime = 9000, 5*time.Second
+	classes[1].milliCPU, classes[1].meanTaskTime = 3500, 3400*time.Millisecond
+	for i := range classes[2:] {
+		classes[2+i].milliCPU, classes[2+i].meanTaskTime = 5000, time.Second
+	}
+	l := speedSimulation(classes, load, model.Resources{MilliCPU: 32_000, MemoryMB: 128_000}, 1, 1.3, 3, computePlan)
+	l.burstFactor = 1.7
+	return l
+}
+
+// TestMixedSpeedLoad plays deployments with slow and fast workers. In the first cases the
+// work of a quarter of the workers takes more than twice as long as that of the others. In
+// the last one speeds differ little and capacity is scarce, so that a slower worker now is
+// better than a faster one later: gangs that waited for the faster third there were late
+// (0.794 of them on time instead of 0.997).
 func TestMixedSpeedLoad(t *testing.T) {
-	for _, load := range []float64{1, 1.2} {
-		t.Run(fmt.Sprintf("load %.1f", load), func(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		simulation    func(load float64, computePlan func(in *Input) Output) *simulation
+		load          float64
+		estimateError float64
+		// minInTime is the least number of on-time jobs of each class, and minEarned the least
+		// value, both relative to the baseline.
+		minInTime, minEarned float64
+	}{
+		{"0.55 and 1.2, good estimates", mixedSpeedSimulation, 1, 0, 0.95, 1.02},
+		{"0.55 and 1.2, bad estimates", mixedSpeedSimulation, 1.2, 0.9, 0.95, 1.05},
+		{"1.0 and 1.3, bad estimates", similarSpeedSimulation, 1.1, 0.9, 0.98, 0.99},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			planned := mixedSpeedSimulation(load, 7, Compute).run()
-			baseline := mixedSpeedSimulation(load, 7, placeBySpeedTerm).run()
-			for _, c := range mixedSpeedLoad() {
-				r, b := planned[c.name], baseline[c.name]
-				t.Logf("%-10s submitted %4d: in time %4d, late %4d, not served %4d; baseline %4d, %4d, %4d", c.name, r.submitted,
+			run := func(computePlan func(in *Input) Output) map[string]*classResult {
+				l := c.simulation(c.load, computePlan)
+				l.estimateError = c.estimateError
+				return l.run()
+			}
+			planned, baseline := run(Compute), run(placeBySpeedTerm)
+			for _, class := range mixedSpeedLoad() {
+				r, b := planned[class.name], baseline[class.name]
+				t.Logf("%-10s submitted %4d: in time %4d, late %4d, not served %4d; baseline %4d, %4d, %4d", class.name, r.submitted,
 					r.inTime, r.late, r.submitted-r.inTime-r.late, b.inTime, b.late, b.submitted-b.inTime-b.late)
+				qt.Check(t, float64(r.inTime) >= c.minInTime*float64(b.inTime), qt.IsTrue, qt.Commentf("%s", class.name))
 				largest := float64(r.largestServed) / float64(max(1, r.largestJobs))
-				qt.Check(t, largest >= r.servedShare()/2, qt.IsTrue, qt.Commentf("%s: the largest tenth is served %.2f, all %.2f", c.name, largest, r.servedShare()))
+				qt.Check(t, largest >= r.servedShare()/2, qt.IsTrue, qt.Commentf("%s: the largest tenth is served %.2f, all %.2f", class.name, largest, r.servedShare()))
 			}
 			t.Logf("earned %.3f, baseline %.3f", earnedShare(planned), earnedShare(baseline))
-			qt.Check(t, earnedShare(planned) >= earnedShare(baseline), qt.IsTrue)
+			qt.Check(t, earnedShare(planned) >= c.minEarned*earnedShare(baseline), qt.IsTrue)
 		})
 	}
 }
