--- a/internal/cell/plan/speed.go
+++ b/internal/cell/plan/speed.go
@@ -60,6 +60,8 @@
 	required float64
 	// comfortable is the speed from which on a worker is fast enough with time to spare.
 	comfortable float64
+	// fastest is the speed of the pool's fastest class.
+	fastest float64
 }
 
 // setSpeedClasses sets the class speeds of the pool's workers and returns the classes,
@@ -141,7 +143,7 @@
 // fast worker probably comes too late as well. A task that is late everywhere takes any
 // worker. Whether a gang waits is decided in fastestSlots.
 func (p *planner) speedFor(s *Pending, classes []speedClass) stepSpeed {
-	out := stepSpeed{varied: true, comfortable: math.Inf(1)}
+	out := stepSpeed{varied: true, comfortable: math.Inf(1), fastest: classes[0].speed}
 	if s.Step.Gang {
 		return out
 	}
@@ -194,8 +196,12 @@
 // no such preference. A gang takes the slowest among the workers that fastestSlots allows:
 // its pace is that of the slowest anyway.
 func (s *Pending) speedScore(w *Worker) float64 {
-	if s.speed.varied && (s.Step.Gang || (!w.rareSpeed && w.classSpeed >= s.speed.comfortable)) {
+	switch {
+	case s.speed.varied && s.Step.Gang:
 		return -speedWeight * w.classSpeed
+	case s.speed.varied && !w.rareSpeed && w.classSpeed >= s.speed.comfortable:
+		// Above the score of all workers that are not fast enough with time to spare.
+		return speedWeight * (s.speed.comfortable + s.speed.fastest - w.classSpeed)
 	}
 	return speedWeight * w.classSpeed
 }
