--- a/internal/cell/plan/speed.go
+++ b/internal/cell/plan/speed.go
@@ -37,7 +37,7 @@
 	// A gang waits for faster workers if they lack at most the share maxMissingShare of its
 	// slots, so that the rest soon becomes free, and if it ends there earlier by at least
 	// minEarlierEnd. That is longer than the few tasks of the missing slots take to end.
-	maxMissingShare = 0.2
+	maxMissingShare = 0.4
 	minEarlierEnd   = time.Second
 )
 
@@ -235,7 +235,7 @@
 		fast := slices.DeleteFunc(slices.Clone(candidates), func(w *Worker) bool { return w.classSpeed < c.speed })
 		slots := assignSorted(s, fast, capacity)
 		switch {
-		case slots != nil && s.endsEarlier(nearlyFits, c.speed):
+		case slots != nil && p.waitsFor(s, nearlyFits, c.speed):
 			s.speed.required = nearlyFits
 			return nil
 		case slots != nil:
@@ -247,13 +247,18 @@
 	return nil
 }
 
-// endsEarlier reports whether the gang ends clearly earlier at the faster speed, 0 for none,
-// than at the slower one.
-func (s *Pending) endsEarlier(faster, slower float64) bool {
-	if faster < slower*muchFaster {
+// waitsFor reports whether the gang waits for workers of the faster speed, 0 for none,
+// although it could start on slower ones: if it ends there clearly earlier and does not
+// become late by the wait.
+func (p *planner) waitsFor(s *Pending, faster, slower float64) bool {
+	if faster < slower*muchFaster || float64(s.TaskTime)/slower-float64(s.TaskTime)/faster < float64(minEarlierEnd) {
 		return false
 	}
-	return time.Duration(float64(s.TaskTime)/slower-float64(s.TaskTime)/faster) >= minEarlierEnd
+	begin := p.in.Now.Add(startDelay)
+	if s.speedNeeded(begin) <= slower {
+		return s.speedNeeded(begin.Add(minEarlierEnd)) <= slower
+	}
+	return s.speedNeeded(begin.Add(minFastSlack)) <= faster
 }
 
 // lacksFew reports whether the workers hold all but maxMissingShare of the gang's waiting
--- a/internal/cell/plan/speed_test.go
+++ b/internal/cell/plan/speed_test.go
@@ -87,15 +87,19 @@
 		name       string
 		fast, slow []int64
 		tasks      int
+		due        time.Duration
 		want       map[cell.WorkerID]int
 	}{
-		{"the fast ones if they hold it", []int64{8, 8}, []int64{16}, 4, map[cell.WorkerID]int{"f0": 2, "f1": 2}},
-		{"at once on mixed workers, on as few fast ones as possible", []int64{8}, []int64{12}, 4, map[cell.WorkerID]int{"s0": 3, "f0": 1}},
-		{"waits if the fast ones lack one slot of five", []int64{16}, []int64{16}, 5, nil},
-		{"at once if the fast ones lack two slots of five", []int64{12}, []int64{16}, 5, map[cell.WorkerID]int{"s0": 4, "f0": 1}},
+		{"the fast ones if they hold it", []int64{8, 8}, []int64{16}, 4, time.Minute, map[cell.WorkerID]int{"f0": 2, "f1": 2}},
+		{"at once on mixed workers, on as few fast ones as possible", []int64{4}, []int64{12}, 4, time.Minute, map[cell.WorkerID]int{"s0": 3, "f0": 1}},
+		{"waits if the fast ones lack two slots of five", []int64{12}, []int64{16}, 5, time.Minute, nil},
+		{"at once if it would soon be late on slow ones", []int64{12}, []int64{16}, 5, 8 * time.Second, map[cell.WorkerID]int{"s0": 4, "f0": 1}},
+		{"waits if it is late on slow ones", []int64{12}, []int64{16}, 5, 6 * time.Second, nil},
+		{"at once if it is late everywhere", []int64{12}, []int64{16}, 5, 3 * time.Second, map[cell.WorkerID]int{"s0": 4, "f0": 1}},
+		{"at once if the fast ones lack three slots of five", []int64{8}, []int64{16}, 5, time.Minute, map[cell.WorkerID]int{"s0": 4, "f0": 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			out := Compute(input(fastAndSlow(c.fast, c.slow), pending("g", c.tasks, 4, 1, true)))
+			out := Compute(input(fastAndSlow(c.fast, c.slow), dueIn(pending("g", c.tasks, 4, 1, true), c.due)))
 			qt.Check(t, placedOn(out)["g"], qt.DeepEquals, c.want)
 		})
 	}
