--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -173,16 +173,12 @@
 // known reports whether the worker's own lasting speed is known.
 func (w *workerSpeed) known() bool { return w.measured() || w.recorded != 0 }
 
-// log returns the logarithm of the lasting speed, or that of the worker's group if it is
-// not known.
-func (w *workerSpeed) log(group float64) float64 {
-	switch {
-	case w.measured():
+// log returns the logarithm of the lasting speed of a worker for which known is true.
+func (w *workerSpeed) log() float64 {
+	if w.measured() {
 		return w.lasting
-	case w.recorded != 0:
-		return math.Log(float64(w.recorded) / 1000)
 	}
-	return group
+	return math.Log(float64(w.recorded) / 1000)
 }
 
 // add adds a sample to the lasting speed.
@@ -370,7 +366,7 @@
 	for i := range st.rates {
 		o := &st.rates[i]
 		if other := s.sessions[o.worker]; other != nil && r.comparable(o) {
-			peers = append(peers, o.log-other.speed.log(s.groupSpeedOf(other)))
+			peers = append(peers, o.log-s.lastingLog(other))
 			if other.speed.known() {
 				known++
 			}
@@ -382,7 +378,7 @@
 	}
 	w := &se.speed
 	sample := r.log - median(peers)
-	difference := max(-maxLogSpeed, min(maxLogSpeed, sample-w.log(s.groupSpeedOf(se))))
+	difference := max(-maxLogSpeed, min(maxLogSpeed, sample-s.lastingLog(se)))
 	if w.known() {
 		w.recent.add(difference, r.at)
 	}
@@ -422,7 +418,7 @@
 			s.speeds.scratch = w.update(s.speeds.scratch)
 		}
 		if w.known() {
-			sum += w.log(0)
+			sum += w.log()
 			n++
 		}
 		if w.measured() {
@@ -451,7 +447,7 @@
 		if !se.speed.known() {
 			continue
 		}
-		log := se.speed.log(0)
+		log := se.speed.log()
 		if se.speed.recorded != 0 {
 			// As for the workers themselves in expectedSpeed.
 			log = math.Log(float64(se.speed.recorded) / 1000)
@@ -490,6 +486,15 @@
 	return best.log
 }
 
+// lastingLog returns the logarithm of the worker's lasting speed, or that of its group if it
+// is not known.
+func (s *Scheduler) lastingLog(se *session) float64 {
+	if se.speed.known() {
+		return se.speed.log()
+	}
+	return s.groupSpeedOf(se)
+}
+
 // expectedSpeed returns the speed that tasks are expected to have on the session's worker,
 // and whether the worker is much slower at present than usual. The state is locked.
 func (s *Scheduler) expectedSpeed(se *session, w *cell.WorkerState, now clock.Instant) (speed float64, slowed bool) {
