plan: gangs ask about fast workers first

Cause: with 0.3 of the workers eligible, gangs asked about the workers with the most free slots, many of them slow, and found too few fast ones. Change: workers that are much slower than the fastest come last, before suspect ones.

--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -146,20 +146,28 @@
 	// free is the number of the gang's task slots that are free on the worker now, and
 	// available that with those that preemption would free.
 	free, available int
+	// muchSlower says that the worker's speed does not suit the gang.
+	muchSlower bool
 	// order breaks ties, see firstCandidate.
 	order int
 }
 
-// compareGangCandidates orders suspect workers last, then those with the most free
-// slots first, and then those with the most available ones.
+// compareGangCandidates orders suspect workers last and much slower ones before them, then
+// those with the most free slots first, and then those with the most available ones.
 func compareGangCandidates(a, b gangCandidate) int {
-	if a.worker.Suspect != b.worker.Suspect {
-		if a.worker.Suspect {
-			return 1
-		}
-		return -1
+	return cmp.Or(compareBool(a.worker.Suspect, b.worker.Suspect), compareBool(a.muchSlower, b.muchSlower),
+		cmp.Compare(b.free, a.free), cmp.Compare(b.available, a.available), cmp.Compare(a.order, b.order))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
 	}
-	return cmp.Or(cmp.Compare(b.free, a.free), cmp.Compare(b.available, a.available), cmp.Compare(a.order, b.order))
+	return -1
 }
 
 // requestGangAdvice requests advice for a gang about the workers that accept returns
@@ -174,7 +182,7 @@
 	for _, w := range p.pools[s.Pool] {
 		if w.hasLabel(s.Step.Requires) && accept(s, w) {
 			order := (w.inputIndex - first + len(p.in.Workers)) % len(p.in.Workers)
-			candidates = append(candidates, gangCandidate{w, freeSlots(s, w), availableSlots(s, w), order})
+			candidates = append(candidates, gangCandidate{w, freeSlots(s, w), availableSlots(s, w), !p.suits(s, w), order})
 		}
 	}
 	slices.SortFunc(candidates, compareGangCandidates)
