plan: speeds that differ by less than 1.5 are one class

The least slack that callers ask for is 1.5 times the run time. Change: classes whose medians differ by less than 1.5 are joined.

--- a/internal/cell/plan/speed.go
+++ b/internal/cell/plan/speed.go
@@ -14,6 +14,11 @@
 	// speedTolerance is the factor within which the speeds of two workers count as
 	// equal. Measured speeds of equal workers differ by up to that.
 	speedTolerance = 1.1
+	// muchFaster is the least ratio of the speeds of two classes; those of a smaller ratio
+	// are one. The work with the least slack may take 1.5 times its run time, so that it is
+	// on time on workers that are slower by less. With a third of the workers faster by 1.3
+	// and scarce capacity, callers were served no better by a distinction.
+	muchFaster = 1.5
 	// mainClassShare is the least share of a pool's workers in a speed class for which a
 	// gang times its wait for faster workers.
 	mainClassShare = 0.05
@@ -27,10 +32,6 @@
 	// scarceShare is the free share of the CPU capacity of a pool's fastest class below
 	// which work with slack leaves these workers to other work.
 	scarceShare = 0.2
-	// muchFaster is the ratio of speeds from which on it is worth waiting for a faster
-	// worker, or leaving it to other work. The work with the least slack may take 1.5 times
-	// its run time, so that it is on time on workers that are slower by less.
-	muchFaster = 1.5
 	// minFastSlack is the least slack on fast workers with which a task waits for one. In it
 	// a quick policy answers and several tasks of a second end on the workers it names.
 	minFastSlack = 300 * time.Millisecond
@@ -41,8 +42,8 @@
 	minEarlierEnd   = time.Second
 )
 
-// speedClass is a set of workers of a pool whose speeds count as equal: each is within
-// speedTolerance of the next one. The fastest class is a main one.
+// speedClass is a set of workers of a pool whose speeds count as equal. The speeds of two
+// classes differ by muchFaster or more. The fastest class is a main one.
 type speedClass struct {
 	// speed is the median of the class.
 	speed float64
@@ -75,33 +76,63 @@
 		slowest, fastest = min(slowest, w.Speed), max(fastest, w.Speed)
 	}
 	if fastest <= slowest*speedTolerance {
-		for _, w := range ws {
-			w.classSpeed = 1
-		}
+		setEqualSpeeds(ws)
 		return nil
 	}
 	sorted := slices.Clone(ws)
 	slices.SortFunc(sorted, func(a, b *Worker) int { return cmp.Compare(b.Speed, a.Speed) })
-	minMain := mainClassShare * float64(len(ws))
+	ends := classEnds(sorted)
+	if len(ends) == 1 {
+		setEqualSpeeds(ws)
+		return nil
+	}
 	var classes []speedClass
-	for begin := 0; begin < len(sorted); {
-		end := begin + 1
-		for end < len(sorted) && (sorted[end].Speed*speedTolerance >= sorted[end-1].Speed || (len(classes) == 0 && float64(end) < minMain)) {
-			end++
-		}
-		c := speedClass{speed: sorted[begin+(end-begin)/2].Speed, main: float64(end-begin) >= minMain}
+	begin := 0
+	for _, end := range ends {
+		c := speedClass{speed: medianSpeed(sorted[begin:end]), main: float64(end-begin) >= mainClassShare*float64(len(ws))}
 		for _, w := range sorted[begin:end] {
 			w.classSpeed, w.rareSpeed = c.speed, !c.main
 		}
 		classes = append(classes, c)
 		begin = end
 	}
-	if len(classes) == 1 {
-		return nil
-	}
 	return classes
 }
 
+// classEnds divides workers that are sorted by speed, fastest first, into classes, and
+// returns the index after the last worker of each.
+func classEnds(sorted []*Worker) []int {
+	minMain := mainClassShare * float64(len(sorted))
+	var ends []int
+	// begin is the first worker of the last class in ends, and next that of the group of
+	// workers whose speeds are close to each other.
+	begin, next := 0, 0
+	for next < len(sorted) {
+		end := next + 1
+		for end < len(sorted) && sorted[end].Speed*speedTolerance >= sorted[end-1].Speed {
+			end++
+		}
+		n := len(ends)
+		switch {
+		case n > 0 && (medianSpeed(sorted[next:end])*muchFaster > medianSpeed(sorted[begin:next]) || (n == 1 && float64(next) < minMain)):
+			ends[n-1] = end
+		default:
+			ends, begin = append(ends, end), next
+		}
+		next = end
+	}
+	return ends
+}
+
+func medianSpeed(sorted []*Worker) float64 { return sorted[len(sorted)/2].Speed }
+
+// setEqualSpeeds sets one class speed for all workers.
+func setEqualSpeeds(ws []*Worker) {
+	for _, w := range ws {
+		w.classSpeed = 1
+	}
+}
+
 // fastFreeShare returns the free share of the CPU capacity of the fastest class, 1 without
 // classes.
 func fastFreeShare(ws []*Worker, classes []speedClass) float64 {
@@ -152,7 +183,7 @@
 	}
 	fastest := p.fastestUsable(s, classes)
 	if s.speedNeeded(p.in.Now.Add(startDelay+minFastSlack)) <= fastest {
-		out.required = min(s.speedNeeded(p.in.Now.Add(startDelay)), fastest/muchFaster)
+		out.required = s.speedNeeded(p.in.Now.Add(startDelay))
 	}
 	return out
 }
@@ -214,7 +245,7 @@
 	if len(classes) < 2 {
 		return true
 	}
-	muchSlower := w.classSpeed*muchFaster <= classes[0].speed
+	muchSlower := w.classSpeed < classes[0].speed
 	if !s.Step.Gang && s.speed.comfortable <= classes[len(classes)-1].speed {
 		return muchSlower && !w.rareSpeed
 	}
@@ -251,7 +282,7 @@
 // although it could start on slower ones: if it ends there clearly earlier and does not
 // become late by the wait.
 func (p *planner) waitsFor(s *Pending, faster, slower float64) bool {
-	if faster < slower*muchFaster || float64(s.TaskTime)/slower-float64(s.TaskTime)/faster < float64(minEarlierEnd) {
+	if faster == 0 || float64(s.TaskTime)/slower-float64(s.TaskTime)/faster < float64(minEarlierEnd) {
 		return false
 	}
 	begin := p.in.Now.Add(startDelay)
--- a/internal/cell/plan/speed_test.go
+++ b/internal/cell/plan/speed_test.go
@@ -119,12 +119,14 @@
 }
 
 // TestEqualSpeedsChangeNothing guards against plans that differ between workers of one speed
-// because of the error with which it is known.
+// because of the error with which it is known, or between speeds that differ too little to
+// matter to callers.
 func TestEqualSpeedsChangeNothing(t *testing.T) {
 	for _, speed := range []func(i int) float64{
 		func(int) float64 { return 0.6 },
 		func(i int) float64 { return 1 + 0.09*float64(i%2) },
 		func(i int) float64 { return 0.8 + 0.4*float64(i)/350 },
+		func(i int) float64 { return 1 + 0.3*float64(i%3/2) },
 	} {
 		want, in := Compute(busyCell(350, 10, 20)), busyCell(350, 10, 20)
 		for i := range in.Workers {
