scheduler: place no tasks in data centres that don't answer

Cause: while a partition cuts off a data centre, a worker there got tasks until it had not answered a renewal for 2.5 s. Their starts may have been carried out, so that the tasks wait for the end of the worker's lease, seconds after the objective of quick jobs.

Change: a data centre none of whose workers has replied for 200 ms, or twelve usual gaps, while another one replies gets no tasks until a reply comes; nor does a worker that left a start unanswered.

--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -9,8 +9,10 @@
 	refused *prometheus.CounterVec
 
 	// planSeconds is the time to compute a plan, with its snapshot.
-	planSeconds    prometheus.Histogram
-	preempted      prometheus.Counter
+	planSeconds prometheus.Histogram
+	preempted   prometheus.Counter
+	// unreachable is 1 for a data centre whose workers don't answer, else 0.
+	unreachable    *prometheus.GaugeVec
 	adviceRequests *prometheus.CounterVec
 	// firstStart is the time from a job's submission to its first confirmed
 	// start.
@@ -39,6 +41,9 @@
 	m.preempted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kq_cell_preempted_total", Help: "Runs that were stopped for more urgent work.",
 	})
+	m.unreachable = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "kq_cell_data_centre_unreachable", Help: "1 while no worker of the data centre answers and no task is placed there, by data centre.",
+	}, []string{"dc"})
 	m.adviceRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kq_cell_questions_total", Help: "Questions to the placement policy, by queue.",
 	}, []string{"queue"})
@@ -50,6 +55,6 @@
 		Name: "kq_cell_job_seconds", Help: "Time from a job's record to its end, by queue and final state.",
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 10),
 	}, []string{"queue", "state"})
-	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
+	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.unreachable, m.adviceRequests, m.firstStart, m.jobs)
 	return m
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -51,15 +51,16 @@
 	}
 	target := se.target
 	go func() {
-		err := s.sendStart(ctx, target, o)
+		err := s.sendStart(ctx, target, o, func() { s.post(ctx, func() { s.recordNoReply(se, s.now()) }) })
 		s.post(ctx, func() { s.onStartReply(ctx, se, st.Task, r, err) })
 	}()
 }
 
 // sendStart sends a start, up to startAttempts times if no reply comes, while this
 // member still leads. The result is ErrNotSent or errNotLeading only if no attempt was
-// sent, and a refusal only if no earlier attempt may still be carried out.
-func (s *Scheduler) sendStart(ctx context.Context, t WorkerTarget, o StartOrder) error {
+// sent, and a refusal only if no earlier attempt may still be carried out. onNoReply is
+// called once the first attempt has got no reply.
+func (s *Scheduler) sendStart(ctx context.Context, t WorkerTarget, o StartOrder, onNoReply func()) error {
 	var unanswered error
 	for attempt := range startAttempts {
 		err := s.attemptStart(ctx, t, o, attempt)
@@ -72,6 +73,9 @@
 		case errors.As(err, &refused) || errors.Is(err, errNotLeading):
 			return err
 		case !errors.Is(err, ErrNotSent):
+			if unanswered == nil {
+				onNoReply()
+			}
 			unanswered = err
 		}
 	}
@@ -110,6 +114,9 @@
 func (s *Scheduler) onStartReply(ctx context.Context, se *session, k cell.TaskKey, r *run, err error) {
 	now := s.now()
 	var refused *RefusedError
+	if err == nil || errors.As(err, &refused) {
+		s.recordReply(se, now)
+	}
 	switch {
 	case err == nil:
 		r.status, r.confirmedAt, r.lastProgress = runStarted, now, now
@@ -292,6 +299,7 @@
 		s.stopBeforeShutdown(ctx, se, now)
 		s.declareExpiredRunsLost(se, now)
 	}
+	s.logReachability(now)
 	s.createDueOccurrences(ctx, time.Now())
 	s.reportEndedJobs(now)
 	s.deleteExpiredJobs(ctx, now)
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -92,7 +92,7 @@
 	workers := &scriptedWorkers{script: []error{errNoReply, nil}}
 	r.lead()
 	r.cfg.Workers = &deposingWorkers{workers, func() { r.term++ }}
-	err := r.sendStart(r.ctx, WorkerTarget{ID: testWorker}, StartOrder{})
+	err := r.sendStart(r.ctx, WorkerTarget{ID: testWorker}, StartOrder{}, func() {})
 	qt.Check(t, err, qt.ErrorIs, errNoReply)
 	qt.Check(t, workers.starts, qt.Equals, 1)
 }
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -250,7 +250,7 @@
 // locked.
 func (s *Scheduler) acceptsTasks(se *session, w *cell.WorkerState, now clock.Instant) bool {
 	return se.fenceAccepted && !se.lost && !se.isReplaced() && !w.Draining && !s.cfg.State.OutOfService[w.DC] &&
-		now >= se.blockedUntil && now.Sub(se.lastReply) < unreachableAfter
+		now >= se.blockedUntil && now.Sub(se.lastReply) < unreachableAfter && se.answers() && !s.reachability.unreachable(w.DC, now)
 }
 
 // rackOf returns the rack among the labels of a worker, which is the last of two
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -188,6 +188,9 @@
 		return
 	}
 	now := s.now()
+	if rn.err == nil {
+		s.recordReply(se, now)
+	}
 	if !rn.outOfBand {
 		s.recordReplyLoss(se, rn)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -91,7 +91,9 @@
 	// replyTimes estimates how long workers take to answer orders.
 	replyTimes replyTimes
 	replyLoss  replyLoss
-	calls      callStats
+	// reachability tells which data centres are cut off.
+	reachability reachability
+	calls        callStats
 
 	ends endBatch
 	// planning is set while a plan is being committed.
@@ -119,11 +121,13 @@
 // New returns a scheduler that is idle until Lead is called.
 func New(cfg Config) *Scheduler {
 	return &Scheduler{
-		cfg:       cfg,
-		events:    make(chan func(), eventQueueSize),
-		advisers:  map[string]*adviserState{},
-		planTimer: time.NewTimer(time.Hour),
-		begun:     begunJobs{ids: map[cell.JobID]bool{}},
+		cfg:    cfg,
+		events: make(chan func(), eventQueueSize),
+
+		reachability: newReachability(),
+		advisers:     map[string]*adviserState{},
+		planTimer:    time.NewTimer(time.Hour),
+		begun:        begunJobs{ids: map[cell.JobID]bool{}},
 	}
 }
 
@@ -228,6 +232,7 @@
 	s.admissions = map[cell.JobID]admission{}
 	s.begun.reset()
 	s.retention = newRetention()
+	s.reachability = newReachability()
 	s.shareBuckets = map[string]*tokenBucket{}
 	s.ends, s.longPolls, s.replyLoss = endBatch{}, 0, replyLoss{}
 	s.planning, s.creatingOccurrences, s.dirty = false, false, true
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -92,6 +92,8 @@
 // session is the leader's state for one incarnation of a worker.
 type session struct {
 	target WorkerTarget
+	// dc is the worker's data centre.
+	dc     string
 	cancel context.CancelFunc
 	// draining says that the worker is about to shut down and takes no new tasks.
 	draining bool
@@ -129,6 +131,9 @@
 	// lastReply is when the worker last answered a renewal, or else when the
 	// session was opened.
 	lastReply clock.Instant
+	// lastAnswer is when the worker last answered any call, and unansweredAt when it last
+	// left a start unanswered; 0 before that.
+	lastAnswer, unansweredAt clock.Instant
 	// lastRecordedEnd is the number of the last finished run of the worker that
 	// is recorded.
 	lastRecordedEnd int64
@@ -223,6 +228,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	se := &session{
 		target:    WorkerTarget{w.ID, w.Addr, w.Born},
+		dc:        w.DC,
 		cancel:    cancel,
 		fence:     s.nextFence(),
 		replying:  w.Born,
