--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -44,6 +44,7 @@
 	m.unreachable = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "kq_cell_data_centre_unreachable", Help: "1 while no worker of the data centre answers and no task is placed there, by data centre.",
 	}, []string{"dc"})
+	r.MustRegister(m.unreachable)
 	m.adviceRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kq_cell_questions_total", Help: "Questions to the placement policy, by queue.",
 	}, []string{"queue"})
@@ -55,6 +56,6 @@
 		Name: "kq_cell_job_seconds", Help: "Time from a job's record to its end, by queue and final state.",
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 10),
 	}, []string{"queue", "state"})
-	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.unreachable, m.adviceRequests, m.firstStart, m.jobs)
+	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
 	return m
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -285,6 +285,7 @@
 // and logs the status of the cell.
 func (s *Scheduler) housekeep(ctx context.Context) {
 	now := s.now()
+	s.logReachability(now)
 	for _, se := range s.sessions {
 		for k, r := range se.runs {
 			if r.status == runPlaced && now.Sub(r.lastProgress) > placedTimeout {
@@ -299,7 +300,6 @@
 		s.stopBeforeShutdown(ctx, se, now)
 		s.declareExpiredRunsLost(se, now)
 	}
-	s.logReachability(now)
 	s.createDueOccurrences(ctx, time.Now())
 	s.reportEndedJobs(now)
 	s.deleteExpiredJobs(ctx, now)
