--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -119,6 +119,7 @@
 	j.State, j.Reason, j.EndedUnixMillis = state, reason, unixMillis
 	j.Spec = ""
 	delete(s.Active, j.ID)
+	s.endWaiters.wake(j.ID)
 	s.markWorkersOf(j)
 }
 
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -108,6 +108,8 @@
 	changedWorkers map[WorkerID]bool
 	// sortedWorkers caches the result of SortedWorkers, nil if it is outdated.
 	sortedWorkers []*WorkerState
+	// endWaiters holds the readers that wait for the ends of jobs.
+	endWaiters endWaiters
 	// notify is called after each command or restore, without the lock.
 	notify func()
 }
@@ -115,7 +117,7 @@
 // NewState returns an empty state. notify is called after each change; it may be nil
 // and must not block.
 func NewState(notify func()) *State {
-	s := &State{notify: notify}
+	s := &State{notify: notify, endWaiters: endWaiters{}}
 	s.reset()
 	return s
 }
@@ -199,6 +201,7 @@
 		return errDamagedSnapshot
 	}
 	s.mu.Lock()
+	s.endWaiters.wakeAll()
 	s.reset()
 	s.Leadership, s.Config, s.ConfigDocument = snap.Leadership, snap.Config, snap.Document
 	for _, q := range snap.Former {
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -38,6 +38,9 @@
 	reports reportTracker
 	stays   stayTracker
 	service serviceRevisions
+	// waitingReads counts the reads that wait for a job to end. The lock of State
+	// protects it.
+	waitingReads int
 }
 
 // Serve returns a Server and registers its handlers for all calls with cfg.Wire.
@@ -239,26 +242,6 @@
 	}}}
 }
 
-func (s *Server) job(_ context.Context, req *JobRequest) (*JobReply, error) {
-	c, err := s.authorize(&req.Place)
-	if err != nil {
-		return nil, err
-	}
-	var r *JobReply
-	s.State.Read(func() {
-		if j := s.State.Jobs[req.ID]; j != nil && s.State.MaySee(&c.Caller, j) {
-			r = &JobReply{State: j.State, Reason: j.Reason}
-		}
-	})
-	if err := s.confirmLeadership(); err != nil {
-		return nil, err
-	}
-	if r == nil {
-		return nil, unknownJob(req.ID)
-	}
-	return r, nil
-}
-
 func unknownJob(id cell.JobID) error {
 	return verdict.Refuse(verdict.ReasonUnknownJob, "no job %s", id)
 }
