--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -287,6 +287,7 @@
 	}
 	switch e.Outcome {
 	case OutcomeDone:
+		s.recordRunTime(j, a.Task, e.WorkMillis)
 		s.recordSuccess(j, a.Task, unixMillis)
 	case OutcomeFailed:
 		s.recordFailure(j, step, t, a, unixMillis)
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -107,6 +107,9 @@
 	Born       int64
 	Outcome    Outcome
 	Checkpoint string
+	// WorkMillis is the run time in milliseconds, at nominal speed, of a run that began
+	// without a checkpoint and succeeded; 0 if it was not measured.
+	WorkMillis int64
 }
 
 // Ends records the ends of runs.
--- /dev/null
+++ b/internal/cell/decode.go
@@ -0,0 +1,46 @@
+package cell
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"kumquatwing/internal/codec"
+)
+
+// The types below are parts of log entries and snapshots to which fields were added. Each
+// decodes what earlier versions have encoded, without the fields at its end.
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (c *Command) DecodeMsgpack(d *msgpack.Decoder) error {
+	type fields Command
+	return codec.DecodeFields(d, (*fields)(c))
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (c *Cancel) DecodeMsgpack(d *msgpack.Decoder) error {
+	type fields Cancel
+	return codec.DecodeFields(d, (*fields)(c))
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (e *End) DecodeMsgpack(d *msgpack.Decoder) error {
+	type fields End
+	return codec.DecodeFields(d, (*fields)(e))
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (w *Workers) DecodeMsgpack(d *msgpack.Decoder) error {
+	type fields Workers
+	return codec.DecodeFields(d, (*fields)(w))
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (w *Worker) DecodeMsgpack(d *msgpack.Decoder) error {
+	type fields Worker
+	return codec.DecodeFields(d, (*fields)(w))
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (s *snapshot) DecodeMsgpack(d *msgpack.Decoder) error {
+	type fields snapshot
+	return codec.DecodeFields(d, (*fields)(s))
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -7,6 +7,7 @@
 
 	"kumquatwing/internal/consensus"
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement/estimate"
 )
 
 // Allocation is one run that occupies capacity on a worker.
@@ -74,6 +75,7 @@
 	Held       [][]Allocation
 	Jobs       []*Job
 	Tombstones []Tombstone
+	RunTimes   estimate.RunTimes
 }
 
 // State is the replicated state of a cell. Apply, Snapshot and Restore are called by
@@ -98,6 +100,8 @@
 	// Active holds the jobs that have not ended.
 	Active     map[JobID]*Job
 	tombstones tombstones
+	// RunTimes predicts run times by queue.
+	RunTimes estimate.RunTimes
 	// queues indexes the queues by name, including RemovedQueues.
 	queues map[string]*Queue
 	// UsageByWorkspace maps workspaces to the sum of their allocations.
@@ -127,6 +131,7 @@
 	s.Workers = map[WorkerID]*WorkerState{}
 	s.Jobs = map[JobID]*Job{}
 	s.tombstones = newTombstones()
+	s.RunTimes = estimate.RunTimes{}
 	s.Active = map[JobID]*Job{}
 	s.UsageByWorkspace = map[string]model.Resources{}
 	s.changedWorkers, s.sortedWorkers = map[WorkerID]bool{}, nil
@@ -183,6 +188,7 @@
 		snap.Jobs = append(snap.Jobs, s.Jobs[id])
 	}
 	snap.Tombstones = s.tombstones.all()
+	snap.RunTimes = s.RunTimes
 	return consensus.Encode(&snap)
 }
 
@@ -219,6 +225,7 @@
 	for _, t := range snap.Tombstones {
 		s.tombstones.restore(t)
 	}
+	s.RunTimes = snap.RunTimes
 	for _, j := range snap.Jobs {
 		s.Jobs[j.ID] = j
 		if !j.State.Ended() {
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"bytes"
 	"math"
 	"testing"
 
@@ -38,3 +39,29 @@
 	// and a nil in one byte each.
 	qt.Assert(t, small, qt.HasLen, 1+4*2+3+1)
 }
+
+// TestDecodeFields checks that a struct decodes from the arrays of versions of its type
+// with other numbers of fields.
+func TestDecodeFields(t *testing.T) {
+	for _, c := range []struct {
+		data []byte
+		want sample
+	}{
+		{[]byte{0x91, 7}, sample{Signed: 7}},
+		{[]byte{0x94, 7, 8, 9, 0x91, 1}, sample{Signed: 7, Unsigned: 8, Short: 9, Many: []int64{1}}},
+		{[]byte{0x96, 7, 8, 9, 0xc0, 0x92, 1, 2, 3}, sample{Signed: 7, Unsigned: 8, Short: 9}},
+		{[]byte{0x90}, sample{}},
+		{[]byte{0x81, 0xa1, 'u', 5}, sample{Signed: -1, Unsigned: 5}},
+		{[]byte{0xc0}, sample{}},
+	} {
+		decoded := sample{Signed: -1, Unsigned: 1}
+		d := msgpack.NewDecoder(bytes.NewReader(c.data))
+		qt.Check(t, DecodeFields(d, &decoded), qt.IsNil)
+		qt.Check(t, decoded, qt.DeepEquals, c.want)
+		qt.Check(t, d.Buffered().(interface{ Len() int }).Len(), qt.Equals, 0, qt.Commentf("% x", c.data))
+	}
+	for _, data := range [][]byte{{}, {0x92, 7}, {0x91, 0xa1, 'x'}, {0xa1, 'x'}} {
+		var decoded sample
+		qt.Check(t, DecodeFields(msgpack.NewDecoder(bytes.NewReader(data)), &decoded), qt.IsNotNil, qt.Commentf("% x", data))
+	}
+}
--- a/internal/scheduler/listedruns.go
+++ b/internal/scheduler/listedruns.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		if r.status == runInherited || (r.status == runUnconfirmed && !r.stopSent) {
-			r.status, r.confirmedAt, r.stopRequestedAt = runStarted, now, 0
+			r.status, r.confirmedAt, r.stopRequestedAt, r.timed = runStarted, now, 0, false
 			s.begun.add(rt.Task.Job)
 		}
 		r.listedAt = now
@@ -54,6 +54,7 @@
 		s.begun.add(f.Task.Job)
 		s.recordOutcome(se, f)
 		s.addEnd(se, f.Task, r, f.Outcome, f.Checkpoint)
+		s.measureWork(se, &s.ends.ends[len(s.ends.ends)-1], r, rn)
 	}
 	for k, r := range se.runs {
 		if r.ending || running[k] == r.number || listed[k] == r.number {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -17,6 +17,8 @@
 	firstStart prometheus.Histogram
 	// jobs is the time from a job's submission to its end.
 	jobs *prometheus.HistogramVec
+	// runTimeRatio is the ratio of real to declared and to predicted run times.
+	runTimeRatio *prometheus.HistogramVec
 }
 
 // NewMetrics returns the scheduler's metrics, registered with r.
@@ -50,6 +52,7 @@
 		Name: "kq_cell_job_seconds", Help: "Time from a job's record to its end, by queue and final state.",
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 10),
 	}, []string{"queue", "state"})
-	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
+	m.runTimeRatio = newRunTimeRatio()
+	r.MustRegister(m.runTimeRatio, m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
 	return m
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -38,7 +38,7 @@
 	if se == nil || se.target.Incarnation != st.Born {
 		return
 	}
-	r := &run{number: st.Run, status: runStarting, fence: se.fence, lastProgress: s.now(), checkpoint: checkpoint}
+	r := &run{number: st.Run, status: runStarting, fence: se.fence, lastProgress: s.now(), checkpoint: checkpoint, timed: checkpoint == ""}
 	r.leaseMillis = s.extendLease(se)
 	se.runs[st.Task] = r
 	if se.isReplaced() {
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -378,12 +378,6 @@
 // objective of a job assumes.
 const objectiveAdviceWorkers = 30
 
-// taskTime returns the expected run time of one task of the job's step with the given
-// index, on a worker of nominal speed.
-func (s *Scheduler) taskTime(j *cell.Job, step int) time.Duration {
-	return time.Duration(j.Steps[step].EstimateMillis) * time.Millisecond
-}
-
 // remainingCriticalPath returns the expected time of the critical path through
 // the unfinished steps of an occurrence.
 func (s *Scheduler) remainingCriticalPath(j *cell.Job, o int) time.Duration {
--- /dev/null
+++ b/internal/scheduler/runtimes.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"kumquatwing/internal/cell"
+	"kumquatwing/internal/clock"
+)
+
+// promptReply is the longest time in which a renewal counts as answered at once. The run
+// ends that such a reply lists may have happened before the renewal was sent.
+const promptReply = endGatherDelay
+
+// measureWork records in e, the end of a run that the reply to rn lists, the run time at
+// nominal speed, if the run succeeded, its begin is known, and it began without a
+// checkpoint.
+func (s *Scheduler) measureWork(se *session, e *cell.End, r *run, rn *renewal) {
+	if s.cfg.DeclaredRunTimes || e.Outcome != cell.OutcomeDone || !r.timed || r.status != runStarted {
+		return
+	}
+	now := s.now()
+	took := r.endedAt(rn, now).Sub(r.confirmedAt)
+	if took <= 0 {
+		return
+	}
+	var declared, predicted time.Duration
+	var queue string
+	speed := se.speed.value(now)
+	s.cfg.State.Read(func() {
+		j, step, _ := s.cfg.State.Task(e.Task)
+		if step == nil || j.Steps[e.Task.Step].Service || j.Steps[e.Task.Step].Filler {
+			return
+		}
+		spec := &j.Steps[e.Task.Step]
+		if spec.Gang {
+			speed = s.slowestMember(step, speed, now)
+		}
+		queue, declared = j.Queue, time.Duration(spec.EstimateMillis)*time.Millisecond
+		predicted = s.taskTime(j, e.Task.Step)
+	})
+	if declared <= 0 {
+		return
+	}
+	work := time.Duration(float64(took) * speed)
+	e.WorkMillis = max(1, work.Milliseconds())
+	s.cfg.Metrics.runTimeRatio.WithLabelValues(queue, "declared").Observe(work.Seconds() / declared.Seconds())
+	s.cfg.Metrics.runTimeRatio.WithLabelValues(queue, "predicted").Observe(work.Seconds() / predicted.Seconds())
+}
+
+// endedAt estimates when a run ended that the reply to rn, which arrived at now, lists
+// as finished. A worker that delays its reply answers once a run ends. If it has answered
+// at once, the run ended at an unknown time since it was last known to run.
+func (r *run) endedAt(rn *renewal, now clock.Instant) clock.Instant {
+	if now.Sub(rn.sent) > promptReply {
+		return now
+	}
+	running := max(r.confirmedAt, r.listedAt)
+	return running.Add(max(0, now.Sub(running)) / 2)
+}
+
+// slowestMember returns the speed of the slowest worker of a gang, at whose pace all its
+// runs proceed; speed is that of one of them. The state is locked.
+func (s *Scheduler) slowestMember(step *cell.StepState, speed float64, now clock.Instant) float64 {
+	for i := range step.Tasks {
+		if se := s.sessions[step.Tasks[i].Worker]; se != nil {
+			speed = min(speed, se.speed.value(now))
+		}
+	}
+	return speed
+}
+
+// taskTime returns the expected run time of one task of the job's step with the given
+// index, on a worker of nominal speed. The state is locked.
+func (s *Scheduler) taskTime(j *cell.Job, step int) time.Duration {
+	spec := &j.Steps[step]
+	millis := spec.EstimateMillis
+	if !s.cfg.DeclaredRunTimes && !spec.Service {
+		millis = s.cfg.State.RunTimes.Predict(j.Queue, millis)
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// newRunTimeRatio returns the metric of the ratios of real to estimated run times.
+func newRunTimeRatio() *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "kq_cell_run_time_ratio", Help: "Run times of completed tasks at nominal speed, divided by the declared or the predicted time, by queue.",
+		Buckets: prometheus.ExponentialBuckets(0.125, 1.4142135623730951, 13),
+	}, []string{"queue", "estimate"})
+}
+
+// runTimeFit describes the fitted run times of a queue for the log.
+type runTimeFit struct {
+	Samples int64 `json:"samples"`
+	// Slope is that of the logarithm of the run time on that of the declared time.
+	Slope float64 `json:"slope"`
+	// DeclaredMillis and PredictedMillis are a point of the line, that of the mean of
+	// the samples.
+	DeclaredMillis  int64 `json:"declared_ms"`
+	PredictedMillis int64 `json:"predicted_ms"`
+	// SpreadPercent is the typical deviation of run times from the prediction.
+	SpreadPercent int64 `json:"spread_percent"`
+}
+
+// runTimeFits returns the fitted run times by queue. The state is locked.
+func (s *Scheduler) runTimeFits() map[string]runTimeFit {
+	out := map[string]runTimeFit{}
+	for i := range s.cfg.State.RunTimes.Entries {
+		e := &s.cfg.State.RunTimes.Entries[i]
+		declared, predicted := e.Fit.Typical()
+		out[e.Workload] = runTimeFit{e.Fit.Samples, e.Fit.SlopeValue(), declared, predicted, e.Fit.SpreadPercent()}
+	}
+	return out
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,8 +47,10 @@
 	Workers WorkerClient
 	Clock   clock.Clock
 	Bounds  Bounds
-	Log     *zap.Logger
-	Metrics *Metrics
+	// DeclaredRunTimes plans with the run times that callers declare, and learns none.
+	DeclaredRunTimes bool
+	Log              *zap.Logger
+	Metrics          *Metrics
 }
 
 // Scheduler places the tasks of a cell while its process leads the group. The
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -69,6 +69,9 @@
 	// confirmedAt is when the worker confirmed the run, by its reply to the
 	// start or by listing an inherited run.
 	confirmedAt clock.Instant
+	// timed says that confirmedAt is when the run began, and that it began without a
+	// checkpoint.
+	timed bool
 	// stopRequestedAt is when a stop of the run was first requested, 0 if none
 	// was.
 	stopRequestedAt clock.Instant
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -24,6 +24,7 @@
 	waiting, held := map[string]int{}, map[string]int64{}
 	active := 0
 	var workersByBand [freeCPUBands]int
+	var fits map[string]runTimeFit
 	s.cfg.State.Read(func() {
 		for id, w := range s.cfg.State.Workers {
 			capacity += w.Capacity.MilliCPU
@@ -38,7 +39,7 @@
 				workersByBand[freeCPUBand(w)]++
 			}
 		}
-		active = len(s.cfg.State.Active)
+		active, fits = len(s.cfg.State.Active), s.runTimeFits()
 		for _, j := range s.cfg.State.Active {
 			for o := range j.Occurrences {
 				for i := range j.Occurrences[o].Steps {
@@ -55,7 +56,7 @@
 	idle, all := s.countAdvisers(now)
 	s.cfg.Log.Info("cell status", zap.Int64("cores", capacity/1000), zap.Int64("usable", usable/1000),
 		zap.Int64("used", used/1000), zap.Int("jobs", active), zap.Int64("waiting_tasks", waitingTasks),
-		zap.Ints("workers_by_free_quarter", workersByBand[:]), zap.Any("waiting_steps", waiting), zap.Any("millicpu", held), zap.Int("advisers_idle", idle), zap.Int("advisers", all),
+		zap.Ints("workers_by_free_quarter", workersByBand[:]), zap.Any("waiting_steps", waiting), zap.Any("millicpu", held), zap.Any("run_times", fits), zap.Int("advisers_idle", idle), zap.Int("advisers", all),
 		zap.Int("plans", s.plans.count), zap.Duration("planning", s.plans.total), zap.Duration("longest_plan", s.plans.longest), zap.Int("long_polls", s.longPolls),
 		zap.Int("events", s.loop.events), zap.Duration("busy", s.loop.busy), zap.Duration("committing", s.loop.committing), zap.Int("goroutines", runtime.NumGoroutine()),
 		zap.Int64("renewals", s.calls.renewals.Swap(0)), zap.Int64("failed_renewals", s.calls.failedRenewals.Swap(0)),
