--- a/internal/cell/runtimes_test.go
+++ b/internal/cell/runtimes_test.go
@@ -125,6 +125,16 @@
 		Ends       []oldEnd
 		UnixMillis int64
 	}
+	oldWorker struct {
+		ID       WorkerID
+		Born     int64
+		Addr     string
+		DC       string
+		Pool     string
+		Labels   []string
+		Capacity model.Resources
+		Draining bool
+	}
 	oldCommand struct {
 		Leadership uint64
 		Lead       *Lead
@@ -165,6 +175,24 @@
 	qt.Check(t, step.Tasks[1].Checkpoint, qt.Equals, "c")
 	qt.Check(t, samples(s), qt.Equals, int64(0))
 
+	// A cancel without its caller, and a worker that doesn't tell whether it leaves.
+	for _, entry := range []any{
+		&struct {
+			Leadership           uint64
+			Lead, Submit, Cancel *struct{ ID JobID }
+		}{Cancel: &struct{ ID JobID }{testJob}},
+		&struct {
+			Leadership                                       uint64
+			Lead, Submit, Cancel, Configure, SetOut, Workers *struct{ Seen []oldWorker }
+		}{Workers: &struct{ Seen []oldWorker }{[]oldWorker{{ID: "w2", Born: 1, Pool: "p"}}}},
+	} {
+		data, err = consensus.Encode(entry)
+		qt.Assert(t, err, qt.IsNil)
+		s.Apply(s.Applied+1, data)
+	}
+	qt.Check(t, s.Jobs[testJob].State, qt.Equals, JobCancelled)
+	qt.Check(t, s.Workers["w2"], qt.IsNotNil)
+
 	submitAndRun(t, s, 20, OutcomeDone, 3000)
 	data, err = s.Snapshot()
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/placement/estimate/regression_test.go
+++ b/internal/placement/estimate/regression_test.go
@@ -139,6 +139,28 @@
 	qt.Check(t, logError(r.Predict(typical), 8000) < 0.25, qt.IsTrue, qt.Commentf("predicted %d", r.Predict(typical)))
 }
 
+// TestPredictionsMoveSlowly guards against deadlines that jump between two plans: they
+// follow the prediction. A sample moves the line by its deviation, which is bounded to
+// three times the mean deviation, divided by the window, and tilts it by as much again for
+// each product of standard deviations of the two declared times. For 2.5 and 3 of them
+// that is 8.5 * 3 * 0.8 * residualSpread / 128, which is 0.11.
+func TestPredictionsMoveSlowly(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	var r Regression
+	for i := range 4000 {
+		declared, actual := wrongEstimate(rng, 3400)
+		if rng.Float64() < 0.03 {
+			actual *= 7
+		}
+		before := r
+		r.Add(declared, actual)
+		for _, declared := range []int64{400, 2000, 10_000} {
+			moved := logError(r.Predict(declared), before.Predict(declared))
+			qt.Assert(t, i < regressionWindow || moved < 0.11, qt.IsTrue, qt.Commentf("sample %d moves the prediction for %d ms by 2^%.3f", i, declared, moved))
+		}
+	}
+}
+
 // TestSlopeIsBounded guards against predictions that fall as the declared time grows, or
 // grow faster than it.
 func TestSlopeIsBounded(t *testing.T) {
