scheduler: a step's ended tasks predict its other tasks

Cause: the tasks of a step do the same work, so that those that have ended tell more about the others, and about the objective of the job, than the fit of their queue. An end that could not be recorded was also measured anew when the worker listed it again, with the time in between as run time.

Change: the leader keeps the measured run times of the steps of active jobs; taskTime takes their lower median first. A run keeps its first measurement. Progress reports are not used.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -60,11 +60,10 @@
 			}
 			delete(s.admissions, id)
 			s.begun.remove(id)
-			j := s.cfg.State.Jobs[id]
-			if j == nil {
-				continue
+			if j := s.cfg.State.Jobs[id]; j != nil {
+				s.reportJobEnd(j, now.Sub(adm.submittedAt), adm.overShare)
 			}
-			s.reportJobEnd(j, now.Sub(adm.submittedAt), adm.overShare)
+			delete(s.stepTimes, id)
 		}
 	})
 }
@@ -75,7 +74,7 @@
 	s.cfg.Metrics.jobs.WithLabelValues(j.Queue, j.State.String()).Observe(took.Seconds())
 	var target time.Duration
 	if q := s.cfg.State.QueueOf(j); q != nil {
-		target = s.objective(j, q)
+		target = s.objective(j, q, max(0, len(j.Occurrences)-1))
 	}
 	s.cfg.Log.Info("job ended", zap.String("job", string(j.ID)), zap.String("queue", j.Queue),
 		zap.String("workspace", j.Workspace), zap.Stringer("state", j.State), zap.String("reason", j.Reason),
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -329,10 +329,10 @@
 	p := plan.Pending{
 		Key:  cell.StepKey{Job: j.ID, Occurrence: o, Step: i},
 		Step: step, Queue: q, Pool: q.Pool, Workspace: j.Workspace,
-		Deadline:      adm.submittedAt.Add(s.objective(j, q)),
+		Deadline:      adm.submittedAt.Add(s.objective(j, q, o)),
 		OverShare:     adm.overShare,
 		Remaining:     s.remainingCriticalPath(j, o),
-		TaskTime:      s.taskTime(j, i),
+		TaskTime:      s.taskTime(j, o, i),
 		RemainingWork: s.remainingWork(j, o),
 	}
 	tasks := j.Occurrences[o].Steps[i].Tasks
@@ -362,11 +362,11 @@
 	return n
 }
 
-// objective returns the target duration of a job: the expected time of its
-// critical path and of its advice requests, times the stretch of the queue, plus
-// the fixed objective of the queue.
-func (s *Scheduler) objective(j *cell.Job, q *cell.Queue) time.Duration {
-	work := float64(s.criticalPath(j, func(int) bool { return true }).Milliseconds())
+// objective returns the target duration of an occurrence of a job: the expected time of
+// its critical path and of its advice requests, times the stretch of the queue, plus the
+// fixed objective of the queue.
+func (s *Scheduler) objective(j *cell.Job, q *cell.Queue, o int) time.Duration {
+	work := float64(s.criticalPath(j, o, func(int) bool { return true }).Milliseconds())
 	advice := 0.0
 	if q.Advice != nil {
 		advice = (q.Advice.DecideMillis + objectiveAdviceWorkers*q.Advice.PerWorkerMillis) * float64(len(j.Steps))
@@ -382,7 +382,7 @@
 // the unfinished steps of an occurrence.
 func (s *Scheduler) remainingCriticalPath(j *cell.Job, o int) time.Duration {
 	steps := j.Occurrences[o].Steps
-	return s.criticalPath(j, func(i int) bool { return steps[i].Done < len(steps[i].Tasks) })
+	return s.criticalPath(j, o, func(i int) bool { return steps[i].Done < len(steps[i].Tasks) })
 }
 
 // remainingWork returns the expected work of the tasks of an occurrence that are not
@@ -392,14 +392,14 @@
 	for i := range j.Occurrences[o].Steps {
 		st := &j.Occurrences[o].Steps[i]
 		cores := float64(j.Steps[i].Need.MilliCPU) / 1000
-		work += float64(len(st.Tasks)-st.Done) * cores * float64(s.taskTime(j, i).Milliseconds())
+		work += float64(len(st.Tasks)-st.Done) * cores * float64(s.taskTime(j, o, i).Milliseconds())
 	}
 	return work
 }
 
 // criticalPath returns the expected time of the longest chain of dependent
-// steps. Steps for which include reports false take no time.
-func (s *Scheduler) criticalPath(j *cell.Job, include func(step int) bool) time.Duration {
+// steps of an occurrence. Steps for which include reports false take no time.
+func (s *Scheduler) criticalPath(j *cell.Job, o int, include func(step int) bool) time.Duration {
 	finish := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i := range j.Steps {
@@ -407,7 +407,7 @@
 			finish[i] = max(finish[i], finish[dependency])
 		}
 		if include(i) {
-			finish[i] += s.taskTime(j, i)
+			finish[i] += s.taskTime(j, o, i)
 		}
 		longest = max(longest, finish[i])
 	}
--- a/internal/scheduler/runtimes.go
+++ b/internal/scheduler/runtimes.go
@@ -20,33 +20,45 @@
 	if s.cfg.DeclaredRunTimes || e.Outcome != cell.OutcomeDone || !r.timed || r.status != runStarted {
 		return
 	}
-	now := s.now()
-	took := r.endedAt(rn, now).Sub(r.confirmedAt)
-	if took <= 0 {
-		return
+	if r.workMillis == 0 {
+		now := s.now()
+		took := r.endedAt(rn, now).Sub(r.confirmedAt)
+		s.cfg.State.Read(func() {
+			if work := s.workOf(se, e.Task, took, now); work > 0 {
+				r.workMillis = max(1, work.Milliseconds())
+				s.recordWork(e.Task, work)
+			}
+		})
+	}
+	e.WorkMillis = r.workMillis
+}
+
+// workOf returns the run time at nominal speed of a run of a task, 0 for one whose run time
+// tells nothing about others. The state is locked.
+func (s *Scheduler) workOf(se *session, k cell.TaskKey, took time.Duration, now clock.Instant) time.Duration {
+	j, step, _ := s.cfg.State.Task(k)
+	if step == nil || j.Steps[k.Step].Service || j.Steps[k.Step].Filler {
+		return 0
 	}
-	var declared, predicted time.Duration
-	var queue string
 	speed := se.speed.value(now)
-	s.cfg.State.Read(func() {
-		j, step, _ := s.cfg.State.Task(e.Task)
-		if step == nil || j.Steps[e.Task.Step].Service || j.Steps[e.Task.Step].Filler {
-			return
-		}
-		spec := &j.Steps[e.Task.Step]
-		if spec.Gang {
-			speed = s.slowestMember(step, speed, now)
-		}
-		queue, declared = j.Queue, time.Duration(spec.EstimateMillis)*time.Millisecond
-		predicted = s.taskTime(j, e.Task.Step)
-	})
-	if declared <= 0 {
-		return
+	if j.Steps[k.Step].Gang {
+		speed = s.slowestMember(step, speed, now)
+	}
+	return time.Duration(float64(took) * speed)
+}
+
+// recordWork records the run time of a task at nominal speed for the other tasks of its
+// step, and compares it with the estimates. The state is locked.
+func (s *Scheduler) recordWork(k cell.TaskKey, work time.Duration) {
+	j := s.cfg.State.Jobs[k.Job]
+	if declared := j.Steps[k.Step].EstimateMillis; declared > 0 {
+		predicted := s.queueTaskTime(j, k.Step)
+		s.cfg.Metrics.runTimeRatio.WithLabelValues(j.Queue, "declared").Observe(float64(work.Milliseconds()) / float64(declared))
+		s.cfg.Metrics.runTimeRatio.WithLabelValues(j.Queue, "predicted").Observe(work.Seconds() / predicted.Seconds())
+	}
+	if !j.State.Ended() {
+		s.stepTimes.add(k, work)
 	}
-	work := time.Duration(float64(took) * speed)
-	e.WorkMillis = max(1, work.Milliseconds())
-	s.cfg.Metrics.runTimeRatio.WithLabelValues(queue, "declared").Observe(work.Seconds() / declared.Seconds())
-	s.cfg.Metrics.runTimeRatio.WithLabelValues(queue, "predicted").Observe(work.Seconds() / predicted.Seconds())
 }
 
 // endedAt estimates when a run ended that the reply to rn, which arrived at now, lists
@@ -71,9 +83,19 @@
 	return speed
 }
 
-// taskTime returns the expected run time of one task of the job's step with the given
-// index, on a worker of nominal speed. The state is locked.
-func (s *Scheduler) taskTime(j *cell.Job, step int) time.Duration {
+// taskTime returns the expected run time of one task of a step of an occurrence of the
+// job, on a worker of nominal speed: that of the step's ended tasks, or else that which its
+// queue lets expect. The state is locked.
+func (s *Scheduler) taskTime(j *cell.Job, o, step int) time.Duration {
+	if took, ok := s.stepTimes.typical(cell.StepKey{Job: j.ID, Occurrence: o, Step: step}); ok {
+		return took
+	}
+	return s.queueTaskTime(j, step)
+}
+
+// queueTaskTime returns the run time to expect from earlier tasks of the job's queue. The
+// state is locked.
+func (s *Scheduler) queueTaskTime(j *cell.Job, step int) time.Duration {
 	spec := &j.Steps[step]
 	millis := spec.EstimateMillis
 	if !s.cfg.DeclaredRunTimes && !spec.Service {
--- a/internal/scheduler/runtimes_test.go
+++ b/internal/scheduler/runtimes_test.go
@@ -167,6 +167,6 @@
 	qt.Check(t, r.endsOf(k), qt.DeepEquals, []cell.Outcome{cell.OutcomeDone})
 	r.commitBatch()
 	qt.Check(t, r.state.Jobs[testJob].State, qt.Equals, cell.JobSucceeded)
-	qt.Check(t, r.taskTime(r.state.Jobs[testJob], 0), qt.Equals, 3*time.Second)
+	qt.Check(t, r.queueTaskTime(r.state.Jobs[testJob], 0), qt.Equals, 3*time.Second)
 	qt.Check(t, r.runTimeFits()["q"].Samples, qt.Equals, int64(estimate.MinRunSamples))
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -83,6 +83,7 @@
 	// admissions holds what was recorded when this leader first saw a job.
 	admissions map[cell.JobID]admission
 	begun      begunJobs
+	stepTimes  stepTimes
 	retention  retention
 	// shareBuckets limits the rate of each workspace's jobs, by workspace.
 	shareBuckets map[string]*tokenBucket
@@ -229,6 +230,7 @@
 	s.queueSpeed = map[string]float64{}
 	s.admissions = map[cell.JobID]admission{}
 	s.begun.reset()
+	s.stepTimes = stepTimes{}
 	s.retention = newRetention()
 	s.shareBuckets = map[string]*tokenBucket{}
 	s.ends, s.longPolls, s.replyLoss = endBatch{}, 0, replyLoss{}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -72,6 +72,9 @@
 	// timed says that confirmedAt is when the run began, and that it began without a
 	// checkpoint.
 	timed bool
+	// workMillis is the run's measured work, 0 before that. It is kept in case that the
+	// run's end can't be recorded and is listed again.
+	workMillis int64
 	// stopRequestedAt is when a stop of the run was first requested, 0 if none
 	// was.
 	stopRequestedAt clock.Instant
