--- a/internal/cell/decode.go
+++ b/internal/cell/encoding.go
@@ -7,7 +7,8 @@
 )
 
 // The types below are parts of log entries and snapshots to which fields were added. Each
-// decodes what earlier versions have encoded, without the fields at its end.
+// decodes what earlier versions have encoded, without the fields at its end. Those with an
+// encoder leave out the last fields that are zero.
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (c *Command) DecodeMsgpack(d *msgpack.Decoder) error {
@@ -27,6 +28,23 @@
 	return codec.DecodeFields(d, (*fields)(e))
 }
 
+// endFields and snapshotFields are the numbers of fields that members of the version
+// before predicted run times can decode.
+const (
+	endFields      = 6
+	snapshotFields = 9
+)
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (e *End) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return codec.EncodeFields(enc, e, endFields)
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (s *snapshot) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return codec.EncodeFields(enc, s, snapshotFields)
+}
+
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (w *Workers) DecodeMsgpack(d *msgpack.Decoder) error {
 	type fields Workers
--- a/internal/cell/fuzz_test.go
+++ b/internal/cell/fuzz_test.go
@@ -16,6 +16,8 @@
 	odd.Task = TaskKey{Job: testJob, Occurrence: -1, Step: -1, Index: -1}
 	oddEnd := endOf(0, 1, OutcomeDone)
 	oddEnd.Ends.Ends[0].Task.Step = 7
+	measuredEnd := endOf(0, 1, OutcomeDone)
+	measuredEnd.Ends.Ends[0].WorkMillis = 1 << 62
 	return []*Command{
 		{Lead: &Lead{Term: 9}},
 		{Submit: &Submit{Job{ID: "j2", Queue: "q", Workspace: "a", Steps: []Step{{Count: 2, Gang: true}, {Count: 1, After: []int{0}}}}}},
@@ -25,6 +27,7 @@
 		{Leadership: 2, Starts: &Starts{[]Start{startOf(0, 1), odd}}},
 		endOf(0, 1, OutcomeFailed),
 		oddEnd,
+		measuredEnd,
 		{Workers: &Workers{Seen: []Worker{worker}, Gone: []Incarnation{{ID: testWorker, Born: 1}}}},
 		{SetOut: &SetOut{DC: "dc1", Out: true}},
 		{Due: &Due{Jobs: []JobID{testJob, "none"}}},
--- a/internal/cell/runtimes_test.go
+++ b/internal/cell/runtimes_test.go
@@ -145,6 +145,8 @@
 		Workers    *Workers
 		Starts     *Starts
 		Ends       *oldEnds
+		Due        *Due
+		Forget     *Forget
 	}
 	oldSnapshot struct {
 		Leadership uint64
@@ -159,6 +161,40 @@
 	}
 )
 
+// TestEarlierVersionsReadStateWithoutRunTimes guards against members that diverge while the
+// members of a cell are upgraded one after another with run times turned off: those of the
+// earlier version would skip ends that they can't decode.
+func TestEarlierVersionsReadStateWithoutRunTimes(t *testing.T) {
+	c := endOf(1, 1, OutcomeDone)
+	c.Ends.Ends[0].Checkpoint = "c"
+	e := c.Ends.Ends[0]
+	data, err := c.Encode()
+	qt.Assert(t, err, qt.IsNil)
+	old, err := consensus.Encode(&oldCommand{Leadership: 2, Ends: &oldEnds{
+		Ends: []oldEnd{{e.Task, e.Run, e.Worker, e.Born, e.Outcome, e.Checkpoint}},
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, data, qt.DeepEquals, old)
+
+	s := stateWithJob(t, Step{Count: 2, Need: smallNeed, EstimateMillis: 1000})
+	submitAndRun(t, s, 1, OutcomeDone, 0)
+	data, err = s.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, data, qt.DeepEquals, encodeOldSnapshot(t, data))
+}
+
+// encodeOldSnapshot returns a snapshot as the version before run times encodes it.
+func encodeOldSnapshot(t *testing.T, data []byte) []byte {
+	t.Helper()
+	var snap snapshot
+	qt.Assert(t, consensus.Decode(data, &snap), qt.IsNil)
+	old, err := consensus.Encode(&oldSnapshot{
+		snap.Leadership, snap.Config, snap.Document, snap.Former, snap.Out, snap.Workers, snap.Held, snap.Jobs, snap.Tombstones,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return old
+}
+
 // TestStateOfEarlierVersions guards against log entries and snapshots of an earlier version
 // that can't be read after an upgrade: the member would skip the entries, or not start.
 func TestStateOfEarlierVersions(t *testing.T) {
@@ -196,14 +232,8 @@
 	submitAndRun(t, s, 20, OutcomeDone, 3000)
 	data, err = s.Snapshot()
 	qt.Assert(t, err, qt.IsNil)
-	var snap snapshot
-	qt.Assert(t, consensus.Decode(data, &snap), qt.IsNil)
-	data, err = consensus.Encode(&oldSnapshot{
-		snap.Leadership, snap.Config, snap.Document, snap.Former, snap.Out, snap.Workers, snap.Held, snap.Jobs, snap.Tombstones,
-	})
-	qt.Assert(t, err, qt.IsNil)
 	restored := NewState(nil)
-	qt.Assert(t, restored.Restore(data), qt.IsNil)
+	qt.Assert(t, restored.Restore(encodeOldSnapshot(t, data)), qt.IsNil)
 	qt.Check(t, restored.Jobs, qt.HasLen, len(s.Jobs))
 	qt.Check(t, restored.RunTimes.Predict("q", 1000), qt.Equals, int64(1000), qt.Commentf("the declared time is used until there are samples"))
 }
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -65,3 +65,25 @@
 		qt.Check(t, DecodeFields(msgpack.NewDecoder(bytes.NewReader(data)), &decoded), qt.IsNotNil, qt.Commentf("% x", data))
 	}
 }
+
+// TestEncodeFields checks that the last fields are left out while they are zero, down to
+// the least number.
+func TestEncodeFields(t *testing.T) {
+	for _, c := range []struct {
+		v    sample
+		want []byte
+	}{
+		{sample{}, []byte{0x92, 0, 0}},
+		{sample{Signed: 1, Short: 3}, []byte{0x93, 1, 0, 3}},
+		{sample{Many: []int64{5}}, []byte{0x94, 0, 0, 0, 0x91, 5}},
+	} {
+		var buf bytes.Buffer
+		e := msgpack.NewEncoder(&buf)
+		e.UseCompactInts(true)
+		qt.Assert(t, EncodeFields(e, &c.v, 2), qt.IsNil)
+		qt.Check(t, buf.Bytes(), qt.DeepEquals, c.want)
+		var decoded sample
+		qt.Assert(t, DecodeFields(msgpack.NewDecoder(&buf), &decoded), qt.IsNil)
+		qt.Check(t, decoded, qt.DeepEquals, c.v)
+	}
+}
--- a/internal/codec/fields.go
+++ b/internal/codec/fields.go
@@ -42,3 +42,24 @@
 func isArray(code byte) bool {
 	return msgpcode.IsFixedArray(code) || code == msgpcode.Array16 || code == msgpcode.Array32
 }
+
+// EncodeFields encodes a struct as an array without its last fields that are zero, except
+// for the first least ones, which are always encoded. An earlier version whose type has
+// that many fields can decode it while the further ones are zero. v is as for
+// DecodeFields.
+func EncodeFields(e *msgpack.Encoder, v any, least int) error {
+	fields := reflect.ValueOf(v).Elem()
+	n := fields.NumField()
+	for n > least && fields.Field(n-1).IsZero() {
+		n--
+	}
+	if err := e.EncodeArrayLen(n); err != nil {
+		return err
+	}
+	for i := range n {
+		if err := e.EncodeValue(fields.Field(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/placement/estimate/regression_test.go
+++ b/internal/placement/estimate/regression_test.go
@@ -174,6 +174,22 @@
 	qt.Check(t, steep.Slope(), qt.Equals, one)
 }
 
+// TestDamagedRegressionDoesNotPanic guards against a damaged snapshot that ends every member
+// when the next sample is added.
+func TestDamagedRegressionDoesNotPanic(t *testing.T) {
+	values := []int64{math.MinInt64, -1, 0, 1, math.MaxInt64}
+	for _, a := range values {
+		for _, b := range values {
+			r := Regression{Samples: a, X: b, Y: a, XX: b, XY: a, Deviation: b}
+			r.Predict(1000)
+			r.SpreadPercent()
+			r.Typical()
+			r.Add(1000, 2000)
+			qt.Check(t, r.Predict(1000) > 0, qt.IsTrue)
+		}
+	}
+}
+
 // TestRunTimesAreBoundedAndEqualEverywhere checks the bound on workloads and the encoding,
 // and compares the result with the one that was computed on amd64, so that a member on
 // another processor that differs is found.
