scheduler: one function for the speed by which run times are multiplied

Cause: the learner of speeds is being replaced; run times read its result in two places.

Change: nominalSpeed.

Result: tests of internal/scheduler pass.

--- a/internal/scheduler/runtimes.go
+++ b/internal/scheduler/runtimes.go
@@ -40,7 +40,7 @@
 	if step == nil || j.Steps[k.Step].Service || j.Steps[k.Step].Filler {
 		return 0
 	}
-	speed := se.speed.value(now)
+	speed := nominalSpeed(se, now)
 	if j.Steps[k.Step].Gang {
 		speed = s.slowestMember(step, speed, now)
 	}
@@ -72,12 +72,16 @@
 	return running.Add(max(0, now.Sub(running)) / 2)
 }
 
+// nominalSpeed returns the speed of a worker relative to the nominal one, by which run times
+// on it are multiplied.
+func nominalSpeed(se *session, now clock.Instant) float64 { return se.speed.value(now) }
+
 // slowestMember returns the speed of the slowest worker of a gang, at whose pace all its
 // runs proceed; speed is that of one of them. The state is locked.
 func (s *Scheduler) slowestMember(step *cell.StepState, speed float64, now clock.Instant) float64 {
 	for i := range step.Tasks {
 		if se := s.sessions[step.Tasks[i].Worker]; se != nil {
-			speed = min(speed, se.speed.value(now))
+			speed = min(speed, nominalSpeed(se, now))
 		}
 	}
 	return speed
