--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,8 +47,10 @@
 	Workers WorkerClient
 	Clock   clock.Clock
 	Bounds  Bounds
-	Log     *zap.Logger
-	Metrics *Metrics
+	// DeclaredRunTimes plans with the run times that callers declare, and learns none.
+	DeclaredRunTimes bool
+	Log              *zap.Logger
+	Metrics          *Metrics
 }
 
 // Scheduler places the tasks of a cell while its process leads the group. The
@@ -81,6 +83,7 @@
 	// admissions holds what was recorded when this leader first saw a job.
 	admissions map[cell.JobID]admission
 	begun      begunJobs
+	stepTimes  stepTimes
 	retention  retention
 	// shareBuckets limits the rate of each workspace's jobs, by workspace.
 	shareBuckets map[string]*tokenBucket
@@ -231,6 +234,7 @@
 	s.queueSpeed = map[string]float64{}
 	s.admissions = map[cell.JobID]admission{}
 	s.begun.reset()
+	s.stepTimes = stepTimes{}
 	s.retention = newRetention()
 	s.reachability = newReachability()
 	s.shareBuckets = map[string]*tokenBucket{}
