--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -120,6 +120,7 @@
 	j.State, j.Reason, j.EndedUnixMillis = state, reason, unixMillis
 	j.Spec = ""
 	delete(s.Active, j.ID)
+	s.endWaiters.wake(j.ID)
 	s.markWorkersOf(j)
 }
 
@@ -288,6 +289,7 @@
 	}
 	switch e.Outcome {
 	case OutcomeDone:
+		s.recordRunTime(j, a.Task, e.WorkMillis)
 		s.recordSuccess(j, a.Task, unixMillis)
 	case OutcomeFailed:
 		s.recordFailure(j, step, t, a, unixMillis)
--- a/internal/cell/speeds.go
+++ b/internal/cell/speeds.go
@@ -1,11 +1,5 @@
 package cell
 
-import (
-	"github.com/vmihailenco/msgpack/v5"
-
-	"kumquatwing/internal/codec"
-)
-
 // WorkerSpeed is the lasting speed of one incarnation of a worker.
 type WorkerSpeed struct {
 	Incarnation Incarnation
@@ -33,16 +27,16 @@
 	return thousandths
 }
 
-// DecodeMsgpack implements msgpack.CustomDecoder. Entries of earlier versions have no
-// Speeds.
-func (e *Ends) DecodeMsgpack(d *msgpack.Decoder) error {
-	*e = Ends{}
-	return codec.DecodeFields(d, &e.Ends, &e.UnixMillis, &e.Speeds)
-}
-
-// DecodeMsgpack implements msgpack.CustomDecoder. Snapshots of earlier versions have no
-// Speeds.
-func (s *snapshot) DecodeMsgpack(d *msgpack.Decoder) error {
-	*s = snapshot{}
-	return codec.DecodeFields(d, &s.Leadership, &s.Config, &s.Document, &s.Former, &s.Out, &s.Workers, &s.Held, &s.Jobs, &s.Tombstones, &s.Speeds)
+// knownSpeeds returns the speeds of the workers in the order of SortedWorkers, nil if none is
+// known.
+func (s *State) knownSpeeds() []int64 {
+	speeds, known := make([]int64, 0, len(s.Workers)), false
+	for _, w := range s.SortedWorkers() {
+		speeds = append(speeds, w.Speed)
+		known = known || w.Speed != 0
+	}
+	if !known {
+		return nil
+	}
+	return speeds
 }
--- a/internal/cell/speeds_test.go
+++ b/internal/cell/speeds_test.go
@@ -92,6 +92,13 @@
 	qt.Assert(t, s.Apply(s.Applied+1, entry), qt.IsNotNil)
 	qt.Check(t, s.Jobs[testJob].Occurrences[0].Steps[0].Done, qt.Equals, 1)
 
+	// Members of the earlier version decode what is encoded while no speed is known.
+	entry, err = (&Command{Leadership: 2, Ends: &Ends{Ends: []End{{Task: end.Task, Run: 1}}, UnixMillis: 5}}).Encode()
+	qt.Assert(t, err, qt.IsNil)
+	var earlier earlierCommand
+	qt.Assert(t, consensus.Decode(entry, &earlier), qt.IsNil)
+	qt.Check(t, earlier.Ends.UnixMillis, qt.Equals, int64(5))
+
 	w := s.Workers[testWorker]
 	data, err := consensus.Encode(&earlierSnapshot{
 		Leadership: 2, Config: s.Config, Document: s.ConfigDocument, Workers: []Worker{w.Worker},
@@ -103,4 +110,7 @@
 	qt.Check(t, restored.Workers[testWorker].Speed, qt.Equals, int64(0))
 	qt.Check(t, restored.Workers[testWorker].Allocations, qt.DeepEquals, w.Allocations)
 	qt.Check(t, restored.Jobs[testJob], qt.DeepEquals, s.Jobs[testJob])
+	data, err = restored.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, consensus.Decode(data, &earlierSnapshot{}), qt.IsNil)
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -7,6 +7,7 @@
 
 	"kumquatwing/internal/consensus"
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement/estimate"
 )
 
 // Allocation is one run that occupies capacity on a worker.
@@ -66,8 +67,8 @@
 
 // snapshot is the part of the state that Snapshot encodes. Former holds the removed
 // queues, Out the data centres that are out of service, and Held the allocations and
-// Speeds the speed of the worker with the same index in Workers. Snapshots of earlier
-// versions have no Speeds.
+// Speeds the speed of the worker with the same index in Workers. Speeds is empty if none is
+// known, and in snapshots of earlier versions.
 type snapshot struct {
 	Leadership uint64
 	Config     Config
@@ -78,6 +79,7 @@
 	Held       [][]Allocation
 	Jobs       []*Job
 	Tombstones []Tombstone
+	RunTimes   estimate.RunTimes
 	Speeds     []int64
 }
 
@@ -103,6 +105,8 @@
 	// Active holds the jobs that have not ended.
 	Active     map[JobID]*Job
 	tombstones tombstones
+	// RunTimes predicts run times by queue.
+	RunTimes estimate.RunTimes
 	// queues indexes the queues by name, including RemovedQueues.
 	queues map[string]*Queue
 	// UsageByWorkspace maps workspaces to the sum of their allocations.
@@ -113,6 +117,8 @@
 	changedWorkers map[WorkerID]bool
 	// sortedWorkers caches the result of SortedWorkers, nil if it is outdated.
 	sortedWorkers []*WorkerState
+	// endWaiters holds the readers that wait for the ends of jobs.
+	endWaiters endWaiters
 	// notify is called after each command or restore, without the lock.
 	notify func()
 }
@@ -120,7 +126,7 @@
 // NewState returns an empty state. notify is called after each change; it may be nil
 // and must not block.
 func NewState(notify func()) *State {
-	s := &State{notify: notify}
+	s := &State{notify: notify, endWaiters: endWaiters{}}
 	s.reset()
 	return s
 }
@@ -132,6 +138,7 @@
 	s.Workers = map[WorkerID]*WorkerState{}
 	s.Jobs = map[JobID]*Job{}
 	s.tombstones = newTombstones()
+	s.RunTimes = estimate.RunTimes{}
 	s.Active = map[JobID]*Job{}
 	s.UsageByWorkspace = map[string]model.Resources{}
 	s.changedWorkers, s.sortedWorkers = map[WorkerID]bool{}, nil
@@ -183,12 +190,13 @@
 	for _, w := range s.SortedWorkers() {
 		snap.Workers = append(snap.Workers, w.Worker)
 		snap.Held = append(snap.Held, w.allocations())
-		snap.Speeds = append(snap.Speeds, w.Speed)
 	}
+	snap.Speeds = s.knownSpeeds()
 	for _, id := range sortedKeys(s.Jobs) {
 		snap.Jobs = append(snap.Jobs, s.Jobs[id])
 	}
 	snap.Tombstones = s.tombstones.all()
+	snap.RunTimes = s.RunTimes
 	return consensus.Encode(&snap)
 }
 
@@ -208,6 +216,7 @@
 		snap.Speeds = make([]int64, len(snap.Workers))
 	}
 	s.mu.Lock()
+	s.endWaiters.wakeAll()
 	s.reset()
 	s.Leadership, s.Config, s.ConfigDocument = snap.Leadership, snap.Config, snap.Document
 	for _, q := range snap.Former {
@@ -228,6 +237,7 @@
 	for _, t := range snap.Tombstones {
 		s.tombstones.restore(t)
 	}
+	s.RunTimes = snap.RunTimes
 	for _, j := range snap.Jobs {
 		s.Jobs[j.ID] = j
 		if !j.State.Ended() {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -9,14 +9,18 @@
 	refused *prometheus.CounterVec
 
 	// planSeconds is the time to compute a plan, with its snapshot.
-	planSeconds    prometheus.Histogram
-	preempted      prometheus.Counter
+	planSeconds prometheus.Histogram
+	preempted   prometheus.Counter
+	// unreachable is 1 for a data centre whose workers don't answer, else 0.
+	unreachable    *prometheus.GaugeVec
 	adviceRequests *prometheus.CounterVec
 	// firstStart is the time from a job's submission to its first confirmed
 	// start.
 	firstStart prometheus.Histogram
 	// jobs is the time from a job's submission to its end.
 	jobs *prometheus.HistogramVec
+	// runTimeRatio is the ratio of real to declared and to predicted run times.
+	runTimeRatio *prometheus.HistogramVec
 
 	// speedSamples counts the samples of workers' speeds, and speedRecords the lasting
 	// speeds that were sent to be recorded. workersBySpeed holds the number of workers in
@@ -45,6 +49,10 @@
 	m.preempted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kq_cell_preempted_total", Help: "Runs that were stopped for more urgent work.",
 	})
+	m.unreachable = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "kq_cell_data_centre_unreachable", Help: "1 while no worker of the data centre answers and no task is placed there, by data centre.",
+	}, []string{"dc"})
+	r.MustRegister(m.unreachable)
 	m.adviceRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kq_cell_questions_total", Help: "Questions to the placement policy, by queue.",
 	}, []string{"queue"})
@@ -66,6 +74,7 @@
 		Name: "kq_cell_workers_by_speed", Help: "Workers that accept tasks, by the upper limit of their expected speed; 1 is nominal.",
 	}, []string{"below"})
 	r.MustRegister(m.speedSamples, m.speedRecords, m.workersBySpeed)
-	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
+	m.runTimeRatio = newRunTimeRatio()
+	r.MustRegister(m.runTimeRatio, m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
 	return m
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -50,8 +50,10 @@
 	// EqualSpeeds makes all workers count as equally fast. Otherwise their speeds are
 	// learnt.
 	EqualSpeeds bool
-	Log         *zap.Logger
-	Metrics     *Metrics
+	// DeclaredRunTimes plans with the run times that callers declare, and learns none.
+	DeclaredRunTimes bool
+	Log              *zap.Logger
+	Metrics          *Metrics
 }
 
 // Scheduler places the tasks of a cell while its process leads the group. The
@@ -82,6 +84,7 @@
 	// admissions holds what was recorded when this leader first saw a job.
 	admissions map[cell.JobID]admission
 	begun      begunJobs
+	stepTimes  stepTimes
 	retention  retention
 	// shareBuckets limits the rate of each workspace's jobs, by workspace.
 	shareBuckets map[string]*tokenBucket
@@ -92,7 +95,9 @@
 	// replyTimes estimates how long workers take to answer orders.
 	replyTimes replyTimes
 	replyLoss  replyLoss
-	calls      callStats
+	// reachability tells which data centres are cut off.
+	reachability reachability
+	calls        callStats
 
 	ends endBatch
 	// planning is set while a plan is being committed.
@@ -120,11 +125,13 @@
 // New returns a scheduler that is idle until Lead is called.
 func New(cfg Config) *Scheduler {
 	return &Scheduler{
-		cfg:       cfg,
-		events:    make(chan func(), eventQueueSize),
-		advisers:  map[string]*adviserState{},
-		planTimer: time.NewTimer(time.Hour),
-		begun:     begunJobs{ids: map[cell.JobID]bool{}},
+		cfg:    cfg,
+		events: make(chan func(), eventQueueSize),
+
+		reachability: newReachability(),
+		advisers:     map[string]*adviserState{},
+		planTimer:    time.NewTimer(time.Hour),
+		begun:        begunJobs{ids: map[cell.JobID]bool{}},
 	}
 }
 
@@ -228,7 +235,9 @@
 	s.speeds = newSpeedLearner()
 	s.admissions = map[cell.JobID]admission{}
 	s.begun.reset()
+	s.stepTimes = stepTimes{}
 	s.retention = newRetention()
+	s.reachability = newReachability()
 	s.shareBuckets = map[string]*tokenBucket{}
 	s.ends, s.longPolls, s.replyLoss = endBatch{}, 0, replyLoss{}
 	s.planning, s.creatingOccurrences, s.dirty = false, false, true
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -69,6 +69,12 @@
 	// confirmedAt is when the worker confirmed the run, by its reply to the
 	// start or by listing an inherited run.
 	confirmedAt clock.Instant
+	// timed says that confirmedAt is when the run began, and that it began without a
+	// checkpoint.
+	timed bool
+	// workMillis is the run's measured work, 0 before that. It is kept in case that the
+	// run's end can't be recorded and is listed again.
+	workMillis int64
 	// stopRequestedAt is when a stop of the run was first requested, 0 if none
 	// was.
 	stopRequestedAt clock.Instant
@@ -80,9 +86,6 @@
 	nextStopAt clock.Instant
 	checkpoint string
 	percent    int
-	// startedAt is when the worker confirmed the start of a run that began without a
-	// checkpoint, 0 for other runs.
-	startedAt clock.Instant
 	// speedCounted says that the run has counted for the lasting speed of its worker.
 	speedCounted bool
 	// lastProgress is when percent last changed, or the run was created or
@@ -97,6 +100,8 @@
 // session is the leader's state for one incarnation of a worker.
 type session struct {
 	target WorkerTarget
+	// dc is the worker's data centre.
+	dc     string
 	cancel context.CancelFunc
 	// draining says that the worker is about to shut down and takes no new tasks.
 	draining bool
@@ -131,12 +136,12 @@
 	fenceAccepted bool
 	// answeredSentAt is when the last renewal was sent that the worker has answered.
 	answeredSentAt clock.Instant
-	// lastLoopReply is when the worker last answered a renewal of the loop with all the
-	// runs that it had finished, 0 if the last answer lacked some.
-	lastLoopReply clock.Instant
 	// lastReply is when the worker last answered a renewal, or else when the
 	// session was opened.
 	lastReply clock.Instant
+	// lastAnswer is when the worker last answered any call, and unansweredAt when it last
+	// left a start unanswered; 0 before that.
+	lastAnswer, unansweredAt clock.Instant
 	// lastRecordedEnd is the number of the last finished run of the worker that
 	// is recorded.
 	lastRecordedEnd int64
@@ -234,6 +239,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	se := &session{
 		target:    WorkerTarget{w.ID, w.Addr, w.Born},
+		dc:        w.DC,
 		cancel:    cancel,
 		fence:     s.nextFence(),
 		replying:  w.Born,
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -50,9 +50,6 @@
 	// maxRunTimeError is the largest error of a run time, as a share of it, for the run to
 	// give a sample.
 	maxRunTimeError = 0.15
-	// repliedAtOnce is the time within which a worker answers a renewal if it has a run's
-	// end to tell.
-	repliedAtOnce = 100 * time.Millisecond
 )
 
 // runRate is the rate of one run.
@@ -300,24 +297,16 @@
 // recordRunTime notes the run time of a run that a reply to rn lists as done. Resumed runs
 // have done only a part of their task, and the begin of inherited ones is not known.
 func (s *Scheduler) recordRunTime(se *session, k cell.TaskKey, r *run, rn *renewal, now clock.Instant) {
-	if r.startedAt == 0 || r.stopRequestedAt != 0 {
+	if !r.timed || r.status != runStarted || r.stopRequestedAt != 0 {
 		return
 	}
-	ended, uncertain := now, time.Duration(0)
-	if rn.order.Wait == 0 || now.Sub(rn.sent) < repliedAtOnce {
-		// The run has ended at some time since the previous reply.
-		since := max(rn.previousReply, r.startedAt)
-		if rn.previousReply == 0 {
-			return
-		}
-		uncertain = now.Sub(since) / 2
-		ended = now.Add(-uncertain)
+	took, uncertain := r.endedAt(rn, now).Sub(r.confirmedAt), time.Duration(0)
+	if rn.order.Wait == 0 || now.Sub(rn.sent) <= promptReply {
+		uncertain = now.Sub(r.lastKnownRunning()) / 2
 	}
-	took := ended.Sub(r.startedAt)
-	if float64(uncertain) > maxRunTimeError*float64(took) {
-		return
+	if float64(uncertain) <= maxRunTimeError*float64(took) {
+		s.recordRate(se, k, r, 1, took, true, now)
 	}
-	s.recordRate(se, k, r, 1, took, true, now)
 }
 
 // settleSpeeds takes samples of the new rates and updates the speeds of workers and
@@ -495,6 +484,17 @@
 	return s.groupSpeedOf(se)
 }
 
+// nominalSpeed returns the speed of a worker relative to the nominal one, by which run times
+// on it are multiplied. The state is locked.
+func (s *Scheduler) nominalSpeed(se *session, now clock.Instant) float64 {
+	w := s.cfg.State.Workers[se.target.ID]
+	if w == nil {
+		return 1
+	}
+	speed, _ := s.expectedSpeed(se, w, now)
+	return speed
+}
+
 // expectedSpeed returns the speed that tasks are expected to have on the session's worker,
 // and whether the worker is much slower at present than usual. The state is locked.
 func (s *Scheduler) expectedSpeed(se *session, w *cell.WorkerState, now clock.Instant) (speed float64, slowed bool) {
