cellapi: bring callers back within their deadline when there is no leader

Cause: from 2 s of an outage on, the Retry-After of a refusal rounds up to 3 s or more, which is all the time that a caller with Deadline-Ms 3000 has. Its second try comes after it has given up.

Change: a call whose caller states a deadline gets a delay of at most half of the time left in its context, in whole seconds and at least 1 s, while 1 s is left.

--- a/internal/cellapi/call.go
+++ b/internal/cellapi/call.go
@@ -84,7 +84,7 @@
 			c.findLeader()
 		}
 		if !k.mayHaveRun && len(k.inProgress) == 0 && !c.Reachable() {
-			return nil, k.refuseUnreachable()
+			return nil, k.refuseUnreachable(ctx)
 		}
 		if k.mayStart(target) {
 			k.start(ctx, target)
@@ -212,9 +212,9 @@
 
 // refuseUnreachable returns the refusal of a call that was not sent because the cell
 // is not reachable.
-func (k *callState) refuseUnreachable() error {
+func (k *callState) refuseUnreachable(ctx context.Context) error {
 	if k.last.Verdict == verdict.NotRun {
-		k.last = k.last.WithRetryAfter(retryAfter(k.client.failingFor()))
+		k.last = k.last.WithRetryAfter(callerRetryAfter(ctx, k.client.failingFor()))
 	}
 	return k.finalRefusal()
 }
