--- a/internal/cellapi/outage.go
+++ b/internal/cellapi/outage.go
@@ -34,7 +34,7 @@
 	if left < retryUnit {
 		return retryAfter(outage)
 	}
-	return min(retryAfter(outage), max((left / 2).Truncate(retryUnit), retryUnit))
+	return min(retryAfter(outage), max((left/2).Truncate(retryUnit), retryUnit))
 }
 
 // callerDeadlineKey is the key of the context value that WithCallerDeadline sets.
