scheduler: count the work of runs that end without a saved result

Change: each stop carries a typed cause that is kept on the run. kq_cell_work_lost_core_seconds_total{cause} counts the cores of a run times the time since its confirmation, or since the last checkpoint that its end carries, once the end is committed; `cell status` has the sums since the last line. requestStop takes the cause as an argument, also in the call of TestStopsKeepServiceTasksAvailable, whose checks are the same.

--- a/internal/scheduler/disruption.go
+++ b/internal/scheduler/disruption.go
@@ -11,13 +11,14 @@
 // of work done.
 const atWorkPercent = 100
 
-// requestStop stops a run of a job that goes on. The stop waits while its step must
+// requestStop stops a run of a job that goes on, because of cause. The stop waits while its step must
 // not lose another task; housekeep then tries again.
-func (s *Scheduler) requestStop(ctx context.Context, se *session, k cell.TaskKey, r *run) {
+func (s *Scheduler) requestStop(ctx context.Context, se *session, k cell.TaskKey, r *run, cause lossCause) {
 	if r.stopSent || s.mayStop(se, k) {
-		s.stopRun(ctx, se, k, r)
+		s.stopRun(ctx, se, k, r, cause)
 		return
 	}
+	r.setCause(cause)
 	if r.stopRequestedAt == 0 {
 		r.stopRequestedAt = s.now()
 	}
--- a/internal/scheduler/disruption_test.go
+++ b/internal/scheduler/disruption_test.go
@@ -56,7 +56,7 @@
 				r.apply(&cell.Command{Cancel: &cell.Cancel{ID: testJob}})
 			}
 			k := running[0].Task
-			r.requestStop(r.ctx, se, k, se.runs[k])
+			r.requestStop(r.ctx, se, k, se.runs[k], causeStalled)
 			qt.Check(t, se.runs[k].stopSent, qt.Equals, c.sent)
 		})
 	}
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -40,7 +40,7 @@
 	}
 	for k, r := range se.runs {
 		if r.status == runStarted && r.stopRequestedAt == 0 && s.usesCheckpoints(k) {
-			s.stopRun(ctx, se, k, r)
+			s.stopRun(ctx, se, k, r, causeShutdown)
 		}
 	}
 }
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -20,7 +20,9 @@
 // endBatch collects run ends for the next commit.
 type endBatch struct {
 	ends []cell.End
-	acks []endAck
+	// losses holds the work that is lost with the end of the same index.
+	losses []workLoss
+	acks   []endAck
 	// inFlight counts the batches that are being committed.
 	inFlight int
 }
@@ -31,11 +33,18 @@
 
 // addEnd adds the end of a run to the batch for the next commit.
 func (s *Scheduler) addEnd(se *session, k cell.TaskKey, r *run, outcome cell.Outcome, checkpoint string) {
+	s.addEndBecause(se, k, r, outcome, checkpoint, r.causeOf(outcome))
+}
+
+// addEndBecause is addEnd for a run whose work, as far as it is lost, is lost because of
+// cause.
+func (s *Scheduler) addEndBecause(se *session, k cell.TaskKey, r *run, outcome cell.Outcome, checkpoint string, cause lossCause) {
 	s.cfg.Log.Info("run ended", zap.Stringer("task", k), zap.Int64("run", r.number), zap.Stringer("how", outcome),
 		zap.String("worker", string(se.target.ID)))
 	s.ends.ends = append(s.ends.ends, cell.End{
 		Task: k, Run: r.number, Worker: se.target.ID, Born: se.target.Incarnation, Outcome: outcome, Checkpoint: checkpoint,
 	})
+	s.ends.losses = append(s.ends.losses, s.lossOf(k, r, outcome, checkpoint, cause))
 }
 
 // commitEnds commits the collected run ends. Once they are committed, the next
@@ -45,15 +54,20 @@
 	if b.inFlight >= maxEndCommitsInFlight || (len(b.ends) == 0 && len(b.acks) == 0) {
 		return
 	}
-	ends, acks := b.ends, b.acks
-	b.ends, b.acks = nil, nil
+	ends, losses, acks := b.ends, b.losses, b.acks
+	b.ends, b.losses, b.acks = nil, nil, nil
 	if len(ends) == 0 {
 		acknowledge(acks)
 		return
 	}
 	b.inFlight++
 	c := &cell.Command{Ends: &cell.Ends{Ends: ends, UnixMillis: time.Now().UnixMilli()}}
-	s.propose(ctx, c, func(_ cell.Result, err error) { s.onEndsCommitted(ends, acks, err) })
+	s.propose(ctx, c, func(_ cell.Result, err error) {
+		if err == nil {
+			s.recordLosses(losses)
+		}
+		s.onEndsCommitted(ends, acks, err)
+	})
 }
 
 // onEndsCommitted handles the outcome of a commit of run ends.
--- a/internal/scheduler/listedruns.go
+++ b/internal/scheduler/listedruns.go
@@ -22,14 +22,12 @@
 			continue
 		}
 		if r.status == runInherited || (r.status == runUnconfirmed && !r.stopSent) {
-			r.status, r.confirmedAt, r.stopRequestedAt = runStarted, now, 0
+			r.status, r.confirmedAt, r.stopRequestedAt, r.cause = runStarted, now, 0, causeNone
 			s.begun.add(rt.Task.Job)
 		}
 		r.listedAt = now
 		s.recordProgress(se, rt.Task, r, rt.Percent, now)
-		if rt.Checkpoint != "" {
-			r.checkpoint = rt.Checkpoint
-		}
+		r.noteCheckpoint(rt.Checkpoint, now)
 	}
 	return listed
 }
@@ -62,7 +60,7 @@
 		if !rn.reply.MoreFinished && r.isLost(rn) {
 			r.ending = true
 			s.cfg.Log.Info("worker no longer has the run, recording it as lost", zap.Stringer("task", k), zap.Int64("run", r.number), zap.String("worker", string(se.target.ID)))
-			s.addEnd(se, k, r, cell.OutcomeLost, r.checkpoint)
+			s.addEndBecause(se, k, r, cell.OutcomeLost, r.checkpoint, r.causeIfMissing(se))
 		}
 	}
 	if last > se.lastRecordedEnd && !rn.outOfBand {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -17,6 +17,8 @@
 	firstStart prometheus.Histogram
 	// jobs is the time from a job's submission to its end.
 	jobs *prometheus.HistogramVec
+	// workLost is the work of runs that ended without a saved result.
+	workLost *prometheus.CounterVec
 }
 
 // NewMetrics returns the scheduler's metrics, registered with r.
@@ -50,6 +52,12 @@
 		Name: "kq_cell_job_seconds", Help: "Time from a job's record to its end, by queue and final state.",
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 10),
 	}, []string{"queue", "state"})
-	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
+	m.workLost = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kq_cell_work_lost_core_seconds_total", Help: "Work of runs that ended without a saved result, by cause.",
+	}, []string{"cause"})
+	for c := causePreempted; c < lossCauses; c++ {
+		m.workLost.WithLabelValues(c.String())
+	}
+	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs, m.workLost)
 	return m
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -38,7 +38,8 @@
 	if se == nil || se.target.Incarnation != st.Born {
 		return
 	}
-	r := &run{number: st.Run, status: runStarting, fence: se.fence, lastProgress: s.now(), checkpoint: checkpoint}
+	now := s.now()
+	r := &run{number: st.Run, status: runStarting, fence: se.fence, workingSince: now, lastProgress: now, checkpoint: checkpoint}
 	r.leaseMillis = s.extendLease(se)
 	se.runs[st.Task] = r
 	if se.isReplaced() {
@@ -112,7 +113,7 @@
 	var refused *RefusedError
 	switch {
 	case err == nil:
-		r.status, r.confirmedAt, r.lastProgress = runStarted, now, now
+		r.status, r.confirmedAt, r.workingSince, r.lastProgress = runStarted, now, now, now
 		s.begun.add(k.Job)
 		s.cfg.Metrics.starts.Inc()
 		if adm, ok := s.admissions[k.Job]; ok && r.number == 1 && k.Index == 0 {
@@ -130,7 +131,7 @@
 			zap.String("worker", string(se.target.ID)), zap.Error(err))
 		r.status = runUnconfirmed
 		se.blockedUntil = now.Add(unconfirmedBackoff)
-		s.requestStop(ctx, se, k, r)
+		s.requestStop(ctx, se, k, r, causeUnconfirmed)
 	}
 }
 
@@ -196,15 +197,16 @@
 	for _, se := range s.sessions {
 		for other, r := range se.runs {
 			if other.StepKey() == k.StepKey() && r.number == number && other != k {
-				s.requestStop(ctx, se, other, r)
+				s.requestStop(ctx, se, other, r, causeGangMember)
 			}
 		}
 	}
 }
 
-// stopRun tells a worker to stop a run. housekeep repeats the stop until the run
+// stopRun tells a worker to stop a run, because of cause. housekeep repeats the stop until the run
 // has ended. While the run cannot be stopped yet, only the request is recorded.
-func (s *Scheduler) stopRun(ctx context.Context, se *session, k cell.TaskKey, r *run) {
+func (s *Scheduler) stopRun(ctx context.Context, se *session, k cell.TaskKey, r *run, cause lossCause) {
+	r.setCause(cause)
 	now := s.now()
 	if r.ending || r.stopInFlight || now < r.nextStopAt || r.status == runStarting || r.status == runPlaced {
 		if r.stopRequestedAt == 0 {
@@ -284,7 +286,7 @@
 				r.status = runUnconfirmed
 			}
 			if r.stopRequestedAt != 0 {
-				s.requestStop(ctx, se, k, r)
+				s.requestStop(ctx, se, k, r, r.cause)
 			}
 		}
 		s.dropIncarnation(ctx, se)
@@ -314,7 +316,7 @@
 		}
 		r.ending = true
 		s.cfg.Log.Warn("worker lease expired, recording run as lost", zap.Stringer("task", k), zap.Int64("run", r.number), zap.String("worker", string(se.target.ID)))
-		s.addEnd(se, k, r, cell.OutcomeLost, r.checkpoint)
+		s.addEndBecause(se, k, r, cell.OutcomeLost, r.checkpoint, se.causeOfLoss(causeLease))
 	}
 }
 
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -95,7 +95,7 @@
 	s.cfg.Log.Info("preempting run", zap.Stringer("task", st.Task), zap.Int64("run", st.Run),
 		zap.String("worker", string(st.Worker)), zap.Stringer("for", st.For))
 	s.cfg.Metrics.preempted.Inc()
-	s.requestStop(ctx, se, st.Task, r)
+	s.requestStop(ctx, se, st.Task, r, causePreempted)
 }
 
 // onPlanCommitted sends the starts that the cell accepted when it applied the
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -116,7 +116,7 @@
 		s.cfg.Log.Info("run makes no progress, stopping it", zap.Stringer("task", k), zap.Int64("run", r.number),
 			zap.String("worker", string(se.target.ID)), zap.Int("percent", r.percent), zap.Duration("for", now.Sub(r.lastProgress)))
 		se.blockedUntil = max(se.blockedUntil, now.Add(stallBackoff))
-		s.requestStop(ctx, se, k, r)
+		s.requestStop(ctx, se, k, r, causeStalled)
 	}
 }
 
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -69,17 +69,27 @@
 	// confirmedAt is when the worker confirmed the run, by its reply to the
 	// start or by listing an inherited run.
 	confirmedAt clock.Instant
+	// workingSince is when the worker confirmed the start. For a start without a reply,
+	// and for a run that an earlier leader started, it is when this leader first saw the
+	// run.
+	workingSince clock.Instant
 	// stopRequestedAt is when a stop of the run was first requested, 0 if none
 	// was.
 	stopRequestedAt clock.Instant
+	// cause is why a stop was requested or the run was declared lost, causeNone if
+	// neither was.
+	cause lossCause
 	// stopAcceptedAt is when the worker first accepted a stop, 0 before that.
 	stopAcceptedAt clock.Instant
 	stopInFlight   bool
 	// stopSent is set once a stop was sent.
 	stopSent   bool
 	nextStopAt clock.Instant
-	checkpoint string
-	percent    int
+	// checkpoint is the newest one that is known, at first the one that the run resumes
+	// from. checkpointAt is when the worker first listed it, 0 for the first.
+	checkpoint   string
+	checkpointAt clock.Instant
+	percent      int
 	// lastProgress is when percent last changed, or the run was created or
 	// confirmed.
 	lastProgress clock.Instant
@@ -263,11 +273,12 @@
 	for k, a := range w.Allocations {
 		r := se.runs[k]
 		if r == nil || r.number != a.Run {
-			r = &run{number: a.Run, status: status, lastProgress: s.now()}
+			now := s.now()
+			r = &run{number: a.Run, status: status, workingSince: now, lastProgress: now}
 			se.runs[k] = r
 		}
 		if j := s.cfg.State.Jobs[k.Job]; j == nil || j.State.Ended() {
-			s.stopRun(ctx, se, k, r)
+			s.stopRun(ctx, se, k, r, causeOfJobEnd(j))
 		}
 	}
 	for k := range se.runs {
@@ -358,7 +369,11 @@
 	se.lost = true
 	s.cfg.Log.Info("worker incarnation has ended, dropping its runs", zap.String("worker", string(se.target.ID)), zap.Int64("born", se.target.Incarnation))
 	gone := cell.Incarnation{ID: se.target.ID, Born: se.target.Incarnation}
-	s.propose(ctx, &cell.Command{Workers: &cell.Workers{Gone: []cell.Incarnation{gone}}}, func(cell.Result, error) {
+	losses := s.lossesOfWorker(se)
+	s.propose(ctx, &cell.Command{Workers: &cell.Workers{Gone: []cell.Incarnation{gone}}}, func(_ cell.Result, err error) {
+		if err == nil {
+			s.recordLosses(losses)
+		}
 		se.lost = false
 		s.dirty = true
 	})
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -59,8 +59,9 @@
 		zap.Int("plans", s.plans.count), zap.Duration("planning", s.plans.total), zap.Duration("longest_plan", s.plans.longest), zap.Int("long_polls", s.longPolls),
 		zap.Int("events", s.loop.events), zap.Duration("busy", s.loop.busy), zap.Duration("committing", s.loop.committing), zap.Int("goroutines", runtime.NumGoroutine()),
 		zap.Int64("renewals", s.calls.renewals.Swap(0)), zap.Int64("failed_renewals", s.calls.failedRenewals.Swap(0)),
-		zap.Int64("repeated_starts", s.calls.repeatedStarts.Swap(0)), zap.Duration("order_timeout", s.replyTimes.timeout(0)))
-	s.plans, s.loop = planStats{}, loopStats{}
+		zap.Int64("repeated_starts", s.calls.repeatedStarts.Swap(0)), zap.Duration("order_timeout", s.replyTimes.timeout(0)),
+		zap.Any("lost_core_seconds", s.lost.rounded()))
+	s.plans, s.loop, s.lost = planStats{}, loopStats{}, lossSums{}
 }
 
 // freeCPUBands is the number of equal bands of free CPU share into which the
