scheduler: don't stop runs that end as soon by themselves

Before the shutdown of a worker, runs with checkpoints were stopped that would have ended in time. And a new leader took inherited runs for new ones, the cheapest victims, whatever they had done. It was also not counted which preemptions were of no use.

Change: a run's end is extrapolated from its listed progress, without an estimate of the run time. One that is expected within the stop timeout counts as releasing capacity and is no victim; one that is expected before the shutdown goes on, unless it is overdue. The cost of preempting a run is at least the listed share of the expected time. The loss of a preemption is counted as `preempted` once the gang has started that it was made for, and as `reserved` if that has not started 5 s later or has ended.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -33,13 +33,14 @@
 
 // stopBeforeShutdown stops the checkpointing runs of a worker that is about to
 // shut down. Runs without checkpoints continue, since a stop would discard their
-// work and the worker may stay up for longer than it announced.
+// work and the worker may stay up for longer than it announced. Nor are those stopped that
+// are expected to end in time; one that is overdue is.
 func (s *Scheduler) stopBeforeShutdown(ctx context.Context, se *session, now clock.Instant) {
 	if !se.draining || se.shutdownAt == 0 || now.Add(s.cfg.Bounds.StopTimeout+shutdownMargin) < se.shutdownAt {
 		return
 	}
 	for k, r := range se.runs {
-		if r.status == runStarted && r.stopRequestedAt == 0 && s.usesCheckpoints(k) {
+		if r.status == runStarted && r.stopRequestedAt == 0 && s.usesCheckpoints(k) && !r.endsBetween(now, se.shutdownAt.Add(-shutdownMargin)) {
 			s.stopRun(ctx, se, k, r, causeShutdown)
 		}
 	}
--- a/internal/scheduler/listedruns.go
+++ b/internal/scheduler/listedruns.go
@@ -26,6 +26,7 @@
 			s.begun.add(rt.Task.Job)
 		}
 		r.listedAt = now
+		r.notePace(rt.Percent, now)
 		s.recordProgress(se, rt.Task, r, rt.Percent, now)
 		r.noteCheckpoint(rt.Checkpoint, now)
 	}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -114,6 +114,9 @@
 	switch {
 	case err == nil:
 		r.status, r.confirmedAt, r.workingSince, r.lastProgress = runStarted, now, now, now
+		if r.checkpoint == "" {
+			r.notePace(0, now)
+		}
 		s.begun.add(k.Job)
 		s.cfg.Metrics.starts.Inc()
 		if adm, ok := s.admissions[k.Job]; ok && r.number == 1 && k.Index == 0 {
@@ -297,6 +300,7 @@
 	s.createDueOccurrences(ctx, time.Now())
 	s.reportEndedJobs(now)
 	s.deleteExpiredJobs(ctx, now)
+	s.settleLosses(now)
 	s.logStatus(now)
 	s.dirty = true
 }
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -95,6 +95,9 @@
 	s.cfg.Log.Info("preempting run", zap.Stringer("task", st.Task), zap.Int64("run", st.Run),
 		zap.String("worker", string(st.Worker)), zap.Stringer("for", st.For))
 	s.cfg.Metrics.preempted.Inc()
+	if r.cause == causeNone {
+		r.stoppedFor = s.latestRun(st.For)
+	}
 	s.requestStop(ctx, se, st.Task, r, causePreempted)
 }
 
@@ -211,8 +214,9 @@
 	return set
 }
 
-// addVictims adds to pw the capacity of the runs that are being stopped and the
-// runs that may be preempted. The state is locked.
+// addVictims adds to pw the capacity of the runs that are being stopped or are about to
+// end, and the runs that may be preempted. A run that ends as soon as it could be stopped
+// is none of these: a stop would free its capacity no sooner. The state is locked.
 func (s *Scheduler) addVictims(pw *plan.Worker, se *session, w *cell.WorkerState, now clock.Instant) {
 	for k, a := range w.Allocations {
 		r := se.runs[k]
@@ -229,19 +233,25 @@
 		if r.status != runStarted || step.Gang || step.Service || q == nil {
 			continue
 		}
+		if r.isAboutToEnd(now, s.cfg.Bounds.StopTimeout) {
+			pw.Releasing = pw.Releasing.Add(a.Need)
+			continue
+		}
 		pw.Victims = append(pw.Victims, plan.Victim{
-			Task: k, Run: r.number, Need: a.Need, Priority: q.Priority, LostWork: s.preemptionCost(step, r, now),
+			Task: k, Run: r.number, Need: a.Need, Priority: q.Priority, LostWork: s.preemptionCost(step, r, s.taskTime(j, k.Step), now),
 		})
 	}
 }
 
 // preemptionCost returns the work that stopping a run discards, in
 // core-milliseconds. A task with checkpoints saves one when it is stopped, so
-// that its cost is the time to restore the checkpoint.
-func (s *Scheduler) preemptionCost(step *cell.Step, r *run, now clock.Instant) float64 {
+// that its cost is the time to restore the checkpoint. A run that an earlier leader started
+// has worked for longer than this one knows: at least for the listed share of the expected
+// time.
+func (s *Scheduler) preemptionCost(step *cell.Step, r *run, expected time.Duration, now clock.Instant) float64 {
 	lost := s.cfg.Bounds.RestoreTime
 	if !step.Checkpoints {
-		lost = now.Sub(r.confirmedAt)
+		lost = max(now.Sub(r.confirmedAt), expected*time.Duration(r.percent)/100)
 	}
 	return float64(lost.Milliseconds()) * float64(step.Need.MilliCPU) / 1000
 }
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -12,10 +12,16 @@
 
 // startedRun places and confirms one run, and returns the key of its task.
 func (r *rig) startedRun() cell.TaskKey {
+	r.t.Helper()
+	return r.startedRunFrom("")
+}
+
+// startedRunFrom is startedRun for a run that resumes from a checkpoint.
+func (r *rig) startedRunFrom(checkpoint string) cell.TaskKey {
 	r.t.Helper()
 	r.deliverReply(RenewReply{ClockMillis: 1000})
 	k := r.place(0, 1)
-	r.startRun(r.ctx, &cell.Start{Task: k, Run: 1, Worker: testWorker, Born: 1}, "", "", "")
+	r.startRun(r.ctx, &cell.Start{Task: k, Run: 1, Worker: testWorker, Born: 1}, "", checkpoint, "")
 	se := r.sessions[testWorker]
 	r.onStartReply(r.ctx, se, k, se.runs[k], nil)
 	return k
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -96,6 +96,8 @@
 	ends endBatch
 	// lost sums the work that was lost since the last status line.
 	lost lossSums
+	// unsettled holds the losses of preemptions whose beneficiaries may still start.
+	unsettled []unsettledLoss
 	// planning is set while a plan is being committed.
 	planning bool
 	// nextPlanAt is when the next plan may be computed, and planTimer fires then if a
@@ -231,7 +233,8 @@
 	s.begun.reset()
 	s.retention = newRetention()
 	s.shareBuckets = map[string]*tokenBucket{}
-	s.ends, s.lost, s.longPolls, s.replyLoss = endBatch{}, lossSums{}, 0, replyLoss{}
+	s.ends, s.longPolls, s.replyLoss = endBatch{}, 0, replyLoss{}
+	s.lost, s.unsettled = lossSums{}, nil
 	s.planning, s.creatingOccurrences, s.dirty = false, false, true
 	s.nextCleanup, s.nextPlanAt, s.nextLatePlanAt = 0, 0, 0
 	s.synced = false
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -79,6 +79,8 @@
 	// cause is why a stop was requested or the run was declared lost, causeNone if
 	// neither was.
 	cause lossCause
+	// stoppedFor is the step for which the run was preempted, if it was.
+	stoppedFor beneficiary
 	// stopAcceptedAt is when the worker first accepted a stop, 0 before that.
 	stopAcceptedAt clock.Instant
 	stopInFlight   bool
@@ -93,6 +95,10 @@
 	// lastProgress is when percent last changed, or the run was created or
 	// confirmed.
 	lastProgress clock.Instant
+	// paceFrom is when the first progress of the run was known, 0 before that, and
+	// pacePercent what it was.
+	paceFrom    clock.Instant
+	pacePercent int
 	// listedAt is when the worker last listed the run as running.
 	listedAt clock.Instant
 	// ending is set while the run's end is being recorded.
--- a/internal/scheduler/worklost.go
+++ b/internal/scheduler/worklost.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"kumquatwing/internal/cell"
@@ -14,9 +15,9 @@
 const (
 	// causeNone: the run ends by itself, or its work is not lost.
 	causeNone lossCause = iota
-	// causePreempted: stopped to free capacity for more urgent work.
+	// causePreempted: stopped to free capacity for more urgent work, which then started.
 	causePreempted
-	// causeReserved: stopped to add to the capacity that a gang accumulates.
+	// causeReserved: stopped to free capacity for a gang that then did not start.
 	causeReserved
 	// causeShutdown: stopped since its worker was about to shut down, or lost with it.
 	causeShutdown
@@ -54,8 +55,28 @@
 type workLoss struct {
 	cause       lossCause
 	coreSeconds float64
+	// stoppedFor is set if the cause is causePreempted.
+	stoppedFor beneficiary
 }
 
+// beneficiary is a step for which runs were preempted, and the number of its latest run
+// before that.
+type beneficiary struct {
+	step cell.StepKey
+	run  int64
+}
+
+// unsettledLoss is the loss of a preemption whose beneficiary has not started yet.
+type unsettledLoss struct {
+	workLoss
+	committedAt clock.Instant
+}
+
+// beneficiaryTimeout is how long after the end of a preempted run its beneficiary may take
+// to start. The capacity is free by then, and a gang preempts most in the last 2.5 s before
+// its latest start, so that one that takes longer is late.
+const beneficiaryTimeout = 5 * time.Second
+
 // lossSums holds core-seconds by cause.
 type lossSums [lossCauses]float64
 
@@ -71,17 +92,64 @@
 	return out
 }
 
-// recordLosses counts the losses of runs whose ends are committed.
+// recordLosses counts the losses of runs whose ends are committed. Those of preemptions
+// wait for settleLosses.
 func (s *Scheduler) recordLosses(losses []workLoss) {
 	for _, l := range losses {
-		if l.cause == causeNone || l.coreSeconds <= 0 {
-			continue
+		switch {
+		case l.coreSeconds <= 0:
+		case l.cause == causePreempted:
+			s.unsettled = append(s.unsettled, unsettledLoss{l, s.now()})
+		default:
+			s.countLoss(l.cause, l.coreSeconds)
 		}
-		s.lost[l.cause] += l.coreSeconds
-		s.cfg.Metrics.workLost.WithLabelValues(l.cause.String()).Add(l.coreSeconds)
 	}
 }
 
+func (s *Scheduler) countLoss(c lossCause, coreSeconds float64) {
+	s.lost[c] += coreSeconds
+	s.cfg.Metrics.workLost.WithLabelValues(c.String()).Add(coreSeconds)
+}
+
+// settleLosses counts the losses of preemptions whose beneficiary has started, as
+// causePreempted, or has not within beneficiaryTimeout or for good, as causeReserved.
+func (s *Scheduler) settleLosses(now clock.Instant) {
+	if len(s.unsettled) == 0 {
+		return
+	}
+	s.cfg.State.Read(func() {
+		s.unsettled = slices.DeleteFunc(s.unsettled, func(l unsettledLoss) bool {
+			j, _, t := s.cfg.State.Task(firstTask(l.stoppedFor.step))
+			switch {
+			case t != nil && t.Run > l.stoppedFor.run:
+				s.countLoss(causePreempted, l.coreSeconds)
+			case t == nil || j.State.Ended() || now.Sub(l.committedAt) > beneficiaryTimeout:
+				s.countLoss(causeReserved, l.coreSeconds)
+			default:
+				return false
+			}
+			return true
+		})
+	})
+}
+
+// firstTask returns the key of the first task of a step. All tasks of a gang have the same
+// run number.
+func firstTask(k cell.StepKey) cell.TaskKey {
+	return cell.TaskKey{Job: k.Job, Occurrence: k.Occurrence, Step: k.Step}
+}
+
+// latestRun returns a gang's step with the number of its latest run.
+func (s *Scheduler) latestRun(k cell.StepKey) beneficiary {
+	b := beneficiary{step: k}
+	s.cfg.State.Read(func() {
+		if _, _, t := s.cfg.State.Task(firstTask(k)); t != nil {
+			b.run = t.Run
+		}
+	})
+	return b
+}
+
 // setCause records why a run is made to end. The first reason holds: a run that is
 // being stopped for one ends for it.
 func (r *run) setCause(c lossCause) {
@@ -105,7 +173,7 @@
 		}
 		cores = float64(j.Steps[k.Step].Need.MilliCPU) / 1000
 	})
-	return workLoss{cause, cores * r.unsavedTime(outcome, checkpoint, s.now()).Seconds()}
+	return workLoss{cause, cores * r.unsavedTime(outcome, checkpoint, s.now()).Seconds(), r.stoppedFor}
 }
 
 // hasWorked reports whether a run that ends with an outcome may have worked. A lost run
--- a/internal/scheduler/worklost_test.go
+++ b/internal/scheduler/worklost_test.go
@@ -26,9 +26,29 @@
 	r.t.Helper()
 	r.commitEnds(r.ctx)
 	r.runUntil(func() bool { return r.ends.inFlight == 0 })
+	r.settleLosses(r.now())
 	return r.lost.rounded()
 }
 
+// gangJob is a job for which preemptFor preempts.
+const gangJob cell.JobID = "00000000000000cc"
+
+// preemptFor preempts a run for another job, which then starts.
+func (r *rig) preemptFor(k cell.TaskKey) {
+	r.submitGang()
+	r.preempt(r.ctx, &plan.Stop{Worker: testWorker, Task: k, Run: 1, For: cell.StepKey{Job: gangJob}})
+	r.startGang()
+}
+
+func (r *rig) submitGang() {
+	r.apply(&cell.Command{Submit: &cell.Submit{Job: cell.Job{ID: gangJob, Queue: "q", Workspace: "a", Steps: []cell.Step{oneTask}}}})
+}
+
+func (r *rig) startGang() {
+	start := cell.Start{Task: cell.TaskKey{Job: gangJob}, Run: 1, Worker: testWorker, Born: 1}
+	r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: []cell.Start{start}}})
+}
+
 // finish delivers a reply that lists the end of a run.
 func (r *rig) finish(k cell.TaskKey, outcome cell.Outcome, checkpoint string) {
 	r.deliverReply(RenewReply{ClockMillis: 20000, Finished: []FinishedTask{{Number: 1, Task: k, Run: 1, Outcome: outcome, Checkpoint: checkpoint}}})
@@ -45,7 +65,7 @@
 		want    map[string]int64
 	}{
 		{"preempted", func(r *rig, _ *session, k cell.TaskKey) {
-			r.preempt(r.ctx, &plan.Stop{Worker: testWorker, Task: k, Run: 1})
+			r.preemptFor(k)
 		}, cell.OutcomeStopped, map[string]int64{"preempted": 8}},
 		{"stalled", func(r *rig, se *session, k cell.TaskKey) {
 			r.deliverReply(RenewReply{ClockMillis: 4000, Running: []RunningTask{{Task: k, Run: 1}}})
@@ -59,12 +79,12 @@
 			r.onStartReply(r.ctx, se, k, se.runs[k], errNoReply)
 		}, cell.OutcomeStopped, map[string]int64{"unconfirmed": 8}},
 		{"preempted and then cancelled", func(r *rig, _ *session, k cell.TaskKey) {
-			r.preempt(r.ctx, &plan.Stop{Worker: testWorker, Task: k, Run: 1})
+			r.preemptFor(k)
 			r.apply(&cell.Command{Cancel: &cell.Cancel{ID: testJob}})
 			r.syncSessions(r.ctx)
 		}, cell.OutcomeStopped, map[string]int64{"preempted": 8}},
 		{"preempted and done before that", func(r *rig, _ *session, k cell.TaskKey) {
-			r.preempt(r.ctx, &plan.Stop{Worker: testWorker, Task: k, Run: 1})
+			r.preemptFor(k)
 		}, cell.OutcomeDone, map[string]int64{}},
 		{"stopped by an earlier leader", func(*rig, *session, cell.TaskKey) {}, cell.OutcomeStopped, map[string]int64{"earlier-leader": 8}},
 		{"failed", func(*rig, *session, cell.TaskKey) {}, cell.OutcomeFailed, map[string]int64{"failed": 8}},
@@ -107,7 +127,7 @@
 				r.clock.Advance([]time.Duration{4 * time.Second, 2 * time.Second}[i])
 				r.deliverReply(RenewReply{ClockMillis: at * 1000, Running: []RunningTask{{Task: k, Run: 1, Percent: int(at), Checkpoint: "c1"}}})
 			}
-			r.preempt(r.ctx, &plan.Stop{Worker: testWorker, Task: k, Run: 1})
+			r.preemptFor(k)
 			r.clock.Advance(3 * time.Second)
 			r.finish(k, c.outcome, c.checkpoint)
 			qt.Check(t, r.lossesAfter(), qt.DeepEquals, c.want)
@@ -209,7 +229,7 @@
 		r.deliverReply(RenewReply{ClockMillis: 7000, Running: []RunningTask{{Task: k, Run: 1, Percent: 50}}})
 		want := map[string]int64{"earlier-leader": 6}
 		if stops {
-			r.preempt(r.ctx, &plan.Stop{Worker: testWorker, Task: k, Run: 1})
+			r.preemptFor(k)
 			want = map[string]int64{"preempted": 6}
 		}
 		r.clock.Advance(2 * time.Second)
@@ -242,7 +262,7 @@
 	r.lead()
 	for _, want := range []map[string]int64{{"failed": 8, "lease": 1}, {}} {
 		if len(want) > 0 {
-			r.recordLosses([]workLoss{{causeFailed, 3.5}, {causeFailed, 4}, {causeLease, 1}, {}})
+			r.recordLosses([]workLoss{{cause: causeFailed, coreSeconds: 3.5}, {cause: causeFailed, coreSeconds: 4}, {cause: causeLease, coreSeconds: 1}, {}})
 		}
 		r.logStatus(r.now())
 		r.clock.Advance(statusInterval)
@@ -252,3 +272,37 @@
 		logs.TakeAll()
 	}
 }
+
+// TestPreemptionsForNothing guards against preemptions that pass for useful ones although
+// the gang that they were made for did not start.
+func TestPreemptionsForNothing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		then func(r *rig)
+		want map[string]int64
+	}{
+		{"it starts", (*rig).startGang, map[string]int64{"preempted": 8}},
+		{"it still waits", func(*rig) {}, map[string]int64{}},
+		{"it waits for too long", func(r *rig) { r.clock.Advance(beneficiaryTimeout + time.Millisecond) }, map[string]int64{"reserved": 8}},
+		{"it is cancelled", func(r *rig) { r.apply(&cell.Command{Cancel: &cell.Cancel{ID: gangJob}}) }, map[string]int64{"reserved": 8}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, lossyTask)
+			r.lead()
+			k := r.startedRun()
+			r.submitGang()
+			r.clock.Advance(3 * time.Second)
+			r.preempt(r.ctx, &plan.Stop{Worker: testWorker, Task: k, Run: 1, For: cell.StepKey{Job: gangJob}})
+			r.clock.Advance(time.Second)
+			r.finish(k, cell.OutcomeStopped, "")
+			qt.Check(t, r.lossesAfter(), qt.HasLen, 0)
+			c.then(r)
+			r.settleLosses(r.now())
+			qt.Check(t, r.lost.rounded(), qt.DeepEquals, c.want)
+			for range 2 {
+				r.settleLosses(r.now())
+			}
+			qt.Check(t, r.lost.rounded(), qt.DeepEquals, c.want, qt.Commentf("each loss counts once"))
+		})
+	}
+}
