scheduler: let the members of a done gang end by themselves

Cause: the first end of a gang that is committed makes the gang done, and with its last step the job. The other members were then sent stops, up to one each, although their own ends were on their way.

Result: TestMembersOfADoneGangEndByThemselves failed before and passes. No work was lost by these stops; they cost the leader a call each.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -27,6 +27,9 @@
 	// the outcome of the plan's commit is unknown. After proposeTimeout its
 	// start is no longer sent, so the run can then be treated as unconfirmed.
 	placedTimeout = proposeTimeout + time.Second
+	// doneGangGrace is how long the members of a done gang may take to report their own
+	// ends before they are stopped: longer than a renewal waits at a worker.
+	doneGangGrace = maxRenewalWait + 800*time.Millisecond
 	// unconfirmedBackoff is how long no new tasks are placed on a worker that did
 	// not answer a start.
 	unconfirmedBackoff = 250 * time.Millisecond
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -185,3 +185,39 @@
 	r.closeSession(second)
 	qt.Check(t, r.longPolls, qt.Equals, 0)
 }
+
+// TestMembersOfADoneGangEndByThemselves guards against a stop for each member of a gang
+// whose first end has finished its job, while the ends of the others are on their way.
+// With 20 tasks a gang these are most of all stops. A member whose end does not come is
+// stopped.
+func TestMembersOfADoneGangEndByThemselves(t *testing.T) {
+	r := newRig(t, cell.Step{Count: 2, Need: twoCores, EstimateMillis: 1000, Gang: true})
+	workers := &scriptedWorkers{script: []error{nil, nil}}
+	r.cfg.Workers = workers
+	r.lead()
+	r.deliverReply(RenewReply{ClockMillis: 1000})
+	keys := []cell.TaskKey{{Job: testJob}, {Job: testJob, Index: 1}}
+	var starts []cell.Start
+	for _, k := range keys {
+		starts = append(starts, cell.Start{Task: k, Run: 1, Worker: testWorker, Born: 1})
+	}
+	r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: starts}})
+	se := r.sessions[testWorker]
+	for i := range starts {
+		r.startRun(r.ctx, &starts[i], "", "", "")
+		run := se.runs[keys[i]]
+		r.runUntil(func() bool { return run.status == runStarted })
+	}
+	r.finish(keys[0], cell.OutcomeDone, "")
+	r.lossesAfter()
+	last := se.runs[keys[1]]
+	for range 4 {
+		r.syncSessions(r.ctx)
+		r.housekeep(r.ctx)
+		r.clock.Advance(doneGangGrace / 5)
+	}
+	qt.Check(t, last.stopSent, qt.IsFalse)
+	r.clock.Advance(doneGangGrace)
+	r.housekeep(r.ctx)
+	qt.Check(t, last.stopSent, qt.IsTrue)
+}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -284,7 +284,7 @@
 			se.runs[k] = r
 		}
 		if j := s.cfg.State.Jobs[k.Job]; j == nil || j.State.Ended() {
-			s.stopRun(ctx, se, k, r, causeOfJobEnd(j))
+			s.stopEndedJobsRun(ctx, se, k, r, j)
 		}
 	}
 	for k := range se.runs {
@@ -294,6 +294,17 @@
 	}
 }
 
+// stopEndedJobsRun stops a run whose job has ended; j is nil if the job was deleted. If the
+// task is done, another member of its gang has reported that, and the run gets
+// doneGangGrace to report its own end. The state is locked.
+func (s *Scheduler) stopEndedJobsRun(ctx context.Context, se *session, k cell.TaskKey, r *run, j *cell.Job) {
+	_, _, t := s.cfg.State.Task(k)
+	if t != nil && t.Status == cell.TaskDone && r.stopRequestedAt == 0 {
+		r.nextStopAt = s.now().Add(doneGangGrace)
+	}
+	s.stopRun(ctx, se, k, r, causeOfJobEnd(j))
+}
+
 // estimateClock returns an estimate of the worker's clock at now, in
 // milliseconds, which may be slightly ahead.
 func (se *session) estimateClock(now clock.Instant) int64 {
