scheduler: suspect a worker after the first gang that fails on it

Cause: a worker was suspect only after two jobs had failed on it, and a gang counts as one, however often it fails. After a member had failed, the gang could be started on the same worker again, with the work of all its members at stake and one of the job's few attempts used up.

Change: one failed member of a gang makes its worker suspect for 4 s. A suspect worker still gets tasks if no other fits, and a success clears it.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -198,18 +198,22 @@
 
 const (
 	// suspectThreshold is how many distinct jobs must fail on a worker, with no
-	// success in between, before the worker is suspect.
-	suspectThreshold = 2
+	// success in between, before the worker is suspect. A gang is enough by itself: if
+	// it were started on the worker again and failed, the work of all its members would
+	// be lost once more.
+	suspectThreshold     = 2
+	gangSuspectThreshold = 1
 	// suspectDuration is how long a worker stays suspect after its last failure.
 	suspectDuration = 4 * time.Second
 )
 
-// recordFailure records a failed run of a job.
-func (f *failureHistory) recordFailure(job cell.JobID, now clock.Instant) {
+// recordFailure records a failed run of a job. The worker is suspect if as many jobs as
+// the threshold have failed.
+func (f *failureHistory) recordFailure(job cell.JobID, threshold int, now clock.Instant) {
 	if !slices.Contains(f.jobs, job) {
 		f.jobs = append(f.jobs, job)
 	}
-	if len(f.jobs) >= suspectThreshold {
+	if len(f.jobs) >= threshold {
 		f.suspectUntil = now.Add(suspectDuration)
 	}
 }
@@ -227,6 +231,10 @@
 	case cell.OutcomeDone:
 		se.failures.reset()
 	case cell.OutcomeFailed:
-		se.failures.recordFailure(f.Task.Job, s.now())
+		threshold := suspectThreshold
+		if s.isGangTask(f.Task) {
+			threshold = gangSuspectThreshold
+		}
+		se.failures.recordFailure(f.Task.Job, threshold, s.now())
 	}
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -192,12 +192,7 @@
 // stopGang stops the other runs of a gang of which one run was refused, since the
 // gang can no longer run in full.
 func (s *Scheduler) stopGang(ctx context.Context, k cell.TaskKey, number int64) {
-	gang := false
-	s.cfg.State.Read(func() {
-		j := s.cfg.State.Jobs[k.Job]
-		gang = j != nil && j.Steps[k.Step].Gang
-	})
-	if !gang {
+	if !s.isGangTask(k) {
 		return
 	}
 	for _, se := range s.sessions {
@@ -209,6 +204,16 @@
 	}
 }
 
+// isGangTask reports whether a task belongs to a gang.
+func (s *Scheduler) isGangTask(k cell.TaskKey) bool {
+	gang := false
+	s.cfg.State.Read(func() {
+		j := s.cfg.State.Jobs[k.Job]
+		gang = j != nil && j.Steps[k.Step].Gang
+	})
+	return gang
+}
+
 // stopRun tells a worker to stop a run, because of cause. housekeep repeats the stop until the run
 // has ended. While the run cannot be stopped yet, only the request is recorded.
 func (s *Scheduler) stopRun(ctx context.Context, se *session, k cell.TaskKey, r *run, cause lossCause) {
