scheduler: block only the worker at fault for a stalled gang

Cause: the members of a gang proceed at the pace of the slowest. While one worker was frozen, all other members made no progress either, were stopped after 2.5 s, and all their workers got no new tasks for 3 s: 19 sound workers for a gang of 20.

Change: a worker isn't blocked for a stalled member of a gang if the worker of another member has not replied since that made its last progress. If all answer, all are blocked as before, since it isn't known which is at fault.

Result: TestStalledGangsBlockTheWorkerAtFault failed before (19 of 20 blocked) and passes (0).

--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -104,7 +104,8 @@
 // stopStalled stops the runs of a worker that make no progress by the worker's own
 // account: a reply lists them as running, without progress since an earlier one. While
 // the worker does not reply, nothing is known of its runs, and none is stopped; nor is
-// one that the first reply after that lists among those that have ended.
+// one that the first reply after that lists among those that have ended. No new tasks are
+// placed for stallBackoff on a worker on which a run stalled by itself.
 func (s *Scheduler) stopStalled(ctx context.Context, se *session, now clock.Instant) {
 	for k, r := range se.runs {
 		if r.status != runStarted || r.stopRequestedAt != 0 || r.ending || r.percent >= nearlyDonePercent {
@@ -115,11 +116,36 @@
 		}
 		s.cfg.Log.Info("run makes no progress, stopping it", zap.Stringer("task", k), zap.Int64("run", r.number),
 			zap.String("worker", string(se.target.ID)), zap.Int("percent", r.percent), zap.Duration("for", now.Sub(r.lastProgress)))
-		se.blockedUntil = max(se.blockedUntil, now.Add(stallBackoff))
+		if !s.waitsForSilentMember(k, r.lastProgress) {
+			se.blockedUntil = max(se.blockedUntil, now.Add(stallBackoff))
+		}
 		s.requestStop(ctx, se, k, r, causeStalled)
 	}
 }
 
+// waitsForSilentMember reports whether a task belongs to a gang of which another member's
+// worker has not replied since an instant. The members proceed at the pace of the slowest,
+// so that this worker is at fault if none has made progress since then.
+func (s *Scheduler) waitsForSilentMember(k cell.TaskKey, since clock.Instant) bool {
+	silent := false
+	s.cfg.State.Read(func() {
+		j, step, _ := s.cfg.State.Task(k)
+		if step == nil || !j.Steps[k.Step].Gang {
+			return
+		}
+		for i := range step.Tasks {
+			t := &step.Tasks[i]
+			if i == k.Index || t.Status != cell.TaskPlaced {
+				continue
+			}
+			if se := s.sessions[t.Worker]; se == nil || se.lastReply < since {
+				silent = true
+			}
+		}
+	})
+	return silent
+}
+
 // nearlyDonePercent is the percentage of work from which on a run counts as about
 // to end and is not checked for progress.
 const nearlyDonePercent = 99
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -130,3 +131,55 @@
 		qt.Check(t, count(), qt.Equals, c.want, qt.Commentf("%v after the first occurrence is due", c.after))
 	}
 }
+
+// TestStalledGangsBlockTheWorkerAtFault guards against a gang of which one worker is frozen,
+// and for which all other workers get no tasks for 3 s: the members proceed at the pace of
+// the slowest, so that none makes progress. It plays a gang of 20 tasks on 20 workers. If
+// all workers answer, it isn't known which is at fault.
+func TestStalledGangsBlockTheWorkerAtFault(t *testing.T) {
+	for _, frozen := range []bool{true, false} {
+		const members = 20
+		r := newRig(t, cell.Step{Count: members, Need: twoCores, EstimateMillis: 5000, Gang: true})
+		worker := func(i int) cell.WorkerID { return cell.WorkerID(fmt.Sprint("g", i)) }
+		var starts []cell.Start
+		for i := range members {
+			r.apply(&cell.Command{Workers: &cell.Workers{Seen: []cell.Worker{{ID: worker(i), Born: 1, Addr: fmt.Sprint("10.0.0.", i+2, ":1"), Pool: "p", Capacity: twoCores}}}})
+			starts = append(starts, cell.Start{Task: cell.TaskKey{Job: testJob, Index: i}, Run: 1, Worker: worker(i), Born: 1})
+		}
+		r.lead()
+		r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: starts}})
+		r.syncSessions(r.ctx)
+		for i := range members {
+			r.sessions[worker(i)].runs[starts[i].Task].status = runStarted
+		}
+		for range 4 {
+			r.clock.Advance(time.Second)
+			for i := range members {
+				if frozen && i == 7 {
+					continue
+				}
+				se := r.sessions[worker(i)]
+				running := []RunningTask{{Task: starts[i].Task, Run: 1, Percent: 30}}
+				r.onRenewalReply(r.ctx, se, &renewal{
+					target: se.target, order: RenewOrder{Fence: se.fence}, sent: r.now(), reply: &RenewReply{ClockMillis: r.now().Sub(0).Milliseconds(), Running: running},
+				})
+			}
+		}
+		blocked, stopped := 0, 0
+		for i := range members {
+			se := r.sessions[worker(i)]
+			r.stopStalled(r.ctx, se, r.now())
+			if r.now() < se.blockedUntil {
+				blocked++
+			}
+			if se.runs[starts[i].Task].stopRequestedAt != 0 {
+				stopped++
+			}
+		}
+		if frozen {
+			qt.Check(t, []int{stopped, blocked}, qt.DeepEquals, []int{members - 1, 0})
+		} else {
+			qt.Check(t, []int{stopped, blocked}, qt.DeepEquals, []int{members, members})
+		}
+	}
+}
