kqctl explain: where a job would be placed, without submitting it

Cause: `kqctl why` tells about decisions that were made; whether and where a job would fit now could only be found out by submitting it.

The answer has the workers with the scores of the choice, and for tasks that would wait the reason and the rejected workers by filter. The input of a tick without its lost workers is now a function of its own, since whoever takes those must propose them.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -43,6 +43,8 @@
 	PathJob  = "/v1/jobs/{job}"
 	// PathJobTasks lists a job's tasks in all data centres that own any of them.
 	PathJobTasks = "/v1/jobs/{job}/tasks"
+	// PathExplainJob tells where a job would be placed, without submitting it (POST).
+	PathExplainJob = "/v1/jobs/explain"
 	// PathCancelJobs cancels several jobs in one call (POST).
 	PathCancelJobs = "/v1/jobs/cancel"
 	// PathWhy explains the decisions about a task, job, workspace or worker.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -127,7 +127,7 @@
 		Commands: []*cli.Command{
 			a.checkCommand(), a.diffCommand(), a.applyCommand(), a.getCommand(),
 			a.historyCommand(), a.settingsCommand(), a.keyCommand(), a.dcCommand(),
-			a.jobCommand(), a.whyCommand(), a.statusCommand(), a.initCommand(), a.versionCommand(),
+			a.jobCommand(), a.explainCommand(), a.whyCommand(), a.statusCommand(), a.initCommand(), a.versionCommand(),
 		},
 	}
 	// Without OnUsageError, cli prints the help to stdout, where it would mix with
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -254,3 +254,22 @@
 	qt.Assert(t, code, qt.Equals, ExitRefused)
 	qt.Assert(t, errs, qt.Contains, `"verdict":"not-run"`)
 }
+
+// TestExplainSendsTheJob checks that explain sends the job that its flags describe to the
+// call that submits nothing, and prints the lines of the response.
+func TestExplainSendsTheJob(t *testing.T) {
+	var got model.JobSpec
+	r := chi.NewRouter()
+	r.Post(api.PathExplainJob, func(w http.ResponseWriter, r *http.Request) {
+		qt.Check(t, httpx.ReadJSON(r, 1<<20, &got) == nil, qt.IsTrue)
+		httpx.WriteJSON(w, http.StatusOK, map[string]any{"lines": []string{"data centre dc1 would get 3 tasks"}})
+	})
+	server := httptest.NewServer(r)
+	defer server.Close()
+	out := mustRun(t, "--server", server.URL, "--key", "k", "explain", "--class", "gang", "--tasks", "3", "--cpu", "500m", "--run", "2s")
+	qt.Check(t, out, qt.Equals, "data centre dc1 would get 3 tasks\n")
+	qt.Check(t, got.Class, qt.Equals, model.ClassGang)
+	qt.Check(t, []int64{int64(got.Tasks), got.Size.MilliCPU, got.RunMillis}, qt.DeepEquals, []int64{3, 500, 2000})
+	code, _, _ := runKqctl("--server", server.URL, "--key", "k", "explain", "--id", "j")
+	qt.Check(t, code, qt.Equals, ExitUsage)
+}
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -46,8 +46,13 @@
 }
 
 func submitFlags() []cli.Flag {
+	id := &cli.StringFlag{Name: "id", Usage: "`ID` of the job; to repeat a submission that got no response, give its id"}
+	return append([]cli.Flag{id}, jobFlags()...)
+}
+
+// jobFlags returns the flags that describe a job.
+func jobFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: "id", Usage: "`ID` of the job; to repeat a submission that got no response, give its id"},
 		&cli.StringFlag{Name: "class", Usage: "service, batch, gang or urgent", Value: string(model.ClassBatch)},
 		&cli.StringFlag{Name: "workload", Usage: "workload of the job, the settings level below the workspace"},
 		&cli.IntFlag{Name: "tasks", Usage: "number of tasks", Value: 1},
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -30,6 +30,24 @@
 	}
 }
 
+func (a *app) explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "show where a job of the workspace of --key would be placed now and why, without submitting it",
+		Description: "It takes the flags of job submit. The decision is the one that the next plan would make; it reserves nothing.",
+		Flags:       jobFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if _, err := exactArgs(cmd); err != nil {
+				return err
+			}
+			spec, err := parseJobSpec(cmd)
+			if err != nil {
+				return err
+			}
+			return a.sendAndPrint(ctx, apiCall{method: http.MethodPost, path: api.PathExplainJob, body: spec})
+		},
+	}
+}
+
 func (a *app) statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "show groups, members and leases",
--- a/internal/control/httpapi.go
+++ b/internal/control/httpapi.go
@@ -77,6 +77,7 @@
 	r.Get(api.PathStatus, s.status)
 	r.Post(api.PathInit, s.initFleet)
 	r.Get(api.PathJobTasks, s.jobTasks)
+	r.Post(api.PathExplainJob, s.explainJob)
 }
 
 // ready serves the readiness probe. The process is ready while it knows a leader of
--- a/internal/control/placer.go
+++ b/internal/control/placer.go
@@ -10,6 +10,7 @@
 	"kumquatwing/internal/clock"
 	"kumquatwing/internal/fleet"
 	"kumquatwing/internal/model"
+	"kumquatwing/internal/placement"
 	"kumquatwing/internal/placement/dispatch"
 	"kumquatwing/internal/verdict"
 )
@@ -150,23 +151,35 @@
 // ownersRequest asks for the data centres of a job's tasks.
 type ownersRequest struct {
 	Spec model.JobSpec `msgpack:"s"`
+	// DryRun is set if the job isn't submitted, so that its tasks don't count as
+	// waiting.
+	DryRun bool `msgpack:"n,omitempty"`
 }
 
 // ownersReply holds the data centre of each task, by the task's index.
 type ownersReply struct {
-	Owners []model.DCID `msgpack:"o"`
+	Owners  []model.DCID          `msgpack:"o"`
+	Explain placement.Explanation `msgpack:"e"`
 }
 
 // Owners implements fleetapi.Placer. The leader of the fleet group chooses, since the
 // data centres report their capacity to it.
 func (s *Server) Owners(ctx context.Context, spec *model.JobSpec) ([]model.DCID, *verdict.Refusal) {
-	req := &ownersRequest{*spec}
+	reply, refusal := s.chooseOwners(ctx, &ownersRequest{Spec: *spec})
+	if refusal != nil {
+		return nil, refusal
+	}
+	return reply.Owners, nil
+}
+
+// chooseOwners sends a request for owners to the leader of the fleet group.
+func (s *Server) chooseOwners(ctx context.Context, req *ownersRequest) (*ownersReply, *verdict.Refusal) {
 	if s.fleetStatus().IsLeader() {
 		reply, err := s.handleOwners(ctx, req)
 		if err != nil {
 			return nil, verdict.FromError(err)
 		}
-		return reply.Owners, nil
+		return reply, nil
 	}
 	m, ok := s.fleetLeader()
 	if !ok {
@@ -179,7 +192,7 @@
 		r.Verdict = verdict.NotRun
 		return nil, r.WithRetryAfter(retryNoLeader)
 	}
-	return reply.Owners, nil
+	return reply, nil
 }
 
 func (s *Server) handleOwners(_ context.Context, req *ownersRequest) (*ownersReply, error) {
@@ -198,8 +211,10 @@
 	if choice.Refusal != nil {
 		return nil, choice.Refusal
 	}
-	s.capacities.addWaiting(&req.Spec, choice.Owners)
-	return &ownersReply{choice.Owners}, nil
+	if !req.DryRun {
+		s.capacities.addWaiting(&req.Spec, choice.Owners)
+	}
+	return &ownersReply{choice.Owners, choice.Explain}, nil
 }
 
 // dcViews lists the data centres, except one, as input of the dispatcher.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"kumquatwing/internal/api"
 	"kumquatwing/internal/clock"
@@ -77,6 +78,8 @@
 	// events.
 	decisions *why.RecentEvents
 	metrics   *metrics
+	// explains limits the explanations of jobs that aren't submitted.
+	explains *rate.Limiter
 	// apiCache is the handler that api returned last.
 	apiCache atomic.Pointer[apiRoutes]
 	// proposingRequests is locked while the fleet requests of a tick are being proposed.
@@ -100,6 +103,7 @@
 		events:        eventlog.Discard{},
 		announcements: newAnnouncements(),
 		capacities:    newCapacityReports(),
+		explains:      newExplainLimiter(),
 		stopping:      make(chan struct{}),
 		fatal:         make(chan error, 1),
 	}
@@ -155,6 +159,7 @@
 	wire.HandleTyped(s.wire, topicOwners, s.handleOwners)
 	wire.HandleTyped(s.wire, topicDecisionHistory, s.handleDecisionHistory)
 	wire.HandleTyped(s.wire, topicTasks, s.handleTasks)
+	wire.HandleTyped(s.wire, topicExplainJob, s.handleExplainJob)
 	wire.HandleTyped(s.wire, topicStatus, s.handleStatus)
 }
 
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -177,15 +177,23 @@
 	return &dcstate.Command{NowMillis: l.nowMillis(), Work: c}
 }
 
-// tickInput returns the input of one tick.
+// tickInput returns the input of one tick. Its losses must be proposed; see
+// workerapi.Leader.Expired.
 func (l *leaderState) tickInput(now clock.Instant, v *fleetView) *systems.Input {
+	in := l.explainInput(now, v)
+	in.Lost = l.workers.Expired(now)
+	return in
+}
+
+// explainInput returns the input of a tick without the workers that are lost since the
+// last tick. It changes nothing, so that no tick need follow.
+func (l *leaderState) explainInput(now clock.Instant, v *fleetView) *systems.Input {
 	return &systems.Input{
 		NowMillis:     l.nowMillis(),
 		Epoch:         l.epoch(),
 		Member:        string(l.s.cfg.VM),
 		State:         l.state.Work,
 		View:          l.s.schedulerView(v),
-		Lost:          l.workers.Expired(now),
 		RebuildOver:   l.workers.TakeoverLeasesExpired(now),
 		Usable:        l.workers.Usable,
 		MayStart:      l.s.leases.valid(now),
--- a/internal/fleetapi/jobs.go
+++ b/internal/fleetapi/jobs.go
@@ -78,18 +78,43 @@
 	httpx.WriteJSON(w, http.StatusOK, answer)
 }
 
-// submit checks a job, assigns its tasks to data centres and commits it.
-func (s *Server) submit(ctx context.Context, by caller, spec *model.JobSpec) (*api.JobAnswer, error) {
+// UnsubmittedJob reads the job in a call that asks about one, and completes and checks it
+// like a submission. The job gets a new id, so that it is never taken for another one. If
+// the call is refused, UnsubmittedJob writes the refusal to w and returns false.
+func (s *Server) UnsubmittedJob(w http.ResponseWriter, r *http.Request) (*model.JobSpec, bool) {
+	by, refusal := s.authenticateKey(r)
+	spec := &model.JobSpec{}
+	if refusal == nil {
+		refusal = httpx.ReadJSON(r, maxCallBytes, spec)
+	}
+	if refusal == nil {
+		spec.ID = ""
+		refusal = complete(by, spec)
+	}
+	if refusal != nil {
+		httpx.WriteRefusal(w, refusal)
+		return nil, false
+	}
+	return spec, true
+}
+
+// complete fills in the workspace and the id of a job that the caller sent, and checks it.
+func complete(by caller, spec *model.JobSpec) *verdict.Refusal {
 	if spec.Workspace == "" {
 		spec.Workspace = by.workspace
 	}
 	if spec.Workspace != by.workspace {
-		return nil, verdict.Refuse(verdict.ReasonWrongWorkspace, "the key is not one of workspace %q", spec.Workspace)
+		return verdict.Refuse(verdict.ReasonWrongWorkspace, "the key is not one of workspace %q", spec.Workspace)
 	}
 	if spec.ID == "" {
 		spec.ID = model.JobID(uuid.NewString())
 	}
-	if refusal := fleet.CheckSpec(spec); refusal != nil {
+	return fleet.CheckSpec(spec)
+}
+
+// submit checks a job, assigns its tasks to data centres and commits it.
+func (s *Server) submit(ctx context.Context, by caller, spec *model.JobSpec) (*api.JobAnswer, error) {
+	if refusal := complete(by, spec); refusal != nil {
 		return nil, refusal
 	}
 	owners, refusal := s.owners(ctx, spec)
