scheduler: don't take the end of a restore for progress

Cause: a run that restores a checkpoint may list no progress first and then that of its checkpoint, which looked like a fast run that is about to end.

Change: the pace of a resumed run counts from its first listing with any progress.

Result: the new case of TestRunsAboutToEndAreNoVictims failed before and passes.

--- a/internal/scheduler/listedruns.go
+++ b/internal/scheduler/listedruns.go
@@ -26,7 +26,9 @@
 			s.begun.add(rt.Task.Job)
 		}
 		r.listedAt = now
-		r.notePace(rt.Percent, now)
+		if rt.Percent > 0 {
+			r.notePace(rt.Percent, now)
+		}
 		s.recordProgress(se, rt.Task, r, rt.Percent, now)
 		r.noteCheckpoint(rt.Checkpoint, now)
 	}
--- a/internal/scheduler/remaining.go
+++ b/internal/scheduler/remaining.go
@@ -7,7 +7,8 @@
 )
 
 // notePace records the first progress of a run that is known. A run that began without a
-// checkpoint began with none when it was confirmed.
+// checkpoint had none when it was confirmed. Other runs may list none while they restore
+// the checkpoint, which tells nothing.
 func (r *run) notePace(percent int, now clock.Instant) {
 	if r.paceFrom == 0 {
 		r.paceFrom, r.pacePercent = now, percent
--- a/internal/scheduler/remaining_test.go
+++ b/internal/scheduler/remaining_test.go
@@ -42,6 +42,7 @@
 		{"ends in 1 s, listed 0.7 s ago", []int{25, 50, 75}, 700 * time.Millisecond, true, ""},
 		{"should have ended long ago", []int{25, 50, 75}, 3 * time.Second, false, ""},
 		{"resumed at 92 percent, ends in 1 s", []int{92, 96}, 0, false, "c"},
+		{"restores first and then shows the progress of its checkpoint", []int{0, 92, 93}, 0, false, "c"},
 		{"no progress listed", []int{0, 0, 0}, 0, false, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
