--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -27,6 +27,8 @@
 	// each band of speedBands.
 	speedSamples, speedRecords prometheus.Counter
 	workersBySpeed             *prometheus.GaugeVec
+	// workLost is the work of runs that ended without a saved result.
+	workLost *prometheus.CounterVec
 }
 
 // NewMetrics returns the scheduler's metrics, registered with r.
@@ -64,6 +66,13 @@
 		Name: "kq_cell_job_seconds", Help: "Time from a job's record to its end, by queue and final state.",
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 10),
 	}, []string{"queue", "state"})
+	m.workLost = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kq_cell_work_lost_core_seconds_total", Help: "Work of runs that ended without a saved result, by cause.",
+	}, []string{"cause"})
+	for c := causePreempted; c < lossCauses; c++ {
+		m.workLost.WithLabelValues(c.String())
+	}
+	r.MustRegister(m.workLost)
 	m.speedSamples = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kq_cell_worker_speed_samples_total", Help: "Comparisons of a run with the others of its step.",
 	})
