--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -93,8 +93,6 @@
 	// stopSent is set once a stop was sent.
 	stopSent   bool
 	nextStopAt clock.Instant
-	checkpoint string
-	percent    int
 	// speedCounted says that the run has counted for the lasting speed of its worker.
 	speedCounted bool
 	// checkpoint is the newest one that is known, at first the one that the run resumes
