fdlimit: stalled connections make way for new ones

Cause: at the limit only idle connections made way, so that clients that never end their requests or never read responses kept out all others.

At the limit, the connection whose client has made no progress for longest, and longer than 1 s, is closed if none is idle; connections whose requests are being carried out are kept. A response has 10 s for each 16 KiB, so that a reader that makes progress is never cut off. Readiness, metrics and peers get their parts of the descriptors.

--- a/internal/fdlimit/budget.go
+++ b/internal/fdlimit/budget.go
@@ -9,8 +9,10 @@
 type Budget struct {
 	// Storage is for the files of the store, listeners and the runtime.
 	Storage int
-	// Peers is for the connections to and from other processes of the system.
-	Peers int
+	// Peers is for the connections to and from other processes of the system, and Metrics,
+	// a part of it, for those that collect metrics.
+	Peers   int
+	Metrics int
 	// Inbound is for the connections of workers and operators.
 	Inbound int
 	// LongPolls is for the connections that wait for a worker's delayed reply.
@@ -32,6 +34,9 @@
 	inboundPercent   = 18
 	longPollsPercent = 34
 	ordersPercent    = 37
+
+	// metricsPart is one in this many of the descriptors for peers.
+	metricsPart = 10
 )
 
 // Split divides the limit. A limit of 0 stands for one that is not known.
@@ -45,6 +50,7 @@
 	b.LongPolls = atLeastOne(rest * longPollsPercent / 100)
 	b.Orders = atLeastOne(rest * ordersPercent / 100)
 	b.Peers = atLeastOne(rest - b.Inbound - b.LongPolls - b.Orders)
+	b.Metrics = atLeastOne(b.Peers / metricsPart)
 	return b
 }
 
@@ -53,14 +59,23 @@
 type EntryBudget struct {
 	// Callers is for the connections of callers.
 	Callers int
+	// Ready and Metrics are for the connections of readiness checks and of those that
+	// collect metrics.
+	Ready   int
+	Metrics int
+	// Peers is for the connections from other processes of the system.
+	Peers int
 	// Policy is for the connections to the placement policy.
 	Policy int
 }
 
 // Shares of an entry process's descriptors, in percent.
 const (
-	callersPercent = 75
-	policyPercent  = 5
+	callersPercent      = 75
+	policyPercent       = 5
+	readyPercent        = 2
+	entryMetricsPercent = 1
+	entryPeersPercent   = 8
 )
 
 // SplitEntry divides the limit of an entry process. A limit of 0 stands for one that is
@@ -69,7 +84,11 @@
 	if limit <= 0 {
 		limit = defaultLimit
 	}
-	return EntryBudget{Callers: atLeastOne(limit * callersPercent / 100), Policy: atLeastOne(limit * policyPercent / 100)}
+	share := func(percent int) int { return atLeastOne(limit * percent / 100) }
+	return EntryBudget{
+		Callers: share(callersPercent), Policy: share(policyPercent), Ready: share(readyPercent),
+		Metrics: share(entryMetricsPercent), Peers: share(entryPeersPercent),
+	}
 }
 
 func atLeastOne(n int) int { return max(1, n) }
--- /dev/null
+++ b/internal/fdlimit/conn.go
@@ -0,0 +1,73 @@
+package fdlimit
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// writeTimeout is how long a client may accept none of writePart bytes of a response
+	// before its connection is closed. A client that accepts more slowly than that gets no
+	// response; one that makes progress is never cut off, however long the response.
+	writeTimeout = 10 * time.Second
+	writePart    = 16 << 10
+)
+
+// serverConn is a connection that a Listener has accepted. It knows whether it waits for its
+// client, and since when the client has made no progress.
+type serverConn struct {
+	limitedConn
+	// receiving is set while a request is received, and writing while a response is
+	// written.
+	receiving, writing atomic.Bool
+	// progress is when bytes were last received or sent, in Unix nanoseconds.
+	progress atomic.Int64
+}
+
+func newServerConn(c net.Conn, release func()) *serverConn {
+	s := &serverConn{limitedConn: limitedConn{Conn: c, release: release}}
+	s.receiving.Store(true)
+	s.progress.Store(time.Now().UnixNano())
+	return s
+}
+
+// SetReceiving records whether a request is being received.
+func (c *serverConn) SetReceiving(receiving bool) { c.receiving.Store(receiving) }
+
+// stalledSince returns since when the connection has waited for its client, in Unix
+// nanoseconds. ok is false while it doesn't wait for it.
+func (c *serverConn) stalledSince() (at int64, ok bool) {
+	return c.progress.Load(), c.receiving.Load() || c.writing.Load()
+}
+
+// Read implements net.Conn.
+func (c *serverConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.progress.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// Write implements net.Conn. It fails if the client makes no progress for writeTimeout.
+func (c *serverConn) Write(b []byte) (int, error) {
+	c.progress.Store(time.Now().UnixNano())
+	c.writing.Store(true)
+	defer c.writing.Store(false)
+	written := 0
+	for {
+		part := b[written:min(len(b), written+writePart)]
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(part)
+		written += n
+		if n > 0 {
+			c.progress.Store(time.Now().UnixNano())
+		}
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
--- a/internal/fdlimit/listener.go
+++ b/internal/fdlimit/listener.go
@@ -2,26 +2,36 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
+// stallTime is how long a connection may wait for its client, for a part of a request or for
+// room for a response, before it makes way for a new one.
+const stallTime = time.Second
+
 // Listener limits the connections of an HTTP server that are open at a time. While the
 // limit is reached, a new connection takes the place of the one that has been idle for
 // the longest time, so that clients that keep connections open, such as many workers,
-// don't keep out others. If none is idle, the new connection is closed at once, so that
+// don't keep out others. If none is idle, it takes the place of the one whose client has made
+// no progress with its request or its response for the longest time, if that is longer than
+// stallTime. If there is none either, the new connection is closed at once, so that
 // its caller turns to another process and doesn't wait. The server must pass the states of
-// its connections to ConnState.
+// its connections to ConnState, and its handler must be wrapped by Handler.
 type Listener struct {
 	net.Listener
 	limit int
 	// onFull is called when a new connection finds the limit reached.
 	onFull func()
+	full   atomic.Uint64
 
 	// mu protects the fields below.
 	mu   sync.Mutex
-	open int
+	open map[*serverConn]struct{}
 	// idle holds the idle connections, the longest idle one first, and elements the
 	// element of each.
 	idle     list.List
@@ -30,9 +40,22 @@
 
 // NewListener returns a Listener that accepts at most limit connections from l at a time.
 func NewListener(l net.Listener, limit int, onFull func()) *Listener {
-	return &Listener{Listener: l, limit: limit, onFull: onFull, elements: map[net.Conn]*list.Element{}}
+	return &Listener{Listener: l, limit: limit, onFull: onFull, open: map[*serverConn]struct{}{}, elements: map[net.Conn]*list.Element{}}
+}
+
+// Limit returns the highest number of open connections.
+func (l *Listener) Limit() int { return l.limit }
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
 }
 
+// FullCount returns how many new connections have found the limit reached.
+func (l *Listener) FullCount() uint64 { return l.full.Load() }
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -40,42 +63,49 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.takeSlot() {
-			return &limitedConn{Conn: conn, release: l.release}, nil
+		if c := l.add(conn); c != nil {
+			return c, nil
 		}
 		// The caller sees the connection closed; there is nobody to tell of an error.
 		_ = conn.Close()
 	}
 }
 
-// takeSlot takes a slot for a connection, if there is one or if an idle connection can be
-// closed.
-func (l *Listener) takeSlot() bool {
-	if l.tryTakeSlot() {
-		return true
+// add adds a connection, if the limit isn't reached or if another connection can be closed.
+// It returns nil otherwise.
+func (l *Listener) add(conn net.Conn) net.Conn {
+	if c := l.tryAdd(conn); c != nil {
+		return c
 	}
+	l.full.Add(1)
 	l.onFull()
-	if conn := l.longestIdle(); conn != nil {
-		// Nothing is sent or received on it that an error could concern.
-		_ = conn.Close()
+	victim := l.longestIdle()
+	if victim == nil {
+		victim = l.longestStalled(time.Now())
+	}
+	if victim != nil {
+		// The client sees it closed; there is nobody to tell of an error.
+		_ = victim.Close()
 	}
-	return l.tryTakeSlot()
+	return l.tryAdd(conn)
 }
 
-func (l *Listener) tryTakeSlot() bool {
+func (l *Listener) tryAdd(conn net.Conn) net.Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.open >= l.limit {
-		return false
+	if len(l.open) >= l.limit {
+		return nil
 	}
-	l.open++
-	return true
+	var c *serverConn
+	c = newServerConn(conn, func() { l.release(c) })
+	l.open[c] = struct{}{}
+	return c
 }
 
-func (l *Listener) release() {
+func (l *Listener) release(c *serverConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.open--
+	delete(l.open, c)
 }
 
 // longestIdle removes the connection that has been idle for the longest time from the
@@ -92,6 +122,24 @@
 	return conn
 }
 
+// longestStalled returns the connection whose client has made no progress for the longest time
+// until now, or nil if there is none that has waited for longer than stallTime.
+func (l *Listener) longestStalled(now time.Time) net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var longest *serverConn
+	earliest := now.Add(-stallTime).UnixNano()
+	for c := range l.open {
+		if at, ok := c.stalledSince(); ok && at < earliest {
+			longest, earliest = c, at
+		}
+	}
+	if longest == nil {
+		return nil
+	}
+	return longest
+}
+
 // remove removes a connection from the idle ones. The caller holds mu.
 func (l *Listener) remove(conn net.Conn) {
 	if e := l.elements[conn]; e != nil {
@@ -105,7 +153,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.remove(conn)
-	if state == http.StateIdle {
+	switch state {
+	case http.StateIdle:
 		l.elements[conn] = l.idle.PushBack(conn)
+	case http.StateActive:
+		// The first byte of a request has arrived.
+		if c, ok := conn.(*serverConn); ok {
+			c.receiving.Store(true)
+		}
 	}
 }
+
+// Handler wraps the handler of the server. conn returns the connection of a request. While
+// the handler runs, the connection doesn't count as waiting for its client, unless its
+// SetReceiving says so.
+func (l *Listener) Handler(conn func(context.Context) net.Conn, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := conn(r.Context()).(*serverConn); ok {
+			c.receiving.Store(false)
+			// The server may wait for the rest of a body that the handler has not read.
+			defer c.receiving.Store(true)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/fdlimit/stalled_test.go
@@ -0,0 +1,100 @@
+package fdlimit
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// connOf is the context key of a connection.
+type connOf struct{}
+
+// serveLimited starts a server with a limit on its connections.
+func serveLimited(t *testing.T, limit int, h http.Handler) *Listener {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l := NewListener(inner, limit, func() {})
+	conn := func(ctx context.Context) net.Conn { c, _ := ctx.Value(connOf{}).(net.Conn); return c }
+	s := &http.Server{ConnState: l.ConnState, Handler: l.Handler(conn, h), ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connOf{}, c)
+	}}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return l
+}
+
+// TestStalledConnectionsMakeWay guards against clients that keep out all others by requests
+// that they never end, while requests that are being carried out keep their connections.
+func TestStalledConnectionsMakeWay(t *testing.T) {
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	l := serveLimited(t, 4, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			entered <- struct{}{}
+			<-proceed
+		}
+	}))
+	url := "http://" + l.Addr().String()
+	slow := make(chan error, 1)
+	go func() {
+		resp, err := http.Get(url + "/slow")
+		if err == nil {
+			resp.Body.Close()
+		}
+		slow <- err
+	}()
+	<-entered
+	for _, sent := range []string{"", "GET / HT", "GET / HTTP/1.1\r\nHost: h\r\n"} {
+		_, err := dialTCP(t, l.Addr()).Write([]byte(sent))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	for deadline := time.Now().Add(30 * time.Second); l.Open() < 4 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	// The stalled connections make way only after stallTime.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var err error
+	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		var resp *http.Response
+		if resp, err = client.Get(url); err == nil {
+			resp.Body.Close()
+			break
+		}
+	}
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, l.FullCount() > 0, qt.IsTrue)
+	close(proceed)
+	qt.Check(t, <-slow, qt.IsNil, qt.Commentf("a request that was being carried out lost its connection"))
+}
+
+// TestSlowReadersGetTheWholeResponse guards against a response that is cut off although its
+// reader makes progress: each part has a deadline of its own.
+func TestSlowReadersGetTheWholeResponse(t *testing.T) {
+	server, client := net.Pipe()
+	defer client.Close()
+	c := newServerConn(server, func() {})
+	const size = 10*writePart + 1
+	written := make(chan error, 1)
+	go func() {
+		n, err := c.Write(make([]byte, size))
+		if err == nil && n != size {
+			err = net.ErrClosed
+		}
+		written <- err
+		c.Close()
+	}()
+	got, buf := 0, make([]byte, 1000)
+	for {
+		n, err := client.Read(buf)
+		got += n
+		if err != nil {
+			break
+		}
+	}
+	qt.Check(t, got, qt.Equals, size)
+	qt.Check(t, <-written, qt.IsNil)
+}
