--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -49,6 +49,7 @@
 	verdict.ReasonRecordLost:        http.StatusGone,
 	verdict.ReasonNeverFits:         http.StatusUnprocessableEntity,
 	verdict.ReasonTooLarge:          http.StatusRequestEntityTooLarge,
+	verdict.ReasonNoMemory:          http.StatusServiceUnavailable,
 	verdict.ReasonDataCentreOut:     http.StatusServiceUnavailable,
 	verdict.ReasonInternal:          http.StatusInternalServerError,
 }
@@ -117,14 +118,12 @@
 // ReadJSON decodes a request's body of at most maxBytes into v. It refuses unknown
 // fields, wrong types and trailing bytes, and names the field in question.
 func ReadJSON(r *http.Request, maxBytes int64, v any) *verdict.Refusal {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBytes+1))
-	if err != nil {
-		return verdict.Refuse(verdict.ReasonBadRequest, "body can't be read: %v", err)
-	}
-	if int64(len(body)) > maxBytes {
-		return verdict.Refuse(verdict.ReasonTooLarge, "body is over %d bytes", maxBytes)
+	data, body, refusal := ReadBody(nil, r, maxBytes)
+	if refusal != nil {
+		return refusal
 	}
-	return DecodeJSON(body, v)
+	defer body.End()
+	return DecodeJSON(data, v)
 }
 
 // DecodeJSON is like ReadJSON, for a body that was already read.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -50,6 +50,7 @@
 	ReasonRecordLost        Reason = "record-lost"
 	ReasonNeverFits         Reason = "never-fits"
 	ReasonTooLarge          Reason = "too-large"
+	ReasonNoMemory          Reason = "no-memory"
 	ReasonDataCentreOut     Reason = "data-centre-out"
 	ReasonInternal          Reason = "internal"
 )
