wire: bound the memory of frames and the inbound connections

Cause: readFrame allocated up to 8 MiB on the strength of a length prefix, and inbound connections were not limited.

Frames over 4 KiB are charged to a budget of the node's own as they arrive. At the limit on inbound connections the oldest without a complete frame makes way, since our own processes connect only to send one.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -71,9 +71,11 @@
 	Bounds      scheduler.Bounds
 	// Advise requests advice from the placement policy; nil if the process
 	// has no access to the policy.
-	Advise  func(ctx context.Context, req *cellapi.AdviseRequest) (*cellapi.AdviseReply, error)
-	Log     *zap.Logger
-	Metrics prometheus.Registerer
+	Advise func(ctx context.Context, req *cellapi.AdviseRequest) (*cellapi.AdviseReply, error)
+	// LimitWire sets the limits of the wire node before it is used; nil for the defaults.
+	LimitWire func(*wire.Node)
+	Log       *zap.Logger
+	Metrics   prometheus.Registerer
 }
 
 // Node is a cell's control process.
@@ -117,6 +119,9 @@
 		return nil, errors.Join(err, store.Close())
 	}
 	n.wire.SetLogger(cfg.Log)
+	if cfg.LimitWire != nil {
+		cfg.LimitWire(n.wire)
+	}
 	n.state = cell.NewState(n.notifyChanged)
 	n.self = n.identity(store)
 	n.member, err = replica.Open(replica.Config{
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"io"
 
+	"kumquatwing/internal/bodylimit"
 	"kumquatwing/internal/codec"
 	"kumquatwing/internal/eventlog"
 	"kumquatwing/internal/verdict"
@@ -76,8 +77,13 @@
 	return err
 }
 
-// readFrame reads one frame from r.
-func readFrame(r *bufio.Reader) (*frame, error) {
+// smallFrameBytes is the length up to which frames are not charged to the budget. The limit on
+// connections bounds their bytes.
+const smallFrameBytes = 4 << 10
+
+// readFrame reads one frame from r. Its bytes are charged to the budget as they arrive. closeConn
+// is called if the frame is rejected for want of memory.
+func readFrame(r *bufio.Reader, budget *bodylimit.Budget, closeConn func()) (*frame, error) {
 	var prefix [lengthBytes]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		return nil, err
@@ -86,10 +92,23 @@
 	if size > MaxFrameBytes {
 		return nil, verdict.Refuse(verdict.ReasonTooLarge, "frame of %d bytes is over %d", size, MaxFrameBytes)
 	}
+	if size > smallFrameBytes {
+		charge := budget.Begin(closeConn)
+		defer charge.End()
+		body, err := bodylimit.Read(r, charge, int64(size), MaxFrameBytes)
+		if err != nil {
+			return nil, err
+		}
+		return decodeFrame(body)
+	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
 		return nil, err
 	}
+	return decodeFrame(body)
+}
+
+func decodeFrame(body []byte) (*frame, error) {
 	f := &frame{}
 	if err := codec.Unmarshal(body, f); err != nil {
 		return nil, verdict.Refuse(verdict.ReasonBadRequest, "frame can't be decoded: %v", err)
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/bodylimit"
 )
 
 // FuzzReadFrame checks that no bytes on a connection make its reader panic.
@@ -22,7 +24,7 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		r := bufio.NewReader(bytes.NewReader(data))
 		for {
-			if _, err := readFrame(r); err != nil {
+			if _, err := readFrame(r, bodylimit.New("wire", defaultFrameBudget), func() {}); err != nil {
 				return
 			}
 		}
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -5,11 +5,13 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
 	"go.uber.org/zap"
 
+	"kumquatwing/internal/bodylimit"
 	"kumquatwing/internal/clock"
 	"kumquatwing/internal/codec"
 	"kumquatwing/internal/eventlog"
@@ -65,6 +67,9 @@
 	done         chan struct{}
 	wg           sync.WaitGroup
 
+	// budget bounds the frames that are being received.
+	budget  atomic.Pointer[bodylimit.Budget]
+	inbound *inboundConns
 	traffic trafficCounter
 	clock   HybridClock
 	log     *zap.Logger
@@ -100,8 +105,10 @@
 		conns:        map[net.Conn]struct{}{},
 		handlerSlots: make(chan struct{}, maxHandlers),
 		done:         make(chan struct{}),
+		inbound:      newInboundConns(defaultInboundConns),
 		log:          zap.NewNop(),
 	}
+	n.budget.Store(bodylimit.New("wire", defaultFrameBudget))
 	n.wg.Add(1)
 	go n.accept()
 	return n
@@ -131,6 +138,17 @@
 	n.log = log.Named("wire")
 }
 
+// SetLimits replaces the budget for frames that are being received, and the limit on inbound
+// connections. onFull is called when a new connection finds that limit reached.
+func (n *Node) SetLimits(budget *bodylimit.Budget, inbound int, onFull func()) {
+	n.budget.Store(budget)
+	n.inbound.setLimit(inbound, onFull)
+}
+
+// InboundCount returns the number of inbound connections, their limit, and how many new ones
+// have found it reached.
+func (n *Node) InboundCount() (open, limit int, full uint64) { return n.inbound.count() }
+
 func (n *Node) logger() *zap.Logger {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -370,6 +388,11 @@
 			c.Close()
 			continue
 		}
+		if !n.inbound.add(c) {
+			n.untrack(c)
+			c.Close()
+			continue
+		}
 		n.wg.Add(1)
 		go n.serve(c)
 	}
@@ -379,16 +402,19 @@
 func (n *Node) serve(c net.Conn) {
 	defer n.wg.Done()
 	defer n.untrack(c)
+	defer n.inbound.remove(c)
 	defer c.Close()
 	counted := &countingConn{Conn: c, counter: &n.traffic}
 	r := bufio.NewReaderSize(counted, readBufferBytes)
 	replies := newReplyWriter(counted)
 	var delays delayTracker
+	closeConn := func() { c.Close() }
 	for {
-		f, err := readFrame(r)
+		f, err := readFrame(r, n.budget.Load(), closeConn)
 		if err != nil {
 			return
 		}
+		n.inbound.framed(c)
 		n.observe(f)
 		switch f.Kind {
 		case kindMessage:
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -278,7 +278,7 @@
 func (p *peer) readReplies(conn net.Conn) {
 	r := bufio.NewReaderSize(conn, readBufferBytes)
 	for {
-		f, err := readFrame(r)
+		f, err := readFrame(r, p.node.budget.Load(), func() { conn.Close() })
 		if err != nil {
 			conn.Close()
 			return
