--- a/internal/cellapi/cellapi_test.go
+++ b/internal/cellapi/cellapi_test.go
@@ -140,7 +140,7 @@
 		{"largest", []cell.Step{{Count: maxTasks}}, cell.Schedule{}, ""},
 		{"wide", []cell.Step{{Count: 2_000_000_000}}, cell.Schedule{}, verdict.ReasonBadRequest},
 		{"wide in sum", []cell.Step{{Count: maxTasks}, {Count: 1}}, cell.Schedule{}, verdict.ReasonBadRequest},
-		{"many steps", make([]cell.Step, maxSteps+1), cell.Schedule{}, verdict.ReasonBadRequest},
+		{"many steps", make([]cell.Step, MaxSteps+1), cell.Schedule{}, verdict.ReasonBadRequest},
 		{"often", []cell.Step{{Count: 10}}, cell.Schedule{Times: 2_000_000_000}, verdict.ReasonBadRequest},
 		{"never", []cell.Step{{Count: 1}}, cell.Schedule{Times: -1}, verdict.ReasonBadRequest},
 		{"sum of needs", []cell.Step{{Count: 2, Need: model.Resources{MilliCPU: math.MaxInt64}}}, cell.Schedule{}, verdict.ReasonBadRequest},
--- a/internal/cellapi/validate.go
+++ b/internal/cellapi/validate.go
@@ -9,7 +9,8 @@
 // Limits on a job. The state of each task is held by every control process, so that one
 // job without a limit could take all their memory.
 const (
-	maxSteps = 1_000
+	// MaxSteps limits the steps of a job.
+	MaxSteps = 1_000
 	// maxTasks limits the tasks of one occurrence, and maxTotalTasks those of all.
 	maxTasks      = 20_000
 	maxTotalTasks = 1_000_000
@@ -26,8 +27,8 @@
 	if req.ID == "" || strings.Contains(string(req.ID), ".") {
 		return "the job's id is missing or has a dot"
 	}
-	if len(req.Steps) == 0 || len(req.Steps) > maxSteps {
-		return fmt.Sprintf("the job has %d steps, not 1 to %d", len(req.Steps), maxSteps)
+	if len(req.Steps) == 0 || len(req.Steps) > MaxSteps {
+		return fmt.Sprintf("the job has %d steps, not 1 to %d", len(req.Steps), MaxSteps)
 	}
 	tasks := 0
 	for i := range req.Steps {
