Bound bodies and connections of the programs outside a cell too

internal/inbound sets up listeners, budgets and wire limits for all programs. Without settings they take the memory from the Go runtime's limit (GOMEMLIMIT) and the descriptors from RLIMIT_NOFILE. Forwarded calls, announcements, reports and operators' calls are charged to budgets. A write deadline that a handler sets holds beside the one for each part of a response: without that, TestSlowCallerReleasesSlot failed, as the slot of a caller that reads nothing was released only after 10 s.

--- a/internal/control/httpapi.go
+++ b/internal/control/httpapi.go
@@ -60,7 +60,7 @@
 		Logger:         s.log,
 	})}
 	r := chi.NewRouter()
-	r.Use(s.forwardReports)
+	r.Use(s.chargeBodies, s.forwardReports)
 	routes.fleet.Routes(r)
 	s.registerRoutes(r)
 	routes.Handler = r
@@ -116,6 +116,19 @@
 	Lines []string `json:"lines"`
 }
 
+// chargeBodies returns a handler that charges the bodies of reports to the budget of workers and
+// those of other calls to the one of operators.
+func (s *Server) chargeBodies(next http.Handler) http.Handler {
+	workers, operators := httpx.UseBudget(s.workerBodies, next), httpx.UseBudget(s.operatorBodies, next)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == api.PathWorkerReport {
+			workers.ServeHTTP(w, r)
+			return
+		}
+		operators.ServeHTTP(w, r)
+	})
+}
+
 // forwardReports returns a handler that forwards workers' reports to the leader of
 // the data centre group, unless this process is the leader. It passes all other
 // calls to next.
@@ -139,15 +152,16 @@
 
 // forward sends an API call to the process at addr and writes its response to w.
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, addr string) {
-	var body bytes.Buffer
-	if _, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, maxReportBytes)); err != nil {
-		httpx.WriteRefusal(w, verdict.Refuse(verdict.ReasonTooLarge, "body can't be read: %v", err))
+	data, body, refusal := httpx.ReadBody(w, r, maxReportBytes)
+	if refusal != nil {
+		httpx.WriteRefusal(w, refusal)
 		return
 	}
+	defer body.End()
 	call := &api.HTTPCall{
 		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
 		Key: r.Header.Get(api.HeaderKey), Operator: r.Header.Get(api.HeaderOperator),
-		Body: body.Bytes(), Hops: hopsOf(r) + 1,
+		Body: data, Hops: hopsOf(r) + 1,
 	}
 	var reply api.HTTPReply
 	if err := s.wire.Call(r.Context(), addr, api.TopicHTTP, call, &reply); err != nil {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,8 +13,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"kumquatwing/internal/api"
+	"kumquatwing/internal/bodylimit"
 	"kumquatwing/internal/clock"
 	"kumquatwing/internal/eventlog"
+	"kumquatwing/internal/fdlimit"
+	"kumquatwing/internal/inbound"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/replica"
 	"kumquatwing/internal/why"
@@ -77,6 +79,11 @@
 	// events.
 	decisions *why.RecentEvents
 	metrics   *metrics
+	// fds and memory are the limits of what clients can use, and operatorBodies and
+	// workerBodies the budgets for the bodies of their calls.
+	fds                          fdlimit.Budget
+	memory                       inbound.Memory
+	operatorBodies, workerBodies *bodylimit.Budget
 	// apiCache is the handler that api returned last.
 	apiCache atomic.Pointer[apiRoutes]
 	// proposingRequests is locked while the fleet requests of a tick are being proposed.
@@ -102,6 +109,8 @@
 		capacities:    newCapacityReports(),
 		stopping:      make(chan struct{}),
 		fatal:         make(chan error, 1),
+		fds:           fdlimit.Split(fdlimit.ProcessLimit()),
+		memory:        inbound.ControlMemory(inbound.RuntimeMemoryMB()),
 	}
 	if cfg.EventDir != "" {
 		f, err := eventlog.OpenFile(cfg.EventDir, processName, cfg.VM, eventlog.DefaultFileBytes)
@@ -126,6 +135,9 @@
 	}
 	s.leases = newSettingsLeases(s)
 	s.metrics = newMetrics(s)
+	inbound.LimitWire(node, s.memory.Frames, s.fds.Peers, s.metrics.registry, s.log)
+	s.operatorBodies = inbound.NewBudget("operators", s.memory.Bodies, s.metrics.registry, s.log)
+	s.workerBodies = inbound.NewBudget("workers", s.memory.Bodies, s.metrics.registry, s.log)
 	s.handleTopics()
 	return s, nil
 }
@@ -161,7 +173,8 @@
 // Run serves until ctx is done and then shuts down gracefully. It returns early with
 // the error of a failed member.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.cfg.HTTPAddr)
+	control := inbound.Listener{Name: "control", Addr: s.cfg.HTTPAddr, MaxConns: min(s.fds.Inbound, s.memory.Conns)}
+	listener, err := control.Listen(s.metrics.registry, s.log)
 	if err != nil {
 		return err
 	}
@@ -173,6 +186,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	inbound.Limit(server, listener)
 	workCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var g errgroup.Group
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,11 +11,15 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"kumquatwing/internal/api"
+	"kumquatwing/internal/bodylimit"
 	"kumquatwing/internal/clock"
 	"kumquatwing/internal/eventlog"
+	"kumquatwing/internal/fdlimit"
+	"kumquatwing/internal/inbound"
 	"kumquatwing/internal/model"
 	"kumquatwing/internal/route"
 	"kumquatwing/internal/wire"
@@ -37,14 +41,16 @@
 
 // Entry is a kqentry process. It must be created with Open.
 type Entry struct {
-	cfg           Config
-	incarnation   string
-	clock         clock.Clock
-	log           *zap.Logger
-	events        eventlog.Recorder
-	closeEvents   func() error
-	listener      net.Listener
-	server        *http.Server
+	cfg         Config
+	incarnation string
+	clock       clock.Clock
+	log         *zap.Logger
+	events      eventlog.Recorder
+	closeEvents func() error
+	listener    *fdlimit.Listener
+	server      *http.Server
+	// budget is for the bodies of all calls that are not requests to backend servers.
+	budget        *bodylimit.Budget
 	node          *wire.Node
 	control       *controlClient
 	router        *route.Router
@@ -76,7 +82,8 @@
 		announcements: announcementBuffer{byServer: map[model.ServerID]api.Announcement{}},
 		syncRequests:  make(chan struct{}, 1),
 	}
-	if err := e.open(); err != nil {
+	registry := prometheus.NewRegistry()
+	if err := e.open(registry); err != nil {
 		e.close()
 		return nil, err
 	}
@@ -95,7 +102,7 @@
 		MaxInFlight: cfg.Requests,
 		Observe:     func(o route.Outcome) { e.metrics.observeRequest(o) },
 	})
-	e.metrics = newMetrics(e.router)
+	e.metrics = newMetrics(e.router, registry)
 	e.server = &http.Server{
 		Handler:           e.handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -105,12 +112,14 @@
 		MaxHeaderBytes:    cfg.HeaderBytes,
 		ErrorLog:          log.New(httpErrorLog{e.log}, "", 0),
 	}
+	inbound.Limit(e.server, e.listener)
 	return e, nil
 }
 
 // open opens the event file, the HTTP listener and the wire transport. The caller
 // closes what is open if one of them fails.
-func (e *Entry) open() error {
+func (e *Entry) open(registry prometheus.Registerer) error {
+	fds, memory := fdlimit.SplitEntry(fdlimit.ProcessLimit()), inbound.EntryMemory(inbound.RuntimeMemoryMB())
 	var err error
 	if e.cfg.EventDir != "" {
 		f, err := eventlog.OpenFile(e.cfg.EventDir, "kqentry", e.cfg.VM, eventlog.DefaultFileBytes)
@@ -119,13 +128,16 @@
 		}
 		e.events, e.closeEvents = f, f.Close
 	}
-	if e.listener, err = net.Listen("tcp", e.cfg.Listen); err != nil {
+	callers := inbound.Listener{Name: "callers", Addr: e.cfg.Listen, MaxConns: min(fds.Callers, memory.Conns)}
+	if e.listener, err = callers.Listen(registry, e.log); err != nil {
 		return err
 	}
+	e.budget = inbound.NewBudget("operators", memory.Bodies, registry, e.log)
 	if e.node, err = wire.Listen(e.cfg.Wire, nil); err != nil {
 		return err
 	}
 	e.node.SetLogger(e.log)
+	inbound.LimitWire(e.node, memory.Frames, fds.Peers, registry, e.log)
 	if f, ok := e.events.(*eventlog.File); ok {
 		e.node.SetClock(f)
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -11,18 +10,6 @@
 	"kumquatwing/internal/verdict"
 )
 
-// readForwardBody reads the whole body of an API call that is to be forwarded.
-func readForwardBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardBodyBytes))
-	if err == nil {
-		return body, nil
-	}
-	if _, ok := err.(*http.MaxBytesError); ok {
-		return nil, verdict.Refuse(verdict.ReasonTooLarge, "body is larger than %d bytes", maxForwardBodyBytes)
-	}
-	return nil, verdict.Refuse(verdict.ReasonBadRequest, "body ended before its declared length or stalled: %v", err)
-}
-
 // writeReply relays kqcontrol's reply and sets the verdict headers: those of the
 // refusal in the body if the status is an error, and otherwise verdict.Done.
 func writeReply(w http.ResponseWriter, reply *api.HTTPReply) {
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -45,7 +45,7 @@
 	m.Handle(api.PathRequest, e.router)
 	m.Handle(api.PathRequest+"/*", e.router)
 	m.Group(func(short chi.Router) {
-		short.Use(withShortCallTimeout)
+		short.Use(withShortCallTimeout, func(next http.Handler) http.Handler { return httpx.UseBudget(e.budget, next) })
 		short.Get(api.PathLive, e.live)
 		short.Get(api.PathReady, e.readiness)
 		short.Method(http.MethodGet, api.PathMetrics, e.metrics.handler())
@@ -156,18 +156,19 @@
 // forward forwards an API call that kqentry does not serve itself to kqcontrol and
 // relays the reply.
 func (e *Entry) forward(w http.ResponseWriter, r *http.Request) {
-	body, refusal := readForwardBody(w, r)
+	data, body, refusal := httpx.ReadBody(w, r, maxForwardBodyBytes)
 	if refusal != nil {
 		httpx.WriteRefusal(w, refusal)
 		return
 	}
+	defer body.End()
 	reply, err := e.control.callHTTP(r.Context(), &api.HTTPCall{
 		Method:   r.Method,
 		Path:     r.URL.Path,
 		Query:    r.URL.RawQuery,
 		Key:      r.Header.Get(api.HeaderKey),
 		Operator: r.Header.Get(api.HeaderOperator),
-		Body:     body,
+		Body:     data,
 	})
 	if err != nil {
 		httpx.WriteRefusal(w, err)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,9 +26,9 @@
 }
 
 // newMetrics registers all metrics. Gauges read the state of rt at each scrape.
-func newMetrics(rt *route.Router) *metrics {
+func newMetrics(rt *route.Router, registry *prometheus.Registry) *metrics {
 	m := &metrics{
-		registry: prometheus.NewRegistry(),
+		registry: registry,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "requests_total", Help: "Requests by verdict and reason.",
 		}, []string{"verdict", "reason"}),
--- a/internal/fdlimit/conn.go
+++ b/internal/fdlimit/conn.go
@@ -1,7 +1,9 @@
 package fdlimit
 
 import (
+	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -23,6 +25,11 @@
 	receiving, writing atomic.Bool
 	// progress is when bytes were last received or sent, in Unix nanoseconds.
 	progress atomic.Int64
+
+	// deadlineMu protects deadline, the write deadline that the server has set; zero for none.
+	// It is held while a deadline is passed on, so that an older one never replaces it.
+	deadlineMu sync.Mutex
+	deadline   time.Time
 }
 
 func newServerConn(c net.Conn, release func()) *serverConn {
@@ -58,7 +65,7 @@
 	written := 0
 	for {
 		part := b[written:min(len(b), written+writePart)]
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		if err := c.extendDeadline(); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(part)
@@ -71,3 +78,32 @@
 		}
 	}
 }
+
+// extendDeadline gives the client time for the next part of a response, but not beyond the
+// deadline that the server has set.
+func (c *serverConn) extendDeadline() error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	return c.Conn.SetWriteDeadline(earlier(c.deadline, time.Now().Add(writeTimeout)))
+}
+
+// earlier returns the earlier of two deadlines, the first of which may be zero for none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// SetWriteDeadline implements net.Conn. It also ends a write in progress.
+func (c *serverConn) SetWriteDeadline(t time.Time) error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.deadline = t
+	return c.Conn.SetWriteDeadline(earlier(t, time.Now().Add(writeTimeout)))
+}
+
+// SetDeadline implements net.Conn.
+func (c *serverConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
--- a/internal/fdlimit/stalled_test.go
+++ b/internal/fdlimit/stalled_test.go
@@ -98,3 +98,26 @@
 	qt.Check(t, got, qt.Equals, size)
 	qt.Check(t, <-written, qt.IsNil)
 }
+
+// TestWriteDeadlineOfTheServerHolds guards against a response that goes on beyond the deadline
+// that its handler has set.
+func TestWriteDeadlineOfTheServerHolds(t *testing.T) {
+	server, client := net.Pipe()
+	defer client.Close()
+	c := newServerConn(server, func() {})
+	qt.Assert(t, c.SetWriteDeadline(time.Now().Add(-time.Second)), qt.IsNil)
+	_, err := c.Write([]byte("x"))
+	var timeout net.Error
+	qt.Check(t, err, qt.ErrorAs, &timeout)
+	qt.Assert(t, c.SetDeadline(time.Time{}), qt.IsNil)
+	written := make(chan error, 1)
+	go func() {
+		_, err := c.Write([]byte("x"))
+		written <- err
+	}()
+	for !c.writing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Assert(t, c.SetWriteDeadline(time.Now().Add(-time.Second)), qt.IsNil)
+	qt.Check(t, <-written, qt.ErrorAs, &timeout, qt.Commentf("the write in progress must end"))
+}
--- /dev/null
+++ b/internal/inbound/memory_test.go
@@ -0,0 +1,45 @@
+package inbound
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/fdlimit"
+	"kumquatwing/internal/wire"
+)
+
+// Memory that the processes take in normal operation, in bytes.
+const (
+	entryBaseBytes   = 13 << 20
+	controlBaseBytes = 120 << 20
+)
+
+// TestMemoryLimitsFitTheVM checks that the parts for uncontrolled clients and normal operation
+// fit into the memory of every VM, and that one request within the limits is served.
+func TestMemoryLimitsFitTheVM(t *testing.T) {
+	check := func(name string, l Memory, memoryMB, base, accounts, perConn int64) {
+		sum := base + accounts*l.Bodies + l.Frames + int64(l.Conns)*perConn
+		qt.Check(t, sum <= memoryMB<<20, qt.IsTrue, qt.Commentf("%s of %d MB: %+v and %d MB make %d MB", name, memoryMB, l, base>>20, sum>>20))
+		qt.Check(t, l.Bodies*3/4 >= MaxBodyBytes, qt.IsTrue, qt.Commentf("%+v", l))
+		qt.Check(t, l.Frames*3/4 >= wire.MaxFrameBytes, qt.IsTrue, qt.Commentf("%+v", l))
+	}
+	for _, mb := range []int64{64, 144, 184, 424} {
+		check("entry VM", EntryMemory(mb), mb, entryBaseBytes, 1, 2*(callersReceiveBuffer+callersSendBuffer)+connectionBytes)
+	}
+	for _, mb := range []int64{408, 1024} {
+		check("control VM", ControlMemory(mb), mb, controlBaseBytes, 2, 2*(controlReceiveBuffer+controlSendBuffer)+connectionBytes)
+	}
+	qt.Check(t, EntryMemory(144).Conns >= 600, qt.IsTrue, qt.Commentf("%+v", EntryMemory(144)))
+	qt.Check(t, EntryMemory(0), qt.Equals, EntryMemory(unknownMemory>>20))
+}
+
+// TestEntryDescriptorsFit checks that the parts of an entry process's descriptors leave some
+// for its own connections and files.
+func TestEntryDescriptorsFit(t *testing.T) {
+	for _, limit := range []int{400, 1024, 2875} {
+		b := fdlimit.SplitEntry(limit)
+		sum := b.Callers + b.Policy + b.Ready + b.Metrics + b.Peers
+		qt.Check(t, sum <= limit*92/100, qt.IsTrue, qt.Commentf("%d: %+v", limit, b))
+	}
+}
