--- a/internal/fdlimit/conn.go
+++ b/internal/fdlimit/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -32,6 +33,9 @@
 	deadline   time.Time
 }
 
+// httpx.CallerGone asks the kernel about the connection.
+var _ syscall.Conn = (*serverConn)(nil)
+
 func newServerConn(c net.Conn, release func()) *serverConn {
 	s := &serverConn{limitedConn: limitedConn{Conn: c, release: release}}
 	s.receiving.Store(true)
