Limit callers' bodies by limits.max-body-bytes of the configuration

Cause: an entry process took bodies of up to 4 MiB whatever the configuration says, as it doesn't know the configuration.

The leader tells the limit in its replies to hellos. Processes of earlier versions ignore the new field.

--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -35,6 +35,8 @@
 	lookingUp bool
 	// configured says that the cell has reported that it has a configuration.
 	configured bool
+	// maxBodyBytes is the limit on callers' bodies in the configuration, 0 for none.
+	maxBodyBytes int64
 	// connected says that the last hello succeeded.
 	connected bool
 	// failingSince is when the first attempt failed since the last success, 0 if
--- a/internal/cellapi/hello.go
+++ b/internal/cellapi/hello.go
@@ -85,6 +85,7 @@
 	c.controls.answered(target, r.Leader, r.Term)
 	c.controls.retain(r.Controls)
 	c.configured = c.configured || r.Configured
+	c.maxBodyBytes = r.MaxBodyBytes
 	c.failingSince = 0
 	direct := c.controls.direct()
 	c.mu.Unlock()
--- a/internal/cellapi/server.go
+++ b/internal/cellapi/server.go
@@ -29,6 +29,9 @@
 	Log       *zap.Logger
 	// Join handles join requests; nil ignores them.
 	Join JoinFunc
+	// MaxBodyBytes returns the limit on callers' bodies that a configuration document states,
+	// 0 if it states none; nil if no document does.
+	MaxBodyBytes func(document []byte) int64
 }
 
 // Server handles calls if this process is the leader, and forwards them to the
@@ -38,6 +41,7 @@
 	reports reportTracker
 	stays   stayTracker
 	service serviceRevisions
+	limit   bodyLimit
 }
 
 // Serve returns a Server and registers its handlers for all calls with cfg.Wire.
@@ -341,7 +345,7 @@
 		s.Scheduler.SetAdviser(ctx, req.Addr, &remoteAdviser{s.Wire, req.Addr})
 	}
 	st := s.Group.Status()
-	r := &HelloReply{Term: st.Term, ServiceChanges: s.service.counts(st.Term)}
+	r := &HelloReply{Term: st.Term, ServiceChanges: s.service.counts(st.Term), MaxBodyBytes: s.maxBodyBytes()}
 	for _, m := range st.Members {
 		r.Controls = append(r.Controls, m.Addr)
 		if m.ID == st.Leader {
--- a/internal/cellapi/types.go
+++ b/internal/cellapi/types.go
@@ -155,6 +155,8 @@
 	// ServiceChanges counts the changes of each data centre's service that the leader has
 	// made in Term.
 	ServiceChanges map[string]uint64
+	// MaxBodyBytes is the limit on callers' bodies in the configuration, 0 for none.
+	MaxBodyBytes int64
 }
 
 // AdviseRequest asks a process to request advice from the placement policy about
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -72,6 +72,8 @@
 	// Advise requests advice from the placement policy; nil if the process
 	// has no access to the policy.
 	Advise func(ctx context.Context, req *cellapi.AdviseRequest) (*cellapi.AdviseReply, error)
+	// MaxBodyBytes is that of cellapi.Config.
+	MaxBodyBytes func(document []byte) int64
 	// LimitWire sets the limits of the wire node before it is used; nil for the defaults.
 	LimitWire func(*wire.Node)
 	Log       *zap.Logger
@@ -139,7 +141,7 @@
 	n.client = cellapi.NewClient(n.wire, cfg.Seeds, n.clock, cfg.Log)
 	n.server = cellapi.Serve(cellapi.Config{
 		Wire: n.wire, Group: n.member, State: n.state, Scheduler: n.scheduler, Clock: n.clock,
-		Log: cfg.Log.Named("api"), Join: n.recordJoinRequest,
+		Log: cfg.Log.Named("api"), Join: n.recordJoinRequest, MaxBodyBytes: cfg.MaxBodyBytes,
 	})
 	if cfg.Advise != nil {
 		cellapi.HandleAdvise(n.wire, cfg.Advise)
