httpx: linger only after a refusal of a body that may still arrive

Cause: after every failed read of a body the server held the connection for half a second, also when the client had already disconnected, so that clients that reconnect quickly took more connections than needed.

Result: go test ./internal/httpx ./docs passes.

--- a/internal/httpx/body.go
+++ b/internal/httpx/body.go
@@ -76,19 +76,25 @@
 		return data, body, nil
 	}
 	body.End()
-	closeAfterResponse(w, conn)
+	interruptRead(conn)
+	if w != nil {
+		closeAfterResponse(w, err)
+	}
 	return nil, nil, bodyRefusal(err)
 }
 
-// closeAfterResponse makes the server close the connection after the response, without waiting
-// for the rest of the body, which may be of any length and may never arrive.
-func closeAfterResponse(w http.ResponseWriter, conn net.Conn) {
-	interruptRead(conn)
-	if w == nil {
+// closeAfterResponse makes the server close the connection after the response to a request whose
+// body could not be read, without waiting for the rest of the body, which may be of any length
+// and may never arrive.
+func closeAfterResponse(w http.ResponseWriter, err error) {
+	var tooLarge *bodylimit.TooLargeError
+	if !errors.As(err, &tooLarge) && !errors.Is(err, bodylimit.ErrRejected) {
+		w.Header().Set("Connection", "close")
 		return
 	}
-	// A reader over its limit lets the server send the response before it closes the
-	// connection; closing with unread bytes would reset it.
+	// The client may still be sending. A reader over its limit lets the server send the
+	// response and wait for a moment before it closes the connection; closing with unread
+	// bytes would reset it, and the response could be lost.
 	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader(" ")), 0).Read(make([]byte, 1))
 }
 
