plan: a load test of scarce capacity, with the present order as the baseline

Cause: no load test plays a deployment whose callers compete for too little capacity, nor a scheduler that doesn't know real run times.

--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -125,6 +125,13 @@
 	advice      *StepAdvice
 	// endedAt is the time at which the last task ended, 0 before that.
 	endedAt clock.Instant
+	// expected is the run time of a task that the scheduler assumes. steps is the number
+	// of equal steps that run one after the other, and current the index of the present
+	// one.
+	expected       time.Duration
+	steps, current int
+	overShare      bool
+	workspace      string
 }
 
 // simCall is an advice request in flight.
@@ -145,6 +152,8 @@
 	// refused holds the jobs whose callers try again.
 	refused []*simJob
 	calls   []simCall
+	// conditions is nil in a load with constant arrivals and workers.
+	conditions *loadConditions
 }
 
 // classResult summarizes how the jobs of one class were served.
@@ -165,11 +174,17 @@
 // simulate runs the scenario and returns the results by class name.
 func simulate(sc scenario, seed uint64, computePlan func(in *Input) Output) map[string]*classResult {
 	l := &simulation{scenario: sc, rand: rand.New(rand.NewPCG(seed, 1)), computePlan: computePlan, now: testNow}
+	l.play(arrivalPeriod)
+	return l.results()
+}
+
+// play runs the scenario with jobs arriving in the given period.
+func (l *simulation) play(arrivals time.Duration) {
 	for range l.workers {
-		l.free = append(l.free, model.Resources{MilliCPU: 16000, MemoryMB: 32768})
+		l.free = append(l.free, l.capacity())
 	}
-	for l.now < testNow.Add(arrivalPeriod+drainPeriod) {
-		if l.now < testNow.Add(arrivalPeriod) {
+	for l.now < testNow.Add(arrivals+drainPeriod) {
+		if l.now < testNow.Add(arrivals) {
 			l.submitArrivals()
 		}
 		l.acceptReturning()
@@ -181,7 +196,14 @@
 		}
 		l.now = l.now.Add(l.planInterval)
 	}
-	return l.results()
+}
+
+// capacity returns the capacity of a worker.
+func (l *simulation) capacity() model.Resources {
+	if l.conditions != nil {
+		return l.conditions.capacity
+	}
+	return model.Resources{MilliCPU: 16000, MemoryMB: 32768}
 }
 
 // pausedNow reports whether there is no leader to make plans.
@@ -193,6 +215,9 @@
 
 // gone reports whether the worker with the given index has left.
 func (l *simulation) gone(worker int) bool {
+	if l.conditions != nil {
+		return l.conditions.gone(l, worker)
+	}
 	const lossAt = 10 * time.Second
 	if l.now.Sub(testNow) < lossAt {
 		return false
@@ -238,6 +263,9 @@
 		if at := l.now.Sub(testNow); c == 0 && at >= 8*time.Second && at < 14*time.Second {
 			rate *= l.burstFactor
 		}
+		if l.conditions != nil {
+			rate *= l.conditions.demand(l.now.Sub(testNow))
+		}
 		for ; rate > 0; rate-- {
 			if l.rand.Float64() < rate {
 				l.submit(class)
@@ -247,6 +275,10 @@
 }
 
 func (l *simulation) submit(c *loadClass) {
+	if l.conditions != nil {
+		l.accept(l.conditions.newJob(l, c))
+		return
+	}
 	width := max(1, int(c.meanTasks*math.Exp(0.6*l.rand.NormFloat64()-0.18)))
 	work := time.Duration(float64(c.meanTaskTime) * math.Exp(0.5*l.rand.NormFloat64()-0.12))
 	j := &simJob{
@@ -255,8 +287,9 @@
 			Count: width, Need: l.taskSize(c), Gang: c.gang,
 			EstimateMillis: int64(float64(work.Milliseconds()) * math.Exp(0.3*l.rand.NormFloat64())), Checkpoints: c.checkpoints,
 		},
-		advice: &StepAdvice{Eligible: map[cell.WorkerID]Ticket{}, Evaluated: map[cell.WorkerID]bool{}},
+		advice: newAdvice(), steps: 1, workspace: "a",
 	}
+	j.expected = time.Duration(j.step.EstimateMillis) * time.Millisecond
 	a := c.queue.Advice
 	chain := float64(work.Milliseconds()) + a.DecideMillis + 30*a.PerWorkerMillis
 	j.objective = time.Duration(c.queue.Stretch*chain+float64(c.queue.ObjectiveMillis)) * time.Millisecond
@@ -271,6 +304,10 @@
 	l.accept(j)
 }
 
+func newAdvice() *StepAdvice {
+	return &StepAdvice{Eligible: map[cell.WorkerID]Ticket{}, Evaluated: map[cell.WorkerID]bool{}}
+}
+
 func (l *simulation) accept(j *simJob) {
 	j.acceptedAt = l.now
 	l.unfinished = append(l.unfinished, j)
@@ -314,6 +351,9 @@
 				l.free[t.worker] = l.free[t.worker].Add(j.step.Need)
 				if j.step.Checkpoints {
 					t.remaining = t.endsAt.Sub(t.stopsAt)
+					if l.conditions != nil {
+						t.remaining += l.conditions.restoreTime
+					}
 				}
 				t.stopsAt = 0
 			}
@@ -321,7 +361,11 @@
 				unfinishedTasks++
 			}
 		}
-		if unfinishedTasks == 0 {
+		switch {
+		case unfinishedTasks > 0:
+		case j.current+1 < j.steps:
+			j.beginNextStep()
+		default:
 			j.endedAt = l.now
 		}
 	}
@@ -353,6 +397,9 @@
 			return false
 		}
 		j := l.jobByID(c.request.Key.Job)
+		if j.current != c.request.Key.Step {
+			return true
+		}
 		j.advice.InFlight--
 		for _, w := range c.request.Workers {
 			j.advice.Evaluated[w] = true
@@ -403,6 +450,9 @@
 		panic("start exceeds the free capacity of its worker")
 	}
 	t.running, t.worker, t.run = true, w, t.run+1
+	if l.conditions != nil {
+		l.conditions.onStart(l, j)
+	}
 	t.startedAt, t.endsAt, t.failsAt = l.now, l.now.Add(t.remaining), 0
 	// Whether a run fails depends on nothing but the run, so that the same runs fail
 	// whatever the plans are.
@@ -419,7 +469,7 @@
 	in.AllAdvisers, in.IdleAdvisers = l.advisers, l.advisers-len(l.calls)
 	for i, free := range l.free {
 		w := worker(fmt.Sprintf("w%03d", i), 0)
-		w.Capacity, w.Free = model.Resources{MilliCPU: 16000, MemoryMB: 32768}, free
+		w.Capacity, w.Free = l.capacity(), free
 		if l.gone(i) {
 			w.Capacity, w.Free = model.Resources{}, model.Resources{}
 		}
@@ -427,9 +477,12 @@
 	}
 	for _, j := range l.unfinished {
 		p := Pending{
-			Key: cell.StepKey{Job: j.id}, Step: &j.step, Queue: &j.class.queue, Pool: "p", Workspace: "a",
-			Deadline: j.acceptedAt.Add(j.objective), Remaining: time.Duration(j.step.EstimateMillis) * time.Millisecond, Advice: j.advice,
-			TaskTime: time.Duration(j.step.EstimateMillis) * time.Millisecond,
+			Key: cell.StepKey{Job: j.id, Step: j.current}, Step: &j.step, Queue: &j.class.queue, Pool: "p", Workspace: j.workspace,
+			Deadline: j.acceptedAt.Add(j.objective), Remaining: time.Duration(j.steps-j.current) * j.expected, Advice: j.advice,
+			TaskTime: j.expected, OverShare: j.overShare,
+		}
+		if l.conditions != nil {
+			p.Deadline = j.acceptedAt.Add(j.class.objective(j.steps, j.expected))
 		}
 		for i := range j.tasks {
 			t := &j.tasks[i]
@@ -456,9 +509,11 @@
 	lost := stopTime
 	if !j.step.Checkpoints {
 		lost = l.now.Sub(t.startedAt)
+	} else if l.conditions != nil {
+		lost = l.conditions.restoreTime
 	}
 	w.Victims = append(w.Victims, Victim{
-		Task: cell.TaskKey{Job: j.id, Index: i}, Run: t.run, Need: j.step.Need, Priority: j.class.queue.Priority,
+		Task: cell.TaskKey{Job: j.id, Step: j.current, Index: i}, Run: t.run, Need: j.step.Need, Priority: j.class.queue.Priority,
 		LostWork: float64(lost.Milliseconds()) * float64(j.step.Need.MilliCPU) / 1000,
 	})
 }
@@ -489,9 +544,10 @@
 	work := 0.0
 	for i := range j.tasks {
 		if !j.tasks[i].done {
-			work += float64(j.step.EstimateMillis) * float64(j.step.Need.MilliCPU) / 1000
+			work += float64(j.expected.Milliseconds()) * float64(j.step.Need.MilliCPU) / 1000
 		}
 	}
+	work += float64((j.steps-j.current-1)*len(j.tasks)) * float64(j.expected.Milliseconds()) * float64(j.step.Need.MilliCPU) / 1000
 	return work
 }
 
