--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// maxRequestWorkers limits the workers in one advice request.
+	// maxRequestWorkers limits the workers in one advice request, but for those about
+	// workers that have not been evaluated for a gang in a scarce pool.
 	// maxGangRequestWorkers limits the workers that are requested for a gang at a
-	// time. They are split into concurrent requests of gangBatchSize workers, each
-	// of which is answered sooner than one request for all.
+	// time. Unless the pool is scarce they are split into concurrent requests of
+	// gangBatchSize workers, each of which is answered sooner than one request for all.
 	maxRequestWorkers     = 100
 	maxGangRequestWorkers = 200
 	gangBatchSize         = 50
@@ -215,7 +216,7 @@
 func (w *Worker) availableTo(priority int) model.Resources {
 	capacity := futureFreeCapacity(w)
 	for i := range w.Victims {
-		if w.Victims[i].Priority > priority {
+		if w.Victims[i].Priority > priority && !w.Victims[i].kept {
 			capacity = capacity.Add(w.Victims[i].Need)
 		}
 	}
@@ -239,7 +240,7 @@
 			ids = append(ids, w.ID)
 		}
 	}
-	for batch := range slices.Chunk(ids, p.rulesFor(s).requestBatch) {
+	for batch := range slices.Chunk(ids, min(maxRequestWorkers, p.rulesFor(s).requestBatch)) {
 		p.addAdviceRequest(s, batch)
 	}
 }
--- a/internal/cell/plan/bench_test.go
+++ b/internal/cell/plan/bench_test.go
@@ -44,17 +44,20 @@
 }
 
 // BenchmarkCompute measures the computation of one plan for a busy cell, with and
-// without gangs.
+// without gangs, in both orders.
 func BenchmarkCompute(b *testing.B) {
 	for _, c := range []struct{ workers, gangs, small int }{{48, 5, 10}, {350, 0, 20}, {350, 10, 20}, {350, 60, 20}, {1100, 0, 200}, {1100, 60, 200}, {1100, 150, 200}, {3000, 150, 200}} {
-		b.Run(fmt.Sprintf("workers=%d/gangs=%d/small=%d", c.workers, c.gangs, c.small), func(b *testing.B) {
-			b.ReportAllocs()
-			for range b.N {
-				b.StopTimer()
-				in := busyCell(c.workers, c.gangs, c.small)
-				b.StartTimer()
-				Compute(in)
-			}
-		})
+		for order, name := range map[Order]string{LeastCost: "least-cost", LatestStart: "latest-start"} {
+			b.Run(fmt.Sprintf("workers=%d/gangs=%d/small=%d/%s", c.workers, c.gangs, c.small, name), func(b *testing.B) {
+				b.ReportAllocs()
+				for range b.N {
+					b.StopTimer()
+					in := busyCell(c.workers, c.gangs, c.small)
+					in.Order = order
+					b.StartTimer()
+					Compute(in)
+				}
+			})
+		}
 	}
 }
--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -510,7 +510,14 @@
 	} else if l.conditions != nil {
 		lost = l.conditions.restoreTime
 	}
+	var latestStart clock.Instant
+	var objective time.Duration
+	if l.conditions != nil {
+		objective = j.class.objective(j.steps, j.expected)
+		latestStart = j.acceptedAt.Add(objective - time.Duration(j.steps-j.current)*j.expected)
+	}
 	w.Victims = append(w.Victims, Victim{
+		LatestStart: latestStart, Objective: objective,
 		Task: cell.TaskKey{Job: j.id, Step: j.current, Index: i}, Run: t.run, Need: j.step.Need, Priority: j.class.queue.Priority,
 		LostWork: float64(lost.Milliseconds()) * float64(j.step.Need.MilliCPU) / 1000,
 	})
--- a/internal/cell/plan/order.go
+++ b/internal/cell/plan/order.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"kumquatwing/internal/cell"
 	"kumquatwing/internal/clock"
 )
 
@@ -74,7 +75,11 @@
 	for pool, steps := range byPool {
 		rate := usableShare * p.poolCPU(pool)
 		assignStandings(steps, rate, p.in.Now)
+		p.usableCPU[pool] = rate
 		p.scarce[pool] = isScarce(steps, rate)
+		for _, s := range steps {
+			s.byWork = p.scarce[pool] || s.standing != OnTime
+		}
 	}
 }
 
@@ -108,9 +113,10 @@
 // minimizing the number of late jobs", Management Science 15, 1968): it takes the steps in
 // the order of their latest starts, and whenever one of them can't be done in time, it
 // holds back the largest of those taken. The number of steps that end in time is then the
-// largest possible. Where capacity suffices none is held back. More urgent steps and
-// those of workspaces within their share are selected first, and less urgent ones share
-// what these leave.
+// largest possible. Where capacity suffices none is held back. Each priority is
+// selected by itself, and steps of workspaces beyond their share too, since they come after
+// the others: less urgent steps also run in capacity that more urgent gangs can't use, and
+// would otherwise be held back without need.
 func assignStandings(steps []*Pending, rate float64, now clock.Instant) {
 	slices.SortStableFunc(steps, func(a, b *Pending) int {
 		return cmp.Or(cmp.Compare(shareRank(a), shareRank(b)), cmp.Compare(a.latestStart(), b.latestStart()))
@@ -123,7 +129,7 @@
 			continue
 		}
 		if r := shareRank(s); r != rank {
-			rank, selected = r, selected[:0]
+			rank, selected, work = r, selected[:0], 0
 		}
 		s.standing = OnTime
 		heap.Push(&selected, s)
@@ -151,12 +157,18 @@
 
 // lateStanding returns the standing of a step that can't end within its objective.
 func (s *Pending) lateStanding(now clock.Instant) Standing {
-	if s.Objective > 0 && now.Add(s.Remaining) > s.Deadline.Add((lateFactor-1)*s.Objective) {
+	if s.endsTooLate(now) {
 		return Hopeless
 	}
 	return Late
 }
 
+// endsTooLate reports whether the job is expected to end after lateFactor times its
+// objective if the step starts at the given time.
+func (s *Pending) endsTooLate(start clock.Instant) bool {
+	return s.Objective > 0 && start.Add(s.Remaining) > s.Deadline.Add((lateFactor-1)*s.Objective)
+}
+
 // workHeap holds steps, the one with the most waiting work first.
 type workHeap []*Pending
 
@@ -175,18 +187,67 @@
 	return last
 }
 
-// sortByStanding sorts steps by standing. Steps that are expected to be on time come in the
-// order of shareRank and latest start, the others of shareRank and the work that they
-// need.
+// sortByStanding sorts steps by standing and shareRank. Steps that are expected to be on
+// time then come in the order of their latest starts where capacity suffices. In scarce
+// pools, and among the steps that are not expected to be on time, those that need the least
+// work come first: as many callers as possible are then served while time is left.
 func sortByStanding(steps []Pending) {
 	slices.SortStableFunc(steps, func(a, b Pending) int {
 		c := cmp.Or(cmp.Compare(a.standing, b.standing), cmp.Compare(shareRank(&a), shareRank(&b)))
-		if c != 0 {
+		switch {
+		case c != 0:
 			return c
+		case a.byWork != b.byWork:
+			if a.byWork {
+				return 1
+			}
+			return -1
+		case a.byWork:
+			return cmp.Compare(a.waitingWork(), b.waitingWork())
 		}
-		if a.standing == OnTime {
-			return cmp.Compare(a.latestStart(), b.latestStart())
-		}
-		return cmp.Compare(a.waitingWork(), b.waitingWork())
+		return cmp.Compare(a.latestStart(), b.latestStart())
 	})
 }
+
+// HopelessReason is why a job is expected to end after lateFactor times its objective.
+type HopelessReason string
+
+const (
+	// ReasonRunTime says that the job's own remaining run time is too long.
+	ReasonRunTime HopelessReason = "run-time"
+	// ReasonQueue says that it would wait too long behind the work that comes before it, while
+	// the queue stays as it is.
+	ReasonQueue HopelessReason = "queue"
+)
+
+// HopelessStep is a waiting step of a job that is expected to end after lateFactor times its
+// objective. The job is run all the same, since it was accepted.
+type HopelessStep struct {
+	Key    cell.StepKey
+	Queue  string
+	Reason HopelessReason
+	// Wait is the expected time until the step gets its turn.
+	Wait time.Duration
+}
+
+// reportStandings counts the steps by queue and standing and lists the hopeless ones.
+// in.Pending is in the order in which the plan is made.
+func (p *planner) reportStandings() {
+	p.out.Standings = map[string]*[Hopeless + 1]int{}
+	work := map[string]float64{}
+	for i := range p.in.Pending {
+		s := &p.in.Pending[i]
+		if p.out.Standings[s.Queue.Name] == nil {
+			p.out.Standings[s.Queue.Name] = &[Hopeless + 1]int{}
+		}
+		p.out.Standings[s.Queue.Name][s.standing]++
+		wait := time.Duration(work[s.Pool] / max(1, p.usableCPU[s.Pool]) * float64(time.Millisecond))
+		work[s.Pool] += s.waitingWork()
+		switch {
+		case s.standing == Hopeless:
+			p.out.Hopeless = append(p.out.Hopeless, HopelessStep{s.Key, s.Queue.Name, ReasonRunTime, wait})
+		case s.endsTooLate(p.in.Now.Add(wait)):
+			p.out.Hopeless = append(p.out.Hopeless, HopelessStep{s.Key, s.Queue.Name, ReasonQueue, wait})
+		}
+	}
+}
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -102,6 +102,14 @@
 	Priority int
 	// LostWork is the work that is lost if the run is stopped, in core-milliseconds.
 	LostWork float64
+	// LatestStart is the latest time at which the unfinished steps of the run's job can
+	// start if the job is to meet its objective, 0 if it is not known.
+	LatestStart clock.Instant
+	// Objective is the objective of the run's job.
+	Objective time.Duration
+	// kept reports that the run isn't preempted in this plan, since its job has too little
+	// slack.
+	kept bool
 	// selected reports that the planner has chosen to preempt the run.
 	selected bool
 }
@@ -148,6 +156,8 @@
 	Objective time.Duration
 	// standing is set at the start of a plan.
 	standing Standing
+	// byWork reports that the step comes in the order of the work that it needs.
+	byWork bool
 	// eligible caches the result of planner.eligible, nil before the first call.
 	eligible []*Worker
 }
@@ -196,6 +206,10 @@
 	Tokens         []string
 	AdviceRequests []AdviceRequest
 	Stops          []Stop
+	// Standings counts the waiting steps by queue and standing, and Hopeless lists those that
+	// are expected to end too late. Both are nil in the order LatestStart.
+	Standings map[string]*[Hopeless + 1]int
+	Hopeless  []HopelessStep
 }
 
 // planner holds the working state while one plan is computed.
@@ -217,6 +231,8 @@
 	// scarce holds the pools whose capacity doesn't suffice for the waiting work. It is empty
 	// in the order LatestStart.
 	scarce map[string]bool
+	// usableCPU holds the usable cores of each pool with waiting steps.
+	usableCPU map[string]float64
 	// yieldTo holds, for scarce pools, the first gang that waits for capacity and can be on
 	// time.
 	yieldTo map[string]*Pending
@@ -228,7 +244,7 @@
 func Compute(in *Input) Output {
 	p := &planner{
 		in: in, pools: map[string][]*Worker{}, poolsByFree: map[string][]*Worker{}, byID: make(map[cell.WorkerID]*Worker, len(in.Workers)),
-		scarce: map[string]bool{}, yieldTo: map[string]*Pending{},
+		scarce: map[string]bool{}, usableCPU: map[string]float64{}, yieldTo: map[string]*Pending{},
 	}
 	for i := range in.Workers {
 		w := &in.Workers[i]
@@ -240,7 +256,9 @@
 		sortByUrgency(in.Pending, in.Now)
 	} else {
 		p.assignStandings()
+		p.keepRunsWithoutSlack()
 		sortByStanding(in.Pending)
+		p.reportStandings()
 	}
 	for i := range in.Pending {
 		s := &in.Pending[i]
--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -151,7 +151,9 @@
 }
 
 // mayYieldTo reports whether the run may be preempted for the step.
-func (v *Victim) mayYieldTo(s *Pending) bool { return !v.selected && v.Priority > s.Queue.Priority }
+func (v *Victim) mayYieldTo(s *Pending) bool {
+	return !v.selected && !v.kept && v.Priority > s.Queue.Priority
+}
 
 // cheapest returns the index of the worker whose next slot loses the least work, -1
 // if no worker has one.
--- a/internal/cell/plan/scarceload_test.go
+++ b/internal/cell/plan/scarceload_test.go
@@ -273,11 +273,12 @@
 		return Compute(in)
 	})
 	onTime := func(b sizeBand) float64 { return float64(b.inTime) / float64(max(1, b.jobs)) }
-	qt.Check(t, earned >= earnedBefore+0.03, qt.IsTrue, qt.Commentf("earned %.3f, by latest start %.3f", earned, earnedBefore))
-	qt.Check(t, onTime(least["gang"].all) >= 1.25*onTime(latest["gang"].all), qt.IsTrue)
+	qt.Check(t, earned >= earnedBefore+0.06, qt.IsTrue, qt.Commentf("earned %.3f, by latest start %.3f", earned, earnedBefore))
+	qt.Check(t, onTime(least["gang"].all) >= 1.4*onTime(latest["gang"].all), qt.IsTrue)
 	qt.Check(t, least["gang"].all.served() >= latest["gang"].all.served(), qt.IsTrue)
 	qt.Check(t, onTime(least["quick"].all) >= 0.98, qt.IsTrue)
 	qt.Check(t, least["batch"].all.served() >= 0.98, qt.IsTrue)
+	qt.Check(t, onTime(least["batch"].all) >= 0.88, qt.IsTrue)
 	for name, r := range least {
 		qt.Check(t, r.largest.served() >= r.all.served()/2, qt.IsTrue, qt.Commentf("%s: the largest tenth is served %.2f", name, r.largest.served()))
 		qt.Check(t, r.large.served() >= r.all.served()/2, qt.IsTrue, qt.Commentf("%s: the fifth below it is served %.2f", name, r.large.served()))
--- a/internal/cell/plan/scarcity.go
+++ b/internal/cell/plan/scarcity.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"kumquatwing/internal/clock"
 )
 
 // rules are the limits by which waiting gangs get advice, gather capacity and preempt.
@@ -52,8 +54,10 @@
 	// A preempted run with checkpoints loses its restore time, about an eighth of the
 	// work of the gang tasks that take its place. Waiting for capacity costs more.
 	maxLostShare: 0.2, maxLostShareUrgent: maxLostWorkShareUrgent,
-	// The fixed time of a decision is more than that for 50 workers.
-	requestBatch: 100, minBatches: 1, requestOversampling: 8,
+	// The fixed time of a decision is more than that for 50 workers, so that one request for
+	// many workers occupies an adviser for less time than several. A gang that knows many
+	// eligible workers finds free slots among them without asking again.
+	requestBatch: maxGangRequestWorkers, minBatches: 1, requestOversampling: 12,
 	renewedWorkers: 20,
 	// Slots that were kept free while tickets were renewed took up a tenth of the cores.
 	reservesWithoutTickets: false,
@@ -69,8 +73,10 @@
 }
 
 // yieldSlackShare is the share of its objective that a less urgent job keeps as slack: with
-// less than that it no longer gives way, and gets its turn before its slack is used up.
-const yieldSlackShare = 0.25
+// less than that it no longer gives way, and gets its turn before its slack is used up. With
+// a quarter, 0.18 of the batch jobs of TestScarceLoad that were on time before became late;
+// with 0.6, fewer gangs gained than batch jobs lost.
+const yieldSlackShare = 0.5
 
 // mustYield reports whether the step leaves the task slots of a waiting gang to it: the
 // step is less urgent, has slack, and would lose its work if it were preempted for the
@@ -80,7 +86,29 @@
 	if g == nil || g.Queue.Priority >= s.Queue.Priority || s.Step.Gang || s.Step.Checkpoints {
 		return false
 	}
-	return s.latestStart().Sub(p.in.Now) >= time.Duration(yieldSlackShare*float64(s.Objective))
+	return givesWay(s.latestStart(), s.Objective, p.in.Now)
+}
+
+// givesWay reports whether a job with the given latest start and objective has so much slack
+// that it still gives way to more urgent work.
+func givesWay(latestStart clock.Instant, objective time.Duration, now clock.Instant) bool {
+	return latestStart.Sub(now) >= time.Duration(yieldSlackShare*float64(objective))
+}
+
+// keepRunsWithoutSlack keeps the runs of scarce pools from preemption whose jobs could miss
+// their objectives by it.
+func (p *planner) keepRunsWithoutSlack() {
+	for pool, scarce := range p.scarce {
+		if !scarce {
+			continue
+		}
+		for _, w := range p.pools[pool] {
+			for i := range w.Victims {
+				v := &w.Victims[i]
+				v.kept = v.LatestStart >= p.in.Now && !givesWay(v.LatestStart, v.Objective, p.in.Now)
+			}
+		}
+	}
 }
 
 // outsideSlots deletes the workers on which a task of the step would take a slot of the gang
