plan, scheduler: metrics, log lines and reasons of the order; runs without slack are kept

Cause: an operator couldn't see which steps wait for lack of capacity, and the scheduler didn't tell the planner how much slack the jobs of running tasks have. Change: kq_cell_waiting_steps by queue and standing, kq_cell_hopeless_steps_total by queue and reason, a log line every 2 s while capacity doesn't suffice, at most four lines on hopeless steps in that time. A gang whose placement policy doesn't answer holds nothing once its tickets have expired.

--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -217,7 +217,8 @@
 
 // reservePartial reserves the free capacity of eligible workers for a gang that
 // waits for more: those with the most free CPU first, until the gang would fit
-// with preemption. If the eligible workers could not hold the gang even when empty,
+// with preemption. A gang whose placement policy doesn't answer reserves nothing once its
+// tickets have expired. If the eligible workers could not hold the gang even when empty,
 // or if the pool is mostly free, it reserves nothing and requests advice about
 // workers that have not been evaluated.
 func (p *planner) reservePartial(s *Pending, eligible []*Worker) {
@@ -226,7 +227,7 @@
 		return
 	}
 	p.prepareTickets(s, eligible)
-	if p.reservingGangs >= p.maxReservingGangs(s) {
+	if p.reservingGangs >= p.maxReservingGangs(s) || (p.policyFails(s) && len(p.withValidTickets(s)) == 0) {
 		return
 	}
 	p.reservingGangs++
--- a/internal/cell/plan/order.go
+++ b/internal/cell/plan/order.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -50,6 +51,11 @@
 	Hopeless
 )
 
+// String implements fmt.Stringer.
+func (s Standing) String() string {
+	return [...]string{"on-time", "held-back", "late", "hopeless"}[s]
+}
+
 const (
 	// lateFactor is the multiple of its objective within which a late job still has some
 	// value to its caller.
@@ -233,6 +239,11 @@
 // reportStandings counts the steps by queue and standing and lists the hopeless ones.
 // in.Pending is in the order in which the plan is made.
 func (p *planner) reportStandings() {
+	for _, pool := range slices.Sorted(maps.Keys(p.scarce)) {
+		if p.scarce[pool] {
+			p.out.ScarcePools = append(p.out.ScarcePools, pool)
+		}
+	}
 	p.out.Standings = map[string]*[Hopeless + 1]int{}
 	work := map[string]float64{}
 	for i := range p.in.Pending {
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -210,6 +210,8 @@
 	// are expected to end too late. Both are nil in the order LatestStart.
 	Standings map[string]*[Hopeless + 1]int
 	Hopeless  []HopelessStep
+	// ScarcePools holds the pools whose capacity doesn't suffice for the waiting work.
+	ScarcePools []string
 }
 
 // planner holds the working state while one plan is computed.
--- a/internal/cell/plan/scarcity.go
+++ b/internal/cell/plan/scarcity.go
@@ -137,7 +137,7 @@
 
 // holdSlots reserves the slots of a gang and renews expiring tickets.
 func (p *planner) holdSlots(s *Pending, slots []*Worker) {
-	if p.rulesFor(s).reservesWithoutTickets || !p.ticketsExpireWithin(s, slots, 0) {
+	if p.reservesWithoutTickets(s) || !p.ticketsExpireWithin(s, slots, 0) {
 		p.reserve(s, slots)
 	}
 	if p.ticketsExpireWithin(s, slots, ticketRenewalMargin) {
@@ -145,6 +145,19 @@
 	}
 }
 
+// reservesWithoutTickets reports whether a gang keeps capacity free although its tickets
+// have expired. It does not if the placement policy didn't answer its newest request: the
+// capacity would be idle until the policy answers again.
+func (p *planner) reservesWithoutTickets(s *Pending) bool {
+	return p.rulesFor(s).reservesWithoutTickets && !p.policyFails(s)
+}
+
+// policyFails reports whether the placement policy didn't answer the newest request for the
+// step. The order LatestStart doesn't take it into account.
+func (p *planner) policyFails(s *Pending) bool {
+	return p.in.Order != LatestStart && s.Advice != nil && s.Advice.Failed > 0
+}
+
 // needsAdvice reports whether a gang that isn't searched in this plan requests advice about
 // further workers.
 func (p *planner) needsAdvice(s *Pending) bool {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -16,7 +16,8 @@
 	// start.
 	firstStart prometheus.Histogram
 	// jobs is the time from a job's submission to its end.
-	jobs *prometheus.HistogramVec
+	jobs  *prometheus.HistogramVec
+	order orderMetrics
 }
 
 // NewMetrics returns the scheduler's metrics, registered with r.
@@ -51,5 +52,6 @@
 		Buckets: prometheus.ExponentialBuckets(0.1, 2, 10),
 	}, []string{"queue", "state"})
 	r.MustRegister(m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
+	m.order = newOrderMetrics(r)
 	return m
 }
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -48,6 +48,7 @@
 		s.nextLatePlanAt = begin.Add(latePlanFactor * took)
 	}
 	s.recordPlan(took)
+	s.reportOrder(&out, begin)
 	s.nextPlanAt = begin.Add(took + max(minPlanPause, planPauseFactor*took))
 	for i := range out.AdviceRequests {
 		s.requestAdvice(ctx, &out.AdviceRequests[i])
@@ -165,7 +166,7 @@
 // addWorkers adds the workers that accept new tasks, ordered by ID. The state is
 // locked.
 func (s *Scheduler) addWorkers(in *plan.Input, now clock.Instant) {
-	preemptable := preemptionTargets(in.Pending)
+	preemptable, paces := preemptionTargets(in.Pending), paceCache{}
 	workers := s.cfg.State.SortedWorkers()
 	in.Workers = make([]plan.Worker, 0, len(workers))
 	for _, w := range workers {
@@ -180,7 +181,7 @@
 			Suspect: se.failures.suspect(now) || speed < suspectSpeed,
 		}
 		if preemptable.has(w.ID) {
-			s.addVictims(&pw, se, w, now)
+			s.addVictims(&pw, se, w, paces, now)
 		}
 		in.Workers = append(in.Workers, pw)
 	}
@@ -214,7 +215,7 @@
 
 // addVictims adds to pw the capacity of the runs that are being stopped and the
 // runs that may be preempted. The state is locked.
-func (s *Scheduler) addVictims(pw *plan.Worker, se *session, w *cell.WorkerState, now clock.Instant) {
+func (s *Scheduler) addVictims(pw *plan.Worker, se *session, w *cell.WorkerState, paces paceCache, now clock.Instant) {
 	for k, a := range w.Allocations {
 		r := se.runs[k]
 		j := s.cfg.State.Jobs[k.Job]
@@ -230,8 +231,10 @@
 		if r.status != runStarted || step.Gang || step.Service || q == nil {
 			continue
 		}
+		pace := s.paceOf(paces, k, j, q)
 		pw.Victims = append(pw.Victims, plan.Victim{
 			Task: k, Run: r.number, Need: a.Need, Priority: q.Priority, LostWork: s.preemptionCost(step, r, now),
+			LatestStart: pace.latestStart, Objective: pace.objective,
 		})
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -105,6 +105,7 @@
 	// nextLatePlanAt is when the next plan may include late steps.
 	nextLatePlanAt clock.Instant
 	plans          planStats
+	order          orderReport
 	loop           loopStats
 	// creatingOccurrences is set while a command that creates occurrences is
 	// being committed.
@@ -235,6 +236,8 @@
 	s.planning, s.creatingOccurrences, s.dirty = false, false, true
 	s.nextCleanup, s.nextPlanAt, s.nextLatePlanAt = 0, 0, 0
 	s.synced = false
+	s.order = orderReport{}
+	s.cfg.Metrics.order.waiting.Reset()
 	for _, a := range s.advisers {
 		a.busy = false
 	}
