--- a/internal/cell/plan/order_test.go
+++ b/internal/cell/plan/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -172,6 +173,7 @@
 				gang.Advice.SetEligible(w, Ticket{Token: "t", ExpiresAt: testNow.Add(c.expires)})
 			}
 			gang.Advice.InFlight, gang.Advice.Failed = 1, 1
+			gang.TaskTime = 200 * time.Millisecond
 			w1, w2 := worker("w1", 16), worker("w2", 4)
 			w2.Releasing = model.Resources{MilliCPU: 12000, MemoryMB: 1000}
 			small := withObjective(pending("small", 1, 4, 2, false), 20*time.Second, 9*time.Second)
@@ -180,11 +182,34 @@
 				in.Pending = append(in.Pending, withObjective(pending("other", 40, 17, 2, false), 20*time.Second, 15*time.Second))
 			}
 			out := Compute(in)
+			qt.Check(t, out.ScarcePools, qt.HasLen, map[bool]int{true: 1}[scarce])
 			qt.Check(t, placedOn(out)["small"], qt.HasLen, c.started, qt.Commentf("scarce %v, tickets expire in %v", scarce, c.expires))
 		}
 	}
 }
 
+// TestScarceGangsUseFreeSlots guards against capacity that stays free because only some of
+// the waiting gangs are looked at: a gang that fits into the free capacity has its tickets
+// renewed however many others wait before it.
+func TestScarceGangsUseFreeSlots(t *testing.T) {
+	var gangs []Pending
+	for i := range 20 {
+		gangs = append(gangs, withObjective(withAdvice(pending(fmt.Sprintf("full%02d", i), 1, 16, 1, true), "w1"), 20*time.Second, 10*time.Second))
+	}
+	last := withObjective(withAdvice(pending("last", 2, 16, 1, true), "w2", "w3"), 20*time.Second, 10*time.Second)
+	for w := range last.Advice.Eligible {
+		last.Advice.SetEligible(w, Ticket{Token: "t"})
+	}
+	in := input([]Worker{worker("w1", 0), worker("w2", 16), worker("w3", 16)}, append(gangs, last)...)
+	in.IdleAdvisers, in.AllAdvisers = 200, 200
+	out := Compute(in)
+	renewed := false
+	for _, r := range out.AdviceRequests {
+		renewed = renewed || (r.Key == last.Key && slices.Contains(r.Workers, "w2"))
+	}
+	qt.Check(t, renewed, qt.IsTrue)
+}
+
 // TestParseOrder guards against a setting that is mistyped and silently ignored.
 func TestParseOrder(t *testing.T) {
 	for name, want := range map[string]Order{"": LeastCost, "least-cost": LeastCost, "latest-start": LatestStart} {
