plan: the scarce load leaves late steps out of most plans, and some advice requests unanswered

Cause: the load played neither the plans without late steps that a busy leader makes nor a placement policy that doesn't answer, which a fault in the order could hide behind. Change: late steps are in one of five plans, and 5 of 100 requests get no answer.

--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -401,6 +401,11 @@
 			return true
 		}
 		j.advice.InFlight--
+		if l.conditions != nil && l.conditions.adviceFails(&c) {
+			j.advice.Failed++
+			return true
+		}
+		j.advice.Failed = 0
 		for _, w := range c.request.Workers {
 			j.advice.Evaluated[w] = true
 			if isEligible(j, w) {
@@ -423,6 +428,10 @@
 	if len(in.Pending) == 0 {
 		return
 	}
+	if l.conditions != nil {
+		// The leader plans late steps in about one of latePlanFactor plans.
+		in.SkipLate = int(l.now.Sub(testNow)/l.planInterval)%5 != 0
+	}
 	out := l.computePlan(in)
 	for i := range out.Starts {
 		l.start(&out.Starts[i])
--- a/internal/cell/plan/scarceload_test.go
+++ b/internal/cell/plan/scarceload_test.go
@@ -37,6 +37,8 @@
 	// lostShare of the workers are gone in each of the losses, others in each.
 	lostShare float64
 	losses    []demandBurst
+	// adviceFailShare of the advice requests get no answer.
+	adviceFailShare float64
 	// workspaces have equal shares. The first sends excess times its share during
 	// excessPeriod, and what exceeds the share counts as OverShare.
 	workspaces   int
@@ -73,6 +75,12 @@
 	return false
 }
 
+// adviceFails reports whether the placement policy gives no answer to the request.
+func (c *loadConditions) adviceFails(call *simCall) bool {
+	luck := rand.New(rand.NewPCG(hashString(call.request.Key.String()), uint64(call.endsAt)))
+	return luck.Float64() < c.adviceFailShare
+}
+
 // newJob returns a job of the class, with random width, run time, expected time, number
 // of steps and workspace.
 func (c *loadConditions) newJob(l *simulation, class *loadClass) *simJob {
@@ -165,7 +173,7 @@
 		meanSteps:   map[string]float64{"gang": 1.2, "batch": 1.5, "batch-plain": 1.5},
 		restoreTime: 600 * time.Millisecond,
 		lostShare:   0.03, losses: []demandBurst{{from: 10 * time.Second, to: 16 * time.Second}, {from: 26 * time.Second, to: 32 * time.Second}},
-		workspaces: 10, excess: 5, excessPeriod: demandBurst{from: 10 * time.Second, to: 16 * time.Second},
+		adviceFailShare: 0.05, workspaces: 10, excess: 5, excessPeriod: demandBurst{from: 10 * time.Second, to: 16 * time.Second},
 	}
 }
 
