plan: late gangs of scarce pools request advice while advisers are idle

Cause: a late gang requests advice only while more than half of the advisers are idle. In a scarce pool dozens of late gangs wait while a little less than half are. Change: in scarce pools late gangs leave only the advisers idle that are kept for quicker policies.

--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -256,10 +256,11 @@
 
 // mayRequestAdvice reports whether advice for the step may be requested now: it
 // needs advice, none of its requests is in flight, and an adviser is available.
-// A gang that can no longer end in time is served only while enough advisers
-// are idle.
+// Unless the pool is scarce, a gang that can no longer end in time is served only while
+// enough advisers are idle. In a scarce pool most of the waiting gangs may be late; they come
+// after all others and leave the reservedAdvisers idle.
 func (p *planner) mayRequestAdvice(s *Pending) bool {
-	if s.Advice == nil || (s.late(p.in.Now) && s.Step.Gang && !p.advisersIdle(s)) {
+	if s.Advice == nil || (s.late(p.in.Now) && s.Step.Gang && !p.scarce[s.Pool] && !p.advisersIdle(s)) {
 		return false
 	}
 	return s.Advice.InFlight == 0 && p.in.IdleAdvisers > p.reservedAdvisers(s)
