--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -14,8 +14,8 @@
 const (
 	// maxRequestWorkers limits the workers in one advice request.
 	// maxGangRequestWorkers limits the workers that are requested for a gang at a
-	// time. They are split into concurrent requests of gangBatchSize workers, each
-	// of which is answered sooner than one request for all.
+	// time. Unless the pool is scarce they are split into concurrent requests of
+	// gangBatchSize workers, each of which is answered sooner than one request for all.
 	maxRequestWorkers     = 100
 	maxGangRequestWorkers = 200
 	gangBatchSize         = 50
@@ -177,6 +177,7 @@
 	if !p.mayRequestAdvice(s) {
 		return
 	}
+	rules := p.adviceRulesFor(s)
 	var candidates []gangCandidate
 	first := s.firstCandidate(len(p.in.Workers))
 	for _, w := range p.pools[s.Pool] {
@@ -193,10 +194,10 @@
 			}
 		}
 	}
-	ids := p.chooseWorkers(s, order, float64(len(s.Waiting))*gangRequestOversampling, maxGangRequestWorkers, availableSlots)
+	ids := p.chooseWorkers(s, order, float64(len(s.Waiting))*rules.requestOversampling, maxGangRequestWorkers, availableSlots)
 	requested := 0
-	for batch := range slices.Chunk(ids, gangBatchSize) {
-		if p.in.IdleAdvisers <= p.reservedAdvisers(s) || (requested >= minGangBatches && !p.advisersIdle(s)) {
+	for batch := range slices.Chunk(ids, rules.requestBatch) {
+		if p.in.IdleAdvisers <= p.reservedAdvisers(s) || (requested >= rules.minBatches && !p.advisersIdle(s)) {
 			return
 		}
 		p.addAdviceRequest(s, batch)
@@ -222,7 +223,7 @@
 func (w *Worker) availableTo(priority int) model.Resources {
 	capacity := futureFreeCapacity(w)
 	for i := range w.Victims {
-		if w.Victims[i].Priority > priority {
+		if w.Victims[i].Priority > priority && !w.Victims[i].kept {
 			capacity = capacity.Add(w.Victims[i].Need)
 		}
 	}
@@ -242,11 +243,11 @@
 		}
 	}
 	for _, w := range p.eligible(s) {
-		if len(ids) < maxRenewedWorkers && !slices.Contains(ids, w.ID) {
+		if len(ids) < p.adviceRulesFor(s).renewedWorkers && !slices.Contains(ids, w.ID) {
 			ids = append(ids, w.ID)
 		}
 	}
-	for batch := range slices.Chunk(ids, gangBatchSize) {
+	for batch := range slices.Chunk(ids, p.adviceRulesFor(s).requestBatch) {
 		p.addAdviceRequest(s, batch)
 	}
 }
--- a/internal/cell/plan/gang.go
+++ b/internal/cell/plan/gang.go
@@ -53,9 +53,17 @@
 		p.requestGangAdvice(s, p.mayBeEligible)
 		return
 	}
+	if p.useFutureCapacity(s) {
+		return
+	}
 	p.waitingGangs++
-	if p.waitingGangs > p.maxReservingGangs(s)*searchedGangsFactor {
-		p.requestGangAdvice(s, p.notEvaluated)
+	if p.scarce[s.Pool] && p.yieldTo[s.Pool] == nil && s.standing == OnTime {
+		p.yieldTo[s.Pool] = s
+	}
+	if p.waitingGangs > p.maxReservingGangs(s)*p.rulesFor(s).searchedGangsFactor {
+		if p.needsAdvice(s) {
+			p.requestGangAdvice(s, p.notEvaluated)
+		}
 		return
 	}
 	p.preemptOrReserve(s, withLabel(s, slices.Clone(p.eligible(s))))
@@ -162,9 +170,9 @@
 func (p *planner) preemptOrReserve(s *Pending, eligible []*Worker) {
 	slots := p.assignSlots(s, eligible, futureFreeCapacity)
 	if slack := s.latestStart().Sub(p.in.Now); slots == nil && slack >= 0 {
-		maxLostShare := maxLostWorkShare
+		maxLostShare := p.rulesFor(s).maxLostShare
 		if slack < urgentSlack {
-			maxLostShare = maxLostWorkShareUrgent
+			maxLostShare = p.rulesFor(s).maxLostShareUrgent
 		}
 		slots = p.preempt(s, eligible, maxLostShare)
 	}
@@ -172,10 +180,7 @@
 		p.reservePartial(s, eligible)
 		return
 	}
-	p.reserve(s, slots)
-	if p.ticketsExpireWithin(s, slots, ticketRenewalMargin) {
-		p.renewTickets(s, slots)
-	}
+	p.holdSlots(s, slots)
 }
 
 // withLastingTickets returns the eligible workers whose tickets remain valid until
@@ -224,7 +229,8 @@
 
 // reservePartial reserves the free capacity of eligible workers for a gang that
 // waits for more: those with the most free CPU first, until the gang would fit
-// with preemption. If the eligible workers could not hold the gang even when empty,
+// with preemption. A gang whose placement policy doesn't answer reserves nothing once its
+// tickets have expired. If the eligible workers could not hold the gang even when empty,
 // or if the pool is mostly free, it reserves nothing and requests advice about
 // workers that have not been evaluated.
 func (p *planner) reservePartial(s *Pending, eligible []*Worker) {
@@ -233,7 +239,7 @@
 		return
 	}
 	p.prepareTickets(s, eligible)
-	if p.reservingGangs >= p.maxReservingGangs(s) {
+	if p.reservingGangs >= p.maxReservingGangs(s) || (p.policyFails(s) && len(p.withValidTickets(s)) == 0) {
 		return
 	}
 	p.reservingGangs++
--- a/internal/cell/plan/load_test.go
+++ b/internal/cell/plan/load_test.go
@@ -125,6 +125,13 @@
 	advice      *StepAdvice
 	// endedAt is the time at which the last task ended, 0 before that.
 	endedAt clock.Instant
+	// expected is the run time of a task that the scheduler assumes. steps is the number
+	// of equal steps that run one after the other, and current the index of the present
+	// one.
+	expected       time.Duration
+	steps, current int
+	overShare      bool
+	workspace      string
 }
 
 // simCall is an advice request in flight.
@@ -145,8 +152,8 @@
 	// refused holds the jobs whose callers try again.
 	refused []*simJob
 	calls   []simCall
-	// capacity is that of each worker.
-	capacity model.Resources
+	// workerCapacity is that of each worker if conditions is nil.
+	workerCapacity model.Resources
 	// speeds holds the speeds of the workers, nil if all are 1, and stragglerShare the share
 	// of the tasks that take stragglerFactor times as long as the others of their job.
 	// demandSwing is the amplitude of a swing of the demand with a period of swingPeriod.
@@ -156,6 +163,8 @@
 	// estimateError is the spread of the estimates as the standard deviation of their
 	// logarithm, 0 for 0.3. If it is set the planner's deadlines depend on the estimates.
 	estimateError float64
+	// conditions is nil in a load with constant arrivals and workers.
+	conditions *loadConditions
 }
 
 // classResult summarizes how the jobs of one class were served.
@@ -179,17 +188,22 @@
 }
 
 func newSimulation(sc scenario, seed uint64, capacity model.Resources, computePlan func(in *Input) Output) *simulation {
-	l := &simulation{scenario: sc, rand: rand.New(rand.NewPCG(seed, 1)), capacity: capacity, computePlan: computePlan, now: testNow}
-	for range l.workers {
-		l.free = append(l.free, capacity)
-	}
-	return l
+	return &simulation{scenario: sc, rand: rand.New(rand.NewPCG(seed, 1)), workerCapacity: capacity, computePlan: computePlan, now: testNow}
 }
 
 // run runs the scenario and returns the results by class name.
 func (l *simulation) run() map[string]*classResult {
-	for l.now < testNow.Add(arrivalPeriod+drainPeriod) {
-		if l.now < testNow.Add(arrivalPeriod) {
+	l.play(arrivalPeriod)
+	return l.results()
+}
+
+// play runs the scenario with jobs arriving in the given period.
+func (l *simulation) play(arrivals time.Duration) {
+	for range l.workers {
+		l.free = append(l.free, l.capacity())
+	}
+	for l.now < testNow.Add(arrivals+drainPeriod) {
+		if l.now < testNow.Add(arrivals) {
 			l.submitArrivals()
 		}
 		l.acceptReturning()
@@ -201,7 +215,14 @@
 		}
 		l.now = l.now.Add(l.planInterval)
 	}
-	return l.results()
+}
+
+// capacity returns the capacity of a worker.
+func (l *simulation) capacity() model.Resources {
+	if l.conditions != nil {
+		return l.conditions.capacity
+	}
+	return l.workerCapacity
 }
 
 // pausedNow reports whether there is no leader to make plans.
@@ -213,6 +234,9 @@
 
 // gone reports whether the worker with the given index has left.
 func (l *simulation) gone(worker int) bool {
+	if l.conditions != nil {
+		return l.conditions.gone(l, worker)
+	}
 	const lossAt = 10 * time.Second
 	if l.now.Sub(testNow) < lossAt {
 		return false
@@ -259,6 +283,9 @@
 			rate *= l.burstFactor
 		}
 		rate *= l.swing()
+		if l.conditions != nil {
+			rate *= l.conditions.demand(l.now.Sub(testNow))
+		}
 		for ; rate > 0; rate-- {
 			if l.rand.Float64() < rate {
 				l.submit(class)
@@ -268,6 +295,10 @@
 }
 
 func (l *simulation) submit(c *loadClass) {
+	if l.conditions != nil {
+		l.accept(l.conditions.newJob(l, c))
+		return
+	}
 	width := max(1, int(c.meanTasks*math.Exp(0.6*l.rand.NormFloat64()-0.18)))
 	work := time.Duration(float64(c.meanTaskTime) * math.Exp(0.5*l.rand.NormFloat64()-0.12))
 	j := &simJob{
@@ -276,8 +307,9 @@
 			Count: width, Need: l.taskSize(c), Gang: c.gang,
 			EstimateMillis: int64(float64(work.Milliseconds()) * math.Exp(cmp.Or(l.estimateError, 0.3)*l.rand.NormFloat64())), Checkpoints: c.checkpoints,
 		},
-		advice: &StepAdvice{Eligible: map[cell.WorkerID]Ticket{}, Evaluated: map[cell.WorkerID]bool{}},
+		advice: newAdvice(), steps: 1, workspace: "a",
 	}
+	j.expected = time.Duration(j.step.EstimateMillis) * time.Millisecond
 	a := c.queue.Advice
 	chain := float64(work.Milliseconds()) + a.DecideMillis + 30*a.PerWorkerMillis
 	j.objective = time.Duration(c.queue.Stretch*chain+float64(c.queue.ObjectiveMillis)) * time.Millisecond
@@ -292,6 +324,10 @@
 	l.accept(j)
 }
 
+func newAdvice() *StepAdvice {
+	return &StepAdvice{Eligible: map[cell.WorkerID]Ticket{}, Evaluated: map[cell.WorkerID]bool{}}
+}
+
 func (l *simulation) accept(j *simJob) {
 	j.acceptedAt = l.now
 	l.unfinished = append(l.unfinished, j)
@@ -335,6 +371,9 @@
 				l.free[t.worker] = l.free[t.worker].Add(j.step.Need)
 				if j.step.Checkpoints {
 					t.remaining = l.workDone(t.worker, t.endsAt.Sub(t.stopsAt))
+					if l.conditions != nil {
+						t.remaining += l.conditions.restoreTime
+					}
 				}
 				t.stopsAt = 0
 			}
@@ -342,7 +381,11 @@
 				unfinishedTasks++
 			}
 		}
-		if unfinishedTasks == 0 {
+		switch {
+		case unfinishedTasks > 0:
+		case j.current+1 < j.steps:
+			j.beginNextStep()
+		default:
 			j.endedAt = l.now
 		}
 	}
@@ -374,7 +417,15 @@
 			return false
 		}
 		j := l.jobByID(c.request.Key.Job)
+		if j.current != c.request.Key.Step {
+			return true
+		}
 		j.advice.InFlight--
+		if l.conditions != nil && l.conditions.adviceFails(&c) {
+			j.advice.Failed++
+			return true
+		}
+		j.advice.Failed = 0
 		for _, w := range c.request.Workers {
 			j.advice.Evaluated[w] = true
 			if isEligible(j, w) {
@@ -397,6 +448,10 @@
 	if len(in.Pending) == 0 {
 		return
 	}
+	if l.conditions != nil {
+		// The leader plans late steps in about one of latePlanFactor plans.
+		in.SkipLate = int(l.now.Sub(testNow)/l.planInterval)%5 != 0
+	}
 	out := l.computePlan(in)
 	for i := range out.Starts {
 		l.start(&out.Starts[i])
@@ -407,6 +462,9 @@
 		t.stopsAt = l.now.Add(stopTime)
 	}
 	for _, r := range out.AdviceRequests {
+		if len(r.Workers) > maxRequestWorkers {
+			panic("advice request about too many workers")
+		}
 		a := l.jobByID(r.Key.Job).class.queue.Advice
 		duration := time.Duration((a.DecideMillis + float64(len(r.Workers))*a.PerWorkerMillis) * float64(time.Millisecond))
 		l.calls = append(l.calls, simCall{r, l.now.Add(duration)})
@@ -441,7 +499,7 @@
 	in.AllAdvisers, in.IdleAdvisers = l.advisers, l.advisers-len(l.calls)
 	for i, free := range l.free {
 		w := worker(fmt.Sprintf("w%03d", i), 0)
-		w.Capacity, w.Free, w.Speed = l.capacity, free, l.speed(i)
+		w.Capacity, w.Free, w.Speed = l.capacity(), free, l.speed(i)
 		if l.gone(i) {
 			w.Capacity, w.Free = model.Resources{}, model.Resources{}
 		}
@@ -449,9 +507,13 @@
 	}
 	for _, j := range l.unfinished {
 		p := Pending{
-			Key: cell.StepKey{Job: j.id}, Step: &j.step, Queue: &j.class.queue, Pool: "p", Workspace: "a",
-			Deadline: j.acceptedAt.Add(l.believedObjective(j)), Remaining: time.Duration(j.step.EstimateMillis) * time.Millisecond, Advice: j.advice,
-			TaskTime: time.Duration(j.step.EstimateMillis) * time.Millisecond,
+			Key: cell.StepKey{Job: j.id, Step: j.current}, Step: &j.step, Queue: &j.class.queue, Pool: "p", Workspace: j.workspace,
+			Deadline: j.acceptedAt.Add(l.believedObjective(j)), Remaining: time.Duration(j.steps-j.current) * j.expected, Advice: j.advice,
+			TaskTime: j.expected, OverShare: j.overShare,
+		}
+		if l.conditions != nil {
+			p.Objective = j.class.objective(j.steps, j.expected)
+			p.Deadline = j.acceptedAt.Add(p.Objective)
 		}
 		for i := range j.tasks {
 			t := &j.tasks[i]
@@ -478,9 +540,18 @@
 	lost := stopTime
 	if !j.step.Checkpoints {
 		lost = l.now.Sub(t.startedAt)
+	} else if l.conditions != nil {
+		lost = l.conditions.restoreTime
+	}
+	var latestStart clock.Instant
+	var objective time.Duration
+	if l.conditions != nil {
+		objective = j.class.objective(j.steps, j.expected)
+		latestStart = j.acceptedAt.Add(objective - time.Duration(j.steps-j.current)*j.expected)
 	}
 	w.Victims = append(w.Victims, Victim{
-		Task: cell.TaskKey{Job: j.id, Index: i}, Run: t.run, Need: j.step.Need, Priority: j.class.queue.Priority,
+		LatestStart: latestStart, Objective: objective,
+		Task: cell.TaskKey{Job: j.id, Step: j.current, Index: i}, Run: t.run, Need: j.step.Need, Priority: j.class.queue.Priority,
 		LostWork: float64(lost.Milliseconds()) * float64(j.step.Need.MilliCPU) / 1000,
 	})
 }
@@ -511,9 +582,10 @@
 	work := 0.0
 	for i := range j.tasks {
 		if !j.tasks[i].done {
-			work += float64(j.step.EstimateMillis) * float64(j.step.Need.MilliCPU) / 1000
+			work += float64(j.expected.Milliseconds()) * float64(j.step.Need.MilliCPU) / 1000
 		}
 	}
+	work += float64((j.steps-j.current-1)*len(j.tasks)) * float64(j.expected.Milliseconds()) * float64(j.step.Need.MilliCPU) / 1000
 	return work
 }
 
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -106,6 +106,14 @@
 	Priority int
 	// LostWork is the work that is lost if the run is stopped, in core-milliseconds.
 	LostWork float64
+	// LatestStart is the latest time at which the unfinished steps of the run's job can
+	// start if the job is to meet its objective, 0 if it is not known.
+	LatestStart clock.Instant
+	// Objective is the objective of the run's job.
+	Objective time.Duration
+	// kept reports that the run isn't preempted in this plan, since its job has too little
+	// slack.
+	kept bool
 	// selected reports that the planner has chosen to preempt the run.
 	selected bool
 }
@@ -148,6 +156,12 @@
 	RemainingWork float64
 	// Advice is nil if the queue has no placement policy.
 	Advice *StepAdvice
+	// Objective is the time from the job's submission to Deadline, 0 if it is not known.
+	Objective time.Duration
+	// standing is set at the start of a plan.
+	standing Standing
+	// byWork reports that the step comes in the order of the work that it needs.
+	byWork bool
 	// eligible caches the result of planner.eligible, nil before the first call.
 	eligible []*Worker
 	// speed is set by planner.setSpeeds.
@@ -172,6 +186,8 @@
 	// EligibleShare maps queues to their eligible shares: the share of evaluated workers
 	// that the placement policy lets run a step.
 	EligibleShare map[string]float64
+	// Order is the rule by which waiting steps get capacity.
+	Order Order
 	// SkipLate leaves out the steps that can no longer meet their deadline. They come
 	// after all others, so that the plan for these is the same.
 	SkipLate bool
@@ -196,6 +212,12 @@
 	Tokens         []string
 	AdviceRequests []AdviceRequest
 	Stops          []Stop
+	// Standings counts the waiting steps by queue and standing, and Hopeless lists those that
+	// are expected to end too late. Both are nil in the order LatestStart.
+	Standings map[string]*[Hopeless + 1]int
+	Hopeless  []HopelessStep
+	// ScarcePools holds the pools whose capacity doesn't suffice for the waiting work.
+	ScarcePools []string
 }
 
 // planner holds the working state while one plan is computed.
@@ -219,6 +241,14 @@
 	reservingGangs int
 	// renewingGangs counts the waiting gangs whose tickets are kept valid.
 	renewingGangs int
+	// scarce holds the pools whose capacity doesn't suffice for the waiting work. It is empty
+	// in the order LatestStart.
+	scarce map[string]bool
+	// usableCPU holds the usable cores of each pool with waiting steps.
+	usableCPU map[string]float64
+	// yieldTo holds, for scarce pools, the first gang that waits for capacity and can be on
+	// time.
+	yieldTo map[string]*Pending
 }
 
 // Compute computes the plan for a snapshot. It modifies in: it sorts in.Pending,
@@ -228,7 +258,10 @@
 
 // compute is Compute with the given function in place of setSpeeds.
 func compute(in *Input, setSpeeds func(*planner)) Output {
-	p := &planner{in: in, pools: map[string][]*Worker{}, poolsByFree: map[string][]*Worker{}, byID: make(map[cell.WorkerID]*Worker, len(in.Workers))}
+	p := &planner{
+		in: in, pools: map[string][]*Worker{}, poolsByFree: map[string][]*Worker{}, byID: make(map[cell.WorkerID]*Worker, len(in.Workers)),
+		scarce: map[string]bool{}, usableCPU: map[string]float64{}, yieldTo: map[string]*Pending{},
+	}
 	for i := range in.Workers {
 		w := &in.Workers[i]
 		w.inputIndex = i
@@ -236,7 +269,14 @@
 		p.byID[w.ID] = w
 	}
 	setSpeeds(p)
-	sortByUrgency(in.Pending, in.Now)
+	if in.Order == LatestStart {
+		sortByUrgency(in.Pending, in.Now)
+	} else {
+		p.assignStandings()
+		p.keepRunsWithoutSlack()
+		sortByStanding(in.Pending)
+		p.reportStandings()
+	}
 	for i := range in.Pending {
 		s := &in.Pending[i]
 		if in.SkipLate && s.late(in.Now) {
@@ -300,6 +340,10 @@
 	if leavesHeadroom {
 		candidates = slices.DeleteFunc(candidates, hasUsableCapacity)
 	}
+	yields := p.mustYield(s)
+	if yields {
+		candidates = outsideSlots(candidates, s, p.yieldTo[s.Pool])
+	}
 	for i, index := range s.Waiting {
 		if !quota.allows(s.Step.Need) {
 			return
@@ -311,7 +355,7 @@
 		p.startTask(s, index, s.NextRun[i], w)
 		placed++
 	}
-	if placed < len(s.Waiting) && !leavesHeadroom {
+	if placed < len(s.Waiting) && !leavesHeadroom && !yields {
 		p.requestAdvice(s, len(s.Waiting)-placed)
 	}
 }
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -29,6 +29,7 @@
 	workersBySpeed             *prometheus.GaugeVec
 	// workLost is the work of runs that ended without a saved result.
 	workLost *prometheus.CounterVec
+	order    orderMetrics
 }
 
 // NewMetrics returns the scheduler's metrics, registered with r.
@@ -85,5 +86,6 @@
 	r.MustRegister(m.speedSamples, m.speedRecords, m.workersBySpeed)
 	m.runTimeRatio = newRunTimeRatio()
 	r.MustRegister(m.runTimeRatio, m.starts, m.ends, m.refused, m.planSeconds, m.preempted, m.adviceRequests, m.firstStart, m.jobs)
+	m.order = newOrderMetrics(r)
 	return m
 }
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -48,6 +48,7 @@
 		s.nextLatePlanAt = begin.Add(latePlanFactor * took)
 	}
 	s.recordPlan(took)
+	s.reportOrder(&out, begin)
 	s.nextPlanAt = begin.Add(took + max(minPlanPause, planPauseFactor*took))
 	for i := range out.AdviceRequests {
 		s.requestAdvice(ctx, &out.AdviceRequests[i])
@@ -143,6 +144,7 @@
 		StopTime:      s.cfg.Bounds.StopTimeout,
 		Quotas:        s.workspaceLimits(),
 		EligibleShare: s.eligibleShare,
+		Order:         s.cfg.Order,
 	}
 	in.IdleAdvisers, in.AllAdvisers = s.countAdvisers(now)
 	for _, j := range s.cfg.State.Active {
@@ -167,7 +169,7 @@
 // addWorkers adds the workers that accept new tasks, ordered by ID. The state is
 // locked.
 func (s *Scheduler) addWorkers(in *plan.Input, now clock.Instant) {
-	preemptable := preemptionTargets(in.Pending)
+	preemptable, paces := preemptionTargets(in.Pending), paceCache{}
 	workers := s.cfg.State.SortedWorkers()
 	in.Workers = make([]plan.Worker, 0, len(workers))
 	for _, w := range workers {
@@ -182,7 +184,7 @@
 			Suspect: se.failures.suspect(now) || slowed,
 		}
 		if preemptable.has(w.ID) {
-			s.addVictims(&pw, se, w, now)
+			s.addVictims(&pw, se, w, paces, now)
 		}
 		in.Workers = append(in.Workers, pw)
 	}
@@ -217,7 +219,7 @@
 // addVictims adds to pw the capacity of the runs that are being stopped or are about to
 // end, and the runs that may be preempted. A run that ends as soon as it could be stopped
 // is none of these: a stop would free its capacity no sooner. The state is locked.
-func (s *Scheduler) addVictims(pw *plan.Worker, se *session, w *cell.WorkerState, now clock.Instant) {
+func (s *Scheduler) addVictims(pw *plan.Worker, se *session, w *cell.WorkerState, paces paceCache, now clock.Instant) {
 	for k, a := range w.Allocations {
 		r := se.runs[k]
 		j := s.cfg.State.Jobs[k.Job]
@@ -237,8 +239,11 @@
 			pw.Releasing = pw.Releasing.Add(a.Need)
 			continue
 		}
+		pace := s.paceOf(paces, k, j, q)
 		pw.Victims = append(pw.Victims, plan.Victim{
-			Task: k, Run: r.number, Need: a.Need, Priority: q.Priority, LostWork: s.preemptionCost(step, r, s.taskTime(j, k.Occurrence, k.Step), now),
+			Task: k, Run: r.number, Need: a.Need, Priority: q.Priority,
+			LostWork:    s.preemptionCost(step, r, s.taskTime(j, k.Occurrence, k.Step), now),
+			LatestStart: pace.latestStart, Objective: pace.objective,
 		})
 	}
 }
@@ -336,10 +341,12 @@
 // pendingStep returns the planner's input for step i of occurrence o of a job.
 func (s *Scheduler) pendingStep(j *cell.Job, q *cell.Queue, o, i int, adm admission) plan.Pending {
 	step := &j.Steps[i]
+	objective := s.objective(j, q, o)
 	p := plan.Pending{
 		Key:  cell.StepKey{Job: j.ID, Occurrence: o, Step: i},
 		Step: step, Queue: q, Pool: q.Pool, Workspace: j.Workspace,
-		Deadline:      adm.submittedAt.Add(s.objective(j, q, o)),
+		Deadline:      adm.submittedAt.Add(objective),
+		Objective:     objective,
 		OverShare:     adm.overShare,
 		Remaining:     s.remainingCriticalPath(j, o),
 		TaskTime:      s.taskTime(j, o, i),
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -52,8 +52,10 @@
 	EqualSpeeds bool
 	// DeclaredRunTimes plans with the run times that callers declare, and learns none.
 	DeclaredRunTimes bool
-	Log              *zap.Logger
-	Metrics          *Metrics
+	// Order is the rule by which waiting steps get capacity.
+	Order   plan.Order
+	Log     *zap.Logger
+	Metrics *Metrics
 }
 
 // Scheduler places the tasks of a cell while its process leads the group. The
@@ -113,6 +115,7 @@
 	// nextLatePlanAt is when the next plan may include late steps.
 	nextLatePlanAt clock.Instant
 	plans          planStats
+	order          orderReport
 	loop           loopStats
 	// creatingOccurrences is set while a command that creates occurrences is
 	// being committed.
@@ -248,6 +251,8 @@
 	s.planning, s.creatingOccurrences, s.dirty = false, false, true
 	s.nextCleanup, s.nextPlanAt, s.nextLatePlanAt = 0, 0, 0
 	s.synced = false
+	s.order = orderReport{}
+	s.cfg.Metrics.order.waiting.Reset()
 	for _, a := range s.advisers {
 		a.busy = false
 	}
