--- a/internal/fdlimit/fdlimit_test.go
+++ b/internal/fdlimit/fdlimit_test.go
@@ -137,6 +137,8 @@
 	for i := range clients {
 		c := &http.Client{Transport: &http.Transport{}}
 		qt.Check(t, get(c, "/"), qt.IsNil, qt.Commentf("client %d", i))
+		// The client may have its response before the server counts its connection as idle.
+		waitForIdle(t, l, min(i+1, limit))
 	}
 	for i := range limit {
 		c := &http.Client{Transport: &http.Transport{}}
@@ -147,6 +149,21 @@
 	close(busy)
 }
 
+// waitForIdle waits until the given number of connections is idle.
+func waitForIdle(t *testing.T, l *Listener, want int) {
+	t.Helper()
+	idle := func() int {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.idle.Len()
+	}
+	for end := time.Now().Add(5 * time.Second); idle() < want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d connections are idle", idle(), want)
+		}
+	}
+}
+
 func dialTCP(t *testing.T, addr net.Addr) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", addr.String())
