plan: a gang that waits by choice preempts nothing

Cause: such a gang could start at once on slower workers, yet runs were stopped for it, whose work was thrown away; and it waited even where it could not reserve what is free. Change: it waits only if it may reserve capacity, and stops nothing. The test that it preempts fast workers is replaced by one that it stops nothing while it could start, and does preempt when it fits nowhere.

--- a/internal/cell/plan/preempt.go
+++ b/internal/cell/plan/preempt.go
@@ -38,8 +38,11 @@
 // or nil, stopping nothing, if the gang can't fit or more than maxLostShare of its
 // work would be lost. If the gang fits only on workers whose tickets may expire
 // before the stops have ended, it renews the tickets and leaves the stops to a
-// later plan.
+// later plan. A gang that could start on slower workers stops nothing.
 func (p *planner) preempt(s *Pending, eligible []*Worker, maxLostShare float64) []*Worker {
+	if s.speed.waits {
+		return nil
+	}
 	c := findPreemption(s, p.withLastingTickets(s, eligible), maxLostShare)
 	if c == nil {
 		if c = findPreemption(s, eligible, maxLostShare); c == nil {
--- a/internal/cell/plan/speed.go
+++ b/internal/cell/plan/speed.go
@@ -61,6 +61,8 @@
 	required float64
 	// comfortable is the speed from which on a worker is fast enough with time to spare.
 	comfortable float64
+	// waits says that the gang waits although it could start now.
+	waits bool
 	// fastest is the speed of the pool's fastest class.
 	fastest float64
 }
@@ -267,7 +269,7 @@
 		slots := assignSorted(s, fast, capacity)
 		switch {
 		case slots != nil && p.waitsFor(s, nearlyFits, c.speed):
-			s.speed.required = nearlyFits
+			s.speed.required, s.speed.waits = nearlyFits, true
 			return nil
 		case slots != nil:
 			return slots
@@ -279,10 +281,10 @@
 }
 
 // waitsFor reports whether the gang waits for workers of the faster speed, 0 for none,
-// although it could start on slower ones: if it ends there clearly earlier and does not
-// become late by the wait.
+// although it could start on slower ones: if it ends there clearly earlier, does not
+// become late by the wait, and may reserve what is free there.
 func (p *planner) waitsFor(s *Pending, faster, slower float64) bool {
-	if faster == 0 || float64(s.TaskTime)/slower-float64(s.TaskTime)/faster < float64(minEarlierEnd) {
+	if faster == 0 || p.reservingGangs >= p.maxReservingGangs(s) || float64(s.TaskTime)/slower-float64(s.TaskTime)/faster < float64(minEarlierEnd) {
 		return false
 	}
 	begin := p.in.Now.Add(startDelay)
