--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -27,6 +27,9 @@
 	// the outcome of the plan's commit is unknown. After proposeTimeout its
 	// start is no longer sent, so the run can then be treated as unconfirmed.
 	placedTimeout = proposeTimeout + time.Second
+	// doneGangGrace is how long the members of a done gang may take to report their own
+	// ends before they are stopped: longer than a renewal waits at a worker.
+	doneGangGrace = maxRenewalWait + 800*time.Millisecond
 	// unconfirmedBackoff is how long no new tasks are placed on a worker that did
 	// not answer a start.
 	unconfirmedBackoff = 250 * time.Millisecond
@@ -38,7 +41,8 @@
 	if se == nil || se.target.Incarnation != st.Born {
 		return
 	}
-	r := &run{number: st.Run, status: runStarting, fence: se.fence, lastProgress: s.now(), checkpoint: checkpoint, timed: checkpoint == ""}
+	now := s.now()
+	r := &run{number: st.Run, status: runStarting, fence: se.fence, workingSince: now, lastProgress: now, checkpoint: checkpoint, timed: checkpoint == ""}
 	r.leaseMillis = s.extendLease(se)
 	se.runs[st.Task] = r
 	if se.isReplaced() {
@@ -119,7 +123,10 @@
 	}
 	switch {
 	case err == nil:
-		r.status, r.confirmedAt, r.lastProgress = runStarted, now, now
+		r.status, r.confirmedAt, r.workingSince, r.lastProgress = runStarted, now, now, now
+		if r.checkpoint == "" {
+			r.notePace(0, now)
+		}
 		s.begun.add(k.Job)
 		s.cfg.Metrics.starts.Inc()
 		if adm, ok := s.admissions[k.Job]; ok && r.number == 1 && k.Index == 0 {
@@ -137,7 +144,7 @@
 			zap.String("worker", string(se.target.ID)), zap.Error(err))
 		r.status = runUnconfirmed
 		se.blockedUntil = now.Add(unconfirmedBackoff)
-		s.requestStop(ctx, se, k, r)
+		s.requestStop(ctx, se, k, r, causeUnconfirmed)
 	}
 }
 
@@ -192,26 +199,32 @@
 // stopGang stops the other runs of a gang of which one run was refused, since the
 // gang can no longer run in full.
 func (s *Scheduler) stopGang(ctx context.Context, k cell.TaskKey, number int64) {
-	gang := false
-	s.cfg.State.Read(func() {
-		j := s.cfg.State.Jobs[k.Job]
-		gang = j != nil && j.Steps[k.Step].Gang
-	})
-	if !gang {
+	if !s.isGangTask(k) {
 		return
 	}
 	for _, se := range s.sessions {
 		for other, r := range se.runs {
 			if other.StepKey() == k.StepKey() && r.number == number && other != k {
-				s.requestStop(ctx, se, other, r)
+				s.requestStop(ctx, se, other, r, causeGangMember)
 			}
 		}
 	}
 }
 
-// stopRun tells a worker to stop a run. housekeep repeats the stop until the run
+// isGangTask reports whether a task belongs to a gang.
+func (s *Scheduler) isGangTask(k cell.TaskKey) bool {
+	gang := false
+	s.cfg.State.Read(func() {
+		j := s.cfg.State.Jobs[k.Job]
+		gang = j != nil && j.Steps[k.Step].Gang
+	})
+	return gang
+}
+
+// stopRun tells a worker to stop a run, because of cause. housekeep repeats the stop until the run
 // has ended. While the run cannot be stopped yet, only the request is recorded.
-func (s *Scheduler) stopRun(ctx context.Context, se *session, k cell.TaskKey, r *run) {
+func (s *Scheduler) stopRun(ctx context.Context, se *session, k cell.TaskKey, r *run, cause lossCause) {
+	r.setCause(cause)
 	now := s.now()
 	if r.ending || r.stopInFlight || now < r.nextStopAt || r.status == runStarting || r.status == runPlaced {
 		if r.stopRequestedAt == 0 {
@@ -292,7 +305,7 @@
 				r.status = runUnconfirmed
 			}
 			if r.stopRequestedAt != 0 {
-				s.requestStop(ctx, se, k, r)
+				s.requestStop(ctx, se, k, r, r.cause)
 			}
 		}
 		s.dropIncarnation(ctx, se)
@@ -304,6 +317,7 @@
 	s.createDueOccurrences(ctx, time.Now())
 	s.reportEndedJobs(now)
 	s.deleteExpiredJobs(ctx, now)
+	s.settleLosses(now)
 	s.logStatus(now)
 	s.dirty = true
 }
@@ -323,7 +337,7 @@
 		}
 		r.ending = true
 		s.cfg.Log.Warn("worker lease expired, recording run as lost", zap.Stringer("task", k), zap.Int64("run", r.number), zap.String("worker", string(se.target.ID)))
-		s.addEnd(se, k, r, cell.OutcomeLost, r.checkpoint)
+		s.addEndBecause(se, k, r, cell.OutcomeLost, r.checkpoint, se.causeOfLoss(causeLease))
 	}
 }
 
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -75,22 +75,38 @@
 	// workMillis is the run's measured work, 0 before that. It is kept in case that the
 	// run's end can't be recorded and is listed again.
 	workMillis int64
+	// workingSince is when the worker confirmed the start. For a start without a reply,
+	// and for a run that an earlier leader started, it is when this leader first saw the
+	// run.
+	workingSince clock.Instant
 	// stopRequestedAt is when a stop of the run was first requested, 0 if none
 	// was.
 	stopRequestedAt clock.Instant
+	// cause is why a stop was requested or the run was declared lost, causeNone if
+	// neither was.
+	cause lossCause
+	// stoppedFor is the step for which the run was preempted, if it was.
+	stoppedFor beneficiary
 	// stopAcceptedAt is when the worker first accepted a stop, 0 before that.
 	stopAcceptedAt clock.Instant
 	stopInFlight   bool
 	// stopSent is set once a stop was sent.
 	stopSent   bool
 	nextStopAt clock.Instant
-	checkpoint string
-	percent    int
 	// speedCounted says that the run has counted for the lasting speed of its worker.
 	speedCounted bool
+	// checkpoint is the newest one that is known, at first the one that the run resumes
+	// from. checkpointAt is when the worker first listed it, 0 for the first.
+	checkpoint   string
+	checkpointAt clock.Instant
+	percent      int
 	// lastProgress is when percent last changed, or the run was created or
 	// confirmed.
 	lastProgress clock.Instant
+	// paceFrom is when the first progress of the run was known, 0 before that, and
+	// pacePercent what it was.
+	paceFrom    clock.Instant
+	pacePercent int
 	// listedAt is when the worker last listed the run as running.
 	listedAt clock.Instant
 	// ending is set while the run's end is being recorded.
@@ -280,11 +296,12 @@
 	for k, a := range w.Allocations {
 		r := se.runs[k]
 		if r == nil || r.number != a.Run {
-			r = &run{number: a.Run, status: status, lastProgress: s.now()}
+			now := s.now()
+			r = &run{number: a.Run, status: status, workingSince: now, lastProgress: now}
 			se.runs[k] = r
 		}
 		if j := s.cfg.State.Jobs[k.Job]; j == nil || j.State.Ended() {
-			s.stopRun(ctx, se, k, r)
+			s.stopEndedJobsRun(ctx, se, k, r, j)
 		}
 	}
 	for k := range se.runs {
@@ -294,6 +311,17 @@
 	}
 }
 
+// stopEndedJobsRun stops a run whose job has ended; j is nil if the job was deleted. If the
+// task is done, another member of its gang has reported that, and the run gets
+// doneGangGrace to report its own end. The state is locked.
+func (s *Scheduler) stopEndedJobsRun(ctx context.Context, se *session, k cell.TaskKey, r *run, j *cell.Job) {
+	_, _, t := s.cfg.State.Task(k)
+	if t != nil && t.Status == cell.TaskDone && r.stopRequestedAt == 0 {
+		r.nextStopAt = s.now().Add(doneGangGrace)
+	}
+	s.stopRun(ctx, se, k, r, causeOfJobEnd(j))
+}
+
 // estimateClock returns an estimate of the worker's clock at now, in
 // milliseconds, which may be slightly ahead.
 func (se *session) estimateClock(now clock.Instant) int64 {
@@ -375,7 +403,11 @@
 	se.lost = true
 	s.cfg.Log.Info("worker incarnation has ended, dropping its runs", zap.String("worker", string(se.target.ID)), zap.Int64("born", se.target.Incarnation))
 	gone := cell.Incarnation{ID: se.target.ID, Born: se.target.Incarnation}
-	s.propose(ctx, &cell.Command{Workers: &cell.Workers{Gone: []cell.Incarnation{gone}}}, func(cell.Result, error) {
+	losses := s.lossesOfWorker(se)
+	s.propose(ctx, &cell.Command{Workers: &cell.Workers{Gone: []cell.Incarnation{gone}}}, func(_ cell.Result, err error) {
+		if err == nil {
+			s.recordLosses(losses)
+		}
 		se.lost = false
 		s.dirty = true
 	})
