--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// maxRequestWorkers limits the workers in one advice request.
+	// maxRequestWorkers limits the workers in one advice request. The placement policy is
+	// reported to refuse requests that name more, so that the step gets no advice at all.
 	// maxGangRequestWorkers limits the workers that are requested for a gang at a
 	// time. Unless the pool is scarce they are split into concurrent requests of
 	// gangBatchSize workers, each of which is answered sooner than one request for all.
