inbound: smaller socket buffers for workers, so that descriptors limit their connections

Cause: with 152 KiB for each connection a control VM of 280 MB allowed 471 of them, less than the 679 that its descriptors allow.

Change: 16 KiB for receiving and for sending, 88 KiB in all. A test checks that the memory doesn't lower the number on the smallest VM.

--- a/internal/inbound/memory.go
+++ b/internal/inbound/memory.go
@@ -15,13 +15,15 @@
 )
 
 // Sizes of the buffers of sockets, which count against the memory of the VM. The kernel takes
-// twice as much for each. An ordinary body of a caller, of up to 12 KB, fits into one window;
-// workers' reports and configurations are longer.
+// twice as much for each. An ordinary body of a caller, of up to 12 KB, fits into one window,
+// and so does a worker's report. Larger buffers for workers would leave the smallest VMs fewer
+// connections than their descriptors do, and thousands of workers would connect anew for each
+// report.
 const (
 	callersReceiveBuffer = 16 << 10
 	callersSendBuffer    = 8 << 10
-	controlReceiveBuffer = 32 << 10
-	controlSendBuffer    = 32 << 10
+	controlReceiveBuffer = 16 << 10
+	controlSendBuffer    = 16 << 10
 )
 
 // connectionBytes is what a connection takes in the process: 8 KB while it is idle (2,156
--- a/internal/inbound/memory_test.go
+++ b/internal/inbound/memory_test.go
@@ -30,6 +30,9 @@
 	for _, mb := range []int64{408, 1024} {
 		check("control VM", ControlMemory(mb), mb, controlBaseBytes, 2, 2*(controlReceiveBuffer+controlSendBuffer)+connectionBytes)
 	}
+	// Thousands of workers need all the connections that the descriptors allow: with fewer they
+	// connect anew for each report.
+	qt.Check(t, ControlMemory(280).Conns >= fdlimit.Split(4096).Inbound, qt.IsTrue, qt.Commentf("%+v", ControlMemory(280)))
 	qt.Check(t, EntryMemory(144).Conns >= 600, qt.IsTrue, qt.Commentf("%+v", EntryMemory(144)))
 	qt.Check(t, EntryMemory(0), qt.Equals, EntryMemory(unknownMemory>>20))
 }
