scheduler: keep the stop of an inherited run when its worker lists it

Cause: a reply that lists an inherited run withdrew any stop of it, which is meant only for stops that were requested since the start was not answered. If the stop of a cancelled job's run was lost after a change of leader, it was not repeated, and the run kept its capacity until something else changed at its worker. The cause of its lost work was dropped too.

Change: only stops with the cause unconfirmed are withdrawn.

Result: TestStopOfInheritedRunIsRepeated failed before and passes, as do the other tests of the package.

--- a/internal/scheduler/listedruns.go
+++ b/internal/scheduler/listedruns.go
@@ -22,7 +22,8 @@
 			continue
 		}
 		if r.status == runInherited || (r.status == runUnconfirmed && !r.stopSent) {
-			r.status, r.confirmedAt, r.stopRequestedAt, r.cause, r.timed = runStarted, now, 0, causeNone, false
+			r.status, r.confirmedAt, r.timed = runStarted, now, false
+			r.withdrawUnconfirmedStop()
 			s.begun.add(rt.Task.Job)
 		}
 		r.listedAt = now
@@ -35,6 +36,14 @@
 	return listed
 }
 
+// withdrawUnconfirmedStop withdraws a stop that was requested only since the start of the run
+// was not answered.
+func (r *run) withdrawUnconfirmedStop() {
+	if r.cause == causeUnconfirmed {
+		r.stopRequestedAt, r.cause = 0, causeNone
+	}
+}
+
 // recordFinished records the ends that a reply lists, and as lost the runs that the worker
 // certainly doesn't have, if the lists are complete. The renewal loop continues once the
 // listed ends are durable. Ends are taken only from the loop's own renewals: each renewal of
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -221,3 +221,23 @@
 	r.housekeep(r.ctx)
 	qt.Check(t, last.stopSent, qt.IsTrue)
 }
+
+// TestStopOfInheritedRunIsRepeated guards against a run of a cancelled job that goes on for
+// good after a change of leader: the stop was lost, and the worker listed the run before the
+// next one was due.
+func TestStopOfInheritedRunIsRepeated(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	k := r.place(0, 1)
+	r.apply(&cell.Command{Cancel: &cell.Cancel{ID: testJob}})
+	r.lead()
+	se := r.sessions[testWorker]
+	run := se.runs[k]
+	qt.Assert(t, run.status, qt.Equals, runInherited)
+	r.deliverReply(RenewReply{ClockMillis: 1000, Running: []RunningTask{{Task: k, Run: 1}}})
+	r.onStopReply(r.ctx, se, run, context.DeadlineExceeded)
+	r.clock.Advance(unansweredStopRetry)
+	r.housekeep(r.ctx)
+	qt.Check(t, run.stopInFlight, qt.IsTrue)
+	qt.Check(t, run.cause, qt.Equals, causeCancelled)
+}
