scheduler: clear the gauge of unreachable data centres with a new leadership

Cause: a leadership starts with no data centre logged as unreachable, and the gauge is set only when that changes. A member that lost its leadership during a partition and leads again after it reported 1 for good.

Change: the gauge is reset with the rest of the leader's state.

Result: TestNewLeadershipClearsUnreachable failed before and passes.

--- a/internal/scheduler/reachability_test.go
+++ b/internal/scheduler/reachability_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"kumquatwing/internal/clock"
 )
@@ -74,3 +75,21 @@
 	se.lastAnswer = 11
 	qt.Check(t, se.answers(), qt.IsTrue)
 }
+
+// TestNewLeadershipClearsUnreachable guards against a data centre that is reported as
+// unreachable for good, since it was when this member led before.
+func TestNewLeadershipClearsUnreachable(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	end := r.now().Add(time.Hour)
+	repliesUntil(&r.reachability, 10*time.Millisecond, end, "a", "b")
+	r.reachability.observe("b", end.Add(time.Second))
+	r.logReachability(end.Add(time.Second))
+	series := make(chan prometheus.Metric, 2)
+	r.cfg.Metrics.unreachable.Collect(series)
+	qt.Assert(t, series, qt.HasLen, 1)
+	<-series
+	r.reset(r.term + 1)
+	r.cfg.Metrics.unreachable.Collect(series)
+	qt.Check(t, series, qt.HasLen, 0)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -253,6 +253,7 @@
 	s.synced = false
 	s.order = orderReport{}
 	s.cfg.Metrics.order.waiting.Reset()
+	s.cfg.Metrics.unreachable.Reset()
 	for _, a := range s.advisers {
 		a.busy = false
 	}
