scheduler: drop the run times of jobs that end before the first plan

Cause: run times of steps were dropped with the admission record of their job. A job that ends before the first plan of a new leader has none, so that its run times were kept for the whole leadership.

Change: the run times of all jobs that are not active are dropped.

Result: TestStepTimesEndWithTheirJob failed before and passes.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,7 +52,7 @@
 }
 
 // reportEndedJobs logs each job that has ended since the last call, updates the
-// metrics and deletes its admission record.
+// metrics and deletes its admission record and the run times of its steps.
 func (s *Scheduler) reportEndedJobs(now clock.Instant) {
 	s.cfg.State.Read(func() {
 		for id, adm := range s.admissions {
@@ -63,8 +64,11 @@
 			if j := s.cfg.State.Jobs[id]; j != nil {
 				s.reportJobEnd(j, now.Sub(adm.submittedAt), adm.overShare)
 			}
-			delete(s.stepTimes, id)
 		}
+		// A job that ends before the first plan of this leader has no admission record.
+		maps.DeleteFunc(s.stepTimes, func(id cell.JobID, _ map[occurrenceStep][]time.Duration) bool {
+			return s.cfg.State.Active[id] == nil
+		})
 	})
 }
 
--- a/internal/scheduler/steptimes_test.go
+++ b/internal/scheduler/steptimes_test.go
@@ -114,3 +114,19 @@
 	slices.Sort(stepErrors)
 	return queueErrors[len(queueErrors)/2], stepErrors[len(stepErrors)/2]
 }
+
+// TestStepTimesEndWithTheirJob guards against run times that are kept for good of a job
+// that ends before the first plan of a new leader.
+func TestStepTimesEndWithTheirJob(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	r.deliverReply(RenewReply{ClockMillis: 1000})
+	k := cell.TaskKey{Job: testJob}
+	r.confirm(k, "")
+	delete(r.admissions, testJob)
+	r.end(k, 1, time.Second, cell.OutcomeDone)
+	qt.Assert(t, r.stepTimes, qt.HasLen, 1)
+	r.commitBatch()
+	r.reportEndedJobs(r.now())
+	qt.Check(t, r.stepTimes, qt.HasLen, 0)
+}
