scheduler: take samples of speed only of their incarnation, and once a run

Cause: three faults in the learning of speeds. A rate that waited for peers counted for the next incarnation of its worker. The sample that completes a worker's lasting speed made it count as 1 until the end of the evaluation, also where a speed was recorded, so that the peers compared with it in the meantime got wrong samples. An end that could not be recorded gave a second rate when it was listed again, with the time in between as run time.

Change: rates carry the incarnation; a lasting speed counts once it is computed; only the first reply that lists a run as done gives a rate. The run time of an ended run is computed in one function for speeds and for predictions.

--- a/internal/scheduler/runtimes.go
+++ b/internal/scheduler/runtimes.go
@@ -22,7 +22,7 @@
 	}
 	if r.workMillis == 0 {
 		now := s.now()
-		took := r.endedAt(rn, now).Sub(r.confirmedAt)
+		took := r.runTime(rn, now)
 		s.cfg.State.Read(func() {
 			if work := s.workOf(se, e.Task, took, now); work > 0 {
 				r.workMillis = max(1, work.Milliseconds())
@@ -61,6 +61,12 @@
 	}
 }
 
+// runTime estimates how long a timed run took that the reply to rn, which arrived at now,
+// lists as finished.
+func (r *run) runTime(rn *renewal, now clock.Instant) time.Duration {
+	return r.endedAt(rn, now).Sub(r.confirmedAt)
+}
+
 // endedAt estimates when a run ended that the reply to rn, which arrived at now, lists
 // as finished. A worker that delays its reply answers once a run ends. If it has answered
 // at once, the run ended at an unknown time since it was last known to run.
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -75,6 +75,8 @@
 	// workMillis is the run's measured work, 0 before that. It is kept in case that the
 	// run's end can't be recorded and is listed again.
 	workMillis int64
+	// doneListed says that a reply has listed the run as done.
+	doneListed bool
 	// workingSince is when the worker confirmed the start. For a start without a reply,
 	// and for a run that an earlier leader started, it is when this leader first saw the
 	// run.
--- a/internal/scheduler/speedrates.go
+++ b/internal/scheduler/speedrates.go
@@ -25,6 +25,8 @@
 	task   cell.TaskKey
 	run    int64
 	worker cell.WorkerID
+	// born is the incarnation of the worker.
+	born int64
 	// log is the natural logarithm of the share of the task's work that the run does in a
 	// second.
 	log float64
@@ -84,7 +86,7 @@
 		return
 	}
 	rate := runRate{
-		task: k, run: r.number, worker: se.target.ID, whole: whole,
+		task: k, run: r.number, worker: se.target.ID, born: se.target.Incarnation, whole: whole,
 		log:      math.Log(share / max(took.Seconds(), 0.001)),
 		nearData: st.dataRack != "" && se.rack == st.dataRack,
 	}
@@ -117,13 +119,18 @@
 	return st
 }
 
-// recordRunTime notes the run time of a run that a reply to rn lists as done. Resumed runs
-// have done only a part of their task, and the begin of inherited ones is not known.
+// recordRunTime notes the run time of a run that a reply to rn lists as done, the first time
+// that one does: an end that could not be recorded is listed again later. Resumed runs have
+// done only a part of their task, and the begin of inherited ones is not known.
 func (s *Scheduler) recordRunTime(se *session, k cell.TaskKey, r *run, rn *renewal, now clock.Instant) {
+	if r.doneListed {
+		return
+	}
+	r.doneListed = true
 	if !r.timed || r.status != runStarted || r.stopRequestedAt != 0 {
 		return
 	}
-	took, uncertain := r.endedAt(rn, now).Sub(r.confirmedAt), time.Duration(0)
+	took, uncertain := r.runTime(rn, now), time.Duration(0)
 	if rn.order.Wait == 0 || now.Sub(rn.sent) <= promptReply {
 		uncertain = now.Sub(r.lastKnownRunning()) / 2
 	}
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -80,18 +80,18 @@
 }
 
 // takeSample compares a rate with those of the other runs of its step, corrected by the
-// speeds of their workers, and adds the result to the worker's speed. It returns false if
-// there are not enough other runs yet.
+// speeds of their workers, and adds the result to the worker's speed. Rates of incarnations
+// that have ended are left out. It returns false if there are not enough other runs yet.
 func (s *Scheduler) takeSample(r *newRate) bool {
 	l := s.speeds
 	st, se := l.steps[r.task.StepKey()], s.sessions[r.worker]
-	if st == nil || se == nil {
+	if st == nil || se == nil || se.target.Incarnation != r.born {
 		return true
 	}
 	peers, known := l.scratch[:0], 0
 	for i := range st.rates {
 		o := &st.rates[i]
-		if other := s.sessions[o.worker]; other != nil && r.comparable(o) {
+		if other := s.sessions[o.worker]; other != nil && other.target.Incarnation == o.born && r.comparable(o) {
 			peers = append(peers, o.log-s.lastingLog(other))
 			if other.speed.known() {
 				known++
@@ -121,14 +121,14 @@
 	sum, n, measured := 0.0, 0, 0
 	for _, se := range s.sessions {
 		w := &se.speed
-		if w.changed && w.measured() {
+		if w.changed && len(w.samples) >= minLastingSamples {
 			s.speeds.scratch = w.update(s.speeds.scratch)
 		}
 		if w.known() {
 			sum += w.log()
 			n++
 		}
-		if w.measured() {
+		if w.measured {
 			measured++
 		}
 	}
--- a/internal/scheduler/speeds_test.go
+++ b/internal/scheduler/speeds_test.go
@@ -318,3 +318,61 @@
 		qt.Check(t, slowed, qt.IsFalse)
 	}
 }
+
+// TestSpeedHoldsUntilItIsComputed guards against peers being compared with a speed of 1
+// between the sample that completes a worker's lasting speed and its computation, for
+// instance after a change of leader.
+func TestSpeedHoldsUntilItIsComputed(t *testing.T) {
+	w := workerSpeed{recorded: 550}
+	for range minLastingSamples {
+		w.add(speedSample{log: math.Log(0.5)})
+		qt.Check(t, w.log(), qt.Equals, math.Log(0.55))
+	}
+	w.update(nil)
+	qt.Check(t, w.log(), qt.Equals, math.Log(0.5))
+}
+
+// TestRatesEndWithTheIncarnation guards against a restarted worker getting samples from
+// runs of its earlier incarnation that had too few peers before.
+func TestRatesEndWithTheIncarnation(t *testing.T) {
+	r := newSpeedRig(t)
+	id := cell.JobID("00000000000000ff")
+	r.apply(&cell.Command{Submit: &cell.Submit{Job: cell.Job{ID: id, Queue: "q", Workspace: "a", Steps: []cell.Step{
+		{Count: 4, Need: model.Resources{MilliCPU: 1000}, EstimateMillis: 1000},
+	}}}})
+	record := func(i int, took time.Duration) {
+		r.recordRate(r.sessions[rigWorker(i)], cell.TaskKey{Job: id, Index: i}, &run{number: 1}, 1, took, true, r.now())
+	}
+	record(0, 10*time.Second)
+	r.settleSpeeds(r.now())
+	r.report(0, 2)
+	for i := 1; i < 4; i++ {
+		record(i, 2*time.Second)
+	}
+	r.clock.Advance(settleInterval)
+	r.settleSpeeds(r.now())
+	qt.Check(t, r.sessions[rigWorker(0)].speed.samples, qt.HasLen, 0)
+	qt.Check(t, r.sessions[rigWorker(1)].speed.samples, qt.HasLen, 1)
+}
+
+// TestRepeatedEndGivesOneRate guards against a worker counting as slow because an end could
+// not be recorded and was listed again later.
+func TestRepeatedEndGivesOneRate(t *testing.T) {
+	r := newRig(t, cell.Step{Count: 5, Need: oneTask.Need, EstimateMillis: 1000})
+	r.lead()
+	r.deliverReply(RenewReply{ClockMillis: 1000})
+	k := cell.TaskKey{Job: testJob}
+	r.confirm(k, "")
+	se := r.sessions[testWorker]
+	for range 2 {
+		rn := &renewal{target: se.target, order: RenewOrder{Fence: se.fence, Wait: maxRenewalWait}, sent: r.now(), reply: &RenewReply{
+			ClockMillis: 1000, Finished: []FinishedTask{{Number: 1, Task: k, Run: 1, Outcome: cell.OutcomeDone}},
+		}}
+		r.clock.Advance(time.Second)
+		r.onRenewalReply(r.ctx, se, rn)
+		r.rollBackEnds(r.ends.ends)
+		r.ends.ends = nil
+	}
+	qt.Check(t, r.speeds.fresh, qt.HasLen, 1)
+	qt.Check(t, r.speeds.steps[k.StepKey()].rates[0].log, qt.Equals, 0.0)
+}
--- a/internal/scheduler/workerspeed.go
+++ b/internal/scheduler/workerspeed.go
@@ -43,9 +43,12 @@
 	samples []speedSample
 	next    int
 	// lasting is the logarithm of the lasting speed, and stdError its standard error; both
-	// are valid if the lasting speed is known by samples of this leader.
+	// are valid if measured is true.
 	lasting, stdError float64
-	changed           bool
+	// measured says that lasting is computed from enough samples of this leader.
+	measured bool
+	// changed says that there are samples that lasting doesn't take into account.
+	changed bool
 	// recent estimates how the speed differs from the lasting one at present.
 	recent speedEstimate
 	// differsSince is since when recent differs much from the lasting speed, 0 if it does
@@ -56,15 +59,12 @@
 	relearning bool
 }
 
-// measured reports whether this leader has enough samples of its own.
-func (w *workerSpeed) measured() bool { return len(w.samples) >= minLastingSamples }
-
 // known reports whether the worker's own lasting speed is known.
-func (w *workerSpeed) known() bool { return w.measured() || w.recorded != 0 }
+func (w *workerSpeed) known() bool { return w.measured || w.recorded != 0 }
 
 // log returns the logarithm of the lasting speed of a worker for which known is true.
 func (w *workerSpeed) log() float64 {
-	if w.measured() {
+	if w.measured {
 		return w.lasting
 	}
 	return math.Log(float64(w.recorded) / 1000)
@@ -94,9 +94,10 @@
 	}
 }
 
-// update computes the lasting speed from the samples.
+// update computes the lasting speed from the samples, of which there are minLastingSamples or
+// more.
 func (w *workerSpeed) update(scratch []float64) []float64 {
-	w.changed = false
+	w.changed, w.measured = false, true
 	scratch = scratch[:0]
 	for _, o := range w.samples {
 		scratch = append(scratch, o.log)
@@ -118,7 +119,7 @@
 // toRecord returns the lasting speed to record, in thousandths; 0 if the recorded one is
 // still good.
 func (w *workerSpeed) toRecord() int64 {
-	if !w.measured() {
+	if !w.measured {
 		return 0
 	}
 	if w.recorded != 0 {
@@ -158,6 +159,6 @@
 	if now.Sub(w.differsSince) < lastingAfter {
 		return false
 	}
-	w.samples, w.next, w.differsSince, w.relearning = nil, 0, 0, true
+	w.samples, w.next, w.measured, w.differsSince, w.relearning = nil, 0, false, 0, true
 	return true
 }
