plan: sort eligible workers once per advice request

Cause: with workers of different speeds, adviceOrder cloned and sorted the eligible workers of a step for each of its three ranks, though the free CPU doesn't change while the consumer chooses. withValidTickets cloned all eligible workers to delete those without a ticket, also for steps without a policy. An answer that a worker is not eligible discarded the sorted list of eligible workers even if the worker was not in it.

Change: one sort per request; only workers with tickets are copied; the list is kept if it stays the same. Plans are the same.

--- a/internal/cell/plan/advice.go
+++ b/internal/cell/plan/advice.go
@@ -112,9 +112,9 @@
 		return w.Suspect == r.suspect && (r.anySpeed || p.suits(s, w) == r.suits) && fits(s, w) && !p.hasValidTicket(s, w)
 	}
 	return func(yield func(*Worker) bool) {
+		eligible := slices.Clone(p.eligible(s))
+		slices.SortStableFunc(eligible, func(a, b *Worker) int { return cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU) })
 		for _, rank := range s.adviceRanks() {
-			eligible := slices.Clone(p.eligible(s))
-			slices.SortStableFunc(eligible, func(a, b *Worker) int { return cmp.Compare(a.Free.MilliCPU, b.Free.MilliCPU) })
 			for _, w := range eligible {
 				if usable(w, rank) && !yield(w) {
 					return
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -49,8 +49,10 @@
 
 // SetIneligible records that the placement policy doesn't let the worker run the step.
 func (a *StepAdvice) SetIneligible(id cell.WorkerID) {
-	delete(a.Eligible, id)
-	a.sortedEligible = nil
+	if _, ok := a.Eligible[id]; ok {
+		delete(a.Eligible, id)
+		a.sortedEligible = nil
+	}
 }
 
 // eligibleIDs returns the eligible workers in ascending order. The caller must not
@@ -393,8 +395,17 @@
 // withValidTickets returns a new slice of the eligible workers that hold valid
 // tickets.
 func (p *planner) withValidTickets(s *Pending) []*Worker {
-	out := slices.Clone(p.eligible(s))
-	return slices.DeleteFunc(out, func(w *Worker) bool { return !p.hasValidTicket(s, w) })
+	eligible := p.eligible(s)
+	if s.Advice == nil {
+		return slices.Clone(eligible)
+	}
+	out := make([]*Worker, 0, len(eligible))
+	for _, w := range eligible {
+		if p.hasValidTicket(s, w) {
+			out = append(out, w)
+		}
+	}
+	return out
 }
 
 // fits reports whether the worker can run one more task of the step.
