--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -169,7 +169,7 @@
 // addWorkers adds the workers that accept new tasks, ordered by ID. The state is
 // locked.
 func (s *Scheduler) addWorkers(in *plan.Input, now clock.Instant) {
-	preemptable, paces := preemptionTargets(in.Pending), paceCache{}
+	preemptable, cache := preemptionTargets(in.Pending), newVictimCache()
 	workers := s.cfg.State.SortedWorkers()
 	in.Workers = make([]plan.Worker, 0, len(workers))
 	for _, w := range workers {
@@ -184,7 +184,7 @@
 			Suspect: se.failures.suspect(now) || slowed,
 		}
 		if preemptable.has(w.ID) {
-			s.addVictims(&pw, se, w, paces, now)
+			s.addVictims(&pw, se, w, cache, now)
 		}
 		in.Workers = append(in.Workers, pw)
 	}
@@ -216,10 +216,31 @@
 	return set
 }
 
+// victimCache holds what was computed for the victims of one snapshot, many of which belong
+// to the same step.
+type victimCache struct {
+	paces     paceCache
+	taskTimes map[cell.StepKey]time.Duration
+}
+
+func newVictimCache() victimCache {
+	return victimCache{paceCache{}, map[cell.StepKey]time.Duration{}}
+}
+
+// cachedTaskTime is taskTime for a step of job j. The state is locked.
+func (s *Scheduler) cachedTaskTime(cache victimCache, k cell.StepKey, j *cell.Job) time.Duration {
+	took, ok := cache.taskTimes[k]
+	if !ok {
+		took = s.taskTime(j, k.Occurrence, k.Step)
+		cache.taskTimes[k] = took
+	}
+	return took
+}
+
 // addVictims adds to pw the capacity of the runs that are being stopped or are about to
 // end, and the runs that may be preempted. A run that ends as soon as it could be stopped
 // is none of these: a stop would free its capacity no sooner. The state is locked.
-func (s *Scheduler) addVictims(pw *plan.Worker, se *session, w *cell.WorkerState, paces paceCache, now clock.Instant) {
+func (s *Scheduler) addVictims(pw *plan.Worker, se *session, w *cell.WorkerState, cache victimCache, now clock.Instant) {
 	for k, a := range w.Allocations {
 		r := se.runs[k]
 		j := s.cfg.State.Jobs[k.Job]
@@ -239,10 +260,13 @@
 			pw.Releasing = pw.Releasing.Add(a.Need)
 			continue
 		}
-		pace := s.paceOf(paces, k, j, q)
+		pace := s.paceOf(cache.paces, k, j, q)
+		if pw.Victims == nil {
+			pw.Victims = make([]plan.Victim, 0, len(w.Allocations))
+		}
 		pw.Victims = append(pw.Victims, plan.Victim{
 			Task: k, Run: r.number, Need: a.Need, Priority: q.Priority,
-			LostWork:    s.preemptionCost(step, r, s.taskTime(j, k.Occurrence, k.Step), now),
+			LostWork:    s.preemptionCost(step, r, s.cachedTaskTime(cache, k.StepKey(), j), now),
 			LatestStart: pace.latestStart, Objective: pace.objective,
 		})
 	}
@@ -351,6 +375,8 @@
 		Remaining:     s.remainingCriticalPath(j, o),
 		TaskTime:      s.taskTime(j, o, i),
 		RemainingWork: s.remainingWork(j, o),
+		Waiting:       make([]int, 0, j.Occurrences[o].Steps[i].Waiting()),
+		NextRun:       make([]int64, 0, j.Occurrences[o].Steps[i].Waiting()),
 	}
 	tasks := j.Occurrences[o].Steps[i].Tasks
 	for index := range tasks {
