scheduler: order the occurrences of a job in the planner's input

Cause: the steps were sorted by job and step only. The occurrences of a job have the same deadline, and the planner keeps the order of its input among equal steps, so that with more than a dozen occurrences their order was left to the sort algorithm and to the order of a map.

Change: the occurrence is the last key of the order.

Result: TestPendingOrderIsDefined failed before and passes, as do the other tests of the package.

--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -154,18 +155,17 @@
 		return in
 	}
 	s.addWorkers(in, now)
-	slices.SortFunc(in.Pending, func(a, b plan.Pending) int {
-		if a.Key.Job != b.Key.Job {
-			if a.Key.Job < b.Key.Job {
-				return -1
-			}
-			return 1
-		}
-		return a.Key.Step - b.Key.Step
-	})
+	sortPending(in.Pending)
 	return in
 }
 
+// sortPending sorts steps by their keys.
+func sortPending(ps []plan.Pending) {
+	slices.SortFunc(ps, func(a, b plan.Pending) int {
+		return cmp.Or(cmp.Compare(a.Key.Job, b.Key.Job), cmp.Compare(a.Key.Step, b.Key.Step), cmp.Compare(a.Key.Occurrence, b.Key.Occurrence))
+	})
+}
+
 // addWorkers adds the workers that accept new tasks, ordered by ID. The state is
 // locked.
 func (s *Scheduler) addWorkers(in *plan.Input, now clock.Instant) {
--- a/internal/scheduler/planning_test.go
+++ b/internal/scheduler/planning_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"kumquatwing/internal/cell"
+	"kumquatwing/internal/cell/plan"
 )
 
 // TestPlansLeaveTimeForCalls checks that events in close succession share a plan, and
@@ -52,3 +56,20 @@
 	r.drainEvents()
 	qt.Check(t, r.advisers, qt.HasLen, 1)
 }
+
+// TestPendingOrderIsDefined guards against plans that differ for the same state: the
+// occurrences of a job have the same deadline, and the planner keeps the order of its input
+// among equal steps.
+func TestPendingOrderIsDefined(t *testing.T) {
+	var want, ps []plan.Pending
+	for o := range 100 {
+		want = append(want, plan.Pending{Key: cell.StepKey{Job: testJob, Occurrence: o}})
+	}
+	for _, i := range rand.New(rand.NewPCG(1, 2)).Perm(len(want)) {
+		ps = append(ps, want[i])
+	}
+	sortPending(ps)
+	for i := range ps {
+		qt.Assert(t, ps[i].Key, qt.Equals, want[i].Key)
+	}
+}
