clock: make the manual clock safe for concurrent use

Cause: the scheduler's tests advance the clock while goroutines that send orders read it, so that go test -race failed in dozens of tests for that race, among which others were not seen.

Change: the manual clock keeps its time in an atomic integer.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -51,11 +52,11 @@
 func (Runtime) Now() Instant { return Instant(time.Since(runtimeStart)) }
 
 // Manual is a Clock for tests, which changes only by calls of Advance. The zero
-// value is at Instant 0. It is not safe for concurrent use.
-type Manual struct{ now Instant }
+// value is at Instant 0. It is safe for concurrent use.
+type Manual struct{ nanos atomic.Int64 }
 
 // Now implements Clock.
-func (m *Manual) Now() Instant { return m.now }
+func (m *Manual) Now() Instant { return Instant(m.nanos.Load()) }
 
 // Advance adds d to the current instant.
-func (m *Manual) Advance(d time.Duration) { m.now = m.now.Add(d) }
+func (m *Manual) Advance(d time.Duration) { m.nanos.Add(int64(d)) }
