scheduler: make the term of the leadership safe for concurrent use

Cause: goroutines that send orders read the term to tell whether this member still leads, while the control goroutine sets it for the next leadership. Three tests read the replicated state without its lock while a commit runs. Go's race detector reports both.

--- a/internal/scheduler/closedsession_test.go
+++ b/internal/scheduler/closedsession_test.go
@@ -16,7 +16,7 @@
 	closed = r.sessions[testWorker]
 	w := r.state.Workers[testWorker].Worker
 	w.Born = born
-	r.apply(&cell.Command{Leadership: r.term, Workers: &cell.Workers{Seen: []cell.Worker{w}}})
+	r.apply(&cell.Command{Leadership: r.term.Load(), Workers: &cell.Workers{Seen: []cell.Worker{w}}})
 	r.syncSessions(r.ctx)
 	opened = r.sessions[testWorker]
 	qt.Assert(r.t, opened != closed, qt.IsTrue)
--- a/internal/scheduler/failures_test.go
+++ b/internal/scheduler/failures_test.go
@@ -23,7 +23,7 @@
 		for i := range 20 {
 			starts = append(starts, cell.Start{Task: cell.TaskKey{Job: testJob, Index: i}, Run: 1, Worker: testWorker, Born: 1})
 		}
-		r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: starts}})
+		r.apply(&cell.Command{Leadership: r.term.Load(), Starts: &cell.Starts{Starts: starts}})
 		r.syncSessions(r.ctx)
 		suspect := func() bool { return r.sessions[testWorker].failures.suspect(r.now()) }
 		qt.Check(t, suspect(), qt.IsFalse)
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -20,7 +20,7 @@
 // refuses it once it has answered a renewal with the new one.
 func (s *Scheduler) nextFence() uint64 {
 	s.fences++
-	return s.term<<fenceCounterBits | s.fences
+	return s.term.Load()<<fenceCounterBits | s.fences
 }
 
 // noteIncarnation records which incarnation of a worker has replied to a renewal. If it
--- a/internal/scheduler/incarnation_test.go
+++ b/internal/scheduler/incarnation_test.go
@@ -57,6 +57,12 @@
 	}
 }
 
+// recordedIncarnation returns the incarnation of the test worker in the replicated state.
+func (r *rig) recordedIncarnation() (born int64) {
+	r.state.Read(func() { born = r.state.Workers[testWorker].Born })
+	return born
+}
+
 // TestRestartedWorkerKeepsListedRuns guards against runs of a restarted worker that are
 // lost with the report of its new incarnation, although that one lists them.
 func TestRestartedWorkerKeepsListedRuns(t *testing.T) {
@@ -77,7 +83,7 @@
 	r.clock.Advance(time.Millisecond)
 	r.deliverReplyFrom(2, listed)
 	r.checkClaims(r.ctx)
-	r.runUntil(func() bool { return r.state.Workers[testWorker].Born == 2 })
+	r.runUntil(func() bool { return r.recordedIncarnation() == 2 })
 	r.syncSessions(r.ctx)
 	se := r.sessions[testWorker]
 	qt.Check(t, se.target.Incarnation, qt.Equals, int64(2))
@@ -169,7 +175,7 @@
 		r.deliverReplyFrom(2, listed)
 	}
 	r.checkClaims(r.ctx)
-	r.runUntil(func() bool { return r.state.Workers[testWorker].Born == 2 })
+	r.runUntil(func() bool { return r.recordedIncarnation() == 2 })
 
 	ended := RenewReply{ClockMillis: 1000, Incarnation: 2, Finished: []FinishedTask{{Number: 1, Task: k, Run: 1, Outcome: cell.OutcomeDone}}}
 	r.clock.Advance(time.Millisecond)
@@ -182,5 +188,8 @@
 		r.deliverReply(ended)
 		r.commitEnds(r.ctx)
 	}
-	r.runUntil(func() bool { return r.state.Jobs[testJob].State == cell.JobSucceeded })
+	r.runUntil(func() (done bool) {
+		r.state.Read(func() { done = r.state.Jobs[testJob].State == cell.JobSucceeded })
+		return done
+	})
 }
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -91,7 +91,7 @@
 	r := newRig(t, oneTask)
 	workers := &scriptedWorkers{script: []error{errNoReply, nil}}
 	r.lead()
-	r.cfg.Workers = &deposingWorkers{workers, func() { r.term++ }}
+	r.cfg.Workers = &deposingWorkers{workers, func() { r.term.Add(1) }}
 	err := r.sendStart(r.ctx, WorkerTarget{ID: testWorker}, StartOrder{}, func() {})
 	qt.Check(t, err, qt.ErrorIs, errNoReply)
 	qt.Check(t, workers.starts, qt.Equals, 1)
@@ -144,7 +144,7 @@
 	for _, ctx := range workers.contexts {
 		qt.Check(t, MayStillSend(ctx), qt.IsTrue)
 	}
-	r.term++
+	r.term.Add(1)
 	for _, ctx := range workers.contexts {
 		qt.Check(t, MayStillSend(ctx), qt.IsFalse)
 	}
@@ -201,7 +201,7 @@
 	for _, k := range keys {
 		starts = append(starts, cell.Start{Task: k, Run: 1, Worker: testWorker, Born: 1})
 	}
-	r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: starts}})
+	r.apply(&cell.Command{Leadership: r.term.Load(), Starts: &cell.Starts{Starts: starts}})
 	se := r.sessions[testWorker]
 	for i := range starts {
 		r.startRun(r.ctx, &starts[i], "", "", "")
--- a/internal/scheduler/progress_test.go
+++ b/internal/scheduler/progress_test.go
@@ -147,7 +147,7 @@
 			starts = append(starts, cell.Start{Task: cell.TaskKey{Job: testJob, Index: i}, Run: 1, Worker: worker(i), Born: 1})
 		}
 		r.lead()
-		r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: starts}})
+		r.apply(&cell.Command{Leadership: r.term.Load(), Starts: &cell.Starts{Starts: starts}})
 		r.syncSessions(r.ctx)
 		for i := range members {
 			r.sessions[worker(i)].runs[starts[i].Task].status = runStarted
--- a/internal/scheduler/reachability_test.go
+++ b/internal/scheduler/reachability_test.go
@@ -89,7 +89,7 @@
 	r.cfg.Metrics.unreachable.Collect(series)
 	qt.Assert(t, series, qt.HasLen, 1)
 	<-series
-	r.reset(r.term + 1)
+	r.reset(r.term.Load() + 1)
 	r.cfg.Metrics.unreachable.Collect(series)
 	qt.Check(t, series, qt.HasLen, 0)
 }
--- a/internal/scheduler/remaining_test.go
+++ b/internal/scheduler/remaining_test.go
@@ -21,7 +21,9 @@
 // plannedWorker returns the planner's input for the test's worker, with victims.
 func (r *rig) plannedWorker() plan.Worker {
 	var pw plan.Worker
-	r.state.Read(func() { r.addVictims(&pw, r.sessions[testWorker], r.state.Workers[testWorker], newVictimCache(), r.now()) })
+	r.state.Read(func() {
+		r.addVictims(&pw, r.sessions[testWorker], r.state.Workers[testWorker], newVictimCache(), r.now())
+	})
 	return pw
 }
 
--- a/internal/scheduler/retention_test.go
+++ b/internal/scheduler/retention_test.go
@@ -47,8 +47,8 @@
 
 	r.apply(cancel)
 	qt.Check(t, r.expiredTombstones(start.Add(keep)), qt.HasLen, 0, qt.Commentf("cancelled again"))
-	r.apply(&cell.Command{Leadership: r.term, Forget: &cell.Forget{Tombstones: expired}})
+	r.apply(&cell.Command{Leadership: r.term.Load(), Forget: &cell.Forget{Tombstones: expired}})
 	qt.Check(t, r.state.Tombstones(), qt.HasLen, 1, qt.Commentf("cancelled again after the deletion was proposed"))
-	r.apply(&cell.Command{Leadership: r.term, Forget: &cell.Forget{Tombstones: r.expiredTombstones(start.Add(2 * keep))}})
+	r.apply(&cell.Command{Leadership: r.term.Load(), Forget: &cell.Forget{Tombstones: r.expiredTombstones(start.Add(2 * keep))}})
 	qt.Check(t, r.state.Tombstones(), qt.HasLen, 0)
 }
--- a/internal/scheduler/runtimes_test.go
+++ b/internal/scheduler/runtimes_test.go
@@ -48,7 +48,7 @@
 func (r *rig) confirm(k cell.TaskKey, checkpoint string) {
 	r.t.Helper()
 	st := cell.Start{Task: k, Run: 1, Worker: testWorker, Born: 1}
-	r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: []cell.Start{st}}})
+	r.apply(&cell.Command{Leadership: r.term.Load(), Starts: &cell.Starts{Starts: []cell.Start{st}}})
 	r.syncSessions(r.ctx)
 	r.startRun(r.ctx, &st, "", checkpoint, "")
 	se := r.sessions[testWorker]
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -65,8 +65,9 @@
 	cfg    Config
 	events chan func()
 
-	// term is the term in which this member leads.
-	term uint64
+	// term is the term in which this member leads. Orders that are still being sent read it
+	// while a later leadership sets it.
+	term atomic.Uint64
 	// leadingSince is when the leadership began.
 	leadingSince clock.Instant
 
@@ -223,7 +224,7 @@
 // takeOver commits this scheduler's term, after which the cell rejects the
 // commands of all earlier schedulers as stale.
 func (s *Scheduler) takeOver(ctx context.Context) error {
-	c := &cell.Command{Lead: &cell.Lead{Term: s.term}}
+	c := &cell.Command{Lead: &cell.Lead{Term: s.term.Load()}}
 	data, err := c.Encode()
 	if err != nil {
 		return err
@@ -234,7 +235,8 @@
 
 // reset clears the state of an earlier leadership and starts one in term.
 func (s *Scheduler) reset(term uint64) {
-	s.term, s.leadingSince = term, s.cfg.Clock.Now()
+	s.term.Store(term)
+	s.leadingSince = s.cfg.Clock.Now()
 	s.sessions = map[cell.WorkerID]*session{}
 	s.claimed, s.unverified = map[cell.WorkerID]bool{}, map[cell.WorkerID]bool{}
 	s.advice = map[cell.StepKey]*plan.StepAdvice{}
@@ -297,13 +299,13 @@
 // orders.
 func (s *Scheduler) leads() bool {
 	st := s.cfg.Group.Status()
-	return st.IsLeader() && st.Term == s.term
+	return st.IsLeader() && st.Term == s.term.Load()
 }
 
 // propose commits a command in the background. onDone receives the outcome on the
 // control goroutine.
 func (s *Scheduler) propose(ctx context.Context, c *cell.Command, onDone func(cell.Result, error)) {
-	c.Leadership = s.term
+	c.Leadership = s.term.Load()
 	data, err := c.Encode()
 	if err != nil {
 		onDone(cell.Result{}, err)
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -112,7 +112,7 @@
 // place commits one start, as a plan does, and returns the key of its task.
 func (r *rig) place(index int, run int64) cell.TaskKey {
 	k := cell.TaskKey{Job: testJob, Index: index}
-	r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: []cell.Start{{Task: k, Run: run, Worker: testWorker, Born: 1}}}})
+	r.apply(&cell.Command{Leadership: r.term.Load(), Starts: &cell.Starts{Starts: []cell.Start{{Task: k, Run: run, Worker: testWorker, Born: 1}}}})
 	return k
 }
 
@@ -281,10 +281,10 @@
 	r.lead()
 	k := r.startedRun()
 	r.clock.Advance(time.Minute)
-	r.term++
+	r.term.Add(1)
 	r.tick(r.ctx)
 	qt.Check(t, r.endsOf(k), qt.HasLen, 0)
-	r.term--
+	r.term.Add(^uint64(0))
 	r.tick(r.ctx)
 	qt.Check(t, r.endsOf(k), qt.DeepEquals, []cell.Outcome{cell.OutcomeLost})
 }
--- a/internal/scheduler/speeds_test.go
+++ b/internal/scheduler/speeds_test.go
@@ -60,7 +60,7 @@
 	if isSlow(i) {
 		w.Labels[1] = "old"
 	}
-	r.apply(&cell.Command{Leadership: r.term, Workers: &cell.Workers{Seen: []cell.Worker{w}}})
+	r.apply(&cell.Command{Leadership: r.term.Load(), Workers: &cell.Workers{Seen: []cell.Worker{w}}})
 	r.syncSessions(r.ctx)
 }
 
@@ -104,7 +104,7 @@
 		ends = append(ends, runEnd{i, st, time.Duration(seconds * float64(time.Second))})
 		slowest = max(slowest, ends[index].after)
 	}
-	r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: starts}})
+	r.apply(&cell.Command{Leadership: r.term.Load(), Starts: &cell.Starts{Starts: starts}})
 	r.syncSessions(r.ctx)
 	for i := range starts {
 		se := r.sessions[starts[i].Worker]
@@ -287,11 +287,11 @@
 	r.clock.Advance(settleInterval)
 	r.settleSpeeds(r.now())
 	qt.Assert(t, r.speeds.unrecorded, qt.HasLen, rigWorkers)
-	measured := &cell.Command{Leadership: r.term, Ends: &cell.Ends{Speeds: r.takeUnrecordedSpeeds()}}
-	r.apply(&cell.Command{Lead: &cell.Lead{Term: r.term + 1}})
+	measured := &cell.Command{Leadership: r.term.Load(), Ends: &cell.Ends{Speeds: r.takeUnrecordedSpeeds()}}
+	r.apply(&cell.Command{Lead: &cell.Lead{Term: r.term.Load() + 1}})
 	r.apply(measured)
 	qt.Check(t, unknown(), qt.Equals, rigWorkers)
-	r.reset(r.term + 1)
+	r.reset(r.term.Load() + 1)
 	r.syncSessions(r.ctx)
 	r.clock.Advance(settleInterval)
 	r.settleSpeeds(r.now())
--- a/internal/scheduler/worklost_test.go
+++ b/internal/scheduler/worklost_test.go
@@ -46,7 +46,7 @@
 
 func (r *rig) startGang() {
 	start := cell.Start{Task: cell.TaskKey{Job: gangJob}, Run: 1, Worker: testWorker, Born: 1}
-	r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: []cell.Start{start}}})
+	r.apply(&cell.Command{Leadership: r.term.Load(), Starts: &cell.Starts{Starts: []cell.Start{start}}})
 }
 
 // finish delivers a reply that lists the end of a run.
@@ -196,7 +196,7 @@
 			for i := range c.outcomes {
 				starts = append(starts, cell.Start{Task: cell.TaskKey{Job: testJob, Index: i}, Run: 1, Worker: testWorker, Born: 1})
 			}
-			r.apply(&cell.Command{Leadership: r.term, Starts: &cell.Starts{Starts: starts}})
+			r.apply(&cell.Command{Leadership: r.term.Load(), Starts: &cell.Starts{Starts: starts}})
 			se := r.sessions[testWorker]
 			for i := range starts {
 				r.startRun(r.ctx, &starts[i], "", "", "")
