scheduler: look workers up in the gangs' eligible sets without merging them

Cause: each plan merged the eligible workers of all waiting gangs into one map, to add victims only to the workers of these gangs.

Change: a worker is looked up in the sets of the gangs until one has it. The result is the same.

--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -190,27 +190,32 @@
 	}
 }
 
-// workerSet is a set of workers; all stands for every worker.
+// workerSet is the union of sets of eligible workers; all stands for every worker. The sets
+// of many gangs overlap, so that most workers are found in one of the first few, which takes
+// less time than to merge them all.
 type workerSet struct {
-	all bool
-	ids map[cell.WorkerID]bool
+	all  bool
+	sets []map[cell.WorkerID]plan.Ticket
 }
 
-func (s *workerSet) has(id cell.WorkerID) bool { return s.all || s.ids[id] }
+func (s *workerSet) has(id cell.WorkerID) bool {
+	return s.all || slices.ContainsFunc(s.sets, func(eligible map[cell.WorkerID]plan.Ticket) bool {
+		_, ok := eligible[id]
+		return ok
+	})
+}
 
 // preemptionTargets returns the workers on which waiting gangs may preempt other
 // runs.
 func preemptionTargets(ps []plan.Pending) *workerSet {
-	set := &workerSet{ids: map[cell.WorkerID]bool{}}
+	set := &workerSet{}
 	for i := range ps {
 		switch p := &ps[i]; {
 		case !p.Step.Gang:
 		case p.Advice == nil:
 			set.all = true
-		default:
-			for id := range p.Advice.Eligible {
-				set.ids[id] = true
-			}
+		case len(p.Advice.Eligible) > 0:
+			set.sets = append(set.sets, p.Advice.Eligible)
 		}
 	}
 	return set
