fdlimit: a request that was carried out for long doesn't count as stalled

Cause: when a handler returns, its connection counts as waiting for the client again, but its last progress was the arrival of the request. Small responses are sent only after the handler has returned. A full listener could close the connection in between, and the response to a request that had run was lost.

Change: a connection that begins to wait for its client starts with its progress as of now. The comments on the write deadline say what it bounds.

Result: TestCarriedOutRequestsDoNotCountAsStalled failed before, and passes.

--- a/internal/fdlimit/conn.go
+++ b/internal/fdlimit/conn.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// writeTimeout is how long a client may accept none of writePart bytes of a response
-	// before its connection is closed. A client that accepts more slowly than that gets no
-	// response; one that makes progress is never cut off, however long the response.
+	// writeTimeout is the time a client has to accept writePart bytes of a response before
+	// its connection is closed. It applies to each part, so that a client that reads at that
+	// rate gets the whole response, however long it is.
 	writeTimeout = 10 * time.Second
 	writePart    = 16 << 10
 )
@@ -43,8 +43,14 @@
 	return s
 }
 
-// SetReceiving records whether a request is being received.
-func (c *serverConn) SetReceiving(receiving bool) { c.receiving.Store(receiving) }
+// SetReceiving records whether a request is being received. The client has made progress until
+// then: it could send nothing while its last request was being carried out.
+func (c *serverConn) SetReceiving(receiving bool) {
+	if receiving {
+		c.progress.Store(time.Now().UnixNano())
+	}
+	c.receiving.Store(receiving)
+}
 
 // stalledSince returns since when the connection has waited for its client, in Unix
 // nanoseconds. ok is false while it doesn't wait for it.
@@ -61,7 +67,7 @@
 	return n, err
 }
 
-// Write implements net.Conn. It fails if the client makes no progress for writeTimeout.
+// Write implements net.Conn. It fails if the client takes longer than writeTimeout for a part.
 func (c *serverConn) Write(b []byte) (int, error) {
 	c.progress.Store(time.Now().UnixNano())
 	c.writing.Store(true)
--- a/internal/fdlimit/listener.go
+++ b/internal/fdlimit/listener.go
@@ -157,9 +157,9 @@
 	case http.StateIdle:
 		l.elements[conn] = l.idle.PushBack(conn)
 	case http.StateActive:
-		// The first byte of a request has arrived.
+		// The header of a request has arrived.
 		if c, ok := conn.(*serverConn); ok {
-			c.receiving.Store(true)
+			c.SetReceiving(true)
 		}
 	}
 }
@@ -170,9 +170,10 @@
 func (l *Listener) Handler(conn func(context.Context) net.Conn, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := conn(r.Context()).(*serverConn); ok {
-			c.receiving.Store(false)
+			c.SetReceiving(false)
 			// The server may wait for the rest of a body that the handler has not read.
-			defer c.receiving.Store(true)
+			// It also sends what it has buffered of the response then.
+			defer c.SetReceiving(true)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/fdlimit/stalled_test.go
+++ b/internal/fdlimit/stalled_test.go
@@ -121,3 +121,21 @@
 	qt.Assert(t, c.SetWriteDeadline(time.Now().Add(-time.Second)), qt.IsNil)
 	qt.Check(t, <-written, qt.ErrorAs, &timeout, qt.Commentf("the write in progress must end"))
 }
+
+// TestCarriedOutRequestsDoNotCountAsStalled guards against a connection that makes way between
+// the end of a long request's handler and the sending of its response, so that the response to
+// a request that has run is lost.
+func TestCarriedOutRequestsDoNotCountAsStalled(t *testing.T) {
+	server, client := net.Pipe()
+	defer client.Close()
+	l := NewListener(nil, 1, func() {})
+	c, ok := l.tryAdd(server).(*serverConn)
+	qt.Assert(t, ok, qt.IsTrue)
+	defer c.Close()
+	h := l.Handler(func(context.Context) net.Conn { return c }, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		c.progress.Store(time.Now().Add(-time.Minute).UnixNano())
+	}))
+	h.ServeHTTP(nil, (&http.Request{}).WithContext(context.Background()))
+	qt.Check(t, l.longestStalled(time.Now()), qt.IsNil)
+	qt.Check(t, l.longestStalled(time.Now().Add(2*stallTime)), qt.Equals, net.Conn(c), qt.Commentf("a client that stalls afterwards is kept"))
+}
