cellapi: reads of a job's state wait within their caller's deadline

Cause: a read waited up to 100 ms for the end of the job, also if its caller had less time left. It then got a time-out instead of the state.

Change: the wait is at most half of the time left.

Result: TestReadWaitsWithinDeadline failed before, and passes.

--- a/internal/cellapi/jobstate.go
+++ b/internal/cellapi/jobstate.go
@@ -14,6 +14,9 @@
 	// of it with its next read only.
 	stateWaitShare = 25
 	maxStateWait   = 100 * time.Millisecond
+	// deadlineWaitPart is the part of the time left to the caller, one in this many, that a
+	// read waits. The rest is for the response.
+	deadlineWaitPart = 2
 	// maxWaitingReads bounds the reads that wait at a time, so that they leave most of
 	// the handlers of their topic free. Further ones are answered at once.
 	maxWaitingReads = 128
@@ -28,6 +31,14 @@
 	return min(time.Duration(q.ObjectiveMillis)*time.Millisecond*stateWaitShare/100, maxStateWait)
 }
 
+// withinDeadline shortens a wait, so that the response still reaches the caller in time.
+func withinDeadline(ctx context.Context, wait time.Duration) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(wait, time.Until(deadline)/deadlineWaitPart)
+	}
+	return wait
+}
+
 // job returns the state of a job. If the runs that are placed now may end the job, it
 // waits a short time for that.
 func (s *Server) job(ctx context.Context, req *JobRequest) (*JobReply, error) {
@@ -56,7 +67,7 @@
 			return
 		}
 		j := s.State.Jobs[id]
-		wait = stateWait(s.State.QueueOf(j), j)
+		wait = withinDeadline(ctx, stateWait(s.State.QueueOf(j), j))
 		if wait > 0 && s.waitingReads < maxWaitingReads {
 			s.waitingReads++
 			ended = s.State.AwaitEnd(id)
--- a/internal/cellapi/jobstate_test.go
+++ b/internal/cellapi/jobstate_test.go
@@ -90,3 +90,16 @@
 		t.Error("a read waits on after a snapshot was restored")
 	}
 }
+
+// A caller with little time left must get the state, and not a time-out because its read
+// waited for the end of the job until its deadline.
+func TestReadWaitsWithinDeadline(t *testing.T) {
+	s, _ := newServer(t)
+	runningJob(t, s, "e", 1<<20)
+	ctx, cancel := context.WithTimeout(context.Background(), maxStateWait/2)
+	defer cancel()
+	r := s.awaitJob(ctx, "e", &caller{})
+	qt.Assert(t, r, qt.IsNotNil)
+	qt.Check(t, r.State, qt.Equals, cell.JobRunning)
+	qt.Check(t, ctx.Err(), qt.IsNil, qt.Commentf("the read has waited until its deadline"))
+}
