--- a/internal/bodylimit/budget.go
+++ b/internal/bodylimit/budget.go
@@ -165,7 +165,8 @@
 
 // BeginDecode waits until no other large body of the account is being decoded, since that takes
 // several times the memory of the body. The body is no longer being decoded once the returned
-// function is called. Small bodies don't wait. An error is that of ctx.
+// function is called. Bodies whose size, as they are or decoded, is small don't wait. An error
+// is that of ctx.
 func (y *Body) BeginDecode(ctx context.Context, size int) (end func(), err error) {
 	if size <= SmallBytes {
 		return func() {}, nil
