inbound: without memory-mb, limits follow the Go runtime's limit on the platform too

A limit below 1 MiB counted as none.

Change: one function decides for both, and the share of the runtime's limit is applied and reversed in one place.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -114,7 +114,7 @@
 		stopping:      make(chan struct{}),
 		fatal:         make(chan error, 1),
 		fds:           fdlimit.Split(fdlimit.ProcessLimit()),
-		memory:        inbound.ControlMemory(inbound.RuntimeMemoryMB()),
+		memory:        inbound.ControlMemory(0),
 	}
 	if cfg.EventDir != "" {
 		f, err := eventlog.OpenFile(cfg.EventDir, processName, cfg.VM, eventlog.DefaultFileBytes)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -119,7 +119,7 @@
 // open opens the event file, the HTTP listener and the wire transport. The caller
 // closes what is open if one of them fails.
 func (e *Entry) open(registry prometheus.Registerer) error {
-	fds, memory := fdlimit.SplitEntry(fdlimit.ProcessLimit()), inbound.EntryMemory(inbound.RuntimeMemoryMB())
+	fds, memory := fdlimit.SplitEntry(fdlimit.ProcessLimit()), inbound.EntryMemory(0)
 	var err error
 	if e.cfg.EventDir != "" {
 		f, err := eventlog.OpenFile(e.cfg.EventDir, "kqentry", e.cfg.VM, eventlog.DefaultFileBytes)
--- a/internal/inbound/memory.go
+++ b/internal/inbound/memory.go
@@ -31,7 +31,7 @@
 const connectionBytes = 24 << 10
 
 // Parts of the VM's memory, one in this many bytes, for the purposes that uncontrolled clients
-// can use. The Go runtime's own limit holds them and the rest of the heap; see RuntimeShare.
+// can use. The Go runtime's own limit holds them and the rest of the heap; see runtimeShare.
 const (
 	bodiesPart     = 8
 	peersPart      = 8
@@ -49,7 +49,7 @@
 	// bodies only. minFrames does so for a frame of our own processes.
 	minBodies = 6 << 20
 	minFrames = wire.MaxFrameBytes * 3 / 2
-	// unknownMemory is assumed for a process whose settings don't limit its memory.
+	// unknownMemory is assumed for a process whose memory isn't limited.
 	unknownMemory = 1 << 30
 )
 
@@ -86,27 +86,29 @@
 	}
 }
 
+// memoryOrDefault returns the memory in bytes of a VM with memoryMB MiB. If that is 0, it is as
+// much as lets the Go runtime's limit (GOMEMLIMIT) be runtimeShare of it, or unknownMemory if
+// there is no limit.
 func memoryOrDefault(memoryMB int64) int64 {
-	if memoryMB <= 0 {
-		return unknownMemory
+	if memoryMB > 0 {
+		return memoryMB << 20
 	}
-	return memoryMB << 20
-}
-
-// RuntimeMemoryMB returns the memory in MiB of a process whose settings don't state it: as much
-// as lets the Go runtime's limit (GOMEMLIMIT) be RuntimeShare of it, 0 if there is no limit.
-func RuntimeMemoryMB() int64 {
 	limit := debug.SetMemoryLimit(-1)
 	if limit == math.MaxInt64 {
-		return 0
+		return unknownMemory
 	}
-	return int64(float64(limit)/RuntimeShare) >> 20
+	// Rounded, so that it reverses RuntimeLimit.
+	return max(1, int64(math.Round(float64(limit)/runtimeShare/(1<<20)))) << 20
 }
 
-// RuntimeShare is the part of a process's memory that is set as the memory limit of the Go
+// runtimeShare is the part of a process's memory that is set as the memory limit of the Go
 // runtime. The rest is for the kernel's buffers, the program itself and what exceeds the limit,
 // which is a soft one.
-const RuntimeShare = 0.6
+const runtimeShare = 0.6
+
+// RuntimeLimit returns the memory limit in bytes for the Go runtime of a process with memoryMB
+// MiB.
+func RuntimeLimit(memoryMB int64) int64 { return int64(float64(memoryMB<<20) * runtimeShare) }
 
 // Buffers are the sizes of the socket buffers of a listener's connections in bytes.
 type Buffers struct{ receive, send int }
--- a/internal/inbound/memory_test.go
+++ b/internal/inbound/memory_test.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"runtime/debug"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -46,3 +47,16 @@
 		qt.Check(t, sum <= limit*92/100, qt.IsTrue, qt.Commentf("%d: %+v", limit, b))
 	}
 }
+
+// TestMemoryFollowsRuntimeLimit guards against a process with a small runtime limit and no
+// memory-mb that divides a gigabyte.
+func TestMemoryFollowsRuntimeLimit(t *testing.T) {
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	const memoryMB = 200
+	debug.SetMemoryLimit(RuntimeLimit(memoryMB))
+	qt.Check(t, EntryMemory(0), qt.Equals, EntryMemory(memoryMB))
+	qt.Check(t, ControlMemory(0), qt.Equals, ControlMemory(memoryMB))
+	debug.SetMemoryLimit(1)
+	qt.Check(t, EntryMemory(0), qt.Equals, EntryMemory(1))
+	qt.Check(t, EntryMemory(1).Conns > 0 && ControlMemory(1).Conns > 0, qt.IsTrue)
+}
