fdlimit: let every entry process reach the leader

Cause: a control process took 207 inbound connections from other processes, half of the descriptors for peers.

Change: an eighth of all descriptors, 487 of 3,896. A test states the number of VMs.

--- a/internal/fdlimit/budget.go
+++ b/internal/fdlimit/budget.go
@@ -13,6 +13,10 @@
 	// a part of it, for those that collect metrics.
 	Peers   int
 	Metrics int
+	// PeersIn limits the connections from other processes of the system: each entry process
+	// keeps one to the leader. The limit keeps out others that connect; it may take
+	// descriptors that are idle for other purposes.
+	PeersIn int
 	// Inbound is for the connections of workers and operators.
 	Inbound int
 	// LongPolls is for the connections that wait for a worker's delayed reply.
@@ -37,6 +41,9 @@
 
 	// metricsPart is one in this many of the descriptors for peers.
 	metricsPart = 10
+	// peersInPart is one in this many of all descriptors for PeersIn: 512 of 4,096, for 300
+	// entry VMs and as many again.
+	peersInPart = 8
 )
 
 // Split divides the limit. A limit of 0 stands for one that is not known.
@@ -51,6 +58,7 @@
 	b.Orders = atLeastOne(rest * ordersPercent / 100)
 	b.Peers = atLeastOne(rest - b.Inbound - b.LongPolls - b.Orders)
 	b.Metrics = atLeastOne(b.Peers / metricsPart)
+	b.PeersIn = atLeastOne(limit / peersInPart)
 	return b
 }
 
--- a/internal/fdlimit/fdlimit_test.go
+++ b/internal/fdlimit/fdlimit_test.go
@@ -171,6 +171,14 @@
 	return conn
 }
 
+// TestEntryProcessesReachLeader guards against a limit on inbound connections that keeps
+// entry processes from the leader: at 300 VMs those beyond it were refused, and with them
+// all their callers.
+func TestEntryProcessesReachLeader(t *testing.T) {
+	const vms = 300
+	qt.Check(t, Split(4096-200).PeersIn >= vms+vms/2, qt.IsTrue, qt.Commentf("%+v", Split(4096-200)))
+}
+
 // TestLargeFleetFits checks that the limit of the users' control VMs leaves a connection
 // for the orders to each of 1,100 workers and one for its long poll.
 func TestLargeFleetFits(t *testing.T) {
