wire: bound the receive buffers of inbound connections

Up to 14 MB of that were in the kernel's receive buffers, which only this listener left to grow by themselves. They now take a twelfth of the VM's memory together.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -139,7 +139,7 @@
 	}
 	s.leases = newSettingsLeases(s)
 	s.metrics = newMetrics(s)
-	inbound.LimitWire(node, s.memory.Frames, s.fds.Peers, s.metrics.registry, s.log)
+	inbound.LimitWire(node, s.memory, s.fds.Peers, s.metrics.registry, s.log)
 	s.operatorBodies = inbound.NewBudget("operators", s.memory.Bodies, s.metrics.registry, s.log)
 	s.workerBodies = inbound.NewBudget("workers", s.memory.Bodies, s.metrics.registry, s.log)
 	s.handleTopics()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -137,7 +137,7 @@
 		return err
 	}
 	e.node.SetLogger(e.log)
-	inbound.LimitWire(e.node, memory.Frames, fds.Peers, registry, e.log)
+	inbound.LimitWire(e.node, memory, fds.Peers, registry, e.log)
 	if f, ok := e.events.(*eventlog.File); ok {
 		e.node.SetClock(f)
 	}
--- a/internal/inbound/listen.go
+++ b/internal/inbound/listen.go
@@ -46,8 +46,11 @@
 
 // LimitWire limits the memory of a wire node's frames and its inbound connections, with their
 // metrics and log lines.
-func LimitWire(n *wire.Node, frames int64, conns int, registry prometheus.Registerer, log *zap.Logger) {
-	n.SetLimits(NewBudget("wire", frames, registry, log), conns, logFull("wire", conns, log))
+func LimitWire(n *wire.Node, m Memory, conns int, registry prometheus.Registerer, log *zap.Logger) {
+	n.SetLimits(wire.Limits{
+		Frames: NewBudget("wire", m.Frames, registry, log), Conns: conns,
+		ReceiveBuffer: m.peerBuffer(conns), OnFull: logFull("wire", conns, log),
+	})
 	registerListener(registry, "wire", n.InboundCount)
 }
 
--- a/internal/inbound/memory.go
+++ b/internal/inbound/memory.go
@@ -35,6 +35,7 @@
 const (
 	bodiesPart     = 8
 	peersPart      = 8
+	peerSockets    = 12
 	entryConnsPart = 8
 	entryConnsPer  = 3
 	controlConns   = 4
@@ -49,6 +50,10 @@
 	// bodies only. minFrames does so for a frame of our own processes.
 	minBodies = 6 << 20
 	minFrames = wire.MaxFrameBytes * 3 / 2
+	// minPeerBuffer and maxPeerBuffer bound the receive buffer of a connection of our own
+	// processes. More than maxPeerBuffer isn't in flight between VMs near each other.
+	minPeerBuffer = 8 << 10
+	maxPeerBuffer = 256 << 10
 	// unknownMemory is assumed for a process whose memory isn't limited.
 	unknownMemory = 1 << 30
 )
@@ -58,6 +63,9 @@
 	// Bodies is the budget in bytes of each account for requests' bodies, and Frames the
 	// one for frames of our own processes.
 	Bodies, Frames int64
+	// PeerBuffers is what the receive buffers of the connections of our own processes may
+	// take in bytes.
+	PeerBuffers int64
 	// Conns is the highest number of connections of the listener for callers, or of the one
 	// for operators and workers.
 	Conns int
@@ -69,8 +77,8 @@
 	perConn := int64(2*(callersReceiveBuffer+callersSendBuffer) + connectionBytes)
 	return Memory{
 		Bodies: max(minBodies, memory/bodiesPart),
-		Frames: max(minFrames, memory/peersPart),
-		Conns:  int(memory * entryConnsPer / entryConnsPart / perConn),
+		Frames: max(minFrames, memory/peersPart), PeerBuffers: memory / peerSockets,
+		Conns: int(memory * entryConnsPer / entryConnsPart / perConn),
 	}
 }
 
@@ -81,11 +89,17 @@
 	perConn := int64(2*(controlReceiveBuffer+controlSendBuffer) + connectionBytes)
 	return Memory{
 		Bodies: max(minBodies, memory/bodiesPart/2),
-		Frames: max(minFrames, memory/peersPart),
-		Conns:  int(memory / controlConns / perConn),
+		Frames: max(minFrames, memory/peersPart), PeerBuffers: memory / peerSockets,
+		Conns: int(memory / controlConns / perConn),
 	}
 }
 
+// peerBuffer returns the size of the receive buffer of each of conns connections of our own
+// processes. The kernel takes twice as much.
+func (m Memory) peerBuffer(conns int) int {
+	return int(min(max(m.PeerBuffers/2/int64(max(1, conns)), minPeerBuffer), maxPeerBuffer))
+}
+
 // memoryOrDefault returns the memory in bytes of a VM with memoryMB MiB. If that is 0, it is as
 // much as lets the Go runtime's limit (GOMEMLIMIT) be runtimeShare of it, or unknownMemory if
 // there is no limit.
--- a/internal/inbound/memory_test.go
+++ b/internal/inbound/memory_test.go
@@ -19,17 +19,17 @@
 // TestMemoryLimitsFitTheVM checks that the parts for uncontrolled clients and normal operation
 // fit into the memory of every VM, and that one request within the limits is served.
 func TestMemoryLimitsFitTheVM(t *testing.T) {
-	check := func(name string, l Memory, memoryMB, base, accounts, perConn int64) {
-		sum := base + accounts*l.Bodies + l.Frames + int64(l.Conns)*perConn
+	check := func(name string, l Memory, memoryMB, base, accounts, perConn int64, peers int) {
+		sum := base + accounts*l.Bodies + l.Frames + int64(l.Conns)*perConn + int64(peers*2*l.peerBuffer(peers))
 		qt.Check(t, sum <= memoryMB<<20, qt.IsTrue, qt.Commentf("%s of %d MB: %+v and %d MB make %d MB", name, memoryMB, l, base>>20, sum>>20))
 		qt.Check(t, l.Bodies*3/4 >= MaxBodyBytes, qt.IsTrue, qt.Commentf("%+v", l))
 		qt.Check(t, l.Frames*3/4 >= wire.MaxFrameBytes, qt.IsTrue, qt.Commentf("%+v", l))
 	}
 	for _, mb := range []int64{64, 144, 184, 424} {
-		check("entry VM", EntryMemory(mb), mb, entryBaseBytes, 1, 2*(callersReceiveBuffer+callersSendBuffer)+connectionBytes)
+		check("entry VM", EntryMemory(mb), mb, entryBaseBytes, 1, 2*(callersReceiveBuffer+callersSendBuffer)+connectionBytes, fdlimit.SplitEntry(3075).Peers)
 	}
 	for _, mb := range []int64{408, 1024} {
-		check("control VM", ControlMemory(mb), mb, controlBaseBytes, 2, 2*(controlReceiveBuffer+controlSendBuffer)+connectionBytes)
+		check("control VM", ControlMemory(mb), mb, controlBaseBytes, 2, 2*(controlReceiveBuffer+controlSendBuffer)+connectionBytes, fdlimit.Split(4096).PeersIn)
 	}
 	// Thousands of workers need all the connections that the descriptors allow: with fewer they
 	// connect anew for each report.
--- a/internal/wire/inbound_test.go
+++ b/internal/wire/inbound_test.go
@@ -19,7 +19,7 @@
 	server, client := listen(t, nil), listen(t, nil)
 	full := 0
 	budget := bodylimit.New("wire", MaxFrameBytes*3/2)
-	server.SetLimits(budget, limit, func() { full++ })
+	server.SetLimits(Limits{Frames: budget, Conns: limit, ReceiveBuffer: 16 << 10, OnFull: func() { full++ }})
 	HandleTyped(server, "echo", func(_ context.Context, req *echo) (*echo, error) { return req, nil })
 	call := func() {
 		t.Helper()
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -138,11 +138,26 @@
 	n.log = log.Named("wire")
 }
 
-// SetLimits replaces the budget for frames that are being received, and the limit on inbound
-// connections. onFull is called when a new connection finds that limit reached.
-func (n *Node) SetLimits(budget *bodylimit.Budget, inbound int, onFull func()) {
-	n.budget.Store(budget)
-	n.inbound.setLimit(inbound, onFull)
+// Limits bound the memory and the descriptors that inbound connections take.
+type Limits struct {
+	// Frames is charged with the bytes of frames that are being received.
+	Frames *bodylimit.Budget
+	// Conns is the highest number of inbound connections.
+	Conns int
+	// ReceiveBuffer is the size of the receive buffer of each inbound connection in bytes, 0
+	// for the size that the kernel chooses.
+	ReceiveBuffer int
+	// OnFull is called when a new connection finds Conns reached.
+	OnFull func()
+}
+
+// SetLimits replaces the limits. The size of the receive buffer holds for new connections.
+func (n *Node) SetLimits(l Limits) {
+	n.budget.Store(l.Frames)
+	n.inbound.setLimit(l.Conns, l.OnFull)
+	if err := setReceiveBuffer(n.listener, l.ReceiveBuffer); err != nil {
+		n.logger().Warn("could not set the size of receive buffers", zap.Error(err))
+	}
 }
 
 // InboundCount returns the number of inbound connections, their limit, and how many new ones
--- a/internal/wire/socket.go
+++ b/internal/wire/socket.go
@@ -33,3 +33,26 @@
 	}
 	return optionErr
 }
+
+// setReceiveBuffer sets the size of the receive buffer of the connections that l accepts, unless
+// size is 0. They inherit it from the listening socket: a size that is set on an accepted
+// connection is below the window that the handshake has offered, and the kernel drops what
+// exceeds it.
+func setReceiveBuffer(l net.Listener, size int) error {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok || size == 0 {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
