scheduler: idle workers leave connections to busy ones and are renewed less often

Sessions with runs now come first for long polls, idle workers without one are renewed at most 400 times a second together, and at once when they start a run.

--- a/internal/scheduler/disruption.go
+++ b/internal/scheduler/disruption.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	se := s.sessions[t.Worker]
-	if se == nil || now.Sub(se.lastReply) > unreachableAfter {
+	if se == nil || se.isSilent(now) {
 		return false
 	}
 	r := se.runs[k]
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -127,6 +127,7 @@
 		if r.checkpoint == "" {
 			r.notePace(0, now)
 		}
+		se.wakeIfIdle()
 		s.begun.add(k.Job)
 		s.cfg.Metrics.starts.Inc()
 		if adm, ok := s.admissions[k.Job]; ok && r.number == 1 && k.Index == 0 {
--- a/internal/scheduler/planning.go
+++ b/internal/scheduler/planning.go
@@ -225,7 +225,7 @@
 // locked.
 func (s *Scheduler) acceptsTasks(se *session, w *cell.WorkerState, now clock.Instant) bool {
 	return se.fenceAccepted && !se.lost && !se.isReplaced() && !w.Draining && !s.cfg.State.OutOfService[w.DC] &&
-		now >= se.blockedUntil && now.Sub(se.lastReply) < unreachableAfter && se.answers() && !s.reachability.unreachable(w.DC, now)
+		now >= se.blockedUntil && !se.isSilent(now) && se.answers() && !s.reachability.unreachable(w.DC, now)
 }
 
 // rackOf returns the rack among the labels of a worker, which is the last of two
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +23,14 @@
 	// shortPollInterval is the interval of a worker's renewals that don't wait,
 	// while those of Bounds.MaxLongPolls others may.
 	shortPollInterval = 500 * time.Millisecond
+	// idlePollsPerSecond bounds the renewals that don't wait, of workers without runs. In
+	// a cell with more workers than connections each of them opens a connection.
+	// maxIdlePollInterval is the longest interval of one worker's.
+	idlePollsPerSecond  = 400
+	maxIdlePollInterval = 4 * time.Second
+	// busyReserve is the part of Bounds.MaxLongPolls, one in this many, that is only for
+	// workers with runs.
+	busyReserve = 8
 	// endGatherDelay is the pause after a renewal that listed finished runs, so
 	// that the next one lists several at once.
 	endGatherDelay = 50 * time.Millisecond
@@ -55,12 +64,38 @@
 		case <-ctx.Done():
 			return
 		}
-		if !clock.Sleep(ctx, rn.nextPause()) {
+		if !se.pause(ctx, rn.nextPause()) {
 			return
 		}
 	}
 }
 
+// pause waits for d, or until the session is woken. It returns false if ctx ends.
+func (se *session) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-se.woken:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// wakeIfIdle sends the next renewal now if the worker was renewed as one without runs. The end
+// of a run that has just started would otherwise be known only after the pause.
+func (se *session) wakeIfIdle() {
+	if !se.polledIdle {
+		return
+	}
+	se.polledIdle = false
+	select {
+	case se.woken <- struct{}{}:
+	default:
+	}
+}
+
 // renewal is one lease renewal and its outcome.
 type renewal struct {
 	target WorkerTarget
@@ -97,7 +132,10 @@
 	}
 	rn := renewal{target: se.target, sent: now, retryPause: renewalRetry}
 	o.Dedicated = s.mayLongPoll(se)
+	se.polledIdle = !o.Dedicated && len(se.runs) == 0
 	switch {
+	case se.polledIdle:
+		rn.pause = s.idlePollInterval()
 	case !o.Dedicated:
 		rn.pause = shortPollInterval
 	case se.waitsAtWorker(o.LeaseMillis):
@@ -110,9 +148,23 @@
 		rn.retryPause = unreachableRetry
 	}
 	rn.order = o
+	se.renewalPause = rn.pause
 	return rn
 }
 
+// idlePollInterval returns the interval of the renewals of a worker that has no runs and no
+// connection of its own.
+func (s *Scheduler) idlePollInterval() time.Duration {
+	others := len(s.sessions) - s.cfg.Bounds.MaxLongPolls
+	return min(max(time.Duration(others)*time.Second/idlePollsPerSecond, shortPollInterval), maxIdlePollInterval)
+}
+
+// isSilent reports whether the worker has not answered for so long after its last renewal that
+// no new tasks are placed on it.
+func (se *session) isSilent(now clock.Instant) bool {
+	return now.Sub(se.lastReply) >= unreachableAfter+se.renewalPause
+}
+
 // renewalWait returns how long the worker may delay its reply to the next renewal.
 func (s *Scheduler) renewalWait(se *session) time.Duration {
 	switch {
@@ -134,12 +186,19 @@
 // mayLongPoll reports whether the session's next renewal has a connection of its own,
 // on which it may wait at the worker. A session keeps that right while its worker
 // replies: its renewals then share one connection, where turns between the sessions
-// would open one for each turn.
+// would open one for each turn. A session without runs gives it up for those that have some.
 func (s *Scheduler) mayLongPoll(se *session) bool {
-	if se.longPolls {
+	hasRuns := len(se.runs) > 0
+	if se.longPolls && (hasRuns || s.freeLongPolls() >= 0) {
 		return true
 	}
-	if s.cfg.Bounds.MaxLongPolls > 0 && s.longPolls >= s.cfg.Bounds.MaxLongPolls {
+	s.endLongPolls(se)
+	free := s.maxLongPolls() - s.longPolls
+	if !hasRuns {
+		free = s.freeLongPolls()
+	}
+	if free <= 0 {
+		s.waitForLongPoll(se, hasRuns)
 		return false
 	}
 	s.longPolls++
@@ -147,8 +206,41 @@
 	return true
 }
 
-// endLongPolls gives the session's right to wait at the worker to another one.
+// maxLongPolls returns how many sessions may have a connection of their own.
+func (s *Scheduler) maxLongPolls() int {
+	if s.cfg.Bounds.MaxLongPolls == 0 {
+		return math.MaxInt
+	}
+	return s.cfg.Bounds.MaxLongPolls
+}
+
+// freeLongPolls returns how many sessions without runs may take a connection of their own. If
+// it is negative, so many of them must give up theirs.
+func (s *Scheduler) freeLongPolls() int {
+	limit := s.maxLongPolls()
+	if len(s.sessions) > limit {
+		limit -= limit / busyReserve
+	}
+	return limit - s.longPolls - s.longPollWaiters
+}
+
+// waitForLongPoll records whether a session has runs and no connection of its own.
+func (s *Scheduler) waitForLongPoll(se *session, waits bool) {
+	if waits == se.waitsForLongPoll {
+		return
+	}
+	se.waitsForLongPoll = waits
+	if waits {
+		s.longPollWaiters++
+	} else {
+		s.longPollWaiters--
+	}
+}
+
+// endLongPolls gives the session's right to wait at the worker, or its turn to get it, to
+// another one.
 func (s *Scheduler) endLongPolls(se *session) {
+	s.waitForLongPoll(se, false)
 	if se.longPolls {
 		s.longPolls--
 		se.longPolls = false
--- a/internal/scheduler/renewals_test.go
+++ b/internal/scheduler/renewals_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -68,3 +70,73 @@
 	last := r.firstRenewalDelay()
 	qt.Check(t, last > 50*time.Millisecond && last <= 250*time.Millisecond, qt.IsTrue, qt.Commentf("last of %d workers after %v", workers, last))
 }
+
+// TestIdleWorkersLeaveConnectionsToBusyOnes guards against a leader of 3,000 workers and 1,349
+// connections for long polls whose processor is used up by opening 1,700 connections a second:
+// nearly all workers were idle, kept the connections that the busy ones needed, and those
+// without one were renewed twice a second.
+func TestIdleWorkersLeaveConnectionsToBusyOnes(t *testing.T) {
+	const (
+		workers  = 3000
+		longPoll = 1349
+		busy     = 1300
+	)
+	r := newRig(t, oneTask)
+	r.cfg.Bounds.MaxLongPolls = longPoll
+	seen := make([]cell.Worker, workers-1)
+	for i := range seen {
+		seen[i] = cell.Worker{ID: cell.WorkerID(fmt.Sprintf("v%04d", i)), Born: 1, Addr: "10.0.0.2:1", DC: "dc1", Pool: "p"}
+	}
+	r.apply(&cell.Command{Workers: &cell.Workers{Seen: seen}})
+	r.lead()
+	all := slices.Collect(maps.Values(r.sessions))
+	renewAll := func() (pausesBusy, pausesIdle float64) {
+		for _, se := range all {
+			rn := r.nextRenewal(se)
+			rn.reply = &RenewReply{ClockMillis: 1000}
+			if rn.order.Dedicated {
+				continue
+			}
+			if len(se.runs) > 0 {
+				pausesBusy += 1 / rn.pause.Seconds()
+			} else {
+				pausesIdle += 1 / rn.pause.Seconds()
+			}
+		}
+		return pausesBusy, pausesIdle
+	}
+	_, idle := renewAll()
+	qt.Check(t, idle <= idlePollsPerSecond*3/2, qt.IsTrue, qt.Commentf("%.0f renewals a second", idle))
+	for _, se := range all[workers-busy:] {
+		se.runs[cell.TaskKey{Job: testJob}] = &run{number: 1, status: runStarted}
+	}
+	renewAll()
+	busyPolls, _ := renewAll()
+	qt.Check(t, busyPolls, qt.Equals, 0.0, qt.Commentf("busy workers without a connection"))
+	qt.Check(t, r.longPolls <= longPoll, qt.IsTrue)
+}
+
+// TestIdleWorkerIsRenewedOnceItStartsARun guards against the end of a short run that is known
+// only after the long pause of an idle worker, and against an idle worker that counts as
+// silent because of that pause.
+func TestIdleWorkerIsRenewedOnceItStartsARun(t *testing.T) {
+	r := newRig(t, oneTask)
+	r.lead()
+	r.deliverReply(RenewReply{ClockMillis: 1000})
+	se := r.sessions[testWorker]
+	r.endLongPolls(se)
+	r.cfg.Bounds.MaxLongPolls, r.longPolls = 1, 1
+	rn := r.nextRenewal(se)
+	qt.Assert(t, se.polledIdle, qt.IsTrue)
+	r.clock.Advance(unreachableAfter + rn.pause - time.Millisecond)
+	qt.Check(t, se.isSilent(r.now()), qt.IsFalse)
+	r.clock.Advance(time.Millisecond)
+	qt.Check(t, se.isSilent(r.now()), qt.IsTrue)
+
+	k := r.place(0, 1)
+	r.syncSessions(r.ctx)
+	r.onStartReply(r.ctx, se, k, se.runs[k], nil)
+	qt.Check(t, se.pause(r.ctx, time.Hour), qt.IsTrue)
+	rn = r.nextRenewal(se)
+	qt.Check(t, rn.pause, qt.Equals, shortPollInterval)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -94,6 +94,8 @@
 
 	// longPolls counts the sessions whose renewals may wait at the worker.
 	longPolls int
+	// longPollWaiters counts the sessions with runs whose renewals may not.
+	longPollWaiters int
 
 	// replyTimes estimates how long workers take to answer orders.
 	replyTimes replyTimes
@@ -248,7 +250,7 @@
 	s.retention = newRetention()
 	s.reachability = newReachability()
 	s.shareBuckets = map[string]*tokenBucket{}
-	s.ends, s.longPolls, s.replyLoss = endBatch{}, 0, replyLoss{}
+	s.ends, s.longPolls, s.longPollWaiters, s.replyLoss = endBatch{}, 0, 0, replyLoss{}
 	s.lost, s.unsettled = lossSums{}, nil
 	s.planning, s.creatingOccurrences, s.dirty = false, false, true
 	s.nextCleanup, s.nextPlanAt, s.nextLatePlanAt = 0, 0, 0
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -34,8 +34,8 @@
 	// renewed. A renewal that gets no reply may still have reached the worker, so
 	// each one delays the time at which the worker's runs can be declared lost.
 	renewalCutoff = 2 * time.Second
-	// unreachableAfter is how long a worker may go without a reply before no new
-	// tasks are placed on it.
+	// unreachableAfter is how long a worker may go without a reply, besides the pause
+	// after its last one, before no new tasks are placed on it.
 	unreachableAfter = 2500 * time.Millisecond
 )
 
@@ -166,9 +166,17 @@
 	// resumed lets the renewal loop continue after a reply is handled and the
 	// ends that it listed are recorded.
 	resumed chan struct{}
+	// woken ends the pause of the renewal loop.
+	woken chan struct{}
+	// renewalPause is the pause after the last renewal of the loop, and polledIdle says
+	// that it was that of a worker without runs.
+	renewalPause time.Duration
+	polledIdle   bool
 	// longPolls says that the renewals of the loop have a connection of their own and
 	// may wait at the worker.
 	longPolls bool
+	// waitsForLongPoll says that the session has runs and no such connection.
+	waitsForLongPoll bool
 	// listsOddRows says that the last reply had rows that name no run.
 	listsOddRows bool
 	// renewalFailed says that the last renewal of the loop got no reply.
@@ -263,6 +271,7 @@
 		replying:  w.Born,
 		lastReply: s.now(),
 		resumed:   make(chan struct{}, 1),
+		woken:     make(chan struct{}, 1),
 		runs:      map[cell.TaskKey]*run{},
 
 		unknownStops: map[cell.TaskKey]bool{},
