scheduler, cell: a lost run that turns out to be done completes its task

While the leader can't reach a worker for longer than a lease, it records the worker's runs as lost. An end 'done' that the worker listed afterwards was acknowledged and dropped, so that the task ran again. It now completes the task if that still waits; entries of earlier versions keep their meaning, since the command says so. Gangs and services are left out.

--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -259,17 +259,31 @@
 }
 
 // applyEnd records the end of a run. It does nothing if the worker's incarnation has
-// no allocation for that run.
+// no allocation for that run, unless the end is late.
 func (s *State) applyEnd(e *End, unixMillis int64) {
 	w := s.Workers[e.Worker]
-	if w == nil || w.Born != e.Born {
-		return
+	if w != nil && w.Born == e.Born {
+		if a, ok := w.Allocations[e.Task]; ok && a.Run == e.Run {
+			s.endRun(w, a, e, unixMillis)
+			return
+		}
 	}
-	a, ok := w.Allocations[e.Task]
-	if !ok || a.Run != e.Run {
-		return
+	if e.Late && s.AwaitsRun(e.Task, e.Run) {
+		j, step, _ := s.Task(e.Task)
+		step.Placed++
+		s.recordSuccess(j, e.Task, unixMillis)
 	}
-	s.endRun(w, a, e, unixMillis)
+}
+
+// AwaitsRun reports whether a task waits to be placed again, so that a run which was recorded
+// as lost and turns out to be done completes it. The tasks of a gang end together, and those of
+// a service never: neither counts.
+func (s *State) AwaitsRun(k TaskKey, run int64) bool {
+	j, _, t := s.Task(k)
+	if t == nil || j.State.Ended() || j.Steps[k.Step].Gang || j.Steps[k.Step].Service {
+		return false
+	}
+	return t.Status == TaskWaiting && 0 < run && run <= t.Run
 }
 
 // endRun releases the allocation of a run that has ended, and updates the task if
--- a/internal/cell/apply_test.go
+++ b/internal/cell/apply_test.go
@@ -145,3 +145,19 @@
 	}
 	qt.Check(t, s.Workers[testWorker].Free(), qt.Equals, model.Resources{MilliCPU: 16000})
 }
+
+// TestOnlyALateEndCompletesAWaitingTask guards against members that disagree after they have
+// applied a log of an earlier version: its ends of runs that are not allocated have no effect.
+func TestOnlyALateEndCompletesAWaitingTask(t *testing.T) {
+	s := stateWithJob(t, Step{Count: 1, Need: model.Resources{MilliCPU: 1000, MemoryMB: 10}})
+	applyCommand(t, s, &Command{Leadership: 2, Starts: &Starts{[]Start{startOf(0, 1)}}})
+	applyCommand(t, s, endOf(0, 1, OutcomeLost))
+	done := endOf(0, 1, OutcomeDone)
+	applyCommand(t, s, done)
+	qt.Check(t, s.Jobs[testJob].State, qt.Equals, JobRunning)
+	done.Ends.Ends[0].Late = true
+	applyCommand(t, s, done)
+	qt.Check(t, s.Jobs[testJob].State, qt.Equals, JobSucceeded)
+	step := &s.Jobs[testJob].Occurrences[0].Steps[0]
+	qt.Check(t, [2]int{step.Placed, step.Held}, qt.Equals, [2]int{0, 0})
+}
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -110,6 +110,9 @@
 	// WorkMillis is the run time in milliseconds, at nominal speed, of a run that began
 	// without a checkpoint and succeeded; 0 if it was not measured.
 	WorkMillis int64
+	// Late says that the run was already recorded as lost when its worker, which had been out
+	// of reach, listed it as done. False in commands of earlier versions.
+	Late bool
 }
 
 // Ends records the ends of runs, and with them what was learnt about the speed of workers.
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -47,6 +47,23 @@
 	s.ends.losses = append(s.ends.losses, s.lossOf(k, r, outcome, checkpoint, cause))
 }
 
+// addLateSuccess adds the end of a run that the worker lists as done, and that was recorded as
+// lost or is being so. Its worker was out of reach for longer than its lease. The task need not
+// run again if it still waits.
+func (s *Scheduler) addLateSuccess(se *session, f *FinishedTask) {
+	r := se.runs[f.Task]
+	awaited := r != nil && r.number == f.Run && r.ending
+	s.cfg.State.Read(func() { awaited = awaited || s.cfg.State.AwaitsRun(f.Task, f.Run) })
+	if f.Outcome != cell.OutcomeDone || !awaited {
+		return
+	}
+	s.cfg.Log.Info("lost run turned out to be done", zap.Stringer("task", f.Task), zap.Int64("run", f.Run), zap.String("worker", string(se.target.ID)))
+	s.ends.ends = append(s.ends.ends, cell.End{
+		Task: f.Task, Run: f.Run, Worker: se.target.ID, Born: se.target.Incarnation, Outcome: f.Outcome, Late: true,
+	})
+	s.ends.losses = append(s.ends.losses, workLoss{})
+}
+
 // commitEnds commits the collected run ends. Once they are committed, the next
 // lease renewals acknowledge them to the workers, which may then forget them.
 func (s *Scheduler) commitEnds(ctx context.Context) {
@@ -92,6 +109,9 @@
 func (s *Scheduler) rollBackEnds(ends []cell.End) {
 	for i := range ends {
 		e := &ends[i]
+		if e.Late {
+			continue
+		}
 		if se := s.sessions[e.Worker]; se != nil {
 			se.lost = false
 			if r := se.runs[e.Task]; r != nil && r.number == e.Run {
--- a/internal/scheduler/listedruns.go
+++ b/internal/scheduler/listedruns.go
@@ -57,7 +57,11 @@
 		last = max(last, f.Number)
 		listed[f.Task] = max(listed[f.Task], f.Run)
 		r := se.runs[f.Task]
-		if r == nil || r.number != f.Run || r.ending || rn.outOfBand {
+		if rn.outOfBand {
+			continue
+		}
+		if r == nil || r.number != f.Run || r.ending {
+			s.addLateSuccess(se, f)
 			continue
 		}
 		r.ending = true
