--- a/internal/cell/apply.go
+++ b/internal/cell/apply.go
@@ -269,15 +269,16 @@
 		}
 	}
 	if e.Late && s.AwaitsRun(e.Task, e.Run) {
-		j, step, _ := s.Task(e.Task)
+		j, step, t := s.Task(e.Task)
+		t.Worker = e.Worker
 		step.Placed++
 		s.recordSuccess(j, e.Task, unixMillis)
 	}
 }
 
-// AwaitsRun reports whether a task waits to be placed again, so that a run which was recorded
-// as lost and turns out to be done completes it. The tasks of a gang end together, and those of
-// a service never: neither counts.
+// AwaitsRun reports whether a task waits to be placed again, so that any earlier run which was
+// recorded as lost and turns out to be done completes it. The tasks of a gang end together, and
+// those of a service never: neither counts.
 func (s *State) AwaitsRun(k TaskKey, run int64) bool {
 	j, _, t := s.Task(k)
 	if t == nil || j.State.Ended() || j.Steps[k.Step].Gang || j.Steps[k.Step].Service {
--- a/internal/cell/apply_test.go
+++ b/internal/cell/apply_test.go
@@ -160,4 +160,5 @@
 	qt.Check(t, s.Jobs[testJob].State, qt.Equals, JobSucceeded)
 	step := &s.Jobs[testJob].Occurrences[0].Steps[0]
 	qt.Check(t, [2]int{step.Placed, step.Held}, qt.Equals, [2]int{0, 0})
+	qt.Check(t, step.Tasks[0].Worker, qt.Equals, testWorker)
 }
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -110,8 +110,8 @@
 	// WorkMillis is the run time in milliseconds, at nominal speed, of a run that began
 	// without a checkpoint and succeeded; 0 if it was not measured.
 	WorkMillis int64
-	// Late says that the run was already recorded as lost when its worker, which had been out
-	// of reach, listed it as done. False in commands of earlier versions.
+	// Late says that the run was recorded as lost, or was being so, when its worker, which had
+	// been out of reach, listed it as done. False in commands of earlier versions.
 	Late bool
 }
 
--- a/internal/cell/fuzz_test.go
+++ b/internal/cell/fuzz_test.go
@@ -18,6 +18,8 @@
 	oddEnd.Ends.Ends[0].Task.Step = 7
 	measuredEnd := endOf(0, 1, OutcomeDone)
 	measuredEnd.Ends.Ends[0].WorkMillis = 1 << 62
+	lateEnd := endOf(0, 1, OutcomeDone)
+	lateEnd.Ends.Ends[0].Late = true
 	return []*Command{
 		{Lead: &Lead{Term: 9}},
 		{Submit: &Submit{Job{ID: "j2", Queue: "q", Workspace: "a", Steps: []Step{{Count: 2, Gang: true}, {Count: 1, After: []int{0}}}}}},
@@ -28,6 +30,7 @@
 		endOf(0, 1, OutcomeFailed),
 		oddEnd,
 		measuredEnd,
+		lateEnd,
 		{Workers: &Workers{Seen: []Worker{worker}, Gone: []Incarnation{{ID: testWorker, Born: 1}}}},
 		{SetOut: &SetOut{DC: "dc1", Out: true}},
 		{Due: &Due{Jobs: []JobID{testJob, "none"}}},
--- a/internal/inbound/listen.go
+++ b/internal/inbound/listen.go
@@ -44,9 +44,10 @@
 	s.Handler = l.Handler(httpx.Conn, s.Handler)
 }
 
-// LimitWire limits the memory of a wire node's frames and its inbound connections, with their
-// metrics and log lines.
+// LimitWire limits the memory of a wire node's frames and its inbound connections, of which there
+// are at most conns, with their metrics and log lines.
 func LimitWire(n *wire.Node, m Memory, conns int, registry prometheus.Registerer, log *zap.Logger) {
+	conns = m.peerConns(conns)
 	n.SetLimits(wire.Limits{
 		Frames: NewBudget("wire", m.Frames, registry, log), Conns: conns,
 		ReceiveBuffer: m.peerBuffer(conns), OnFull: logFull("wire", conns, log),
--- a/internal/inbound/memory.go
+++ b/internal/inbound/memory.go
@@ -33,12 +33,12 @@
 // Parts of the VM's memory, one in this many bytes, for the purposes that uncontrolled clients
 // can use. The Go runtime's own limit holds them and the rest of the heap; see runtimeShare.
 const (
-	bodiesPart     = 8
-	peersPart      = 8
-	peerSockets    = 12
-	entryConnsPart = 8
-	entryConnsPer  = 3
-	controlConns   = 4
+	bodiesPart      = 8
+	peersPart       = 8
+	peerSocketsPart = 12
+	entryConnsPart  = 8
+	entryConnsPer   = 3
+	controlConns    = 4
 )
 
 // MaxBodyBytes is the largest body of any request: a worker's report and a configuration with
@@ -51,8 +51,9 @@
 	minBodies = 6 << 20
 	minFrames = wire.MaxFrameBytes * 3 / 2
 	// minPeerBuffer and maxPeerBuffer bound the receive buffer of a connection of our own
-	// processes. More than maxPeerBuffer isn't in flight between VMs near each other.
-	minPeerBuffer = 8 << 10
+	// processes. With 8 KiB, six senders at once reached half of the throughput of larger
+	// ones. On small VMs minPeerBuffer limits the number of connections.
+	minPeerBuffer = 32 << 10
 	maxPeerBuffer = 256 << 10
 	// unknownMemory is assumed for a process whose memory isn't limited.
 	unknownMemory = 1 << 30
@@ -77,7 +78,7 @@
 	perConn := int64(2*(callersReceiveBuffer+callersSendBuffer) + connectionBytes)
 	return Memory{
 		Bodies: max(minBodies, memory/bodiesPart),
-		Frames: max(minFrames, memory/peersPart), PeerBuffers: memory / peerSockets,
+		Frames: max(minFrames, memory/peersPart), PeerBuffers: memory / peerSocketsPart,
 		Conns: int(memory * entryConnsPer / entryConnsPart / perConn),
 	}
 }
@@ -89,11 +90,17 @@
 	perConn := int64(2*(controlReceiveBuffer+controlSendBuffer) + connectionBytes)
 	return Memory{
 		Bodies: max(minBodies, memory/bodiesPart/2),
-		Frames: max(minFrames, memory/peersPart), PeerBuffers: memory / peerSockets,
+		Frames: max(minFrames, memory/peersPart), PeerBuffers: memory / peerSocketsPart,
 		Conns: int(memory / controlConns / perConn),
 	}
 }
 
+// peerConns returns how many connections of our own processes fit into PeerBuffers, at most
+// limit.
+func (m Memory) peerConns(limit int) int {
+	return max(1, min(limit, int(m.PeerBuffers/(2*minPeerBuffer))))
+}
+
 // peerBuffer returns the size of the receive buffer of each of conns connections of our own
 // processes. The kernel takes twice as much.
 func (m Memory) peerBuffer(conns int) int {
--- a/internal/inbound/memory_test.go
+++ b/internal/inbound/memory_test.go
@@ -20,6 +20,7 @@
 // fit into the memory of every VM, and that one request within the limits is served.
 func TestMemoryLimitsFitTheVM(t *testing.T) {
 	check := func(name string, l Memory, memoryMB, base, accounts, perConn int64, peers int) {
+		peers = l.peerConns(peers)
 		sum := base + accounts*l.Bodies + l.Frames + int64(l.Conns)*perConn + int64(peers*2*l.peerBuffer(peers))
 		qt.Check(t, sum <= memoryMB<<20, qt.IsTrue, qt.Commentf("%s of %d MB: %+v and %d MB make %d MB", name, memoryMB, l, base>>20, sum>>20))
 		qt.Check(t, l.Bodies*3/4 >= MaxBodyBytes, qt.IsTrue, qt.Commentf("%+v", l))
@@ -36,6 +37,9 @@
 	qt.Check(t, ControlMemory(280).Conns >= fdlimit.Split(4096).Inbound, qt.IsTrue, qt.Commentf("%+v", ControlMemory(280)))
 	qt.Check(t, EntryMemory(144).Conns >= 600, qt.IsTrue, qt.Commentf("%+v", EntryMemory(144)))
 	qt.Check(t, EntryMemory(0), qt.Equals, EntryMemory(unknownMemory>>20))
+	// As many processes as a large deployment has keep a connection to the leader.
+	peers := fdlimit.Split(4096).PeersIn
+	qt.Check(t, ControlMemory(408).peerConns(peers), qt.Equals, peers)
 }
 
 // TestEntryDescriptorsFit checks that the parts of an entry process's descriptors leave some
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -84,6 +84,9 @@
 	answered := make(chan bool, 1)
 	s.enqueue(ctx, func() {
 		se := s.sessions[w.ID]
+		if se != nil {
+			se.wakeIfIdle()
+		}
 		answered <- se != nil && se.target.Incarnation == w.Born && se.replying == w.Born && se.answeredSentAt > at
 	})
 	select {
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -51,10 +51,13 @@
 // lost or is being so. Its worker was out of reach for longer than its lease. The task need not
 // run again if it still waits.
 func (s *Scheduler) addLateSuccess(se *session, f *FinishedTask) {
+	if f.Outcome != cell.OutcomeDone {
+		return
+	}
 	r := se.runs[f.Task]
 	awaited := r != nil && r.number == f.Run && r.ending
 	s.cfg.State.Read(func() { awaited = awaited || s.cfg.State.AwaitsRun(f.Task, f.Run) })
-	if f.Outcome != cell.OutcomeDone || !awaited {
+	if !awaited {
 		return
 	}
 	s.cfg.Log.Info("lost run turned out to be done", zap.Stringer("task", f.Task), zap.Int64("run", f.Run), zap.String("worker", string(se.target.ID)))
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -144,6 +144,7 @@
 		s.cfg.Log.Warn("worker did not answer the start, stopping the run", zap.Stringer("task", k), zap.Int64("run", r.number),
 			zap.String("worker", string(se.target.ID)), zap.Error(err))
 		r.status = runUnconfirmed
+		se.wakeIfIdle()
 		se.blockedUntil = now.Add(unconfirmedBackoff)
 		s.requestStop(ctx, se, k, r, causeUnconfirmed)
 	}
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -25,7 +25,8 @@
 	shortPollInterval = 500 * time.Millisecond
 	// idlePollsPerSecond bounds the renewals that don't wait, of workers without runs. In
 	// a cell with more workers than connections each of them opens a connection.
-	// maxIdlePollInterval is the longest interval of one worker's.
+	// maxIdlePollInterval is the longest interval of one worker's; in cells with more than
+	// 2,700 workers it takes precedence.
 	idlePollsPerSecond  = 400
 	maxIdlePollInterval = 4 * time.Second
 	// busyReserve is the part of Bounds.MaxLongPolls, one in this many, that is only for
@@ -127,12 +128,12 @@
 func (s *Scheduler) nextRenewal(se *session) renewal {
 	now := s.now()
 	o := RenewOrder{Fence: se.fence, AcknowledgedEnds: se.lastRecordedEnd}
-	if now.Sub(se.lastReply) < renewalCutoff {
+	if se.silence(now) < renewalCutoff {
 		o.LeaseMillis = s.extendLease(se)
 	}
 	rn := renewal{target: se.target, sent: now, retryPause: renewalRetry}
 	o.Dedicated = s.mayLongPoll(se)
-	se.polledIdle = !o.Dedicated && len(se.runs) == 0
+	se.polledIdle = !o.Dedicated && se.isIdle()
 	switch {
 	case se.polledIdle:
 		rn.pause = s.idlePollInterval()
@@ -141,30 +142,38 @@
 	case se.waitsAtWorker(o.LeaseMillis):
 		o.Wait = s.renewalWait(se)
 	}
-	switch silence := now.Sub(se.lastReply); {
+	switch silence := se.silence(now); {
 	case silence > leaseTerm || (se.draining && len(se.runs) == 0):
 		rn.retryPause = goneRetry
 	case silence > unreachableAfter:
 		rn.retryPause = unreachableRetry
 	}
 	rn.order = o
-	se.renewalPause = rn.pause
 	return rn
 }
 
+// isIdle reports whether nothing is known of the worker that its next reply may tell news of.
+func (se *session) isIdle() bool {
+	return len(se.runs) == 0 && len(se.unknownStops) == 0 && se.fenceAccepted && !se.draining
+}
+
 // idlePollInterval returns the interval of the renewals of a worker that has no runs and no
 // connection of its own.
 func (s *Scheduler) idlePollInterval() time.Duration {
-	others := len(s.sessions) - s.cfg.Bounds.MaxLongPolls
+	others := len(s.sessions) - s.maxIdleLongPolls()
 	return min(max(time.Duration(others)*time.Second/idlePollsPerSecond, shortPollInterval), maxIdlePollInterval)
 }
 
-// isSilent reports whether the worker has not answered for so long after its last renewal that
-// no new tasks are placed on it.
-func (se *session) isSilent(now clock.Instant) bool {
-	return now.Sub(se.lastReply) >= unreachableAfter+se.renewalPause
+// silence returns for how long the worker has not answered, besides the pause that followed its
+// last reply.
+func (se *session) silence(now clock.Instant) time.Duration {
+	return now.Sub(se.lastReply) - se.pauseAfterReply
 }
 
+// isSilent reports whether the worker has not answered for so long that no new tasks are placed
+// on it.
+func (se *session) isSilent(now clock.Instant) bool { return se.silence(now) >= unreachableAfter }
+
 // renewalWait returns how long the worker may delay its reply to the next renewal.
 func (s *Scheduler) renewalWait(se *session) time.Duration {
 	switch {
@@ -217,11 +226,16 @@
 // freeLongPolls returns how many sessions without runs may take a connection of their own. If
 // it is negative, so many of them must give up theirs.
 func (s *Scheduler) freeLongPolls() int {
+	return s.maxIdleLongPolls() - s.longPolls - s.longPollWaiters
+}
+
+// maxIdleLongPolls returns how many sessions without runs may have a connection of their own.
+func (s *Scheduler) maxIdleLongPolls() int {
 	limit := s.maxLongPolls()
-	if len(s.sessions) > limit {
-		limit -= limit / busyReserve
+	if len(s.sessions) <= limit {
+		return limit
 	}
-	return limit - s.longPolls - s.longPollWaiters
+	return limit - limit/busyReserve
 }
 
 // waitForLongPoll records whether a session has runs and no connection of its own.
@@ -307,6 +321,9 @@
 	}
 	first := !se.fenceAccepted
 	se.fenceAccepted, se.lastReply, se.lost = true, now, false
+	if !rn.outOfBand {
+		se.pauseAfterReply = rn.pause
+	}
 	se.answeredSentAt = max(se.answeredSentAt, rn.sent)
 	se.recordClock(rn.reply.ClockMillis, now)
 	s.dirty = s.dirty || first
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -168,10 +168,10 @@
 	resumed chan struct{}
 	// woken ends the pause of the renewal loop.
 	woken chan struct{}
-	// renewalPause is the pause after the last renewal of the loop, and polledIdle says
-	// that it was that of a worker without runs.
-	renewalPause time.Duration
-	polledIdle   bool
+	// pauseAfterReply is the pause of the renewal loop after its last reply.
+	pauseAfterReply time.Duration
+	// polledIdle says that the last renewal of the loop was that of an idle worker.
+	polledIdle bool
 	// longPolls says that the renewals of the loop have a connection of their own and
 	// may wait at the worker.
 	longPolls bool
@@ -240,6 +240,9 @@
 	if inherited {
 		se = s.openSession(ctx, w)
 	}
+	if w.Draining && !se.draining {
+		se.wakeIfIdle()
+	}
 	se.target.Addr, se.draining = w.Addr, w.Draining
 	if !se.draining {
 		se.shutdownAt = 0
@@ -401,6 +404,7 @@
 		return
 	}
 	se.fence, se.fenceAccepted = s.nextFence(), false
+	se.wakeIfIdle()
 	s.cfg.Log.Warn("worker refused the fencing token, using a new one", zap.String("worker", string(se.target.ID)),
 		zap.Uint64("refused", refused), zap.Uint64("fence", se.fence))
 }
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -145,7 +145,7 @@
 	// Conns is the highest number of inbound connections.
 	Conns int
 	// ReceiveBuffer is the size of the receive buffer of each inbound connection in bytes, 0
-	// for the size that the kernel chooses.
+	// to leave it as it is.
 	ReceiveBuffer int
 	// OnFull is called when a new connection finds Conns reached.
 	OnFull func()
--- a/internal/wire/socket.go
+++ b/internal/wire/socket.go
@@ -10,8 +10,8 @@
 // unackedTimeout is how long sent data may stay unacknowledged before the kernel
 // closes the connection. Without it, TCP doubles the retransmission timeout up to
 // two minutes (RFC 6298), so that after a long network partition a connection would
-// stay unusable for that long. A frozen process doesn't trigger the timeout, since
-// its kernel still acknowledges data.
+// stay unusable for that long. A frozen process doesn't trigger the timeout as long
+// as what is sent fits into its receive buffer, since its kernel still acknowledges data.
 const unackedTimeout = 3 * time.Second
 
 // setUnackedTimeout sets TCP_USER_TIMEOUT (RFC 5482) on c if it is a TCP connection.
