--- a/internal/inbound/memory.go
+++ b/internal/inbound/memory.go
@@ -51,8 +51,8 @@
 	minBodies = 6 << 20
 	minFrames = wire.MaxFrameBytes * 3 / 2
 	// minPeerBuffer and maxPeerBuffer bound the receive buffer of a connection of our own
-	// processes. With 8 KiB, six senders at once reached half of the throughput of larger
-	// ones. On small VMs minPeerBuffer limits the number of connections.
+	// processes. Smaller buffers than minPeerBuffer slow down senders that send at the same
+	// time, so that on small VMs the number of connections is limited instead.
 	minPeerBuffer = 32 << 10
 	maxPeerBuffer = 256 << 10
 	// unknownMemory is assumed for a process whose memory isn't limited.
--- a/internal/scheduler/renewals.go
+++ b/internal/scheduler/renewals.go
@@ -25,8 +25,8 @@
 	shortPollInterval = 500 * time.Millisecond
 	// idlePollsPerSecond bounds the renewals that don't wait, of workers without runs. In
 	// a cell with more workers than connections each of them opens a connection.
-	// maxIdlePollInterval is the longest interval of one worker's; in cells with more than
-	// 2,700 workers it takes precedence.
+	// maxIdlePollInterval is the longest interval of one worker's. It takes precedence in
+	// cells where more than 1,600 workers have no connection of their own.
 	idlePollsPerSecond  = 400
 	maxIdlePollInterval = 4 * time.Second
 	// busyReserve is the part of Bounds.MaxLongPolls, one in this many, that is only for
@@ -84,8 +84,8 @@
 	return true
 }
 
-// wakeIfIdle sends the next renewal now if the worker was renewed as one without runs. The end
-// of a run that has just started would otherwise be known only after the pause.
+// wakeIfIdle ends the pause of the renewal loop if it is that of an idle worker. The end of a run
+// that has just started would otherwise be known only after the pause.
 func (se *session) wakeIfIdle() {
 	if !se.polledIdle {
 		return
@@ -152,7 +152,8 @@
 	return rn
 }
 
-// isIdle reports whether nothing is known of the worker that its next reply may tell news of.
+// isIdle reports whether the worker has no runs, and neither a stop, a shutdown nor a new fencing
+// token waits for its next reply.
 func (se *session) isIdle() bool {
 	return len(se.runs) == 0 && len(se.unknownStops) == 0 && se.fenceAccepted && !se.draining
 }
