--- a/internal/wire/socket.go
+++ b/internal/wire/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -20,18 +21,7 @@
 	if !ok {
 		return nil
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var optionErr error
-	err = raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optionErr
+	return setSocketOption(tcp, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
 }
 
 // setReceiveBuffer sets the size of the receive buffer of the connections that l accepts, unless
@@ -43,13 +33,18 @@
 	if !ok || size == 0 {
 		return nil
 	}
-	raw, err := tcp.SyscallConn()
+	return setSocketOption(tcp, unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+}
+
+// setSocketOption sets an integer option of the socket of c.
+func setSocketOption(c syscall.Conn, level, option, value int) error {
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return err
 	}
 	var optionErr error
 	err = raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+		optionErr = unix.SetsockoptInt(int(fd), level, option, value)
 	})
 	if err != nil {
 		return err
