--- a/internal/cell/plan/order.go
+++ b/internal/cell/plan/order.go
@@ -132,9 +132,13 @@
 	selected, work := workHeap{}, 0.0
 	rank := -1
 	for _, s := range steps {
-		if s.late(now) {
+		switch {
+		case s.late(now):
 			s.standing = s.lateStanding(now)
 			continue
+		case now > s.latestStart():
+			s.standing = OnTime
+			continue
 		}
 		if r := shareRank(s); r != rank {
 			rank, selected, work = r, selected[:0], 0
@@ -174,7 +178,7 @@
 // endsTooLate reports whether the job is expected to end after lateFactor times its
 // objective if the step starts at the given time.
 func (s *Pending) endsTooLate(start clock.Instant) bool {
-	return s.Objective > 0 && start.Add(s.Remaining) > s.Deadline.Add((lateFactor-1)*s.Objective)
+	return s.Objective > 0 && !s.Step.Service && start.Add(s.Remaining) > s.Deadline.Add((lateFactor-1)*s.Objective)
 }
 
 // workHeap holds steps, the one with the most waiting work first.
--- a/internal/cell/plan/order_test.go
+++ b/internal/cell/plan/order_test.go
@@ -76,6 +76,22 @@
 	qt.Check(t, out.Hopeless[0].Reason, qt.Equals, ReasonQueue)
 }
 
+// TestServiceIsNeverLate guards against the failed task of a service that isn't restarted for 18 s,
+// behind less urgent work that is late or held back: its job was submitted long ago, so that it
+// counted as hopeless, but its users need it all the same.
+func TestServiceIsNeverLate(t *testing.T) {
+	service := withObjective(pending("service", 1, 8, 1, false), 10*time.Second, -21*time.Second)
+	service.Step.Service = true
+	batch := withObjective(pending("batch", 1, 8, 2, false), 10*time.Second, time.Second)
+	for _, order := range []Order{LeastCost, LatestStart} {
+		in := input([]Worker{worker("w1", 8)}, service, batch)
+		in.Order = order
+		out := Compute(in)
+		qt.Check(t, placedOn(out)["service"], qt.HasLen, 1, qt.Commentf("order %v", order))
+		qt.Check(t, out.Hopeless, qt.HasLen, 0)
+	}
+}
+
 // scarceInput returns a snapshot of two full workers whose runs have checkpoints, a gang that
 // can only start in their place, and more work than the pool can do within 2 s.
 func scarceInput(gang Pending, slack time.Duration) *Input {
--- a/internal/cell/plan/plan.go
+++ b/internal/cell/plan/plan.go
@@ -321,8 +321,9 @@
 	return r
 }
 
-// late reports whether the step can no longer meet its deadline.
-func (s *Pending) late(now clock.Instant) bool { return now > s.latestStart() }
+// late reports whether the step can no longer meet its deadline. A service has none that passes:
+// its users need it for as long as it is to run.
+func (s *Pending) late(now clock.Instant) bool { return now > s.latestStart() && !s.Step.Service }
 
 // latestStart returns the latest time at which the step can start to meet its
 // deadline.
